--- /dev/null
+++ b/cmd/shedkeel-entry/main.go
@@ -0,0 +1,6 @@
+// Command shedkeel-entry is described by its own --help.
+package main
+
+import "shedkeel.org/shedkeel/program"
+
+func main() { program.Entry() }
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,227 @@
+package config
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// Settings are the settings of one entry box, read by its entry and its
+// keeper alike.
+type Settings struct {
+	Node     shedkeel.NodeID `toml:"node"` // name of this entry box, unique in the fleet
+	Zone     shedkeel.ZoneID `toml:"zone"` // its availability zone
+	Entry    EntrySettings   `toml:"entry"`
+	Keeper   KeeperSettings  `toml:"keeper"`
+	Wire     WireSettings    `toml:"wire"`
+	Platform PlatformSetting `toml:"platform"`
+	Timing   Timing          `toml:"timing"`
+	TLS      TLSSettings     `toml:"tls"` // towards callers and operators
+	Log      LogSettings     `toml:"log"`
+}
+
+// EntrySettings are those of the entry.
+type EntrySettings struct {
+	Listen    string            `toml:"listen"`     // for callers
+	Advertise string            `toml:"advertise"`  // where callers find it; empty: listen
+	Admin     string            `toml:"admin"`      // health, metrics and state, for operators
+	KeepFor   shedkeel.Duration `toml:"keep_for"`   // how long callers may keep a which-entry-box answer
+	MaxBody   int64             `toml:"max_body"`   // largest request body, in bytes
+	MaxCalls  int               `toml:"max_calls"`  // most requests in flight at once
+	DrainTime shedkeel.Duration `toml:"drain_time"` // longest that a planned stop waits for requests in flight
+}
+
+// KeeperSettings are those of the keeper.
+type KeeperSettings struct {
+	Operator    string   `toml:"operator"`     // address for operators
+	OperatorKey string   `toml:"operator_key"` // what operators must present; set by hand
+	Peers       []string `toml:"peers"`        // wire addresses of keepers to begin with
+}
+
+// WireSettings are those of the way between the system's own processes.
+type WireSettings struct {
+	Listen    string      `toml:"listen"`
+	Advertise string      `toml:"advertise"` // where other keepers find it; empty: listen
+	Key       string      `toml:"key"`       // the same on all processes of the fleet
+	TLS       TLSSettings `toml:"tls"`
+}
+
+// PlatformSetting says where the platform's services are.
+type PlatformSetting struct {
+	Store   string `toml:"store"`    // host:port of the key-value service
+	BoxList string `toml:"box_list"` // host:port of the box list
+}
+
+// Timing holds the times that bound detection and agreement.
+type Timing struct {
+	Tick        shedkeel.Duration `toml:"tick"`         // how often a keeper probes, exchanges and plans
+	Sync        shedkeel.Duration `toml:"sync"`         // how often an entry polls its keeper
+	Permit      shedkeel.Duration `toml:"permit"`       // how old the proof may be that a group is whole
+	Lease       shedkeel.Duration `toml:"lease"`        // how long a planner's lease lasts
+	LeaseMargin shedkeel.Duration `toml:"lease_margin"` // what clocks may drift apart over a lease
+	OrderLife   shedkeel.Duration `toml:"order_life"`   // longest that an order is under way
+	StoreCall   shedkeel.Duration `toml:"store_call"`   // longest wait for the key-value service
+	ClaimBatch  shedkeel.Duration `toml:"claim_batch"`  // least time between two writes of one claim shard
+	Retention   shedkeel.Duration `toml:"retention"`    // how long a claim is remembered
+}
+
+// TLSSettings name certificate files; all empty means no TLS.
+type TLSSettings struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"` // who must have signed the other side
+}
+
+// LogSettings are those of the log on standard error.
+type LogSettings struct {
+	Level string `toml:"level"` // debug, info, warn or error
+}
+
+// DefaultSettings returns what holds for keys that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		Entry: EntrySettings{
+			KeepFor:   shedkeel.Duration(5 * time.Second),
+			MaxBody:   8 << 20,
+			MaxCalls:  4096,
+			DrainTime: shedkeel.Duration(2 * time.Minute),
+		},
+		Timing: Timing{
+			Tick:        shedkeel.Duration(500 * time.Millisecond),
+			Sync:        shedkeel.Duration(250 * time.Millisecond),
+			Permit:      shedkeel.Duration(3 * time.Second),
+			Lease:       shedkeel.Duration(6 * time.Second),
+			LeaseMargin: shedkeel.Duration(500 * time.Millisecond),
+			OrderLife:   shedkeel.Duration(time.Second),
+			StoreCall:   shedkeel.Duration(2 * time.Second),
+			ClaimBatch:  shedkeel.Duration(100 * time.Millisecond),
+			Retention:   shedkeel.Duration(24 * time.Hour),
+		},
+		Log: LogSettings{Level: "info"},
+	}
+}
+
+// ReadSettings reads and checks a file of settings.
+func ReadSettings(path string) (Settings, error) {
+	text, err := ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ParseSettings(path, text)
+}
+
+// ParseSettings checks the text of a file of settings.
+func ParseSettings(name string, text []byte) (Settings, error) {
+	settings := DefaultSettings()
+	if err := decode(name, text, &settings); err != nil {
+		return Settings{}, err
+	}
+	if settings.Entry.Advertise == "" {
+		settings.Entry.Advertise = settings.Entry.Listen
+	}
+	if settings.Wire.Advertise == "" {
+		settings.Wire.Advertise = settings.Wire.Listen
+	}
+	return settings, settings.check(name)
+}
+
+func (settings *Settings) check(name string) error {
+	required := []struct{ key, value string }{
+		{"node", string(settings.Node)},
+		{"zone", string(settings.Zone)},
+		{"wire.key", settings.Wire.Key},
+		{"keeper.operator_key", settings.Keeper.OperatorKey},
+	}
+	for _, setting := range required {
+		if setting.value == "" {
+			return &shedkeel.InvalidError{Where: name, What: setting.key + " is missing", Remedy: "set it"}
+		}
+	}
+	addresses := []struct{ key, value string }{
+		{"entry.listen", settings.Entry.Listen},
+		{"entry.advertise", settings.Entry.Advertise},
+		{"entry.admin", settings.Entry.Admin},
+		{"keeper.operator", settings.Keeper.Operator},
+		{"wire.listen", settings.Wire.Listen},
+		{"wire.advertise", settings.Wire.Advertise},
+		{"platform.store", settings.Platform.Store},
+		{"platform.box_list", settings.Platform.BoxList},
+	}
+	for _, peer := range settings.Keeper.Peers {
+		addresses = append(addresses, struct{ key, value string }{"keeper.peers", peer})
+	}
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return &shedkeel.InvalidError{Where: name, What: address.key + " is no address: " + err.Error(), Remedy: "write it as IP:PORT"}
+		}
+	}
+	return settings.checkTimes(name)
+}
+
+func (settings *Settings) checkTimes(name string) error {
+	timing := settings.Timing
+	times := []struct {
+		key   string
+		value shedkeel.Duration
+	}{
+		{"timing.tick", timing.Tick}, {"timing.sync", timing.Sync}, {"timing.permit", timing.Permit},
+		{"timing.lease", timing.Lease}, {"timing.lease_margin", timing.LeaseMargin}, {"timing.order_life", timing.OrderLife},
+		{"timing.store_call", timing.StoreCall}, {"timing.claim_batch", timing.ClaimBatch}, {"timing.retention", timing.Retention},
+		{"entry.keep_for", settings.Entry.KeepFor}, {"entry.drain_time", settings.Entry.DrainTime},
+	}
+	for _, setting := range times {
+		if setting.value <= 0 {
+			return &shedkeel.InvalidError{Where: name, What: setting.key + " is not positive", Remedy: `write it as "500ms" or "3s"`}
+		}
+	}
+	if timing.Permit < 2*(timing.Tick+timing.Sync) {
+		return &shedkeel.InvalidError{Where: name, What: "timing.permit is shorter than two rounds of tick and sync", Remedy: "lengthen it, or permits run out between renewals"}
+	}
+	if timing.Lease < 2*(timing.LeaseMargin+timing.OrderLife+timing.Tick) {
+		return &shedkeel.InvalidError{Where: name, What: "timing.lease is too short for its margin, the order life and the tick", Remedy: "make it at least twice their sum"}
+	}
+	if settings.Entry.MaxBody <= 0 || settings.Entry.MaxCalls <= 0 {
+		return &shedkeel.InvalidError{Where: name, What: "entry.max_body and entry.max_calls must be positive", Remedy: "leave them out for the defaults"}
+	}
+	return nil
+}
+
+// Server returns the TLS configuration for a listener, or nil without TLS.
+func (settings TLSSettings) Server() (*tls.Config, error) {
+	return settings.load()
+}
+
+// Client returns the TLS configuration for calls, or nil without TLS.
+func (settings TLSSettings) Client() (*tls.Config, error) {
+	return settings.load()
+}
+
+func (settings TLSSettings) load() (*tls.Config, error) {
+	if settings.Certificate == "" {
+		return nil, nil //nolint:nilnil // no configuration is a valid answer: TLS is off
+	}
+	pair, err := tls.LoadX509KeyPair(settings.Certificate, settings.Key)
+	if err != nil {
+		return nil, &shedkeel.InvalidError{Where: settings.Certificate, What: err.Error(), Remedy: "name a PEM certificate and its key"}
+	}
+	config := &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13}
+	if settings.Authority == "" {
+		return config, nil
+	}
+	pem, err := os.ReadFile(settings.Authority)
+	if err != nil {
+		return nil, &shedkeel.InvalidError{Where: settings.Authority, What: err.Error(), Remedy: "name a PEM file of authorities"}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &shedkeel.InvalidError{Where: settings.Authority, What: "it holds no certificate", Remedy: "name a PEM file of authorities"}
+	}
+	config.RootCAs = pool
+	config.ClientCAs = pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
--- /dev/null
+++ b/duration.go
@@ -0,0 +1,21 @@
+package shedkeel
+
+import "time"
+
+// Duration is a time.Duration that is written as text such as "1m30s".
+type Duration time.Duration
+
+// MarshalText returns the duration as time.Duration prints it.
+func (duration Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(duration).String()), nil
+}
+
+// UnmarshalText reads what time.ParseDuration reads and returns its error.
+func (duration *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*duration = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,85 @@
+// Package event numbers what the processes log. docs/EVENTS.md says what each
+// event means and what to do; a test holds the two together.
+package event
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"shedkeel.org/shedkeel"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Level  slog.Level
+	Text   string
+}
+
+// The events. Numbers are never reused.
+var (
+	Started         = Event{100, slog.LevelInfo, "process started"}
+	Stopping        = Event{101, slog.LevelInfo, "planned stop begun"}
+	Stopped         = Event{102, slog.LevelInfo, "process stopped"}
+	Failed          = Event{103, slog.LevelError, "process failed"}
+	StoreAway       = Event{200, slog.LevelWarn, "key-value service does not answer"}
+	StoreBack       = Event{201, slog.LevelInfo, "key-value service answers again"}
+	StoreOlder      = Event{202, slog.LevelWarn, "key-value service holds an older record than is in force"}
+	StoreHealed     = Event{203, slog.LevelInfo, "record in force written back to the key-value service"}
+	RecordBad       = Event{204, slog.LevelError, "record of the key-value service cannot be read"}
+	BoxListAway     = Event{205, slog.LevelWarn, "box list does not answer"}
+	Settled         = Event{300, slog.LevelInfo, "keeper knows what is in force"}
+	ConfigInForce   = Event{301, slog.LevelInfo, "configuration in force"}
+	ConfigAccepted  = Event{302, slog.LevelInfo, "configuration accepted from an operator"}
+	ConfigRefused   = Event{303, slog.LevelWarn, "configuration of an operator refused"}
+	LeaseGained     = Event{400, slog.LevelInfo, "planner lease gained"}
+	LeaseLost       = Event{401, slog.LevelWarn, "planner lease lost"}
+	PlacementAgreed = Event{402, slog.LevelInfo, "placement agreed"}
+	PlacementFailed = Event{403, slog.LevelWarn, "placement was not agreed"}
+	Decided         = Event{404, slog.LevelInfo, "planner decided"}
+	OrderFailed     = Event{405, slog.LevelWarn, "order failed"}
+	OrderRefused    = Event{406, slog.LevelWarn, "order refused by a fence"}
+	GroupChanged    = Event{407, slog.LevelInfo, "group found in another state"}
+	PolicyFailed    = Event{408, slog.LevelError, "policy failed; the table in use stays"}
+	KeeperAway      = Event{500, slog.LevelWarn, "keeper does not answer"}
+	KeeperBack      = Event{501, slog.LevelInfo, "keeper answers again"}
+	StreamAborted   = Event{600, slog.LevelWarn, "stream cut off before its end"}
+	StreamResumed   = Event{601, slog.LevelInfo, "stream resumed"}
+	WrongAnswer     = Event{602, slog.LevelError, "backend server answered for another request"}
+	RequestPanic    = Event{603, slog.LevelError, "request handler failed"}
+)
+
+// Catalog returns all events.
+func Catalog() []Event {
+	return []Event{
+		Started, Stopping, Stopped, Failed, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
+		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
+		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, KeeperAway, KeeperBack,
+		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
+	}
+}
+
+// Log writes numbered events. The zero value drops them.
+type Log struct {
+	Logger *slog.Logger
+}
+
+// NewLog returns a log that writes JSON lines of at least the named level. Its
+// error is an InvalidError.
+func NewLog(writer io.Writer, level string) (*Log, error) {
+	var least slog.Level
+	if err := least.UnmarshalText([]byte(level)); err != nil {
+		return nil, &shedkeel.InvalidError{Where: "log.level", What: err.Error(), Remedy: "write debug, info, warn or error"}
+	}
+	return &Log{Logger: slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: least}))}, nil
+}
+
+// Write logs an event with further fields.
+func (log *Log) Write(event Event, fields ...slog.Attr) {
+	if log == nil || log.Logger == nil {
+		return
+	}
+	fields = append([]slog.Attr{slog.Int("event", event.Number)}, fields...)
+	log.Logger.LogAttrs(context.Background(), event.Level, event.Text, fields...)
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,106 @@
+package shedkeel
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Record is one value of the key-value service. Revision 0 means that the key
+// does not exist.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get reads a key. It returns an UnavailableError when the service does
+	// not answer.
+	Get(ctx context.Context, key string) (Record, error)
+	// Swap writes the value if the key still has the revision (0: does not
+	// exist) and returns the new revision. It returns a ConflictError when
+	// the key has moved, an UnavailableError when nothing was sent, and an
+	// UnknownOutcomeError when the reply was lost.
+	Swap(ctx context.Context, key string, revision int64, value []byte) (int64, error)
+	// Watch calls seen for the present records below the prefix and for each
+	// later change, until the context ends or the service fails.
+	Watch(ctx context.Context, prefix string, seen func(Record)) error
+}
+
+// BoxList is the platform's list of live and leaving boxes. It lags.
+type BoxList interface {
+	Boxes(ctx context.Context) ([]Box, error)
+}
+
+// Engines is how a keeper speaks to the engines on boxes.
+type Engines interface {
+	// Probe asks an engine for its state.
+	Probe(ctx context.Context, address string) (BoxState, error)
+	// Give sends an order. It returns a ConflictError when the engine's
+	// fence refused it.
+	Give(ctx context.Context, order Order) error
+}
+
+// Backend sends one request to one backend server, once. It never sends it a
+// second time by itself.
+type Backend interface {
+	// Send returns a NotRunError when not one byte of the request was
+	// written, and an UnknownRunError when some may have been.
+	Send(request *http.Request) (*http.Response, error)
+}
+
+// Timers is the timer service that parts subscribe to. Times are durations on
+// a clock that never steps and that also runs while the machine is suspended.
+type Timers interface {
+	Now() time.Duration
+	// Subscribe calls tick every interval until cancel is called. Calls to
+	// one subscriber never overlap.
+	Subscribe(interval time.Duration, tick func(now time.Duration)) (cancel func())
+}
+
+// Random is a source of pseudo-random numbers that is seeded from outside.
+type Random interface {
+	Uint64() uint64
+}
+
+// Planner decides which boxes form which groups of one availability zone.
+type Planner interface {
+	// Plan returns the placement that should be agreed next and the orders
+	// that the placement now in force calls for.
+	Plan(input PlanInput) PlanOutput
+}
+
+// BoxView is what a planner knows of one box.
+type BoxView struct {
+	Box   Box
+	State BoxState
+	Seen  time.Duration // when it last answered a probe; negative: never
+}
+
+// PlanInput is everything that a planner decides on.
+type PlanInput struct {
+	Now       time.Duration
+	Zone      ZoneID
+	Config    Config
+	Table     Table
+	Boxes     map[BoxID]BoxView
+	Placement Placement
+}
+
+// Decision is one thing that a planner did or left, and why.
+type Decision struct {
+	Group  GroupID `json:"group"`
+	Box    BoxID   `json:"box"`
+	Action string  `json:"action"`
+	Reason string  `json:"reason"`
+}
+
+// PlanOutput is what a planner decided.
+type PlanOutput struct {
+	Changed   bool
+	Placement Placement
+	Orders    []Order
+	Decisions []Decision
+}
--- /dev/null
+++ b/keeper/plan.go
@@ -0,0 +1,456 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/lease"
+	"shedkeel.org/shedkeel/member"
+	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/policy"
+)
+
+const (
+	// leaseRank is the key under which candidates for a zone's lease rank.
+	leaseRank = "lease/"
+	// renewals is how many renewals fit into a lease.
+	renewals = 3
+	// maxOrders bounds how many orders are under way at once.
+	maxOrders = 64
+	// keptDecisions is how many decisions of a zone are kept to explain them.
+	keptDecisions = 200
+)
+
+// zonePlanner is this keeper's part in planning one zone.
+type zonePlanner struct {
+	keeper  *Keeper
+	zone    shedkeel.ZoneID
+	lease   lease.Lease
+	planner shedkeel.Planner
+	epoch   uint64 // under which this keeper planned last; 0: it does not plan
+
+	// placement is what this keeper wrote or read last, with the revision
+	// that its next compare-and-swap builds on.
+	placement shedkeel.Placement
+	revision  int64
+	fenced    bool // the placement carries our epoch
+	table     shedkeel.Table
+	tableOf   uint64 // generation of the configuration that the table is from
+	unknown   map[shedkeel.BoxID]time.Duration
+	decisions []shedkeel.Decision
+}
+
+// tickPlan tends the leases of all zones that have groups to plan, and plans
+// those that this keeper holds.
+func (keeper *Keeper) tickPlan(ctx context.Context, now time.Duration) {
+	var planned sync.WaitGroup
+	for _, zone := range keeper.candidateZones(now) {
+		planned.Go(func() { zone.tick(ctx) })
+	}
+	planned.Wait()
+}
+
+// candidateZones returns the planners of the zones whose lease this keeper may
+// hold.
+func (keeper *Keeper) candidateZones(now time.Duration) []*zonePlanner {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	config, known := keeper.table.Config()
+	if !known || !keeper.settled {
+		return nil
+	}
+	live := keeper.table.Live(now)
+	wanted := map[shedkeel.ZoneID]bool{}
+	for _, service := range config.Services {
+		for _, zone := range service.Zones {
+			wanted[zone] = true
+		}
+	}
+	var planners []*zonePlanner
+	for _, zone := range slices.Sorted(maps.Keys(wanted)) {
+		_, candidate := member.Place(keeper.Settings.Node, leaseRank+string(zone), zone, live)
+		if keeper.zones[zone] == nil && candidate {
+			keeper.zones[zone] = keeper.newZone(zone)
+		}
+		if keeper.zones[zone] != nil {
+			planners = append(planners, keeper.zones[zone])
+		}
+	}
+	return planners
+}
+
+func (keeper *Keeper) newZone(zone shedkeel.ZoneID) *zonePlanner {
+	timing := keeper.Settings.Timing
+	return &zonePlanner{
+		keeper: keeper,
+		zone:   zone,
+		lease: lease.Lease{
+			Node: keeper.table.Self.ID, Incarnation: keeper.table.Self.Incarnation,
+			TTL: time.Duration(timing.Lease), Margin: time.Duration(timing.LeaseMargin), Renew: time.Duration(timing.Lease) / renewals,
+		},
+		planner: keeper.planner(),
+		table:   policy.DefaultTable(),
+		unknown: map[shedkeel.BoxID]time.Duration{},
+	}
+}
+
+func (zone *zonePlanner) leaseKey() string     { return member.KeyLeases + string(zone.zone) }
+func (zone *zonePlanner) placementKey() string { return member.KeyPlacements + string(zone.zone) }
+
+// tick renews or seeks the lease, then plans if it is held.
+func (zone *zonePlanner) tick(ctx context.Context) {
+	zone.tendLease(ctx)
+	keeper := zone.keeper
+	epoch, held := zone.lease.Held(keeper.Timers.Now(), 0)
+	if !held {
+		zone.drop()
+		return
+	}
+	if zone.epoch != epoch {
+		zone.epoch = epoch
+		zone.fenced = false
+		keeper.Log.Write(event.LeaseGained, slog.String("zone", string(zone.zone)), slog.Uint64("epoch", epoch))
+	}
+	if !zone.fenced && !zone.fence(ctx) {
+		return
+	}
+	zone.plan(ctx)
+}
+
+func (zone *zonePlanner) drop() {
+	if zone.epoch == 0 {
+		return
+	}
+	zone.keeper.Log.Write(event.LeaseLost, slog.String("zone", string(zone.zone)), slog.Uint64("epoch", zone.epoch))
+	zone.epoch = 0
+	zone.fenced = false
+}
+
+// tendLease makes the write that the lease wants, if any.
+func (zone *zonePlanner) tendLease(ctx context.Context) {
+	keeper := zone.keeper
+	now := keeper.Timers.Now()
+	keeper.mutex.Lock()
+	record := keeper.table.Record(zone.leaseKey())
+	place, candidate := member.Place(keeper.Settings.Node, leaseRank+string(zone.zone), zone.zone, keeper.table.Live(now))
+	keeper.mutex.Unlock()
+	if err := zone.lease.Observe(record.Revision, record.Value, now); err != nil {
+		keeper.Log.Write(event.RecordBad, slog.String("error", err.Error()))
+		return
+	}
+	if _, held := zone.lease.Held(now, 0); !candidate && !held {
+		return
+	}
+	write, wanted := zone.lease.Wanted(now, place)
+	if !wanted {
+		return
+	}
+	revision, err := keeper.Store.Swap(ctx, zone.leaseKey(), write.Revision, write.Value)
+	if err == nil {
+		zone.lease.Written(revision, write.Value)
+		zone.publish(zone.leaseKey(), write.Value, revision)
+		return
+	}
+	zone.lease.Failed()
+	var conflict *shedkeel.ConflictError
+	if errors.As(err, &conflict) {
+		zone.rereadLease(ctx)
+		return
+	}
+	keeper.noteStore(err)
+}
+
+func (zone *zonePlanner) rereadLease(ctx context.Context) {
+	record, err := zone.keeper.Store.Get(ctx, zone.leaseKey())
+	if err != nil {
+		return
+	}
+	// Whatever the write was, the read tells what holds now.
+	_ = zone.lease.Reset(record.Revision, record.Value, zone.keeper.Timers.Now())
+	if record.Revision > 0 {
+		zone.publish(zone.leaseKey(), record.Value, record.Revision)
+	}
+}
+
+// publish spreads a record that was just written or read.
+func (zone *zonePlanner) publish(key string, value []byte, revision int64) {
+	record, err := member.ParseRecord(shedkeel.Record{Key: key, Value: value, Revision: revision})
+	if err == nil {
+		zone.keeper.merge(record)
+	}
+}
+
+// fence writes the placement once under the new epoch, so that a former holder
+// cannot change it any more, before anything is planned on it.
+func (zone *zonePlanner) fence(ctx context.Context) bool {
+	record, err := zone.keeper.Store.Get(ctx, zone.placementKey())
+	if err != nil {
+		zone.keeper.noteStore(err)
+		return false
+	}
+	placement := shedkeel.Placement{Zone: zone.zone}
+	if record.Revision > 0 {
+		if err := json.Unmarshal(record.Value, &placement); err != nil {
+			zone.keeper.Log.Write(event.RecordBad, slog.String("error", err.Error()))
+			return false
+		}
+	}
+	if inForce := zone.inForce(); inForce.Generation > placement.Generation {
+		placement = inForce // the service was restored from older data
+	}
+	zone.placement = placement
+	zone.revision = record.Revision
+	zone.fenced = zone.agree(ctx, placement)
+	return zone.fenced
+}
+
+func (zone *zonePlanner) inForce() shedkeel.Placement {
+	zone.keeper.mutex.Lock()
+	defer zone.keeper.mutex.Unlock()
+	var placement shedkeel.Placement
+	_ = json.Unmarshal(zone.keeper.table.Record(zone.placementKey()).Value, &placement)
+	return placement
+}
+
+// agree writes a placement by compare-and-swap on the one before it.
+func (zone *zonePlanner) agree(ctx context.Context, next shedkeel.Placement) bool {
+	keeper := zone.keeper
+	next.Zone = zone.zone
+	next.Generation = zone.placement.Generation + 1
+	next.PlannerEpoch = zone.epoch
+	next.Nonce = NewNonce()
+	value, err := json.Marshal(next)
+	if err == nil {
+		err = next.Validate()
+	}
+	if err != nil {
+		keeper.Log.Write(event.PlacementFailed, slog.String("zone", string(zone.zone)), slog.String("error", err.Error()))
+		return false
+	}
+	if _, held := zone.lease.Held(keeper.Timers.Now(), 0); !held {
+		return false
+	}
+	mine := func(stored []byte) bool {
+		var placement shedkeel.Placement
+		return json.Unmarshal(stored, &placement) == nil && placement.Nonce == next.Nonce
+	}
+	revision, err := platform.SettleSwap(ctx, keeper.Store, zone.placementKey(), zone.revision, value, mine)
+	if err != nil {
+		zone.fenced = false // read it again before the next plan
+		keeper.Log.Write(event.PlacementFailed, slog.String("zone", string(zone.zone)), slog.String("error", err.Error()))
+		return false
+	}
+	zone.placement = next
+	zone.revision = revision
+	zone.publish(zone.placementKey(), value, revision)
+	keeper.Log.Write(event.PlacementAgreed, slog.String("zone", string(zone.zone)), slog.Uint64("generation", next.Generation), slog.Int("groups", len(next.Groups)))
+	return true
+}
+
+// plan decides once and gives the orders that the agreed placement calls for.
+func (zone *zonePlanner) plan(ctx context.Context) {
+	input, ready := zone.input(ctx)
+	if !ready {
+		return
+	}
+	output := zone.planner.Plan(input)
+	zone.explain(output.Decisions)
+	zone.order(ctx, output.Orders)
+	if output.Changed {
+		zone.agree(ctx, output.Placement)
+	}
+}
+
+// input gathers what the planner decides on. Members of groups that watchers
+// found whole are taken to be as the group needs them; all other boxes are
+// probed here.
+func (zone *zonePlanner) input(ctx context.Context) (shedkeel.PlanInput, bool) {
+	keeper := zone.keeper
+	now := keeper.Timers.Now()
+	keeper.mutex.Lock()
+	config, known := keeper.table.Config()
+	boxes := slices.Clone(keeper.boxes)
+	permits := keeper.judge(now)
+	keeper.mutex.Unlock()
+	if !known || len(boxes) == 0 {
+		return shedkeel.PlanInput{}, false
+	}
+	whole := map[shedkeel.Assignment]member.Permit{}
+	for _, permit := range permits {
+		if permit.Until > now {
+			whole[permit.Group.Assignment()] = permit
+		}
+	}
+	input := shedkeel.PlanInput{Zone: zone.zone, Config: config, Boxes: map[shedkeel.BoxID]shedkeel.BoxView{}, Placement: zone.placement.Clone()}
+	for _, group := range zone.placement.Groups {
+		permit, found := whole[group.Assignment()]
+		if !found {
+			continue
+		}
+		for _, place := range group.Members {
+			input.Boxes[place.Box] = shedkeel.BoxView{Seen: permit.Watched, State: shedkeel.BoxState{
+				Boot: place.Boot, Phase: shedkeel.PhaseReady, Weights: group.Service, Assigned: group.Assignment(), Running: permit.Load,
+			}}
+		}
+	}
+	zone.look(ctx, boxes, &input)
+	input.Now = keeper.Timers.Now()
+	input.Table = zone.policyTable(config, boxes)
+	return input, true
+}
+
+// look probes the boxes of the zone that no watcher vouched for.
+func (zone *zonePlanner) look(ctx context.Context, boxes []shedkeel.Box, input *shedkeel.PlanInput) {
+	addresses := map[shedkeel.BoxID]string{}
+	for _, box := range boxes {
+		if box.Zone != zone.zone {
+			continue
+		}
+		if view, vouched := input.Boxes[box.ID]; vouched {
+			view.Box = box
+			input.Boxes[box.ID] = view
+			continue
+		}
+		addresses[box.ID] = box.Address
+	}
+	zone.keeper.probes.probe(ctx, addresses)
+	listed := map[shedkeel.BoxID]bool{}
+	for _, box := range boxes {
+		if box.Zone != zone.zone {
+			continue
+		}
+		listed[box.ID] = true
+		if _, vouched := input.Boxes[box.ID]; vouched {
+			continue
+		}
+		view := zone.keeper.probes.view(box)
+		if since, doubtful := zone.unknown[box.ID]; doubtful {
+			if view.Seen <= since {
+				view.Seen = -1 // set aside until a probe shows what the order did
+			} else {
+				delete(zone.unknown, box.ID)
+			}
+		}
+		input.Boxes[box.ID] = view
+	}
+	maps.DeleteFunc(input.Boxes, func(id shedkeel.BoxID, _ shedkeel.BoxView) bool { return !listed[id] })
+}
+
+// policyTable runs the policy when the configuration has changed. A policy
+// that fails leaves the table in use.
+func (zone *zonePlanner) policyTable(config shedkeel.Config, boxes []shedkeel.Box) shedkeel.Table {
+	if zone.tableOf == config.Generation {
+		return zone.table
+	}
+	zone.tableOf = config.Generation
+	table, err := policy.Run(config.Policy, FactsOf(config, zone.zone, boxes))
+	if err != nil {
+		zone.keeper.Log.Write(event.PolicyFailed, slog.String("zone", string(zone.zone)), slog.String("error", err.Error()))
+		return zone.table
+	}
+	zone.keeper.mutex.Lock()
+	zone.table = table
+	zone.keeper.mutex.Unlock()
+	return table
+}
+
+// FactsOf returns what a policy is told of a zone.
+func FactsOf(config shedkeel.Config, zone shedkeel.ZoneID, boxes []shedkeel.Box) policy.Facts {
+	facts := policy.SampleFacts()
+	facts.Zone = zone
+	facts.Members = 0
+	domains := map[shedkeel.DomainID]int{}
+	for _, box := range boxes {
+		if box.Zone == zone {
+			domains[box.Domain]++
+		}
+	}
+	facts.Domains = len(domains)
+	facts.DomainBoxes = 0
+	for _, count := range domains {
+		facts.DomainBoxes = max(facts.DomainBoxes, count)
+	}
+	for _, service := range config.Services {
+		facts.Members = max(facts.Members, service.Members)
+	}
+	return facts
+}
+
+func (zone *zonePlanner) explain(decisions []shedkeel.Decision) {
+	for _, decision := range decisions {
+		if slices.Contains(zone.recent(), decision) {
+			continue
+		}
+		zone.keeper.Log.Write(event.Decided, slog.String("zone", string(zone.zone)), slog.String("group", string(decision.Group)),
+			slog.String("box", string(decision.Box)), slog.String("action", decision.Action), slog.String("reason", decision.Reason))
+		zone.keeper.mutex.Lock()
+		zone.decisions = append(zone.decisions, decision)
+		if len(zone.decisions) > keptDecisions {
+			zone.decisions = zone.decisions[1:]
+		}
+		zone.keeper.mutex.Unlock()
+	}
+}
+
+// recent returns the newest decisions. A decision that is taken anew each tick
+// is logged once.
+func (zone *zonePlanner) recent() []shedkeel.Decision {
+	zone.keeper.mutex.Lock()
+	defer zone.keeper.mutex.Unlock()
+	return slices.Clone(zone.decisions[max(len(zone.decisions)-20, 0):])
+}
+
+// order gives orders while the lease holds for as long as an order may be
+// under way.
+func (zone *zonePlanner) order(ctx context.Context, orders []shedkeel.Order) {
+	var given sync.WaitGroup
+	var mutex sync.Mutex
+	slots := make(chan struct{}, maxOrders)
+	for _, order := range orders {
+		order.PlannerEpoch = zone.epoch
+		slots <- struct{}{}
+		given.Go(func() {
+			defer func() { <-slots }()
+			sent, doubtful := zone.give(ctx, order)
+			if doubtful {
+				mutex.Lock()
+				zone.unknown[order.Box] = sent
+				mutex.Unlock()
+			}
+		})
+	}
+	given.Wait()
+}
+
+// give sends one order, and reports whether its outcome is unknown.
+func (zone *zonePlanner) give(ctx context.Context, order shedkeel.Order) (time.Duration, bool) {
+	keeper := zone.keeper
+	life := time.Duration(keeper.Settings.Timing.OrderLife)
+	ctx, cancel := context.WithTimeout(ctx, life)
+	defer cancel()
+	now := keeper.Timers.Now()
+	if order.Unfenced && now < zone.lease.HeldSince()+zone.lease.TTL+life {
+		return now, false // a former holder's order may still be under way
+	}
+	if _, held := zone.lease.Held(now, life); !held {
+		return now, false
+	}
+	err := keeper.Engines.Give(ctx, order)
+	var conflict *shedkeel.ConflictError
+	var unknown *shedkeel.UnknownOutcomeError
+	switch {
+	case errors.As(err, &conflict):
+		keeper.Log.Write(event.OrderRefused, slog.String("box", string(order.Box)), slog.String("error", err.Error()))
+	case err != nil:
+		keeper.Log.Write(event.OrderFailed, slog.String("box", string(order.Box)), slog.String("error", err.Error()))
+	}
+	return keeper.Timers.Now(), errors.As(err, &unknown)
+}
--- /dev/null
+++ b/member/exchange.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/wire"
+)
+
+// Ask returns the call that asks another keeper for all that is newer there.
+func (table *Table) Ask(now time.Duration) *wire.ExchangeCall {
+	return &wire.ExchangeCall{
+		Nodes:    nodesToWire(table.tellable(now)),
+		Versions: table.versions(),
+		Digests:  table.digestVersions(),
+	}
+}
+
+// Answer takes in the nodes that a caller told of and returns what is newer
+// here than what it has.
+func (table *Table) Answer(call *wire.ExchangeCall, now time.Duration) *wire.ExchangeReply {
+	for _, node := range call.GetNodes() {
+		table.MergeNode(nodeFromWire(node), now)
+	}
+	return &wire.ExchangeReply{
+		Nodes:   nodesToWire(table.tellable(now)),
+		Records: table.newerRecords(call.GetVersions()),
+		Digests: table.newerDigests(call.GetDigests(), now),
+	}
+}
+
+// Take merges a reply to a call that was sent at sent. The age of each digest
+// counts from then, which is no later than the reply was made.
+func (table *Table) Take(reply *wire.ExchangeReply, sent, now time.Duration) (changed []Record) {
+	for _, node := range reply.GetNodes() {
+		table.MergeNode(nodeFromWire(node), now)
+	}
+	for _, digest := range reply.GetDigests() {
+		table.MergeDigest(digestFromWire(digest, sent))
+	}
+	for _, message := range reply.GetRecords() {
+		record := Record{Key: message.GetKey(), Generation: message.GetVersion(), Revision: message.GetRevision(), Value: message.GetValue()}
+		if table.MergeRecord(record) {
+			changed = append(changed, record)
+		}
+	}
+	return changed
+}
+
+// AskKeeper returns an entry's call to its keeper.
+func (table *Table) AskKeeper(incarnation string, stopping bool) *wire.SyncCall {
+	return &wire.SyncCall{Incarnation: incarnation, Stopping: stopping, Versions: table.versions(), Digests: table.digestVersions()}
+}
+
+// AnswerEntry returns what is newer here than what an entry has.
+func (table *Table) AnswerEntry(call *wire.SyncCall, now time.Duration) *wire.SyncReply {
+	return &wire.SyncReply{
+		Nodes:   nodesToWire(table.tellable(now)),
+		Records: table.newerRecords(call.GetVersions()),
+		Digests: table.newerDigests(call.GetDigests(), now),
+	}
+}
+
+// TakeFromKeeper merges a keeper's reply to an entry.
+func (table *Table) TakeFromKeeper(reply *wire.SyncReply, sent, now time.Duration) (changed []Record) {
+	return table.Take(&wire.ExchangeReply{Nodes: reply.GetNodes(), Records: reply.GetRecords(), Digests: reply.GetDigests()}, sent, now)
+}
+
+// tellable returns the nodes worth telling others of. Telling of dead ones
+// would only bring them back as news to each other.
+func (table *Table) tellable(now time.Duration) []shedkeel.Node { return table.Live(now) }
+
+func (table *Table) versions() []*wire.Version {
+	var versions []*wire.Version
+	for _, record := range table.Records(KeyPrefix) {
+		versions = append(versions, &wire.Version{Key: record.Key, Version: record.Generation})
+	}
+	return versions
+}
+
+func (table *Table) digestVersions() []*wire.DigestVersion {
+	var versions []*wire.DigestVersion
+	for _, digest := range table.Digests() {
+		versions = append(versions, &wire.DigestVersion{Watcher: string(digest.Watcher), Incarnation: digest.Incarnation, Sequence: digest.Sequence})
+	}
+	return versions
+}
+
+func (table *Table) newerRecords(theirs []*wire.Version) []*wire.Record {
+	has := map[string]uint64{}
+	for _, version := range theirs {
+		has[version.GetKey()] = version.GetVersion()
+	}
+	var newer []*wire.Record
+	for _, record := range table.Records(KeyPrefix) {
+		if record.Generation > has[record.Key] {
+			newer = append(newer, &wire.Record{Key: record.Key, Version: record.Generation, Revision: record.Revision, Value: record.Value})
+		}
+	}
+	return newer
+}
+
+func (table *Table) newerDigests(theirs []*wire.DigestVersion, now time.Duration) []*wire.Digest {
+	has := map[shedkeel.NodeID]Digest{}
+	for _, version := range theirs {
+		watcher := shedkeel.NodeID(version.GetWatcher())
+		has[watcher] = Digest{Watcher: watcher, Incarnation: version.GetIncarnation(), Sequence: version.GetSequence()}
+	}
+	var newer []*wire.Digest
+	for _, digest := range table.Digests() {
+		if known, found := has[digest.Watcher]; found && !newerDigest(digest, known) {
+			continue
+		}
+		newer = append(newer, digestToWire(digest, now))
+	}
+	return newer
+}
+
+func nodesToWire(nodes []shedkeel.Node) []*wire.Node {
+	messages := make([]*wire.Node, len(nodes))
+	for index, node := range nodes {
+		messages[index] = &wire.Node{
+			Id: string(node.ID), Incarnation: node.Incarnation, Zone: string(node.Zone),
+			Wire: node.Wire, Entry: node.Entry, Stopping: node.Stopping, Heartbeat: node.Heartbeat,
+			Config: node.Config,
+		}
+	}
+	return messages
+}
+
+func nodeFromWire(message *wire.Node) shedkeel.Node {
+	return shedkeel.Node{
+		ID: shedkeel.NodeID(message.GetId()), Incarnation: message.GetIncarnation(), Zone: shedkeel.ZoneID(message.GetZone()),
+		Wire: message.GetWire(), Entry: message.GetEntry(), Stopping: message.GetStopping(), Heartbeat: message.GetHeartbeat(),
+		Config: message.GetConfig(),
+	}
+}
+
+func digestToWire(digest Digest, now time.Duration) *wire.Digest {
+	// Round the age up, so that the digest never looks younger than it is.
+	age := (now - digest.AsOf + time.Millisecond - 1) / time.Millisecond
+	message := &wire.Digest{Watcher: string(digest.Watcher), Incarnation: digest.Incarnation, Sequence: digest.Sequence, AgeMs: uint64(max(age, 0))}
+	for _, verdict := range digest.Verdicts {
+		message.Verdicts = append(message.Verdicts, &wire.GroupVerdict{
+			Group: string(verdict.Group), Epoch: verdict.Epoch, Verdict: uint32(verdict.Verdict), Load: uint32(max(verdict.Load, 0)),
+		})
+	}
+	for _, box := range digest.Leaving {
+		message.Leaving = append(message.Leaving, string(box))
+	}
+	return message
+}
+
+func digestFromWire(message *wire.Digest, sent time.Duration) Digest {
+	digest := Digest{
+		Watcher: shedkeel.NodeID(message.GetWatcher()), Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(),
+		AsOf: sent - time.Duration(message.GetAgeMs())*time.Millisecond,
+	}
+	for _, verdict := range message.GetVerdicts() {
+		digest.Verdicts = append(digest.Verdicts, GroupVerdict{
+			Group: shedkeel.GroupID(verdict.GetGroup()), Epoch: verdict.GetEpoch(),
+			Verdict: shedkeel.Verdict(min(verdict.GetVerdict(), uint32(shedkeel.VerdictDraining))), Load: int(verdict.GetLoad()),
+		})
+	}
+	for _, box := range message.GetLeaving() {
+		digest.Leaving = append(digest.Leaving, shedkeel.BoxID(box))
+	}
+	return digest
+}
--- /dev/null
+++ b/operator/print.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/keeper"
+)
+
+// PrintStatus writes a status as tables.
+func PrintStatus(writer io.Writer, status keeper.Status) {
+	counts := map[string]int{}
+	for _, group := range status.Groups {
+		counts[group.State]++
+	}
+	_, _ = fmt.Fprintf(writer, "configuration %d, seen by %s\n", status.Generation, status.Node)
+	_, _ = fmt.Fprintf(writer, "groups: %d whole, %d short, %d loading, %d draining\n", counts["whole"], counts["short"], counts["loading"], counts["draining"])
+	if status.BoxesKnown {
+		_, _ = fmt.Fprintf(writer, "stranded accelerators: %d\n", status.Stranded)
+	} else {
+		_, _ = fmt.Fprintln(writer, "stranded accelerators: unknown here; ask a keeper that reads the box list")
+	}
+	if status.StoreAway {
+		_, _ = fmt.Fprintln(writer, "the key-value service does not answer: nothing new can be agreed")
+	}
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nGROUP\tSERVICE\tZONE\tDOMAIN\tEPOCH\tSTATE\tDOWN\tMEMBERS\tREASON")
+	for _, group := range status.Groups {
+		boxes := make([]string, len(group.Group.Members))
+		for index, member := range group.Group.Members {
+			boxes[index] = string(member.Box)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", group.Group.ID, group.Group.Service, group.Zone,
+			cmp.Or(string(group.Group.Domain), "(several)"), group.Group.Epoch, group.State, status.Down[group.Group.ID], strings.Join(boxes, ","), group.Reason)
+	}
+	_, _ = fmt.Fprintln(table, "\nNODE\tZONE\tENTRY\tCONFIGURATION\tSTATE")
+	for _, node := range status.Nodes {
+		state := "serving"
+		if node.Stopping {
+			state = "stopping"
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", node.ID, node.Zone, node.Entry, node.Config, state)
+	}
+	_ = table.Flush()
+}
+
+// PrintExplanation writes why a group is as it is.
+func PrintExplanation(writer io.Writer, explanation keeper.Explanation) {
+	group := explanation.Group
+	_, _ = fmt.Fprintf(writer, "group %s of %s at epoch %d is %s", group.Group.ID, group.Group.Service, group.Group.Epoch, cmp.Or(group.State, "gone"))
+	if group.Reason != "" {
+		_, _ = fmt.Fprintf(writer, ": %s", group.Reason)
+	}
+	_, _ = fmt.Fprintf(writer, "\nplanned by %s\n", cmp.Or(explanation.Planner, "nobody"))
+	for _, finding := range explanation.Findings {
+		_, _ = fmt.Fprintln(writer, "found by "+finding)
+	}
+	for _, decision := range explanation.Decisions {
+		_, _ = fmt.Fprintf(writer, "decided: %s %s: %s\n", decision.Action, decision.Box, decision.Reason)
+	}
+}
+
+// Diff returns what changes from one configuration to another, a line each.
+func Diff(from, to shedkeel.Config) []string {
+	var lines []string
+	if from.EntryBoxes != to.EntryBoxes {
+		lines = append(lines, fmt.Sprintf("~ entry_boxes %d -> %d", from.EntryBoxes, to.EntryBoxes))
+	}
+	if from.Policy != to.Policy {
+		lines = append(lines, fmt.Sprintf("~ policy %q -> %q", from.Policy.Name, to.Policy.Name))
+	}
+	lines = append(lines, diffNamed("service", named(from.Services, func(service shedkeel.Service) string { return string(service.ID) }),
+		named(to.Services, func(service shedkeel.Service) string { return string(service.ID) }))...)
+	lines = append(lines, diffNamed("account", named(from.Accounts, func(account shedkeel.Account) string { return string(account.ID) }),
+		named(to.Accounts, func(account shedkeel.Account) string { return string(account.ID) }))...)
+	return append(lines, diffNamed("drain", named(from.Drains, func(box shedkeel.BoxID) string { return string(box) }),
+		named(to.Drains, func(box shedkeel.BoxID) string { return string(box) }))...)
+}
+
+// named maps the names of items to their texts.
+func named[Item any](items []Item, name func(Item) string) map[string]string {
+	texts := map[string]string{}
+	for _, item := range items {
+		texts[name(item)] = fmt.Sprintf("%+v", item)
+	}
+	return texts
+}
+
+func diffNamed(kind string, from, to map[string]string) []string {
+	names := slices.Concat(slices.Collect(maps.Keys(from)), slices.Collect(maps.Keys(to)))
+	slices.Sort(names)
+	var lines []string
+	for _, name := range slices.Compact(names) {
+		before, had := from[name]
+		after, has := to[name]
+		switch {
+		case !had:
+			lines = append(lines, "+ "+kind+" "+name)
+		case !has:
+			lines = append(lines, "- "+kind+" "+name)
+		case before != after:
+			lines = append(lines, "~ "+kind+" "+name+"\n    "+before+"\n    "+after)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,173 @@
+// Package policy runs operators' policy programs. A policy is a short Starlark
+// program with a function plan(facts) that returns table(...). It runs when it
+// is applied and on planning ticks, never for a request; it has no input or
+// output and a bounded number of steps.
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"go.starlark.net/resolve"
+	"go.starlark.net/starlark"
+	"go.starlark.net/starlarkstruct"
+	"go.starlark.net/syntax"
+
+	"shedkeel.org/shedkeel"
+)
+
+const (
+	// MaxSteps bounds one run of a policy.
+	MaxSteps = 100_000
+	// MaxSize bounds the source of a policy, in bytes.
+	MaxSize = 64 << 10
+
+	maxSpares   = 1000
+	maxPatience = time.Hour
+)
+
+// Facts is what a policy may decide on.
+type Facts struct {
+	Zone        shedkeel.ZoneID
+	Members     int           // boxes in a group of the zone's largest service
+	DomainBoxes int           // boxes of the zone's largest fabric domain
+	Domains     int           // fabric domains of the zone
+	Restart     time.Duration // how long boxes were silent when they restarted, median
+	Load        time.Duration // how long loading weights takes, median
+}
+
+// DefaultTable is used until operators apply a policy.
+func DefaultTable() shedkeel.Table {
+	return shedkeel.Table{Patience: 5 * time.Second, StormFraction: 0.5, WarmSpares: true}
+}
+
+// SampleFacts is what a policy is checked with when it is applied.
+func SampleFacts() Facts {
+	return Facts{Zone: "zone", Members: 8, DomainBoxes: 32, Domains: 2, Restart: time.Minute, Load: 2 * time.Minute}
+}
+
+var fileOptions = &syntax.FileOptions{Set: true}
+
+// Check returns an InvalidError, with line and column, when a policy does not
+// compile or does not give a valid table for sample facts.
+func Check(policy shedkeel.Policy) error {
+	_, err := Run(policy, SampleFacts())
+	return err
+}
+
+// Run runs a policy and returns its table. Its error is an InvalidError.
+func Run(policy shedkeel.Policy, facts Facts) (shedkeel.Table, error) {
+	if policy.Program == "" {
+		return DefaultTable(), nil
+	}
+	if len(policy.Program) > MaxSize {
+		return shedkeel.Table{}, invalid(policy, fmt.Sprintf("it is %d bytes long", len(policy.Program)), fmt.Sprintf("keep it within %d", MaxSize))
+	}
+	thread := &starlark.Thread{Name: policy.Name, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(MaxSteps)
+	builder := &builder{}
+	globals, err := starlark.ExecFileOptions(fileOptions, thread, policy.Name, policy.Program, starlark.StringDict{
+		"table": starlark.NewBuiltin("table", builder.table),
+	})
+	if err != nil {
+		return shedkeel.Table{}, explain(policy, err)
+	}
+	plan, ok := globals["plan"].(starlark.Callable)
+	if !ok {
+		return shedkeel.Table{}, invalid(policy, "it has no function plan", "define plan(facts) and return table(...)")
+	}
+	result, err := starlark.Call(thread, plan, starlark.Tuple{facts.value()}, nil)
+	if err != nil {
+		return shedkeel.Table{}, explain(policy, err)
+	}
+	value, ok := result.(*tableValue)
+	if !ok {
+		return shedkeel.Table{}, invalid(policy, "plan returned a "+result.Type(), "return table(...)")
+	}
+	return value.table, nil
+}
+
+func (facts Facts) value() starlark.Value {
+	return starlarkstruct.FromStringDict(starlarkstruct.Default, starlark.StringDict{
+		"zone":            starlark.String(facts.Zone),
+		"members":         starlark.MakeInt(facts.Members),
+		"domain_boxes":    starlark.MakeInt(facts.DomainBoxes),
+		"domains":         starlark.MakeInt(facts.Domains),
+		"restart_seconds": starlark.Float(facts.Restart.Seconds()),
+		"load_seconds":    starlark.Float(facts.Load.Seconds()),
+	})
+}
+
+// tableValue is what table(...) returns inside a policy.
+type tableValue struct {
+	*starlarkstruct.Struct
+	table shedkeel.Table
+}
+
+// builder holds the built-in function table.
+type builder struct{}
+
+func (*builder) table(_ *starlark.Thread, function *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	table := DefaultTable()
+	patience := starlark.Value(starlark.Float(table.Patience.Seconds()))
+	storm := starlark.Value(starlark.Float(table.StormFraction))
+	err := starlark.UnpackArgs(function.Name(), args, kwargs,
+		"spares?", &table.Spares,
+		"warm_spares?", &table.WarmSpares,
+		"patience_seconds?", &patience,
+		"consolidate?", &table.Consolidate,
+		"cross_domain?", &table.CrossDomain,
+		"storm_fraction?", &storm,
+	)
+	if err != nil {
+		return nil, err
+	}
+	seconds, ok := starlark.AsFloat(patience)
+	if !ok || seconds < 0 || seconds > maxPatience.Seconds() {
+		return nil, fmt.Errorf("patience_seconds must be a number from 0 to %g", maxPatience.Seconds())
+	}
+	fraction, ok := starlark.AsFloat(storm)
+	if !ok || fraction < 0 || fraction > 1 {
+		return nil, errors.New("storm_fraction must be a number from 0 to 1")
+	}
+	if table.Spares < 0 || table.Spares > maxSpares {
+		return nil, fmt.Errorf("spares must be from 0 to %d", maxSpares)
+	}
+	table.Patience = time.Duration(seconds * float64(time.Second))
+	table.StormFraction = fraction
+	return &tableValue{Struct: starlarkstruct.FromStringDict(starlarkstruct.Default, nil), table: table}, nil
+}
+
+// explain turns an error of the language into one with line and column.
+func explain(policy shedkeel.Policy, err error) error {
+	remedy := "mend the program; `shedkeel policy check FILE` tries it without applying it"
+	var syntaxErr syntax.Error
+	if errors.As(err, &syntaxErr) {
+		return &shedkeel.InvalidError{Where: syntaxErr.Pos.String(), What: syntaxErr.Msg, Remedy: remedy}
+	}
+	var resolveErrs resolve.ErrorList
+	if errors.As(err, &resolveErrs) && len(resolveErrs) > 0 {
+		return &shedkeel.InvalidError{Where: resolveErrs[0].Pos.String(), What: resolveErrs[0].Msg, Remedy: remedy}
+	}
+	var evalErr *starlark.EvalError
+	if errors.As(err, &evalErr) {
+		return &shedkeel.InvalidError{Where: place(policy, evalErr), What: evalErr.Msg, Remedy: remedy}
+	}
+	return &shedkeel.InvalidError{Where: policy.Name, What: err.Error(), Remedy: remedy}
+}
+
+// place returns the innermost position that lies in the program itself.
+func place(policy shedkeel.Policy, err *starlark.EvalError) string {
+	for index := range err.CallStack {
+		frame := err.CallStack.At(index)
+		if frame.Pos.Filename() == policy.Name && frame.Pos.Line > 0 {
+			return frame.Pos.String()
+		}
+	}
+	return policy.Name
+}
+
+func invalid(policy shedkeel.Policy, what, remedy string) error {
+	return &shedkeel.InvalidError{Where: policy.Name, What: what, Remedy: remedy}
+}
--- /dev/null
+++ b/program/daemon.go
@@ -0,0 +1,89 @@
+// Package program holds the command lines of shedkeel's programs, so that the
+// mains are thin and tests can run the programs whole.
+package program
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"shedkeel.org/shedkeel/config"
+	"shedkeel.org/shedkeel/event"
+)
+
+// Exit codes of all programs.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+// run runs a command line until it ends or the process is told to stop, and
+// exits with its code.
+func run(command *cli.Command) {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command.Run(ctx, os.Args)
+	cancel()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, command.Name+": "+err.Error())
+	os.Exit(exitCode(err))
+}
+
+// daemonFlags are the flags of the daemons.
+func daemonFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "TOML `FILE` of settings; docs/OPERATIONS.md lists its keys"},
+		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+	}
+}
+
+// daemon is what both daemons begin with.
+type daemon struct {
+	settings config.Settings
+	log      *event.Log
+}
+
+// begin reads the settings. It returns false if they were only to be checked.
+func (daemon *daemon) begin(command *cli.Command) (bool, error) {
+	settings, err := config.ReadSettings(command.String("settings"))
+	if err != nil {
+		return false, err
+	}
+	log, err := event.NewLog(os.Stderr, settings.Log.Level)
+	if err != nil {
+		return false, err
+	}
+	daemon.settings = settings
+	daemon.log = &event.Log{Logger: log.Logger.With(slog.String("process", command.Name), slog.String("node", string(settings.Node)))}
+	if command.Bool("check") {
+		_, _ = fmt.Fprintln(command.Root().Writer, "settings are valid")
+		return false, nil
+	}
+	return true, nil
+}
+
+// listen opens a socket; its error names the setting.
+func listen(setting, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w; free the address or change the setting", setting, err)
+	}
+	return listener, nil
+}
+
+// finish logs how the process ended.
+func (daemon *daemon) finish(err error) error {
+	if err != nil {
+		daemon.log.Write(event.Failed, slog.String("error", err.Error()))
+		return err
+	}
+	daemon.log.Write(event.Stopped)
+	return nil
+}
--- /dev/null
+++ b/program/standin.go
@@ -0,0 +1,149 @@
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+)
+
+// Standin is the program shedkeel-standin, for tests and the demo.
+func Standin() {
+	run(&cli.Command{
+		Name:  "shedkeel-standin",
+		Usage: "stand in for what shedkeel meets outside itself (tests and demo only)",
+		Commands: []*cli.Command{
+			{Name: "store", Usage: "run a key-value service", Flags: []cli.Flag{listenFlag()}, Action: standStore},
+			{Name: "boxes", Usage: "run a box list from a JSON file of boxes", ArgsUsage: "FILE", Flags: []cli.Flag{
+				listenFlag(), &cli.DurationFlag{Name: "lag", Usage: "how late it tells of changes"},
+			}, Action: standBoxes},
+			{Name: "engine", Usage: "run model engines, one on each address", ArgsUsage: "ADDRESS...", Flags: []cli.Flag{
+				&cli.DurationFlag{Name: "load", Value: 300 * time.Millisecond, Usage: "time to load weights"},
+				&cli.DurationFlag{Name: "join", Value: 50 * time.Millisecond, Usage: "time to join a group"},
+				&cli.DurationFlag{Name: "token", Value: 5 * time.Millisecond, Usage: "time between tokens"},
+				&cli.DurationFlag{Name: "lag", Usage: "how late it reports its load"},
+				&cli.IntFlag{Name: "slots", Value: 64, Usage: "requests that run at once"},
+				&cli.IntFlag{Name: "weights", Value: 8, Usage: "loads that the weight store serves at once"},
+				&cli.BoolFlag{Name: "unfenced", Usage: "obey whoever orders"},
+			}, Action: standEngines},
+			{Name: "plain", Usage: "run a plain service", Flags: []cli.Flag{
+				listenFlag(), &cli.DurationFlag{Name: "run", Usage: "how long a call runs"},
+			}, Action: standPlain},
+			{Name: "relay", Usage: "pass connections on until cut", Flags: []cli.Flag{
+				listenFlag(), &cli.StringFlag{Name: "to", Required: true}, &cli.StringFlag{Name: "control", Required: true},
+			}, Action: standRelay},
+			{Name: "call", Usage: "make one HTTP call and print the answer", ArgsUsage: "METHOD URL [BODY]", Flags: []cli.Flag{
+				&cli.StringSliceFlag{Name: "header", Aliases: []string{"H"}, Usage: "`NAME: VALUE`"},
+				&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second},
+			}, Action: standCall},
+		},
+	})
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` to serve on"}
+}
+
+// serveUntil serves handlers by address until the context ends.
+func serveUntil(ctx context.Context, handlers map[string]http.Handler) error {
+	for address, handler := range handlers {
+		listener, err := listen("--listen", address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func standStore(ctx context.Context, command *cli.Command) error {
+	return serveUntil(ctx, map[string]http.Handler{command.String("listen"): standin.NewStore().Handler()})
+}
+
+func standBoxes(ctx context.Context, command *cli.Command) error {
+	path, err := argument(command)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var boxes []shedkeel.Box
+	if err := json.Unmarshal(text, &boxes); err != nil {
+		return err
+	}
+	list := &standin.BoxList{Lag: command.Duration("lag"), Boxes: boxes}
+	return serveUntil(ctx, map[string]http.Handler{command.String("listen"): list.Handler()})
+}
+
+func standEngines(ctx context.Context, command *cli.Command) error {
+	weights := make(chan struct{}, max(command.Int("weights"), 1))
+	handlers := map[string]http.Handler{}
+	for _, address := range command.Args().Slice() {
+		model := &standin.Engine{
+			LoadTime: command.Duration("load"), JoinTime: command.Duration("join"), TokenTime: command.Duration("token"),
+			LoadLag: command.Duration("lag"), Slots: command.Int("slots"), Unfenced: command.Bool("unfenced"), Weights: weights,
+			BootPrefix: fmt.Sprintf("%d-%d", os.Getpid(), time.Now().UnixNano()),
+		}
+		model.Begin()
+		handlers[address] = model.Handler()
+	}
+	return serveUntil(ctx, handlers)
+}
+
+func standPlain(ctx context.Context, command *cli.Command) error {
+	plain := &standin.Plain{RunTime: command.Duration("run")}
+	return serveUntil(ctx, map[string]http.Handler{command.String("listen"): plain.Handler()})
+}
+
+func standRelay(ctx context.Context, command *cli.Command) error {
+	relay := &standin.Relay{To: command.String("to")}
+	listener, err := listen("--listen", command.String("listen"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }()
+	go relay.Run(listener)
+	return serveUntil(ctx, map[string]http.Handler{command.String("control"): relay.Control()})
+}
+
+func standCall(ctx context.Context, command *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
+	defer cancel()
+	arguments := command.Args()
+	request, err := http.NewRequestWithContext(ctx, arguments.Get(0), arguments.Get(1), strings.NewReader(arguments.Get(2)))
+	if err != nil {
+		return err
+	}
+	for _, header := range command.StringSlice("header") {
+		name, value, _ := strings.Cut(header, ":")
+		request.Header.Add(name, strings.TrimSpace(value))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = fmt.Printf("%d %s", response.StatusCode, response.Header.Get("Shedkeel-Outcome"))
+	if after := response.Header.Get("Retry-After"); after != "" {
+		_, _ = fmt.Printf(" retry-after=%s", after)
+	}
+	_, _ = fmt.Println()
+	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
+		return fmt.Errorf("the answer broke off: %w", err)
+	}
+	return nil
+}
