--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,257 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+)
+
+var nonces atomic.Int64
+
+func newCommitter(store shedkeel.Store) *Committer {
+	committer := NewCommitter()
+	committer.Store = store
+	committer.Prefix = "claims/"
+	committer.Batch = time.Millisecond
+	committer.Retention = time.Hour
+	committer.Nonce = func() string { return fmt.Sprint(nonces.Add(1)) }
+	committer.Wall = func() time.Time { return time.Unix(1_000_000, 0) }
+	return committer
+}
+
+// operation is a claim as a history records it.
+type operation struct {
+	key     string
+	attempt string
+}
+
+// rights is the naive version: a map from key to the attempt that has it. A
+// claim that was refused may stand all the same, or not.
+var rights = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, operation := range history {
+			key := operationOf(operation).key
+			byKey[key] = append(byKey[key], operation)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		holder := state.(string)
+		claimed := input.(operation)
+		decided := output.(Result)
+		switch {
+		case decided.Status == 0 && holder == "":
+			return []any{"", claimed.attempt}
+		case decided.Status == 0:
+			return []any{holder}
+		case decided.Status == Granted && (holder == "" || holder == claimed.attempt):
+			return []any{claimed.attempt}
+		case decided.Status == Taken && holder == decided.Claim.Attempt && holder != claimed.attempt:
+			return []any{holder}
+		}
+		return nil
+	},
+}
+
+func operationOf(recorded porcupine.Operation) operation { return recorded.Input.(operation) }
+
+// TestOneRightForEachKey lets three committers, each sure that it writes the
+// shard, decide claims at once while replies are lost and the service goes
+// away, and holds the history against the naive version.
+func TestOneRightForEachKey(t *testing.T) {
+	for seed := range uint64(40) {
+		store := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		committers := make([]*Committer, 3)
+		var running sync.WaitGroup
+		for index := range committers {
+			committers[index] = newCommitter(store)
+			running.Go(func() { committers[index].Run(ctx) })
+		}
+		history := claimAtOnce(ctx, t, committers, store, seed)
+		cancel()
+		running.Wait()
+		model := rights.ToModel()
+		assert.Assert(t, porcupine.CheckOperations(model, history), "seed %d: some key was granted twice", seed)
+	}
+}
+
+func claimAtOnce(ctx context.Context, t *testing.T, committers []*Committer, store *standin.Store, seed uint64) []porcupine.Operation {
+	t.Helper()
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	var clock atomic.Int64
+	var callers sync.WaitGroup
+	for client := range 8 {
+		random := rand.New(rand.NewPCG(seed, uint64(client)))
+		callers.Go(func() {
+			for try := range 12 {
+				if client == 0 && random.IntN(3) == 0 {
+					store.SetFaults(standin.Faults{LoseReplies: random.IntN(3), Outage: random.IntN(6) == 0})
+				}
+				claimed := operation{key: fmt.Sprintf("%02x", random.IntN(4)), attempt: fmt.Sprintf("%d-%d", client, try)}
+				called := clock.Add(1)
+				result, err := committers[random.IntN(len(committers))].Claim(ctx, Request{Key: claimed.key, Attempt: claimed.attempt})
+				if err != nil {
+					result = Result{}
+				}
+				returned := clock.Add(1)
+				mutex.Lock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: claimed, Output: result, Call: called, Return: returned})
+				mutex.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	return history
+}
+
+func TestDecisions(t *testing.T) {
+	standing := Request{Key: "aa", Attempt: "first", Holder: "box/1", Digest: "d"}
+	cases := map[string]struct {
+		request Request
+		want    Status
+	}{
+		"another key":              {Request{Key: "bb", Attempt: "second", Digest: "d"}, Granted},
+		"the same attempt again":   {standing, Granted},
+		"another attempt":          {Request{Key: "aa", Attempt: "second", Digest: "d"}, Taken},
+		"another request":          {Request{Key: "aa", Attempt: "second", Digest: "other"}, Mismatch},
+		"in place of one not run":  {Request{Key: "aa", Attempt: "second", Digest: "d", InsteadOf: "first"}, Granted},
+		"in place of a wrong one":  {Request{Key: "aa", Attempt: "second", Digest: "d", InsteadOf: "zeroth"}, Taken},
+		"mismatch despite instead": {Request{Key: "aa", Attempt: "second", Digest: "x", InsteadOf: "first"}, Mismatch},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			committer := newCommitter(standin.NewStore())
+			running := runCommitter(t, committer)
+			defer running()
+			first, err := committer.Claim(t.Context(), standing)
+			assert.NilError(t, err)
+			assert.Equal(t, first.Status, Granted)
+			second, err := committer.Claim(t.Context(), test.request)
+			assert.NilError(t, err)
+			assert.Equal(t, second.Status, test.want)
+		})
+	}
+}
+
+func runCommitter(t *testing.T, committer *Committer) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { committer.Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// TestOutage shows that in an outage nothing new is granted, that the refusal
+// comes at once, and that what was claimed before is still known.
+func TestOutage(t *testing.T) {
+	store := standin.NewStore()
+	committer := newCommitter(store)
+	defer runCommitter(t, committer)()
+	_, err := committer.Claim(t.Context(), Request{Key: "aa", Attempt: "first"})
+	assert.NilError(t, err)
+	store.SetFaults(standin.Faults{Outage: true})
+	_, err = committer.Claim(t.Context(), Request{Key: "bb", Attempt: "second"})
+	var unavailable *shedkeel.UnavailableError
+	assert.Assert(t, errors.As(err, &unavailable))
+	store.SetFaults(standin.Faults{})
+	again, err := committer.Claim(t.Context(), Request{Key: "aa", Attempt: "third"})
+	assert.NilError(t, err)
+	assert.Equal(t, again.Status, Taken)
+}
+
+// TestSealed shows that a claim is still known after its head was sealed, to a
+// committer that begins anew too.
+func TestSealed(t *testing.T) {
+	store := standin.NewStore()
+	committer := newCommitter(store)
+	stop := runCommitter(t, committer)
+	var callers sync.WaitGroup
+	for number := range sealAt + 500 {
+		callers.Go(func() {
+			_, err := committer.Claim(t.Context(), Request{Key: fmt.Sprintf("%04x", number), Attempt: "first"})
+			assert.Check(t, err)
+		})
+	}
+	callers.Wait()
+	stop()
+	head := committer.book.head
+	assert.Assert(t, len(head.Sealed) > 0, "nothing was sealed")
+	other := newCommitter(store)
+	defer runCommitter(t, other)()
+	for _, key := range []string{"0000", "07d0", "09c3"} {
+		again, err := other.Claim(t.Context(), Request{Key: key, Attempt: "second"})
+		assert.NilError(t, err)
+		assert.Equal(t, again.Status, Taken, key)
+	}
+}
+
+// TestRestored shows that a committer puts its claims back into a service that
+// was restored from older data.
+func TestRestored(t *testing.T) {
+	store := standin.NewStore()
+	committer := newCommitter(store)
+	defer runCommitter(t, committer)()
+	claim := func(key, attempt string) Status {
+		result, err := committer.Claim(t.Context(), Request{Key: key, Attempt: attempt})
+		assert.NilError(t, err)
+		return result.Status
+	}
+	assert.Equal(t, claim("aa", "first"), Granted)
+	store.Snapshot()
+	assert.Equal(t, claim("bb", "first"), Granted)
+	store.Restore()
+	assert.Equal(t, claim("cc", "first"), Granted)
+	other := newCommitter(store)
+	defer runCommitter(t, other)()
+	result, err := other.Claim(t.Context(), Request{Key: "bb", Attempt: "second"})
+	assert.NilError(t, err)
+	assert.Equal(t, result.Status, Taken, "the claim that the restore lost must stand again")
+}
+
+func TestRetention(t *testing.T) {
+	head := Head{Sealed: []Segment{{Key: "old", Newest: 100}, {Key: "new", Newest: 200}}}
+	dropped := head.expire(230, time.Hour)
+	assert.DeepEqual(t, dropped, []Segment{{Key: "old", Newest: 100}})
+	assert.DeepEqual(t, head.Sealed, []Segment{{Key: "new", Newest: 200}})
+}
+
+// BenchmarkClaims measures what a claim costs when many come at once, and how
+// many writes they take.
+func BenchmarkClaims(b *testing.B) {
+	store := standin.NewStore()
+	committer := newCommitter(store)
+	committer.Batch = 10 * time.Millisecond
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	go committer.Run(ctx)
+	var number atomic.Int64
+	b.SetParallelism(64)
+	b.RunParallel(func(parallel *testing.PB) {
+		for parallel.Next() {
+			_, _ = committer.Claim(ctx, Request{Key: fmt.Sprintf("%08x", number.Add(1)), Attempt: "a"})
+		}
+	})
+	b.ReportMetric(float64(store.Counts().Writes)/float64(b.N), "writes/claim")
+}
--- /dev/null
+++ b/engine/transport_test.go
@@ -0,0 +1,259 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// server takes connections and does with the requests on each what its script
+// says, a step a request. It counts the requests that came whole: its count is
+// the judge of what ran.
+type server struct {
+	listener net.Listener
+	script   []string // for each request over all connections
+	mutex    sync.Mutex
+	runs     int
+	conns    int
+	running  sync.WaitGroup
+}
+
+func newServer(t *testing.T, script ...string) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &server{listener: listener, script: script}
+	server.running.Go(server.run)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.running.Wait()
+	})
+	return server
+}
+
+func (server *server) run() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		server.running.Go(func() { server.serve(conn) })
+	}
+}
+
+func (server *server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	server.mutex.Lock()
+	server.conns++
+	server.mutex.Unlock()
+	reader := bufio.NewReader(conn)
+	for {
+		step := server.peek()
+		if step == "reset before reading" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			server.next()
+			return
+		}
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		server.mutex.Lock()
+		server.runs++
+		server.mutex.Unlock()
+		switch server.next() {
+		case "answer":
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		case "answer then close":
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		case "close":
+			return
+		case "half a header":
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+			return
+		case "hang":
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
+	}
+}
+
+func (server *server) peek() string {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if len(server.script) == 0 {
+		return "answer"
+	}
+	return server.script[0]
+}
+
+func (server *server) next() string {
+	step := server.peek()
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if len(server.script) > 0 {
+		server.script = server.script[1:]
+	}
+	return step
+}
+
+func (server *server) connections() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.conns
+}
+
+func (server *server) count() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.runs
+}
+
+func send(t *testing.T, transport *Transport, address, method, body string, timeout time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Idempotency-Key", "one")
+	response, err := transport.Send(request)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Body.Close()
+}
+
+// TestNotRunIsTrue holds what Send says against the server's count of runs.
+func TestNotRunIsTrue(t *testing.T) {
+	cases := map[string]struct {
+		script  []string
+		method  string
+		body    string
+		timeout time.Duration
+		runs    int
+		notRun  bool
+	}{
+		"closed after the request":              {[]string{"close"}, http.MethodPost, "x", time.Second, 1, false},
+		"closed after a request without body":   {[]string{"close"}, http.MethodGet, "", time.Second, 1, false},
+		"closed in the answer's header":         {[]string{"half a header"}, http.MethodPost, "x", time.Second, 1, false},
+		"no answer in time":                     {[]string{"hang"}, http.MethodPost, "x", 100 * time.Millisecond, 1, false},
+		"no time left before it is sent":        {nil, http.MethodPost, "x", 0, 0, true},
+		"reused connection closed on a request": {[]string{"answer", "close"}, http.MethodPost, "", time.Second, 2, false},
+		"reused connection closed on a GET":     {[]string{"answer", "close"}, http.MethodGet, "", time.Second, 2, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := newServer(t, test.script...)
+			transport := &Transport{}
+			defer transport.Close()
+			address := server.listener.Addr().String()
+			if len(test.script) > 0 && test.script[0] == "answer" {
+				assert.NilError(t, send(t, transport, address, test.method, test.body, time.Second))
+			}
+			err := send(t, transport, address, test.method, test.body, test.timeout)
+			var notRun *shedkeel.NotRunError
+			assert.Equal(t, errors.As(err, &notRun), test.notRun, "%v", err)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, server.count(), test.runs, "runs at the server")
+		})
+	}
+}
+
+func TestRefusedDialIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	err = send(t, &Transport{}, address, http.MethodPost, "x", time.Second)
+	var notRun *shedkeel.NotRunError
+	assert.Assert(t, errors.As(err, &notRun), "%v", err)
+}
+
+// TestResetBeforeReading never claims that a request did not run once bytes of
+// it were written, whatever became of them.
+func TestResetBeforeReading(t *testing.T) {
+	for range 50 {
+		server := newServer(t, "reset before reading")
+		transport := &Transport{}
+		err := send(t, transport, server.listener.Addr().String(), http.MethodPost, "x", time.Second)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, server.count(), 0)
+		transport.Close()
+	}
+}
+
+// TestIdleConnectionClosed sends many requests over connections that the
+// server closes after each answer: each runs at most once, and one that is
+// said not to have run did not.
+func TestIdleConnectionClosed(t *testing.T) {
+	const requests = 300
+	script := make([]string, requests)
+	for index := range script {
+		script[index] = "answer then close"
+	}
+	server := newServer(t, script...)
+	transport := &Transport{}
+	defer transport.Close()
+	ran, notRun := 0, 0
+	for range requests {
+		err := send(t, transport, server.listener.Addr().String(), http.MethodPost, "", time.Second)
+		var refused *shedkeel.NotRunError
+		switch {
+		case err == nil:
+			ran++
+		case errors.As(err, &refused):
+			notRun++
+		}
+	}
+	assert.Assert(t, server.count() >= ran)
+	assert.Assert(t, server.count() <= requests-notRun, "%d ran of %d, of which %d were said not to have run", server.count(), requests, notRun)
+}
+
+// TestFreshConnection shows that a call over a connection of its own does not
+// meet a reused one that the server has closed.
+func TestFreshConnection(t *testing.T) {
+	server := newServer(t)
+	transport := &Transport{}
+	defer transport.Close()
+	for range 20 {
+		ctx, cancel := context.WithTimeout(WithFreshConnection(t.Context()), time.Second)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.listener.Addr().String()+"/", strings.NewReader("x"))
+		assert.NilError(t, err)
+		response, err := transport.Send(request)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, response.Body.Close())
+		cancel()
+	}
+	assert.Equal(t, server.count(), 20)
+	assert.Equal(t, server.connections(), 20, "connections")
+}
+
+// TestSealedConnectionWritesNothing shows that after a request was given up no
+// byte of it leaves.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := &countedConn{Conn: near}
+	assert.Equal(t, conn.seal(), int64(0))
+	_, err := conn.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+	assert.Equal(t, conn.count(), int64(0))
+}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,464 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/config"
+	"shedkeel.org/shedkeel/engine"
+	"shedkeel.org/shedkeel/member"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// reply is what a backend does with one request.
+type reply struct {
+	err       error  // instead of an answer
+	status    int    // 0: 200
+	body      string // of the answer
+	cut       int    // break the answer off after so many bytes; 0: whole
+	stream    bool
+	name      string // of another attempt
+	notRun    bool
+	noLength  bool
+	resumedAt string
+}
+
+// script is a backend that answers from a list, a reply a request, and counts.
+type script struct {
+	mutex    sync.Mutex
+	replies  []reply
+	requests []*http.Request
+	hosts    []string
+}
+
+func (script *script) Send(request *http.Request) (*http.Response, error) {
+	script.mutex.Lock()
+	defer script.mutex.Unlock()
+	script.requests = append(script.requests, request)
+	script.hosts = append(script.hosts, request.URL.Host)
+	next := reply{body: "ok"}
+	if len(script.replies) > 0 {
+		next = script.replies[0]
+		script.replies = script.replies[1:]
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	return next.response(request), nil
+}
+
+func (reply *reply) response(request *http.Request) *http.Response {
+	header := http.Header{engine.HeaderAttempt: {request.Header.Get(engine.HeaderAttempt)}}
+	if reply.name != "" {
+		header.Set(engine.HeaderAttempt, reply.name)
+	}
+	if reply.notRun {
+		header.Set(engine.HeaderNotRun, "busy")
+	}
+	if reply.resumedAt != "" {
+		header.Set(headerFrom, reply.resumedAt)
+	}
+	response := &http.Response{StatusCode: max(reply.status, 200), Header: header, ContentLength: int64(len(reply.body))}
+	body := io.Reader(strings.NewReader(reply.body))
+	if reply.cut > 0 {
+		body = io.MultiReader(strings.NewReader(reply.body[:reply.cut]), &failing{})
+	}
+	if reply.stream {
+		header.Set("Content-Type", "text/event-stream")
+		response.ContentLength = -1
+		response.TransferEncoding = []string{"chunked"}
+	}
+	if reply.noLength {
+		response.ContentLength = -1
+	}
+	response.Body = io.NopCloser(body)
+	return response
+}
+
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// harness is an entry without sockets: its clock is moved by hand and its
+// backend follows a script.
+type harness struct {
+	*Entry
+	clock  *timer.Manual
+	script *script
+}
+
+const testKey = "clerk-key"
+
+func newHarness(t *testing.T, replies ...reply) *harness {
+	t.Helper()
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	backend := &script{replies: replies}
+	var attempts atomic.Int64
+	settings := config.DefaultSettings()
+	settings.Node = "node-1"
+	entry := &Entry{
+		Settings: settings, Incarnation: "1", Backend: backend, Timers: clock, Random: rand.NewPCG(1, 2),
+		NewAttempt: func() string { return fmt.Sprintf("attempt-%d", attempts.Add(1)) },
+	}
+	entry.Keeper = nil
+	assert.NilError(t, entry.begin())
+	harness := &harness{Entry: entry, clock: clock, script: backend}
+	harness.install(t)
+	return harness
+}
+
+func testConfig() shedkeel.Config {
+	sum := sha256.Sum256([]byte(testKey))
+	return shedkeel.Config{
+		Generation: 1, EntryBoxes: 1,
+		Services: []shedkeel.Service{
+			{ID: "model", Kind: shedkeel.KindModel, Capacity: 4, Timeout: shedkeel.Duration(10 * time.Second)},
+			{ID: "permits", Kind: shedkeel.KindPlain, Capacity: 4, Timeout: shedkeel.Duration(10 * time.Second), OncePaths: []string{"/fees"},
+				Backends: []shedkeel.BackendServer{{ID: "p1", Address: "p1:1"}, {ID: "p2", Address: "p2:1"}}},
+		},
+		Accounts: []shedkeel.Account{{ID: "clerk", KeyHash: hex.EncodeToString(sum[:])}},
+	}
+}
+
+// install puts a configuration and three whole groups in force.
+func (harness *harness) install(t *testing.T) {
+	t.Helper()
+	value, err := json.Marshal(testConfig())
+	assert.NilError(t, err)
+	placement := shedkeel.Placement{Generation: 1, Zone: "z"}
+	for _, id := range []string{"g1", "g2", "g3"} {
+		placement.Groups = append(placement.Groups, shedkeel.Group{ID: shedkeel.GroupID(id), Service: "model", Epoch: 1, Members: []shedkeel.Member{{Box: shedkeel.BoxID(id), Address: id + ":1"}}})
+	}
+	placed, err := json.Marshal(placement)
+	assert.NilError(t, err)
+	harness.mutex.Lock()
+	harness.table.MergeRecord(member.Record{Key: member.KeyConfig, Generation: 1, Value: value})
+	harness.table.MergeRecord(member.Record{Key: member.KeyPlacements + "z", Generation: 1, Value: placed})
+	harness.mutex.Unlock()
+	harness.find(1, shedkeel.VerdictWhole, "g1", "g2", "g3")
+}
+
+// find has a watcher report a verdict on groups, as of now.
+func (harness *harness) find(sequence uint64, verdict shedkeel.Verdict, groups ...shedkeel.GroupID) {
+	now := harness.clock.Now()
+	digest := member.Digest{Watcher: "w", Incarnation: "1", Sequence: sequence, AsOf: now}
+	for _, id := range groups {
+		digest.Verdicts = append(digest.Verdicts, member.GroupVerdict{Group: id, Epoch: 1, Verdict: verdict})
+	}
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	harness.table.MergeDigest(digest)
+	harness.refresh(now, now)
+}
+
+func (harness *harness) post(path, body string, headers ...string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	recorder := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if failure := recover(); failure != nil {
+				recorder.Header().Set("Aborted", "yes")
+			}
+		}()
+		harness.callerHandler().ServeHTTP(recorder, request)
+	}()
+	return recorder
+}
+
+const (
+	completionBody = `{"model":"model","prompt":"p"}`
+	streamBody     = `{"model":"model","prompt":"p","stream":true}`
+	events         = "data: one\n\ndata: two\n\ndata: [DONE]\n\n"
+)
+
+var (
+	errNotRun  = &shedkeel.NotRunError{Reason: "refused", RetryAfter: time.Second}
+	errUnknown = &shedkeel.UnknownRunError{Reason: "reset", Cause: io.ErrUnexpectedEOF}
+)
+
+// TestOutcomes holds what callers are told against what happened at the
+// backend servers.
+func TestOutcomes(t *testing.T) {
+	model, plain, fees := "/v1/completions", "/services/permits/status", "/services/permits/fees"
+	cases := map[string]struct {
+		path    string
+		body    string
+		replies []reply
+		status  int
+		outcome outcome
+		sent    int
+	}{
+		"model answers":                    {model, completionBody, nil, 200, outcomeAnswered, 1},
+		"model refuses, another answers":   {model, completionBody, []reply{{notRun: true, status: 409}}, 200, outcomeAnswered, 2},
+		"model cut, another answers":       {model, completionBody, []reply{{body: "half", cut: 2}}, 200, outcomeAnswered, 2},
+		"model answers for another":        {model, completionBody, []reply{{body: "theirs", name: "x"}}, 200, outcomeAnswered, 2},
+		"model fails, another answers":     {model, completionBody, []reply{{status: 500}}, 200, outcomeAnswered, 2},
+		"model without length":             {model, completionBody, []reply{{body: "?", noLength: true}}, 200, outcomeAnswered, 2},
+		"all refuse":                       {model, completionBody, []reply{{notRun: true}, {err: errNotRun}, {notRun: true}}, 503, outcomeNotRun, 3},
+		"one may have run, others refuse":  {model, completionBody, []reply{{err: errUnknown}, {err: errNotRun}, {notRun: true}}, 502, outcomeUnknown, 3},
+		"all may have run":                 {model, completionBody, []reply{{err: errUnknown}, {err: errUnknown}, {err: errUnknown}}, 502, outcomeUnknown, 3},
+		"plain answers":                    {plain, "b", nil, 200, outcomeAnswered, 1},
+		"plain error is its answer":        {plain, "b", []reply{{status: 500, body: "no"}}, 500, outcomeAnswered, 1},
+		"plain refused, another answers":   {plain, "b", []reply{{err: errNotRun}}, 200, outcomeAnswered, 2},
+		"plain POST is not repeated":       {plain, "b", []reply{{err: errUnknown}}, 502, outcomeUnknown, 1},
+		"plain POST cut is not repeated":   {plain, "b", []reply{{body: "half", cut: 1}}, 502, outcomeUnknown, 1},
+		"a charge without key":             {fees, "b", nil, 400, outcomeRefused, 0},
+		"unknown service":                  {model, `{"model":"none"}`, nil, 404, outcomeRefused, 0},
+		"plain service asked for as model": {model, `{"model":"permits"}`, nil, 404, outcomeRefused, 0},
+		"malformed body":                   {model, `{"model":`, nil, 400, outcomeRefused, 0},
+		"wrong type in body":               {model, `{"model":7}`, nil, 400, outcomeRefused, 0},
+		"unknown path":                     {"/v2/x", "", nil, 404, outcomeRefused, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.replies...)
+			recorder := harness.post(test.path, test.body)
+			assert.Equal(t, recorder.Code, test.status, recorder.Body.String())
+			assert.Equal(t, outcome(recorder.Header().Get(HeaderOutcome)), test.outcome)
+			assert.Equal(t, len(harness.script.requests), test.sent)
+			if test.outcome == outcomeNotRun {
+				assert.Assert(t, recorder.Header().Get("Retry-After") != "")
+			}
+			if test.sent > 1 {
+				assert.Assert(t, harness.script.hosts[0] != harness.script.hosts[1], "the same server was tried again")
+			}
+			inFlight, _, _ := harness.router.Load("model")
+			assert.Equal(t, inFlight, 0)
+		})
+	}
+}
+
+// TestStreams passes streams that break off at each place, are resumed rightly
+// or wrongly, or answer for another, and checks that the caller gets all
+// events once and in order, or a broken connection.
+func TestStreams(t *testing.T) {
+	rest := "data: two\n\ndata: [DONE]\n\n"
+	cases := map[string]struct {
+		replies []reply
+		want    string
+		aborted bool
+		status  int
+	}{
+		"whole":                            {[]reply{{stream: true, body: events}}, events, false, 200},
+		"cut before the first event":       {[]reply{{stream: true, body: events, cut: 5}, {stream: true, body: events}}, events, false, 200},
+		"cut between events, resumed":      {[]reply{{stream: true, body: events, cut: 11}, {stream: true, body: rest, resumedAt: "1"}}, events, false, 200},
+		"cut within an event, resumed":     {[]reply{{stream: true, body: events, cut: 15}, {stream: true, body: rest, resumedAt: "1"}}, events, false, 200},
+		"cut before the end mark, resumed": {[]reply{{stream: true, body: events, cut: 22}, {stream: true, body: "data: [DONE]\n\n", resumedAt: "2"}}, events, false, 200},
+		"ends without end mark":            {[]reply{{stream: true, body: "data: one\n\n"}, {status: 404}}, "data: one\n\n", true, 200},
+		"resumed at another place":         {[]reply{{stream: true, body: events, cut: 11}, {stream: true, body: events, resumedAt: "0"}}, "data: one\n\n", true, 200},
+		"resumed under another name":       {[]reply{{stream: true, body: events, cut: 11}, {stream: true, body: rest, resumedAt: "1", name: "x"}}, "data: one\n\n", true, 200},
+		"never joined with another run":    {[]reply{{stream: true, body: events, cut: 11}, {stream: true, body: events}}, "data: one\n\n", true, 200},
+		"answers for another":              {[]reply{{stream: true, body: events, name: "x"}, {stream: true, body: events}}, events, false, 200},
+		"refused by all":                   {[]reply{{notRun: true}, {notRun: true}, {notRun: true}}, "", false, 503},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.replies...)
+			recorder := harness.post("/v1/chat/completions", streamBody)
+			assert.Equal(t, recorder.Code, test.status)
+			assert.Equal(t, recorder.Header().Get("Aborted") == "yes", test.aborted)
+			if test.status == 200 {
+				assert.Equal(t, recorder.Body.String(), test.want)
+			}
+		})
+	}
+}
+
+// TestEveryCut breaks a whole answer and a stream off after each byte. No part
+// of an answer may ever look like the whole.
+func TestEveryCut(t *testing.T) {
+	whole := strings.Repeat("x", 40)
+	for cut := 1; cut < len(whole); cut++ {
+		broken := reply{body: whole, cut: cut}
+		harness := newHarness(t, broken, broken, broken)
+		recorder := harness.post("/v1/completions", completionBody)
+		assert.Equal(t, outcome(recorder.Header().Get(HeaderOutcome)), outcomeUnknown, "cut after %d", cut)
+	}
+	for cut := 1; cut < len(events); cut++ {
+		broken := reply{stream: true, body: events, cut: cut}
+		harness := newHarness(t, broken, broken, broken, broken, broken)
+		recorder := harness.post("/v1/completions", streamBody)
+		got := recorder.Body.String()
+		whole := recorder.Code == 200 && recorder.Header().Get("Aborted") == ""
+		assert.Assert(t, !whole, "cut after %d: %q was passed for whole", cut, got)
+		assert.Assert(t, recorder.Code != 200 || strings.HasPrefix(events, got), "cut after %d: %q", cut, got)
+	}
+}
+
+// TestPermits shows that a request goes only where a group is proved whole.
+func TestPermits(t *testing.T) {
+	cases := map[string]struct {
+		change func(*harness)
+		status int
+	}{
+		"proved whole":          {func(*harness) {}, 200},
+		"the proof has run out": {func(harness *harness) { harness.clock.Advance(3 * time.Second) }, 503},
+		"all broken":            {func(harness *harness) { harness.find(2, shedkeel.VerdictBroken, "g1", "g2", "g3") }, 503},
+		"all draining":          {func(harness *harness) { harness.find(2, shedkeel.VerdictDraining, "g1", "g2", "g3") }, 503},
+		"one is proved whole again": {func(harness *harness) {
+			harness.clock.Advance(9 * time.Second)
+			harness.find(2, shedkeel.VerdictWhole, "g2")
+		}, 200},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			test.change(harness)
+			recorder := harness.post("/v1/completions", completionBody)
+			assert.Equal(t, recorder.Code, test.status, recorder.Body.String())
+			if test.status == 503 {
+				assert.Equal(t, len(harness.script.requests), 0)
+				assert.Equal(t, outcome(recorder.Header().Get(HeaderOutcome)), outcomeNotRun)
+			}
+		})
+	}
+}
+
+// slowBackend stops time in the middle of a send, as a frozen process does.
+type slowBackend struct {
+	freeze func()
+}
+
+func (slow *slowBackend) Send(request *http.Request) (*http.Response, error) {
+	slow.freeze()
+	<-request.Context().Done()
+	return nil, &shedkeel.UnknownRunError{Reason: "cut", Cause: context.Cause(request.Context())}
+}
+
+// TestBrokenGroupEndsItsRequests shows that what runs on a group is given up
+// once a member is known to be missing, and the caller told so at once.
+func TestBrokenGroupEndsItsRequests(t *testing.T) {
+	cases := map[string]shedkeel.Verdict{"refused": shedkeel.VerdictBroken, "silent": shedkeel.VerdictSilent}
+	for name, verdict := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			sends := 0
+			harness.Backend = &slowBackend{freeze: func() {
+				sends++
+				harness.clock.Advance(4 * time.Second)
+				harness.find(uint64(1+sends), verdict, "g1", "g2", "g3")
+			}}
+			began := time.Now()
+			recorder := harness.post("/v1/completions", completionBody)
+			assert.Equal(t, recorder.Code, 502, recorder.Body.String())
+			assert.Equal(t, sends, 1, "no other group was whole")
+			assert.Assert(t, time.Since(began) < 5*time.Second, "the answer was held back")
+		})
+	}
+}
+
+// TestAnswersAtOnce shows that no refusal waits for the caller's deadline.
+func TestAnswersAtOnce(t *testing.T) {
+	for name, replies := range map[string][]reply{
+		"refused": {{notRun: true}, {notRun: true}, {notRun: true}},
+		"unknown": {{err: errUnknown}, {err: errUnknown}, {err: errUnknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, replies...)
+			began := time.Now()
+			recorder := harness.post("/v1/completions", completionBody, HeaderTimeout, "9s")
+			assert.Assert(t, recorder.Code >= 500)
+			assert.Assert(t, time.Since(began) < 2*time.Second)
+			assert.Equal(t, harness.clock.Now(), time.Hour, "it slept")
+		})
+	}
+}
+
+func TestBounds(t *testing.T) {
+	harness := newHarness(t)
+	harness.Settings.Entry.MaxBody = 10
+	assert.Equal(t, harness.post("/v1/completions", completionBody).Code, http.StatusRequestEntityTooLarge)
+	harness.Settings.Entry.MaxBody = 1 << 20
+	assert.Equal(t, harness.post("/v1/completions", completionBody, "Authorization", "Bearer wrong").Code, http.StatusUnauthorized)
+	assert.Equal(t, harness.post("/v1/completions", completionBody, "Authorization", testKey).Code, http.StatusUnauthorized)
+	assert.Equal(t, harness.post("/v1/completions", completionBody, HeaderTimeout, "soon").Code, http.StatusBadRequest)
+	assert.Equal(t, harness.post("/services/permits/fees", "x", headerIdempotencyKey, strings.Repeat("k", 256)).Code, http.StatusBadRequest)
+	harness.Settings.Entry.MaxCalls = 0
+	recorder := harness.post("/v1/completions", completionBody)
+	assert.Equal(t, recorder.Code, http.StatusTooManyRequests)
+	assert.Equal(t, len(harness.script.requests), 0)
+}
+
+// TestKeyIsNotPassedOn shows that backend servers do not see callers' keys.
+func TestKeyIsNotPassedOn(t *testing.T) {
+	harness := newHarness(t)
+	assert.Equal(t, harness.post("/services/permits/status", "").Code, 200)
+	assert.Equal(t, harness.script.requests[0].Header.Get("Authorization"), "")
+	assert.Equal(t, harness.script.requests[0].Header.Get("Shedkeel-Account"), "clerk")
+	assert.Equal(t, harness.script.requests[0].URL.Path, "/status")
+}
+
+func TestEntriesAnswer(t *testing.T) {
+	harness := newHarness(t)
+	harness.table.MergeNode(shedkeel.Node{ID: "node-1", Incarnation: "1", Zone: "a", Entry: "e1", Heartbeat: 1}, harness.clock.Now())
+	harness.table.MergeNode(shedkeel.Node{ID: "node-2", Incarnation: "1", Zone: "b", Entry: "e2", Heartbeat: 1}, harness.clock.Now())
+	harness.table.MergeNode(shedkeel.Node{ID: "node-3", Incarnation: "1", Zone: "b", Entry: "e3", Heartbeat: 1, Stopping: true}, harness.clock.Now())
+	harness.find(2, shedkeel.VerdictWhole, "g1")
+	ask := func() (int, Addresses) {
+		recorder := httptest.NewRecorder()
+		harness.callerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/entries?zone=b", nil))
+		var answer Addresses
+		_ = json.Unmarshal(recorder.Body.Bytes(), &answer)
+		return recorder.Code, answer
+	}
+	code, answer := ask()
+	assert.Equal(t, code, 200)
+	assert.DeepEqual(t, answer.Entries, []Address{{Address: "e2", Zone: "b"}, {Address: "e1", Zone: "a"}})
+	named := harness.clock.Now()
+	assert.Equal(t, harness.forgottenAt(0), named+5*time.Second, "the last answer must have run out before it stops")
+	harness.stopping.Store(true)
+	_, answer = ask()
+	assert.DeepEqual(t, answer.Entries, []Address{{Address: "e2", Zone: "b"}})
+	harness.clock.Advance(4 * time.Second)
+	code, _ = ask()
+	assert.Equal(t, code, 503, "an entry without word from its keeper might name one that is stopping")
+}
+
+// TestAttempts covers what is remembered of calls that must not be repeated.
+func TestAttempts(t *testing.T) {
+	clock := &timer.Manual{}
+	attempts := &attempts{now: clock.Now}
+	attempts.begin("a")
+	state, _ := attempts.find("a")
+	assert.Equal(t, state.String(), "RUNNING")
+	attempts.end("a", 2, answer{status: 200, body: bytes.Repeat([]byte("x"), 10)})
+	kept, err := answerFromWire(attempts.toWire("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept.body), 10)
+	clock.Advance(keptTime + time.Second)
+	attempts.begin("b")
+	state, _ = attempts.find("a")
+	assert.Equal(t, state.String(), "UNKNOWN", "what is forgotten may have run")
+	attempts.end("never begun", 3, answer{})
+	assert.Equal(t, attempts.bytes, 0)
+}
+
+func TestNotRunOnlyIfNoTryMayHaveRun(t *testing.T) {
+	call := &call{}
+	var notRun *shedkeel.NotRunError
+	assert.Assert(t, errors.As(call.finish(errNotRun), &notRun))
+	call.again(errUnknown)
+	assert.Assert(t, !errors.As(call.finish(errNotRun), &notRun))
+}
--- /dev/null
+++ b/group/fleet_test.go
@@ -0,0 +1,219 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// fleet is one availability zone in virtual time: boxes that fail, pause,
+// restart and leave, and a planner that is asked every second while anything
+// is amiss.
+type fleet struct {
+	planner   shedkeel.Planner
+	table     shedkeel.Table
+	config    shedkeel.Config
+	boxes     []*box
+	byID      map[shedkeel.BoxID]*box
+	placement shedkeel.Placement
+	now       time.Duration
+	loading   int // loads that the weight store serves now
+	outage    func(now time.Duration) bool
+
+	groupDown time.Duration // summed over the wanted groups
+	stranded  time.Duration // summed over accelerators that are up and in no whole group
+	slow      time.Duration // summed over accelerators of whole groups over several domains
+}
+
+// box is a box of the fleet.
+type box struct {
+	id       shedkeel.BoxID
+	domain   shedkeel.DomainID
+	downTill time.Duration // off the net until then
+	loseBy   bool          // it comes back without its state
+	leaving  bool
+	boot     int
+	state    shedkeel.BoxState
+	doneAt   time.Duration // when what it loads or joins is done
+	fromDisk bool          // it waits for or holds a slot of the weight store
+	holds    bool
+}
+
+const (
+	fleetTick    = time.Second
+	loadTime     = 120 * time.Second
+	joinTime     = 15 * time.Second
+	storeSlots   = 4
+	fleetTimeout = 30 * time.Second
+)
+
+func newFleet(planner shedkeel.Planner, table shedkeel.Table, domains, boxesEach, groups, members int) *fleet {
+	fleet := &fleet{
+		planner: planner, table: table, outage: func(time.Duration) bool { return false },
+		config: shedkeel.Config{Services: []shedkeel.Service{{
+			ID: "model", Kind: shedkeel.KindModel, Groups: groups, Members: members, Zones: []shedkeel.ZoneID{"z"}, Timeout: shedkeel.Duration(fleetTimeout),
+		}}},
+		placement: shedkeel.Placement{Zone: "z"},
+	}
+	for domain := range domains {
+		for place := range boxesEach {
+			fleet.boxes = append(fleet.boxes, &box{
+				id: shedkeel.BoxID(fmt.Sprintf("d%02d-b%02d", domain, place)), domain: shedkeel.DomainID(fmt.Sprintf("d%02d", domain)),
+				state: shedkeel.BoxState{Phase: shedkeel.PhaseEmpty, Boot: "0"},
+			})
+		}
+	}
+	fleet.byID = map[shedkeel.BoxID]*box{}
+	for _, box := range fleet.boxes {
+		fleet.byID[box.id] = box
+	}
+	return fleet
+}
+
+func (box *box) up(now time.Duration) bool { return now >= box.downTill }
+
+// view is what a probe would show.
+func (fleet *fleet) views() map[shedkeel.BoxID]shedkeel.BoxView {
+	views := make(map[shedkeel.BoxID]shedkeel.BoxView, len(fleet.boxes))
+	for _, box := range fleet.boxes {
+		view := shedkeel.BoxView{Box: shedkeel.Box{ID: box.id, Address: string(box.id), Zone: "z", Domain: box.domain, Accelerators: 1, Leaving: box.leaving}, State: box.state, Seen: fleet.now}
+		if !box.up(fleet.now) {
+			view.Seen = fleet.now - time.Hour
+		}
+		views[box.id] = view
+	}
+	return views
+}
+
+// advance moves on by one tick: states change, the planner decides, orders are
+// followed.
+func (fleet *fleet) advance() shedkeel.PlanOutput {
+	fleet.now += fleetTick
+	for _, box := range fleet.boxes {
+		fleet.progress(box)
+	}
+	input := shedkeel.PlanInput{Now: fleet.now, Zone: "z", Config: fleet.config, Table: fleet.table, Boxes: fleet.views(), Placement: fleet.placement.Clone()}
+	var output shedkeel.PlanOutput
+	if !fleet.outage(fleet.now) {
+		output = fleet.planner.Plan(input)
+		for _, order := range output.Orders {
+			fleet.follow(order)
+		}
+		if output.Changed {
+			fleet.placement = output.Placement
+		}
+	}
+	fleet.account()
+	return output
+}
+
+func (fleet *fleet) progress(box *box) {
+	if box.loseBy && box.up(fleet.now) {
+		box.loseBy = false
+		box.boot++
+		box.leaving = false
+		fleet.free(box)
+		box.fromDisk = false
+		box.state = shedkeel.BoxState{Phase: shedkeel.PhaseEmpty, Boot: fmt.Sprint(box.boot)}
+	}
+	if box.state.Phase != shedkeel.PhaseLoading || !box.up(fleet.now) {
+		return
+	}
+	if box.fromDisk && !box.holds {
+		if fleet.loading >= storeSlots {
+			return
+		}
+		fleet.loading++
+		box.holds = true
+		box.doneAt = fleet.now + loadTime + joinTime
+	}
+	if fleet.now >= box.doneAt {
+		fleet.free(box)
+		box.fromDisk = false
+		box.state.Phase = shedkeel.PhaseReady
+		if box.state.Assigned.Group == "" {
+			box.state.Phase = shedkeel.PhaseWarm
+		}
+	}
+}
+
+func (fleet *fleet) free(box *box) {
+	if box.holds {
+		fleet.loading--
+		box.holds = false
+	}
+}
+
+func (fleet *fleet) follow(order shedkeel.Order) {
+	place := slices.IndexFunc(fleet.boxes, func(box *box) bool { return box.id == order.Box })
+	box := fleet.boxes[place]
+	if !box.up(fleet.now) {
+		return
+	}
+	has := box.state.Weights == order.Service && (box.state.Phase == shedkeel.PhaseWarm || box.state.Phase == shedkeel.PhaseReady)
+	switch order.Kind {
+	case shedkeel.OrderRelease:
+		box.state.Assigned = shedkeel.Assignment{}
+		if has {
+			box.state.Phase = shedkeel.PhaseWarm
+		}
+		return
+	case shedkeel.OrderPrefetch, shedkeel.OrderLoad:
+		box.state.Assigned = order.Assignment
+	}
+	still := box.state.Phase == shedkeel.PhaseLoading && box.state.Weights == order.Service
+	box.state.Weights = order.Service
+	box.state.Phase = shedkeel.PhaseLoading
+	if !has && !still {
+		box.fromDisk = true
+	}
+	if has {
+		box.doneAt = fleet.now + joinTime
+	}
+}
+
+// whole reports whether a group may serve: as a watcher would find it, and no
+// member leaving.
+func (fleet *fleet) whole(group shedkeel.Group) bool {
+	if group.Draining {
+		return false
+	}
+	answers := make(map[shedkeel.BoxID]shedkeel.BoxState, len(group.Members))
+	for _, member := range group.Members {
+		box := fleet.byID[member.Box]
+		if box.leaving {
+			return false
+		}
+		if box.up(fleet.now) {
+			answers[box.id] = box.state
+		}
+	}
+	return Inspect(group, answers, nil) == shedkeel.VerdictWhole
+}
+
+// account adds up the two measures over one tick.
+func (fleet *fleet) account() {
+	serving := map[shedkeel.BoxID]bool{}
+	count := 0
+	for _, group := range fleet.placement.Groups {
+		if !fleet.whole(group) {
+			continue
+		}
+		count++
+		for _, member := range group.Members {
+			serving[member.Box] = true
+			if group.Domain == "" {
+				fleet.slow += fleetTick
+			}
+		}
+	}
+	wanted := fleet.config.Services[0].Groups
+	fleet.groupDown += time.Duration(max(wanted-count, 0)) * fleetTick
+	for _, box := range fleet.boxes {
+		if box.up(fleet.now) && !serving[box.id] {
+			fleet.stranded += fleetTick
+		}
+	}
+}
--- a/group/planner.go
+++ b/group/planner.go
@@ -16,6 +16,10 @@
 const (
 	// DefaultMissAfter is how long after its last answer a box is silent.
 	DefaultMissAfter = 3 * time.Second
+	// DefaultQuiet is for how long a group that takes no new requests must
+	// report that it runs none before it is changed: longer than entries
+	// take to learn of it, and than engines lag with their reports.
+	DefaultQuiet = 8 * time.Second
 )
 
 // Planner is the planner that shedkeel runs. Besides what the policy's table
@@ -25,14 +29,23 @@
 // the weights; and nothing is rebuilt while most of a fabric domain is gone.
 type Planner struct {
 	MissAfter time.Duration // zero: DefaultMissAfter
+	Quiet     time.Duration // zero: DefaultQuiet
 
-	silent map[shedkeel.BoxID]time.Duration // since when
+	silent  map[shedkeel.BoxID]time.Duration // since when
+	closing map[shedkeel.GroupID]*closing    // groups that take no new requests
+}
+
+// closing is what is known of a group that takes no new requests.
+type closing struct {
+	since time.Duration // it takes none
+	idle  time.Duration // since then it reports that it runs none; negative: it does not
 }
 
 // Plan decides for one availability zone at one time.
 func (planner *Planner) Plan(input shedkeel.PlanInput) shedkeel.PlanOutput {
 	planner.watchSilence(input)
 	round := newRound(planner, input)
+	round.watchClosing()
 	round.retire()
 	round.mend()
 	if input.Table.Consolidate {
@@ -91,6 +104,7 @@
 	planner  *Planner
 	input    shedkeel.PlanInput
 	next     shedkeel.Placement
+	ids      []shedkeel.BoxID // of all boxes, sorted
 	taken    map[shedkeel.BoxID]bool
 	drained  map[shedkeel.BoxID]bool
 	free     map[shedkeel.DomainID][]shedkeel.BoxView // usable, by name
@@ -112,6 +126,7 @@
 		planner: planner,
 		input:   input,
 		next:    input.Placement.Clone(),
+		ids:     slices.Sorted(maps.Keys(input.Boxes)),
 		drained: map[shedkeel.BoxID]bool{},
 		dark:    map[shedkeel.DomainID]bool{},
 		warming: map[shedkeel.BoxID]shedkeel.ServiceID{},
@@ -144,14 +159,14 @@
 }
 
 func (round *round) findFree() {
-	round.taken = map[shedkeel.BoxID]bool{}
+	round.taken = make(map[shedkeel.BoxID]bool, len(round.ids))
 	round.free = map[shedkeel.DomainID][]shedkeel.BoxView{}
 	for _, group := range round.next.Groups {
 		for _, member := range group.Members {
 			round.taken[member.Box] = true
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(round.input.Boxes)) {
+	for _, id := range round.ids {
 		view := round.input.Boxes[id]
 		if !round.taken[id] && round.usable(view) {
 			round.free[view.Box.Domain] = append(round.free[view.Box.Domain], view)
@@ -209,7 +224,7 @@
 			groups = append(groups, group)
 			continue
 		}
-		if group.Draining && round.idle(group) {
+		if group.Draining && round.closed(group) {
 			round.changed = true
 			round.decide(group.ID, "", "drop", "it was draining and runs nothing any more")
 			continue
@@ -225,6 +240,57 @@
 	round.findFree()
 }
 
+// watchClosing notes since when groups take no new requests and run none.
+func (round *round) watchClosing() {
+	planner := round.planner
+	if planner.closing == nil {
+		planner.closing = map[shedkeel.GroupID]*closing{}
+	}
+	seen := map[shedkeel.GroupID]bool{}
+	for _, group := range round.next.Groups {
+		if !group.Draining && !round.hasLeaving(group) {
+			continue
+		}
+		seen[group.ID] = true
+		known := planner.closing[group.ID]
+		if known == nil {
+			known = &closing{since: round.input.Now, idle: -1}
+			planner.closing[group.ID] = known
+		}
+		switch {
+		case !round.idle(group):
+			known.idle = -1
+		case known.idle < 0:
+			known.idle = round.input.Now
+		}
+	}
+	maps.DeleteFunc(planner.closing, func(id shedkeel.GroupID, _ *closing) bool { return !seen[id] })
+}
+
+func (round *round) hasLeaving(group shedkeel.Group) bool {
+	return slices.ContainsFunc(group.Members, func(member shedkeel.Member) bool { return round.condition(member) == conditionLeaving })
+}
+
+// closed reports whether a group that takes no new requests has none in
+// flight: it has reported so for long enough, or no request lasts as long.
+func (round *round) closed(group shedkeel.Group) bool {
+	known := round.planner.closing[group.ID]
+	if known == nil {
+		return false
+	}
+	quiet := round.planner.Quiet
+	if quiet == 0 {
+		quiet = DefaultQuiet
+	}
+	longest := quiet
+	if service := round.input.Config.Service(group.Service); service != nil {
+		longest += time.Duration(service.Timeout)
+	}
+	now := round.input.Now
+	return known.idle >= 0 && now-known.idle >= quiet || now-known.since >= longest
+}
+
+// idle reports whether the members that answer report that they run nothing.
 func (round *round) idle(group shedkeel.Group) bool {
 	for _, member := range group.Members {
 		if round.condition(member) == conditionLost || round.condition(member) == conditionSilent {
@@ -238,6 +304,17 @@
 	return true
 }
 
+// warmFor has substitutes load for members that will go.
+func (round *round) warmFor(group *shedkeel.Group, leaving []int) {
+	for index, substitute := range round.substitutes(group, len(leaving)) {
+		if warm(substitute, group.Service) {
+			continue
+		}
+		round.warming[substitute.Box.ID] = group.Service
+		round.decide(group.ID, group.Members[leaving[index]].Box, "prefetch", "it is leaving; box "+string(substitute.Box.ID)+" loads before the swap")
+	}
+}
+
 // mend replaces the members that must be replaced, where it can.
 func (round *round) mend() {
 	for index := range round.next.Groups {
@@ -260,6 +337,10 @@
 	if len(must) == 0 && len(leaving) == 0 {
 		return
 	}
+	if len(must) == 0 && !round.closed(*group) {
+		round.warmFor(group, leaving)
+		return
+	}
 	substitutes := round.substitutes(group, len(must)+len(leaving))
 	if len(substitutes) < len(must) {
 		round.short = append(round.short, shortage{group: group.ID, bad: must})
@@ -274,7 +355,6 @@
 		substitute := substitutes[len(must)+index]
 		if len(must) == 0 && !warm(substitute, group.Service) {
 			round.warming[substitute.Box.ID] = group.Service
-			round.decide(group.ID, group.Members[place].Box, "prefetch", "it is leaving; box "+string(substitute.Box.ID)+" loads before the swap")
 			continue
 		}
 		replace = append(replace, place)
--- /dev/null
+++ b/group/planner_test.go
@@ -0,0 +1,307 @@
+package group
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+var testTables = map[string]shedkeel.Table{
+	"nothing":     {},
+	"karadere":    {Spares: 1, WarmSpares: true, Patience: 5 * time.Second, Consolidate: true, StormFraction: 0.5},
+	"nafha":       {WarmSpares: true, Patience: 5 * time.Second, Consolidate: true, CrossDomain: true, StormFraction: 0.5},
+	"no patience": {Spares: 2, CrossDomain: true},
+}
+
+// TestOneGroupForEachBox runs random histories of losses, drains and changes
+// of what operators want, and checks every placement.
+func TestOneGroupForEachBox(t *testing.T) {
+	for name, table := range testTables {
+		t.Run(name, func(t *testing.T) {
+			wholes := 0
+			for seed := range uint64(30) {
+				wholes += runHistory(t, table, seed)
+			}
+			assert.Assert(t, wholes > 1000, "groups were hardly ever whole: %d", wholes)
+		})
+	}
+}
+
+func runHistory(t *testing.T, table shedkeel.Table, seed uint64) int {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 5))
+	fleet := newFleet(&Planner{}, table, 3, 10, 6, 4)
+	losses := trace(random, rates{fail: 2, restart: 20, pause: 20, domain: 10, zone: 2}, len(fleet.boxes), 2*time.Hour)
+	epochs := map[shedkeel.GroupID]uint64{}
+	wholes := 0
+	for fleet.now < 15*time.Minute {
+		for len(losses) > 0 && losses[0].at <= fleet.now {
+			fleet.strike(losses[0])
+			losses = losses[1:]
+		}
+		disturb(fleet, random)
+		before := fleet.placement.Clone()
+		fleet.advance()
+		assert.NilError(t, fleet.placement.Validate(), "seed %d at %s", seed, fleet.now)
+		for _, group := range fleet.placement.Groups {
+			assert.Assert(t, group.Epoch >= epochs[group.ID], "seed %d: epoch of %s fell", seed, group.ID)
+			epochs[group.ID] = group.Epoch
+			assertSameMembers(t, before, group)
+			if fleet.whole(group) {
+				wholes++
+			}
+		}
+	}
+	return wholes
+}
+
+// assertSameMembers checks that members never change within an epoch: engines
+// and entries tell two forms of a group apart by nothing else.
+func assertSameMembers(t *testing.T, before shedkeel.Placement, group shedkeel.Group) {
+	t.Helper()
+	for _, former := range before.Groups {
+		if former.ID == group.ID && former.Epoch == group.Epoch {
+			assert.Assert(t, slices.Equal(former.Members, group.Members), "the members of %s changed within epoch %d", group.ID, group.Epoch)
+		}
+	}
+}
+
+// disturb changes what operators want.
+func disturb(fleet *fleet, random *rand.Rand) {
+	switch random.IntN(200) {
+	case 0:
+		fleet.config.Services[0].Groups = random.IntN(8)
+	case 1:
+		fleet.config.Drains = []shedkeel.BoxID{fleet.boxes[random.IntN(len(fleet.boxes))].id}
+	case 2:
+		fleet.config.Drains = nil
+	}
+}
+
+// steady returns a fleet whose groups are all whole.
+func steady(t *testing.T, table shedkeel.Table, domains, boxesEach, groups int) *fleet {
+	t.Helper()
+	fleet := newFleet(&Planner{}, table, domains, boxesEach, groups, 4)
+	for range 1500 {
+		fleet.advance()
+	}
+	assert.Equal(t, countWhole(fleet), groups)
+	return fleet
+}
+
+func countWhole(fleet *fleet) int {
+	count := 0
+	for _, group := range fleet.placement.Groups {
+		if fleet.whole(group) {
+			count++
+		}
+	}
+	return count
+}
+
+// downFor runs until all groups are whole again, and returns how long it took.
+func downFor(fleet *fleet, wanted int, longest time.Duration) time.Duration {
+	began := fleet.now
+	for fleet.now-began < longest {
+		fleet.advance()
+		if countWhole(fleet) == wanted {
+			return fleet.now - began
+		}
+	}
+	return longest
+}
+
+func TestMending(t *testing.T) {
+	cases := map[string]struct {
+		table   shedkeel.Table
+		boxes   int
+		loss    loss
+		longest time.Duration // to be whole again
+	}{
+		"a restart, with a warm spare":      {testTables["karadere"], 9, loss{down: 2 * time.Minute}, 5*time.Second + joinTime + 6*time.Second},
+		"a restart, without spares":         {shedkeel.Table{WarmSpares: true, Patience: 5 * time.Second}, 8, loss{down: 2 * time.Minute}, 2*time.Minute + loadTime + joinTime + 5*time.Second},
+		"a pause within the patience":       {testTables["karadere"], 9, loss{down: 4 * time.Second, keeps: true}, 5 * time.Second},
+		"a pause, without patience":         {shedkeel.Table{WarmSpares: true}, 9, loss{down: 4 * time.Second, keeps: true}, joinTime + 5*time.Second},
+		"a failure for hours, with a spare": {testTables["karadere"], 9, loss{down: 4 * time.Hour}, 5*time.Second + joinTime + 6*time.Second},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := steady(t, test.table, 1, test.boxes, 2)
+			test.loss.box = placeOf(fleet, fleet.placement.Groups[0].Members[1].Box)
+			fleet.strike(test.loss)
+			took := downFor(fleet, 2, time.Hour)
+			assert.Assert(t, took <= test.longest, "took %s", took)
+			assert.Assert(t, took > 0)
+		})
+	}
+}
+
+func placeOf(fleet *fleet, id shedkeel.BoxID) int {
+	for index, box := range fleet.boxes {
+		if box.id == id {
+			return index
+		}
+	}
+	return -1
+}
+
+// TestPauseKeepsTheGroup shows that a member that comes back as it was, within
+// the patience, costs no rebuild.
+func TestPauseKeepsTheGroup(t *testing.T) {
+	fleet := steady(t, testTables["karadere"], 1, 9, 2)
+	before := fleet.placement.Clone()
+	fleet.strike(loss{box: placeOf(fleet, before.Groups[0].Members[0].Box), down: 4 * time.Second, keeps: true})
+	for range 60 {
+		fleet.advance()
+	}
+	assert.DeepEqual(t, fleet.placement.Groups, before.Groups)
+}
+
+// TestDarkDomainIsNotRebuilt shows that a domain that goes dark and returns
+// with its state causes no rebuild, and that others are left alone.
+func TestDarkDomainIsNotRebuilt(t *testing.T) {
+	fleet := steady(t, testTables["nafha"], 3, 9, 6)
+	before := fleet.placement.Clone()
+	fleet.strike(loss{box: 0, down: 10 * time.Minute, isDomain: true, keeps: true})
+	for range 700 {
+		fleet.advance()
+	}
+	assert.DeepEqual(t, fleet.placement.Groups, before.Groups)
+	assert.Equal(t, countWhole(fleet), 6)
+}
+
+// TestShortGroupsAreConsolidated shows that two groups that each lost a member
+// become one whole group and not two short ones.
+func TestShortGroupsAreConsolidated(t *testing.T) {
+	for name, want := range map[string]int{"nafha": 1, "no patience": 0} {
+		t.Run(name, func(t *testing.T) {
+			table := testTables[name]
+			table.CrossDomain, table.Spares, table.StormFraction = false, 0, 0
+			fleet := steady(t, table, 1, 8, 2)
+			for _, group := range fleet.placement.Groups {
+				fleet.strike(loss{box: placeOf(fleet, group.Members[0].Box), down: time.Hour})
+			}
+			for range 200 {
+				fleet.advance()
+			}
+			assert.Equal(t, countWhole(fleet), want)
+		})
+	}
+}
+
+// TestLeavingMemberIsReplacedQuietly shows that a group is not changed while it
+// may run requests, that its substitute loads before the swap, and how long it
+// is out of service.
+func TestLeavingMemberIsReplacedQuietly(t *testing.T) {
+	table := testTables["karadere"]
+	table.WarmSpares = false
+	fleet := steady(t, table, 1, 9, 2)
+	group := fleet.placement.Groups[0]
+	leaver := fleet.boxes[placeOf(fleet, group.Members[1].Box)]
+	first := fleet.boxes[placeOf(fleet, group.Members[0].Box)]
+	first.state.Running = 3
+	leaver.leaving = true
+	began := fleet.now
+	for fleet.now-began < 20*time.Second {
+		fleet.advance()
+		assert.Equal(t, fleet.placement.Groups[0].Epoch, group.Epoch, "it still runs requests")
+	}
+	first.state.Running = 0
+	idleAt := fleet.now
+	for fleet.placement.Groups[0].Epoch == group.Epoch {
+		assert.Assert(t, fleet.now-began < 10*time.Minute, "it is never replaced")
+		fleet.advance()
+	}
+	assert.Assert(t, fleet.now-idleAt >= DefaultQuiet, "changed only %s after it was idle", fleet.now-idleAt)
+	assert.Assert(t, !fleet.placement.Groups[0].Has(leaver.id))
+	swapped := fleet.now
+	for countWhole(fleet) < 2 {
+		assert.Assert(t, fleet.now-swapped < joinTime+3*time.Second, "the substitute had not loaded before the swap")
+		fleet.advance()
+	}
+}
+
+// TestAgainstNaive holds the two planners together where they must agree: both
+// keep each box in one group, and both let a group serve only when the naive
+// look at its members finds each of them present.
+func TestAgainstNaive(t *testing.T) {
+	planners := map[string]func() shedkeel.Planner{
+		"ours":  func() shedkeel.Planner { return &Planner{} },
+		"naive": func() shedkeel.Planner { return &Naive{} },
+	}
+	for name, planner := range planners {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				random := rand.New(rand.NewPCG(seed, 6))
+				fleet := newFleet(planner(), testTables["karadere"], 2, 9, 4, 4)
+				losses := trace(random, rates{fail: 5, restart: 50, pause: 30, domain: 10}, len(fleet.boxes), time.Hour)
+				for fleet.now < 15*time.Minute {
+					for len(losses) > 0 && losses[0].at <= fleet.now {
+						fleet.strike(losses[0])
+						losses = losses[1:]
+					}
+					fleet.advance()
+					assert.NilError(t, fleet.placement.Validate())
+					for _, group := range fleet.placement.Groups {
+						assert.Equal(t, fleet.whole(group), naiveWhole(fleet, group), "seed %d at %s", seed, fleet.now)
+					}
+				}
+			}
+		})
+	}
+}
+
+// naiveWhole looks at each member by itself.
+func naiveWhole(fleet *fleet, group shedkeel.Group) bool {
+	if group.Draining {
+		return false
+	}
+	for _, member := range group.Members {
+		box := fleet.boxes[placeOf(fleet, member.Box)]
+		present := box.up(fleet.now) && !box.leaving && box.state.Boot == member.Boot
+		joined := box.state.Phase == shedkeel.PhaseReady && box.state.Assigned.Group == group.ID && box.state.Assigned.Epoch == group.Epoch
+		if !present || !joined {
+			return false
+		}
+	}
+	return true
+}
+
+func TestInspect(t *testing.T) {
+	group := shedkeel.Group{ID: "g", Epoch: 2, Members: []shedkeel.Member{{Box: "a", Boot: "1"}, {Box: "b", Boot: "1"}}}
+	fine := shedkeel.BoxState{Boot: "1", Phase: shedkeel.PhaseReady, Assigned: group.Assignment()}
+	with := func(change func(*shedkeel.BoxState)) shedkeel.BoxState {
+		state := fine
+		change(&state)
+		return state
+	}
+	cases := map[string]struct {
+		second  shedkeel.BoxState
+		silent  bool
+		refused bool
+		want    shedkeel.Verdict
+	}{
+		"all there":           {fine, false, false, shedkeel.VerdictWhole},
+		"silent":              {fine, true, false, shedkeel.VerdictSilent},
+		"refused":             {fine, true, true, shedkeel.VerdictBroken},
+		"another boot":        {with(func(state *shedkeel.BoxState) { state.Boot = "2" }), false, false, shedkeel.VerdictBroken},
+		"another epoch":       {with(func(state *shedkeel.BoxState) { state.Assigned.Epoch = 1 }), false, false, shedkeel.VerdictBroken},
+		"another group":       {with(func(state *shedkeel.BoxState) { state.Assigned.Group = "h" }), false, false, shedkeel.VerdictBroken},
+		"still loading":       {with(func(state *shedkeel.BoxState) { state.Phase = shedkeel.PhaseLoading }), false, false, shedkeel.VerdictBroken},
+		"leaving by its word": {with(func(state *shedkeel.BoxState) { state.Leaving = true }), false, false, shedkeel.VerdictDraining},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			answers := map[shedkeel.BoxID]shedkeel.BoxState{"a": fine}
+			if !test.silent {
+				answers["b"] = test.second
+			}
+			assert.Equal(t, Inspect(group, answers, map[shedkeel.BoxID]bool{"b": test.refused}), test.want)
+		})
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -74,6 +75,9 @@
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
 	}
 	if faults.Hang {
+		// Only when the body has been read does the server notice that the
+		// caller has gone.
+		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
 		return false
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -46,8 +46,8 @@
 	mux.HandleFunc("POST /v3/kv/txn", store.serveTxn)
 	mux.HandleFunc("POST /v3/watch", store.serveWatch)
 	mux.Handle("POST /fault", &store.faults)
-	mux.HandleFunc("POST /snapshot", func(http.ResponseWriter, *http.Request) { store.snapshot() })
-	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { store.restore() })
+	mux.HandleFunc("POST /snapshot", func(http.ResponseWriter, *http.Request) { store.Snapshot() })
+	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { store.Restore() })
 	mux.HandleFunc("GET /counts", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, store.Counts()) })
 	return mux
 }
@@ -139,7 +139,8 @@
 	store.changed = make(chan struct{})
 }
 
-func (store *Store) snapshot() {
+// Snapshot keeps the data as they are.
+func (store *Store) Snapshot() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.kept = map[string]shedkeel.Record{}
@@ -149,9 +150,9 @@
 	store.keptAt = store.revision
 }
 
-// restore goes back to the snapshot, with its revisions, as a service does
+// Restore goes back to the snapshot, with its revisions, as a service does
 // that was restored from a backup. Watches are broken off.
-func (store *Store) restore() {
+func (store *Store) Restore() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.data = map[string]shedkeel.Record{}
--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -39,6 +39,7 @@
 	defer keeper.mutex.Unlock()
 	keeper.entry = wire.SessionOf(ctx)
 	keeper.entryAs = call.GetIncarnation()
+	keeper.synced = now
 	if keeper.table.Self.Stopping != call.GetStopping() {
 		keeper.table.Self.Stopping = call.GetStopping()
 		keeper.table.Beat(now)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -42,6 +42,7 @@
 	heard    map[string]bool // peers that answered an exchange
 	entry    *wire.Session   // of the entry on this box
 	entryAs  string          // its incarnation
+	synced   time.Duration   // when the entry last asked
 	boxes    []shedkeel.Box
 	zones    map[shedkeel.ZoneID]*zonePlanner
 	verdicts map[shedkeel.GroupID]shedkeel.Verdict
--- a/keeper/spread.go
+++ b/keeper/spread.go
@@ -26,6 +26,9 @@
 // tickExchange asks other keepers for what is newer there.
 func (keeper *Keeper) tickExchange(ctx context.Context, now time.Duration) {
 	keeper.mutex.Lock()
+	if now-keeper.synced > keeper.window() {
+		keeper.table.Self.Stopping = true // no caller should be sent to an entry that is gone
+	}
 	keeper.table.Beat(now)
 	keeper.table.Forget(now)
 	addresses := keeper.addresses(now)
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,177 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+const (
+	ttl    = 6 * time.Second
+	margin = 500 * time.Millisecond
+	step   = 100 * time.Millisecond
+)
+
+// service is a key with compare-and-swap, all that a lease needs.
+type service struct {
+	revision int64
+	value    []byte
+}
+
+func (service *service) swap(write Write) (int64, bool) {
+	if write.Revision != service.revision {
+		return 0, false
+	}
+	service.revision++
+	service.value = write.Value
+	return service.revision, true
+}
+
+// contender is a node with a clock of its own and a write that is under way.
+type contender struct {
+	lease     Lease
+	offset    time.Duration
+	drift     float64 // of its clock against true time
+	thawsAt   time.Duration
+	write     *Write
+	arrivesAt time.Duration
+	loseReply bool
+}
+
+func (contender *contender) clock(now time.Duration) time.Duration {
+	return contender.offset + time.Duration(float64(now)*(1+contender.drift))
+}
+
+func (contender *contender) tick(now time.Duration, service *service, random *rand.Rand) {
+	if contender.write != nil && now >= contender.arrivesAt {
+		revision, swapped := service.swap(*contender.write)
+		switch {
+		case swapped && !contender.loseReply:
+			contender.lease.Written(revision, contender.write.Value)
+		case swapped:
+			contender.lease.Failed()
+		default:
+			contender.lease.Failed()
+			_ = contender.lease.Reset(service.revision, service.value, contender.clock(now))
+		}
+		contender.write = nil
+	}
+	if now < contender.thawsAt {
+		return
+	}
+	if random.IntN(100) == 0 {
+		contender.thawsAt = now + time.Duration(random.IntN(20))*time.Second
+		return
+	}
+	if random.IntN(3) > 0 {
+		_ = contender.lease.Observe(service.revision, service.value, contender.clock(now))
+	}
+	if contender.write != nil {
+		return
+	}
+	if write, wanted := contender.lease.Wanted(contender.clock(now), 0); wanted {
+		contender.write = &write
+		contender.arrivesAt = now + time.Duration(random.IntN(3000))*time.Millisecond
+		contender.loseReply = random.IntN(4) == 0
+	}
+}
+
+// TestNeverTwoHolders runs histories in which nodes freeze in the middle of a
+// write, replies are lost and clocks drift, and asks at each step who may act.
+func TestNeverTwoHolders(t *testing.T) {
+	held := 0
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		service := &service{}
+		contenders := make([]*contender, 3)
+		for index := range contenders {
+			name := fmt.Sprintf("n%d", index)
+			contenders[index] = &contender{
+				offset: time.Duration(random.IntN(1000)) * time.Second,
+				drift:  (random.Float64() - 0.5) * 2 * 0.02,
+				lease:  Lease{Node: shedkeel.NodeID(name), Incarnation: name, TTL: ttl, Margin: margin, Renew: ttl / 3},
+			}
+		}
+		epochs := map[uint64]shedkeel.NodeID{}
+		for now := time.Duration(0); now < 2*time.Minute; now += step {
+			holders := 0
+			for _, contender := range contenders {
+				contender.tick(now, service, random)
+				epoch, holds := contender.lease.Held(contender.clock(now), 0)
+				if !holds {
+					continue
+				}
+				holders++
+				if before, known := epochs[epoch]; known && before != contender.lease.Node {
+					t.Fatalf("seed %d: %s and %s both held epoch %d", seed, before, contender.lease.Node, epoch)
+				}
+				epochs[epoch] = contender.lease.Node
+			}
+			held += holders
+			if holders > 1 {
+				t.Fatalf("seed %d: %d holders at %s", seed, holders, now)
+			}
+		}
+	}
+	assert.Assert(t, held > 100_000, "the lease was hardly ever held, so nothing was shown: %d", held)
+}
+
+func TestServiceRestoredFromOlderData(t *testing.T) {
+	service := &service{}
+	first := &Lease{Node: "a", Incarnation: "1", TTL: ttl, Margin: margin, Renew: time.Second}
+	now := time.Duration(0)
+	renew := func() {
+		now += time.Second
+		write, wanted := first.Wanted(now, 0)
+		assert.Assert(t, wanted)
+		revision, swapped := service.swap(write)
+		if !swapped {
+			first.Failed()
+			assert.NilError(t, first.Reset(service.revision, service.value, now))
+			return
+		}
+		first.Written(revision, write.Value)
+	}
+	assert.NilError(t, first.Observe(0, nil, now))
+	renew()
+	older := *service
+	for range 5 {
+		renew()
+	}
+	newest := first.Holder().Generation
+	*service = older
+	renew() // meets a conflict and reads the older record
+	renew()
+	assert.Assert(t, first.Holder().Generation > newest, "the record must not go back for those who knew the newer one")
+	_, holds := first.Held(now, 0)
+	assert.Assert(t, holds)
+}
+
+func TestHeldForAnOrder(t *testing.T) {
+	cases := map[string]struct {
+		after   time.Duration
+		atLeast time.Duration
+		want    bool
+	}{
+		"at once":               {0, time.Second, true},
+		"just before the end":   {ttl - margin - time.Second - 1, time.Second, true},
+		"too late for its life": {ttl - margin - time.Second, time.Second, false},
+		"lapsed":                {ttl, 0, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			lease := &Lease{Node: "a", Incarnation: "1", TTL: ttl, Margin: margin, Renew: ttl / 3}
+			assert.NilError(t, lease.Observe(0, nil, 0))
+			write, wanted := lease.Wanted(0, 0)
+			assert.Assert(t, wanted)
+			lease.Written(1, write.Value)
+			_, holds := lease.Held(test.after, test.atLeast)
+			assert.Equal(t, holds, test.want)
+		})
+	}
+}
--- a/member/permit.go
+++ b/member/permit.go
@@ -50,8 +50,8 @@
 	whole    time.Duration
 	broken   time.Duration
 	draining time.Duration
+	silent   time.Duration
 	load     int
-	any      bool
 }
 
 func (judge *Judge) findings() map[shedkeel.Assignment]*finding {
@@ -61,7 +61,7 @@
 			key := shedkeel.Assignment{Group: verdict.Group, Epoch: verdict.Epoch}
 			known := found[key]
 			if known == nil {
-				known = &finding{whole: -1, broken: -1, draining: -1}
+				known = &finding{whole: never, broken: never, draining: never, silent: never}
 				found[key] = known
 			}
 			known.add(verdict, digest.AsOf)
@@ -71,7 +71,6 @@
 }
 
 func (finding *finding) add(verdict GroupVerdict, asOf time.Duration) {
-	finding.any = true
 	switch verdict.Verdict {
 	case shedkeel.VerdictWhole:
 		if asOf > finding.whole {
@@ -83,9 +82,13 @@
 	case shedkeel.VerdictDraining:
 		finding.draining = max(finding.draining, asOf)
 	case shedkeel.VerdictSilent:
+		finding.silent = max(finding.silent, asOf)
 	}
 }
 
+// never stands for the time of what was not found.
+const never = -1
+
 // Leaving returns the boxes that operators drain or that a watcher saw leaving.
 func (judge *Judge) Leaving() map[shedkeel.BoxID]bool {
 	leaving := map[shedkeel.BoxID]bool{}
@@ -123,7 +126,11 @@
 		permit.Reason = "a member is missing"
 	case finding.draining > finding.whole:
 		permit.Reason = "a member reports that it is leaving"
-	case finding.whole < 0:
+	case finding.silent > finding.whole+judge.Window:
+		// Watchers have looked all the while and got no answer.
+		permit.Broken = true
+		permit.Reason = "a member does not answer"
+	case finding.whole == never:
 		permit.Reason = "a member does not answer"
 	default:
 		permit.Until = finding.whole + judge.Window
--- /dev/null
+++ b/member/permit_test.go
@@ -0,0 +1,104 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+const window = 3 * time.Second
+
+func oneGroup(draining bool) []shedkeel.Placement {
+	return []shedkeel.Placement{{Zone: "z", Groups: []shedkeel.Group{{
+		ID: "g", Service: "s", Epoch: 4, Draining: draining, Members: []shedkeel.Member{{Box: "a"}, {Box: "b"}},
+	}}}}
+}
+
+func found(watcher shedkeel.NodeID, epoch uint64, verdict shedkeel.Verdict, asOf time.Duration) Digest {
+	return Digest{Watcher: watcher, AsOf: asOf, Verdicts: []GroupVerdict{{Group: "g", Epoch: epoch, Verdict: verdict}}}
+}
+
+func TestPermits(t *testing.T) {
+	const now = 100 * time.Second
+	whole, silent, broken, draining := shedkeel.VerdictWhole, shedkeel.VerdictSilent, shedkeel.VerdictBroken, shedkeel.VerdictDraining
+	cases := map[string]struct {
+		digests  []Digest
+		drains   map[shedkeel.BoxID]bool
+		draining bool
+		until    time.Duration // 0: no permit
+		lost     bool
+	}{
+		"nobody has looked":              {nil, nil, false, 0, false},
+		"whole":                          {[]Digest{found("w1", 4, whole, now)}, nil, false, now + window, false},
+		"whole under another epoch":      {[]Digest{found("w1", 3, whole, now)}, nil, false, 0, false},
+		"whole long ago":                 {[]Digest{found("w1", 4, whole, now-2*window)}, nil, false, now - window, false},
+		"the newer of two whole":         {[]Digest{found("w1", 4, whole, now-time.Second), found("w2", 4, whole, now)}, nil, false, now + window, false},
+		"broken after whole":             {[]Digest{found("w1", 4, whole, now-1), found("w2", 4, broken, now)}, nil, false, 0, true},
+		"whole after broken":             {[]Digest{found("w1", 4, whole, now), found("w2", 4, broken, now-1)}, nil, false, now + window, false},
+		"silence alone only ages":        {[]Digest{found("w1", 4, whole, now-time.Second), found("w2", 4, silent, now)}, nil, false, now - time.Second + window, false},
+		"silence through the window":     {[]Digest{found("w1", 4, whole, now-2*window), found("w2", 4, silent, now)}, nil, false, 0, true},
+		"never whole yet":                {[]Digest{found("w1", 4, silent, now)}, nil, false, 0, true},
+		"a member says it leaves":        {[]Digest{found("w1", 4, whole, now-1), found("w2", 4, draining, now)}, nil, false, 0, false},
+		"an operator drains a member":    {[]Digest{found("w1", 4, whole, now)}, map[shedkeel.BoxID]bool{"b": true}, false, 0, false},
+		"the list has a member leaving":  {[]Digest{found("w1", 4, whole, now), {Watcher: "w2", AsOf: now, Leaving: []shedkeel.BoxID{"a"}}}, nil, false, 0, false},
+		"another box leaves":             {[]Digest{found("w1", 4, whole, now), {Watcher: "w2", AsOf: now, Leaving: []shedkeel.BoxID{"c"}}}, nil, false, now + window, false},
+		"an old word that a member left": {[]Digest{found("w1", 4, whole, now), {Watcher: "w2", AsOf: now - 20*window, Leaving: []shedkeel.BoxID{"a"}}}, nil, false, now + window, false},
+		"the group is draining":          {[]Digest{found("w1", 4, whole, now)}, nil, true, 0, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			judge := Judge{Now: now, Window: window, Drains: test.drains, Digests: test.digests}
+			permits := judge.Permits(oneGroup(test.draining))
+			assert.Equal(t, len(permits), 1)
+			assert.Equal(t, permits[0].Until, test.until, permits[0].Reason)
+			assert.Equal(t, permits[0].Broken, test.lost, permits[0].Reason)
+		})
+	}
+}
+
+// TestPermitsAgainstNaive holds permits against the naive rule, worked out
+// from the list of all findings: a permit needs a whole finding within the
+// window, and no newer one that contradicts it.
+func TestPermitsAgainstNaive(t *testing.T) {
+	allowed := 0
+	for seed := range uint64(5000) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		now := 100 * time.Second
+		var digests []Digest
+		for range 1 + random.IntN(5) {
+			age := time.Duration(random.IntN(5000)) * time.Millisecond
+			digests = append(digests, found(shedkeel.NodeID(rune('a'+random.IntN(4))), 3+uint64(random.IntN(2)), shedkeel.Verdict(random.IntN(4)), now-age))
+		}
+		judge := Judge{Now: now, Window: window, Digests: digests}
+		got := judge.Permits(oneGroup(false))[0].Until > now
+		assert.Equal(t, got, naiveMayServe(digests, now), "seed %d: %v", seed, digests)
+		if got {
+			allowed++
+		}
+	}
+	assert.Assert(t, allowed > 500, "hardly any history had a permit: %d", allowed)
+}
+
+func naiveMayServe(digests []Digest, now time.Duration) bool {
+	for _, digest := range digests {
+		verdict := digest.Verdicts[0]
+		if verdict.Epoch != 4 || verdict.Verdict != shedkeel.VerdictWhole || now-digest.AsOf >= window {
+			continue
+		}
+		contradicted := false
+		for _, other := range digests {
+			against := other.Verdicts[0].Verdict == shedkeel.VerdictBroken || other.Verdicts[0].Verdict == shedkeel.VerdictDraining
+			if other.Verdicts[0].Epoch == 4 && against && other.AsOf > digest.AsOf {
+				contradicted = true
+			}
+		}
+		if !contradicted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,144 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// exchange lets one table ask another, as keepers do.
+func exchange(asks, answers *Table, asksNow, answersNow time.Duration) {
+	reply := answers.Answer(asks.Ask(asksNow), answersNow)
+	asks.Take(reply, asksNow, asksNow)
+}
+
+func newTables(count int) []*Table {
+	tables := make([]*Table, count)
+	for index := range tables {
+		tables[index] = &Table{Self: shedkeel.Node{ID: shedkeel.NodeID(fmt.Sprintf("n%02d", index)), Incarnation: "1", Zone: shedkeel.ZoneID(fmt.Sprintf("z%d", index%3))}}
+	}
+	return tables
+}
+
+// TestNeverAnOlderRecord exchanges in random order over partitions, with
+// repeats, while writers go on, and asserts that no node's generation ever
+// falls and that all meet in the end.
+func TestNeverAnOlderRecord(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		tables := newTables(7)
+		inForce := make([]uint64, len(tables))
+		var newest uint64
+		check := func() {
+			for index, table := range tables {
+				generation := table.Record(KeyConfig).Generation
+				assert.Assert(t, generation >= inForce[index], "seed %d: node %d went from %d back to %d", seed, index, inForce[index], generation)
+				inForce[index] = generation
+			}
+		}
+		for now := range 200 {
+			if random.IntN(5) == 0 {
+				newest++
+				// An older write may arrive late, and at a reader that has a newer one.
+				generation := newest - uint64(random.IntN(int(min(newest, 3))))
+				tables[random.IntN(len(tables))].MergeRecord(Record{Key: KeyConfig, Generation: max(generation, 1), Value: []byte("{}")})
+				tables[0].MergeRecord(Record{Key: KeyConfig, Generation: newest, Value: []byte("{}")})
+			}
+			a, b := random.IntN(len(tables)), random.IntN(len(tables))
+			partitioned := now < 150 && (a < 3) != (b < 3)
+			if a != b && !partitioned {
+				exchange(tables[a], tables[b], time.Duration(now)*time.Second, time.Duration(now)*time.Second)
+			}
+			check()
+		}
+		for range len(tables) {
+			for a := range tables {
+				exchange(tables[a], tables[(a+1)%len(tables)], 0, 0)
+			}
+			check()
+		}
+		for index, table := range tables {
+			assert.Equal(t, table.Record(KeyConfig).Generation, newest, "seed %d: node %d", seed, index)
+		}
+	}
+}
+
+// TestDigestNeverLooksYounger passes digests over nodes whose clocks have
+// nothing in common and whose messages are slow, and holds the age that each
+// node takes them for against the true one.
+func TestDigestNeverLooksYounger(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		tables := newTables(6)
+		offsets := make([]time.Duration, len(tables))
+		for index := range offsets {
+			offsets[index] = time.Duration(random.IntN(1_000_000)) * time.Millisecond
+		}
+		madeAt := map[uint64]time.Duration{}
+		var sequence uint64
+		now := time.Duration(0)
+		for range 300 {
+			now += time.Duration(random.IntN(700)) * time.Millisecond
+			sequence++
+			madeAt[sequence] = now
+			tables[0].MergeDigest(Digest{Watcher: "n00", Incarnation: "1", Sequence: sequence, AsOf: now + offsets[0]})
+			a, b := random.IntN(len(tables)), random.IntN(len(tables))
+			if a == b {
+				continue
+			}
+			sent := now
+			ask := tables[a].Ask(sent + offsets[a])
+			now += time.Duration(random.IntN(2000)) * time.Millisecond
+			reply := tables[b].Answer(ask, now+offsets[b])
+			now += time.Duration(random.IntN(5000)) * time.Millisecond // frozen before it reads the reply
+			tables[a].Take(reply, sent+offsets[a], now+offsets[a])
+			for index, table := range tables {
+				for _, digest := range table.Digests() {
+					takenFor := now + offsets[index] - digest.AsOf
+					truly := now - madeAt[digest.Sequence]
+					assert.Assert(t, takenFor >= truly, "seed %d: node %d takes a digest of age %s for %s", seed, index, truly, takenFor)
+				}
+			}
+		}
+	}
+}
+
+func TestLiveNodes(t *testing.T) {
+	table := &Table{Self: shedkeel.Node{ID: "self", Incarnation: "1"}}
+	table.Beat(0)
+	table.MergeNode(shedkeel.Node{ID: "other", Incarnation: "1", Heartbeat: 5}, 0)
+	table.MergeNode(shedkeel.Node{ID: "other", Incarnation: "1", Heartbeat: 5}, 4*time.Second)
+	assert.Equal(t, len(table.Live(4*time.Second)), 2)
+	assert.Equal(t, len(table.Live(6*time.Second)), 1, "a repeated heartbeat is no sign of life")
+	table.MergeNode(shedkeel.Node{ID: "other", Incarnation: "2", Heartbeat: 1}, 6*time.Second)
+	assert.Equal(t, len(table.Live(6*time.Second)), 2, "a new incarnation begins to count anew")
+	table.MergeNode(shedkeel.Node{ID: "self", Incarnation: "0", Heartbeat: 99, Stopping: true}, 6*time.Second)
+	assert.Assert(t, !table.Live(6 * time.Second)[1].Stopping, "an earlier self must not speak for this one")
+}
+
+func TestRankMovesLittle(t *testing.T) {
+	var nodes []shedkeel.Node
+	for index := range 10 {
+		nodes = append(nodes, shedkeel.Node{ID: shedkeel.NodeID(fmt.Sprintf("n%d", index))})
+	}
+	counts := map[shedkeel.NodeID]int{}
+	moved := 0
+	const keys = 2000
+	for key := range keys {
+		name := fmt.Sprintf("group-%d", key)
+		first := Rank(name, nodes)[0].ID
+		counts[first]++
+		if Rank(name, nodes[1:])[0].ID != first {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, counts["n0"], "only the keys of the node that left may move")
+	for id, count := range counts {
+		assert.Assert(t, count > keys/10/2 && count < keys/10*2, "%s has %d of %d keys", id, count, keys)
+	}
+}
