Wait for a silent member only while no substitute has the weights

Cause of the change: five seconds of patience cost more than they saved where a warm spare stood by, and were too few where none did.

--- a/group/planner.go
+++ b/group/planner.go
@@ -375,21 +375,32 @@
 		case conditionLeaving:
 			leaving = append(leaving, place)
 		case conditionSilent:
-			since := round.planner.silent[member.Box]
-			if round.input.Now-since >= round.input.Table.Patience {
-				must = append(must, place)
+			if round.patient(group, member) {
+				round.decide(group.ID, member.Box, "wait", "it has been silent for less than the patience of the policy")
 				continue
 			}
-			round.decide(group.ID, member.Box, "wait", "it has been silent for less than the patience of the policy")
-			if substitutes := round.substitutes(group, 1); len(substitutes) > 0 && !warm(substitutes[0], group.Service) {
-				round.warming[substitutes[0].Box.ID] = group.Service
-			}
+			must = append(must, place)
 		case conditionFine:
 		}
 	}
 	return must, leaving
 }
 
+// patient reports whether a silent member is waited for. Its substitute loads
+// meanwhile; once that has the weights, a swap costs little and waiting is
+// rarely worth it.
+func (round *round) patient(group *shedkeel.Group, member shedkeel.Member) bool {
+	patience := round.input.Table.Patience
+	for _, substitute := range round.substitutes(group, 1) {
+		if warm(substitute, group.Service) {
+			patience = round.input.Table.WarmPatience
+			continue
+		}
+		round.warming[substitute.Box.ID] = group.Service
+	}
+	return round.input.Now-round.planner.silent[member.Box] < patience
+}
+
 // substitutes returns up to count free boxes for the group, those that have
 // its weights first. The boxes that it lost but that answer again count as
 // free, so that they come back when nothing better is there.
--- a/policies/karadere.star
+++ b/policies/karadere.star
@@ -8,7 +8,7 @@
     return table(
         spares = spares,
         warm_spares = True,
-        patience_seconds = min(5, facts.restart_seconds),
+        patience_seconds = min(20, facts.restart_seconds),
         consolidate = True,
         cross_domain = False,
         storm_fraction = 0.5,
--- a/policies/nafha.star
+++ b/policies/nafha.star
@@ -5,7 +5,7 @@
     return table(
         spares = 0,
         warm_spares = True,
-        patience_seconds = min(5, facts.restart_seconds),
+        patience_seconds = min(20, facts.restart_seconds),
         consolidate = True,
         cross_domain = True,
         storm_fraction = 0.5,
--- a/shedkeel.go
+++ b/shedkeel.go
@@ -258,7 +258,8 @@
 type Table struct {
 	Spares        int           `json:"spares"`         // boxes kept free in each fabric domain
 	WarmSpares    bool          `json:"warm_spares"`    // free boxes load weights ahead of need
-	Patience      time.Duration `json:"patience"`       // how long a silent member may take to come back as it was
+	Patience      time.Duration `json:"patience"`       // how long a silent member may take to come back as it was, while its substitute loads
+	WarmPatience  time.Duration `json:"warm_patience"`  // the same when a substitute has the weights already
 	Consolidate   bool          `json:"consolidate"`    // break up one short group to mend others
 	CrossDomain   bool          `json:"cross_domain"`   // form slow groups over fabric domains rather than none
 	StormFraction float64       `json:"storm_fraction"` // hold still when this part of a domain is gone at once
