--- a/group/trace_test.go
+++ b/group/trace_test.go
@@ -182,6 +182,7 @@
 	asserted bool // the test holds it to its aim
 	table    shedkeel.Table
 	groups   int
+	boxes    int  // in each domain; 0: traceBoxes
 	outages  bool // the key-value service is out for an hour every second day
 }
 
@@ -206,11 +207,12 @@
 	if contestant.naive {
 		planner = &Naive{}
 	}
-	fleet := newFleet(planner, contestant.table, traceDomains, traceBoxes, contestant.groups, traceMembers)
+	boxes := cmp.Or(contestant.boxes, traceBoxes)
+	fleet := newFleet(planner, contestant.table, traceDomains, boxes, contestant.groups, traceMembers)
 	// Boxes over are empty at first, as restarted ones are that a planner
 	// does not warm.
 	for index, box := range fleet.boxes {
-		if index%traceBoxes < traceBoxes/traceMembers*traceMembers {
+		if index%boxes < boxes/traceMembers*traceMembers {
 			box.state.Weights, box.state.Phase = "model", shedkeel.PhaseWarm
 		}
 	}
@@ -268,6 +270,12 @@
 		{name: "nafha without cross-domain groups", table: without(nafha, func(table *shedkeel.Table) { table.CrossDomain = false }), groups: 18},
 		{name: "nafha without patience", table: without(nafha, func(table *shedkeel.Table) { table.Patience = 0 }), groups: 18},
 		{name: "nafha without consolidation", table: without(nafha, func(table *shedkeel.Table) { table.Consolidate = false }), groups: 18},
+		{name: "naive, no boxes over", naive: true, groups: 16, boxes: 32},
+		{name: "nafha, no boxes over", table: nafha, groups: 16, boxes: 32},
+		{name: "nafha without consolidation, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.Consolidate = false }), groups: 16, boxes: 32},
+		{name: "nafha without storm rule, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.StormFraction = 0 }), groups: 16, boxes: 32},
+		{name: "nafha without patience, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.Patience = 0 }), groups: 16, boxes: 32},
+		{name: "nafha without cross-domain groups, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.CrossDomain = false }), groups: 16, boxes: 32},
 		{name: "naive, 16 groups, service outages", naive: true, groups: 16, outages: true},
 		{name: "karadere, 16 groups, service outages", table: karadere, groups: 16, outages: true},
 	}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -124,6 +124,9 @@
 	return mux
 }
 
+// SetFaults sets the faults in force.
+func (relay *Relay) SetFaults(faults Faults) { relay.faults.set(faults) }
+
 // Run passes on what comes in until the listener is closed.
 func (relay *Relay) Run(listener net.Listener) {
 	for {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -62,6 +62,10 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	faultSwitch.set(faults)
+}
+
+func (faultSwitch *faultSwitch) set(faults Faults) {
 	faultSwitch.mutex.Lock()
 	defer faultSwitch.mutex.Unlock()
 	faultSwitch.faults = faults
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -112,11 +112,7 @@
 }
 
 // SetFaults sets the faults in force.
-func (store *Store) SetFaults(faults Faults) {
-	store.faults.mutex.Lock()
-	defer store.faults.mutex.Unlock()
-	store.faults.faults = faults
-}
+func (store *Store) SetFaults(faults Faults) { store.faults.set(faults) }
 
 func (store *Store) swap(key string, revision int64, value []byte) (int64, bool) {
 	store.mutex.Lock()
