--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint
 
-.PHONY: demo test check unit scenario build generate bench capacity fuzz
+.PHONY: demo test check unit build generate bench measure capacity mutants fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,3 +29,8 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+# Builds the project without one mechanism after another, and checks that the
+# test which proves it then fails.
+mutants:
+	go test -tags mutants -timeout 30m -run TestMutants -v .
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -336,6 +336,27 @@
 	}
 }
 
+// freezing is a random source that lets time pass when it is asked, as a
+// process does that is stopped in the middle of a choice.
+type freezing struct {
+	clock *timer.Manual
+}
+
+func (freezing *freezing) Uint64() uint64 {
+	freezing.clock.Advance(4 * time.Second)
+	return 0
+}
+
+// TestFrozenBetweenChoiceAndSend shows that the permit is asked once more just
+// before a request is sent.
+func TestFrozenBetweenChoiceAndSend(t *testing.T) {
+	harness := newHarness(t)
+	harness.router.Random = &freezing{clock: harness.clock}
+	recorder := harness.post("/v1/completions", `{"model":"model"}`)
+	assert.Equal(t, recorder.Code, 503, recorder.Body.String())
+	assert.Equal(t, len(harness.script.requests), 0, "it was sent on a permit that had run out")
+}
+
 // slowBackend stops time in the middle of a send, as a frozen process does.
 type slowBackend struct {
 	freeze func()
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -198,31 +198,35 @@
 // may run requests, that its substitute loads before the swap, and how long it
 // is out of service.
 func TestLeavingMemberIsReplacedQuietly(t *testing.T) {
-	table := testTables["karadere"]
-	table.WarmSpares = false
-	fleet := steady(t, table, 1, 9, 2)
-	group := fleet.placement.Groups[0]
-	leaver := fleet.boxes[placeOf(fleet, group.Members[1].Box)]
-	first := fleet.boxes[placeOf(fleet, group.Members[0].Box)]
-	first.state.Running = 3
-	leaver.leaving = true
-	began := fleet.now
-	for fleet.now-began < 20*time.Second {
-		fleet.advance()
-		assert.Equal(t, fleet.placement.Groups[0].Epoch, group.Epoch, "it still runs requests")
-	}
-	first.state.Running = 0
-	idleAt := fleet.now
-	for fleet.placement.Groups[0].Epoch == group.Epoch {
-		assert.Assert(t, fleet.now-began < 10*time.Minute, "it is never replaced")
-		fleet.advance()
-	}
-	assert.Assert(t, fleet.now-idleAt >= DefaultQuiet, "changed only %s after it was idle", fleet.now-idleAt)
-	assert.Assert(t, !fleet.placement.Groups[0].Has(leaver.id))
-	swapped := fleet.now
-	for countWhole(fleet) < 2 {
-		assert.Assert(t, fleet.now-swapped < joinTime+3*time.Second, "the substitute had not loaded before the swap")
-		fleet.advance()
+	for name, warmSpares := range map[string]bool{"warm spare": true, "cold spare": false} {
+		t.Run(name, func(t *testing.T) {
+			table := testTables["karadere"]
+			table.WarmSpares = warmSpares
+			fleet := steady(t, table, 1, 9, 2)
+			group := fleet.placement.Groups[0]
+			leaver := fleet.byID[group.Members[1].Box]
+			first := fleet.byID[group.Members[0].Box]
+			first.state.Running = 3
+			leaver.leaving = true
+			began := fleet.now
+			for fleet.now-began < 20*time.Second {
+				fleet.advance()
+				assert.Equal(t, fleet.placement.Groups[0].Epoch, group.Epoch, "it still runs requests")
+			}
+			first.state.Running = 0
+			idleAt := fleet.now
+			for fleet.placement.Groups[0].Epoch == group.Epoch {
+				assert.Assert(t, fleet.now-began < 10*time.Minute, "it is never replaced")
+				fleet.advance()
+			}
+			assert.Assert(t, fleet.now-idleAt >= DefaultQuiet, "changed only %s after it was idle", fleet.now-idleAt)
+			assert.Assert(t, !fleet.placement.Groups[0].Has(leaver.id))
+			swapped := fleet.now
+			for countWhole(fleet) < 2 {
+				assert.Assert(t, fleet.now-swapped < joinTime+3*time.Second, "the substitute had not loaded before the swap")
+				fleet.advance()
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/mutants_test.go
@@ -0,0 +1,130 @@
+//go:build mutants
+
+package shedkeel_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// mutant is a build without one mechanism, and the test that must fail on it.
+type mutant struct {
+	file     string
+	old, new string
+	test     string // of go test -run
+	packages string
+}
+
+var mutants = map[string]mutant{
+	"1 whole groups only: permits do not run out": {
+		"member/permit.go", "permit.Until = finding.whole + judge.Window", "permit.Until = finding.whole + 1000*judge.Window", "TestScenarios/whole_groups", ".",
+	},
+	"1 whole groups only: the permit is not asked again before sending": {
+		"entry/send.go", "if try.entry.Timers.Now() >= try.choice.Until {", "if false {", "TestFrozenBetweenChoiceAndSend", "./entry",
+	},
+	"1 whole groups only: the boot is not compared": {
+		"group/reconcile.go", "case state.Boot != member.Boot || state.Assigned", "case state.Assigned", "TestInspect", "./group",
+	},
+	"1 whole groups only: ages count from when a digest is read": {
+		"member/exchange.go", "digestFromWire(digest, sent)", "digestFromWire(digest, now)", "TestDigestNeverLooksYounger", "./member",
+	},
+	"2 one group a box: a taken box counts as free": {
+		"group/planner.go", "if !round.taken[id] && round.usable(view) {", "if round.usable(view) {", "TestOneGroupForEachBox", "./group",
+	},
+	"2 one group a box: the lease counts from the reply": {
+		"lease/lease.go", "lease.until = lease.sentAt + lease.TTL - lease.Margin", "lease.until = lease.sentAt + 2*lease.TTL", "TestNeverTwoHolders", "./lease",
+	},
+	"2 one group a box: a lost reply is settled by the value": {
+		"platform/cas.go", "if mine(record.Value) {", "if len(record.Value) == len(value) || mine(record.Value) {", "TestLostReply", "./platform",
+	},
+	"3 whole answer: the attempt's name is not compared": {
+		"entry/send.go", "if named != try.attempt && (named", "if false && (named", "TestOutcomes|TestStreams", "./entry",
+	},
+	"3 whole answer: the end mark is not needed": {
+		"entry/stream.go", "message, err := readEvent(reader)\n", "message, err := readEvent(reader)\n\t\tif errors.Is(err, io.ErrUnexpectedEOF) {\n\t\t\treturn passage.finish()\n\t\t}\n", "TestStreams", "./entry",
+	},
+	"3 whole answer: an answer may end with its connection": {
+		"entry/send.go", "if noEnd {", "if noEnd && false {", "TestOutcomes", "./entry",
+	},
+	"4 not run is true: requests are left replayable": {
+		"engine/transport.go", "request.Body = &plainBody{reader: request.Body}\n\trequest.GetBody = nil", "request.GetBody = func() (io.ReadCloser, error) { return http.NoBody, nil }", "TestNotRunIsTrue", "./engine",
+	},
+	"4 not run is true: written bytes are not counted": {
+		"engine/transport.go", "if sent.seal() == 0 {", "if true {", "TestNotRunIsTrue|TestIdle", "./engine",
+	},
+	"4 not run is true: an earlier try is forgotten": {
+		"entry/send.go", "call.mayHave != nil {", "call.mayHave != nil && false {", "TestOutcomes", "./entry",
+	},
+	"5 at most once: no claim": {
+		"entry/plain.go", "earlier, err := entry.claim(ctx, call, key)", "var earlier *answer\n\tvar err error\n\t_ = key\n\t_ = entry.claim", "TestScenarios/at_most_once", ".",
+	},
+	"5 at most once: claims are not compared and swapped": {
+		"claim/committer.go", "committer.headKey(), committer.revision, value, mine)", "committer.headKey(), func() int64 { r, _ := committer.Store.Get(ctx, committer.headKey()); return r.Revision }(), value, mine)", "TestOneRightForEachKey", "./claim",
+	},
+	"6 leaving: the word that a box leaves is not heeded": {
+		"member/permit.go", "if leaving[member.Box] {", "if false && leaving[member.Box] {", "TestScenarios/leaving", ".",
+	},
+	"6 leaving: a group is changed while it runs requests": {
+		"group/planner.go", "if len(must) == 0 && !round.closed(*group) {", "if false {", "TestLeavingMemberIsReplacedQuietly", "./group",
+	},
+	"7 planned stop: it does not wait to be forgotten": {
+		"entry/entry.go", "\tentry.waitForgotten()\n\tctx", "\tctx", "TestScenarios/planned_stop", ".",
+	},
+	"7 planned stop: it does not finish what is in flight": {
+		"entry/entry.go", "return callers.Shutdown(ctx)", "_ = ctx\n\treturn callers.Close()", "TestScenarios/planned_stop", ".",
+	},
+	"8 configuration: an older record is taken": {
+		"member/table.go", "if found && record.Generation <= known.Generation {", "if found && record.Generation == known.Generation {", "TestNeverAnOlderRecord", "./member",
+	},
+	"8 configuration: a restored service is not healed": {
+		"keeper/spread.go", "keeper.heal(stored, known)\n\t\treturn", "return", "TestScenarios/configuration", ".",
+	},
+	"8 configuration: a lost reply is taken for a failure": {
+		"platform/cas.go", "if mine(record.Value) {", "if false {", "TestLostReply", "./platform",
+	},
+}
+
+// TestMutants builds the project without one mechanism after another, in a
+// copy, and checks that the test which proves it then fails.
+func TestMutants(t *testing.T) {
+	listed, err := exec.Command("git", "ls-files").Output()
+	assert.NilError(t, err)
+	copied := t.TempDir()
+	for _, name := range strings.Fields(string(listed)) {
+		text, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		assert.NilError(t, os.MkdirAll(filepath.Join(copied, filepath.Dir(name)), 0o700))
+		assert.NilError(t, os.WriteFile(filepath.Join(copied, name), text, 0o600))
+	}
+	for name, mutant := range mutants {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(copied, mutant.file)
+			sound, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(string(sound), mutant.old), 1, "the mechanism is not where it was")
+			assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(string(sound), mutant.old, mutant.new, 1)), 0o600))
+			defer func() { _ = os.WriteFile(path, sound, 0o600) }()
+			command := exec.Command("go", "test", "-timeout", "150s", "-run", mutant.test, mutant.packages)
+			command.Dir = copied
+			output, err := command.CombinedOutput()
+			assert.Assert(t, err != nil, "the test passes without the mechanism:\n%s", output)
+			assert.Assert(t, !strings.Contains(string(output), "build failed"), "it does not build:\n%s", output)
+			t.Logf("fails as it must: %s", reason(string(output)))
+		})
+	}
+}
+
+// reason returns the first line that tells why a test failed.
+func reason(output string) string {
+	for line := range strings.Lines(output) {
+		if strings.Contains(line, "assertion failed") || strings.Contains(line, "FAIL: testdata") || strings.Contains(line, "seed") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return strings.TrimSpace(output)
+}
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -50,7 +50,7 @@
 			"fleet": cmdFleet, "start": cmdStart, "crash": cmdSignal(syscall.SIGKILL), "terminate": cmdSignal(syscall.SIGTERM),
 			"freeze": cmdSignal(syscall.SIGSTOP), "thaw": cmdSignal(syscall.SIGCONT), "ended": cmdEnded,
 			"fault": cmdFault, "post": cmdPost, "cut": cmdCut(true), "join": cmdCut(false), "await": cmdAwait, "never": cmdNever,
-			"call": cmdCall, "load": cmdLoad, "loaded": cmdLoaded, "runs": cmdRuns, "pause": cmdPause, "ready": cmdReady, "planner": cmdPlanner, "quiet": cmdQuiet, "monotone": cmdMonotone, "charges": cmdCharges, "charging": cmdCharging, "charged": cmdCharged, "within": cmdWithin,
+			"call": cmdCall, "load": cmdLoad, "loaded": cmdLoaded, "runs": cmdRuns, "pause": cmdPause, "ready": cmdReady, "planner": cmdPlanner, "quiet": cmdQuiet, "monotone": cmdMonotone, "charges": cmdCharges, "charging": cmdCharging, "longcall": cmdLongCall, "longcalled": cmdLongCalled, "charged": cmdCharged, "within": cmdWithin,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[worldKey{}] = &world{env: env, processes: map[string]*process{}, addresses: map[string]string{}, relays: map[string]*relay{}}
@@ -71,6 +71,7 @@
 	loads     *load
 	marked    time.Time
 	charging  sync.WaitGroup
+	long      chan string // how the long call ended
 }
 
 type process struct {
@@ -884,6 +885,43 @@
 	}
 }
 
+// cmdLongCall begins a streamed call of so many tokens: longcall URL TOKENS.
+func cmdLongCall(script *testscript.TestScript, _ bool, args []string) {
+	world := worldOf(script)
+	world.long = make(chan string, 1)
+	go world.runLong(args[0], args[1])
+}
+
+func (world *world) runLong(url, tokens string) {
+	body := fmt.Sprintf(`{"model":"model","prompt":"long","stream":true,"max_tokens":%s}`, tokens)
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		world.long <- err.Error()
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+testerKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		world.long <- err.Error()
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	world.long <- fmt.Sprintf("%d %v %t", response.StatusCode, err, strings.HasSuffix(string(text), "data: [DONE]\n\n"))
+}
+
+// cmdLongCalled checks that the call of cmdLongCall ended whole.
+func cmdLongCalled(script *testscript.TestScript, _ bool, _ []string) {
+	select {
+	case ended := <-worldOf(script).long:
+		if ended != "200 <nil> true" {
+			script.Fatalf("the long call ended with %s", ended)
+		}
+	case <-time.After(20 * time.Second):
+		script.Fatalf("the long call does not end")
+	}
+}
+
 // cmdCharged waits for the charges of cmdCharging.
 func cmdCharged(script *testscript.TestScript, _ bool, _ []string) { worldOf(script).charging.Wait() }
 
