--- /dev/null
+++ b/route/router_test.go
@@ -0,0 +1,155 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func targetsOf(count int, until time.Duration) []Target {
+	var targets []Target
+	for index := range count {
+		targets = append(targets, Target{Name: fmt.Sprintf("g%03d", index), Address: fmt.Sprintf("a%03d", index), Until: until, Capacity: 32})
+	}
+	return targets
+}
+
+func newRouter(count int) *Router {
+	router := &Router{Random: rand.NewPCG(1, 2)}
+	router.Update("s", targetsOf(count, time.Hour), 0)
+	return router
+}
+
+func TestChoose(t *testing.T) {
+	cases := map[string]struct {
+		count int
+		until time.Duration
+		now   time.Duration
+		avoid []string
+		want  bool
+	}{
+		"one":                {1, time.Second, 0, nil, true},
+		"none":               {0, time.Second, 0, nil, false},
+		"permit has run out": {3, time.Second, time.Second, nil, false},
+		"all were tried":     {2, time.Second, 0, []string{"g000", "g001"}, false},
+		"one was not tried":  {3, time.Second, 0, []string{"g000", "g001"}, true},
+	}
+	for name, test := range cases {
+		for _, affinity := range []uint64{0, 77} {
+			t.Run(fmt.Sprint(name, " ", affinity), func(t *testing.T) {
+				router := &Router{Random: rand.NewPCG(1, 2)}
+				router.Update("s", targetsOf(test.count, test.until), 0)
+				choice, err := router.Choose(Request{Service: "s", Affinity: affinity, Now: test.now, Avoid: test.avoid})
+				assert.Equal(t, err == nil, test.want)
+				if err == nil {
+					assert.Assert(t, choice.Name != "g000" || len(test.avoid) == 0)
+					choice.End(test.now)
+				}
+			})
+		}
+	}
+}
+
+// TestLoadIsCorrected shows that a lagging report is corrected by what was
+// sent and what ended since.
+func TestLoadIsCorrected(t *testing.T) {
+	router := newRouter(1)
+	choose := func(now time.Duration) *Choice {
+		choice, err := router.Choose(Request{Service: "s", Now: now})
+		assert.NilError(t, err)
+		return choice
+	}
+	first := choose(time.Second)
+	choose(2 * time.Second)
+	assert.Equal(t, choose(3*time.Second).Load, 2)
+	report := targetsOf(1, time.Hour)
+	report[0].Reported, report[0].AsOf = 10, 2*time.Second
+	router.Update("s", report, 3*time.Second)
+	first.End(4 * time.Second)
+	assert.Equal(t, choose(5*time.Second).Load, 10, "10 reported, one sent and one ended since")
+}
+
+// TestAffinity shows that a prefix keeps its group while that is not
+// overloaded, and that the loss of a group moves only its own prefixes.
+func TestAffinity(t *testing.T) {
+	const prefixes = 500
+	where := func(router *Router) map[int]string {
+		places := map[int]string{}
+		for prefix := range prefixes {
+			choice, err := router.Choose(Request{Service: "s", Affinity: uint64(prefix)*2654435761 | 1})
+			assert.NilError(t, err)
+			places[prefix] = choice.Name
+			choice.End(0)
+		}
+		return places
+	}
+	router := newRouter(20)
+	before := where(router)
+	router.Update("s", targetsOf(20, time.Hour)[1:], 0)
+	moved := 0
+	for prefix, name := range where(router) {
+		if before[prefix] != name {
+			assert.Equal(t, before[prefix], "g000", "a prefix of another group moved")
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 0 && moved < prefixes/5, "%d moved", moved)
+}
+
+// TestHotPrefixSpills shows that a prefix that is asked for by all does not
+// overload its group.
+func TestHotPrefixSpills(t *testing.T) {
+	router := newRouter(10)
+	counts := map[string]int{}
+	for range 1000 {
+		choice, err := router.Choose(Request{Service: "s", Affinity: 5})
+		assert.NilError(t, err)
+		counts[choice.Name]++
+	}
+	for name, count := range counts {
+		assert.Assert(t, count <= 180, "%s has %d of 1000", name, count)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, groups := range []int{75, 600} {
+		for _, affinity := range []uint64{0, 1} {
+			b.Run(fmt.Sprintf("groups=%d/affinity=%d", groups, affinity), func(b *testing.B) {
+				router := newRouter(groups)
+				now := time.Duration(0)
+				for index := range b.N {
+					now += time.Microsecond
+					choice, err := router.Choose(Request{Service: "s", Affinity: affinity * uint64(index*2654435761|1), Now: now})
+					if err != nil {
+						b.Fatal(err)
+					}
+					choice.End(now)
+					if index%1000 == 999 {
+						b.StopTimer()
+						targets := targetsOf(groups, time.Hour)
+						for place := range targets {
+							targets[place].AsOf = now
+						}
+						router.Update("s", targets, now)
+						b.StartTimer()
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, groups := range []int{75, 600} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			router := newRouter(groups)
+			targets := targetsOf(groups, time.Hour)
+			for b.Loop() {
+				router.Update("s", targets, 0)
+			}
+		})
+	}
+}
