--- a/config/config_test.go
+++ b/config/config_test.go
@@ -120,6 +120,7 @@
 		"unknown kind":               {replace(`kind = "plain"`, `kind = "plane"`), `kind "plane" is unknown`},
 		"no timeout":                 {replace(`timeout = "5s"`, ""), "timeout is missing"},
 		"no capacity":                {replace("capacity = 4", "capacity = 0"), "capacity is not positive"},
+		"negative wait":              {replace(`timeout = "5s"`, "timeout = \"5s\"\nmax_wait = \"-1s\""), "max_wait is negative"},
 		"negative groups":            {replace("groups = 2", "groups = -2"), "out of range"},
 		"no zones":                   {replace(`zones = ["z"]`, "zones = []"), "out of range"},
 		"model with backends":        {replace(`timeout = "30s"`, "timeout = \"30s\"\nbackends = [{ id = \"b\", address = \"x:1\", zone = \"z\" }]"), "belong to plain services"},
--- a/config/document.go
+++ b/config/document.go
@@ -94,6 +94,9 @@
 		if service.Timeout <= 0 || time.Duration(service.Timeout) > maxTimeout {
 			return &shedkeel.InvalidError{Where: where, What: "timeout is missing or too long", Remedy: `write it as "30s", at most "1h"`}
 		}
+		if service.MaxWait < 0 {
+			return &shedkeel.InvalidError{Where: where, What: "max_wait is negative", Remedy: `write it as "300ms", or leave it out`}
+		}
 		if service.Capacity < 1 {
 			return &shedkeel.InvalidError{Where: where, What: "capacity is not positive", Remedy: "set how many requests one group or server runs at once"}
 		}
--- a/entry/send.go
+++ b/entry/send.go
@@ -105,6 +105,9 @@
 	if call.admitted {
 		return nil
 	}
+	if wait := time.Duration(call.service.MaxWait); wait > 0 {
+		left = min(left, wait)
+	}
 	_, capacity, _ := entry.router.Load(call.service.ID)
 	err := entry.gate.Enter(admit.Request{
 		Service: call.service.ID, Account: call.caller.account.ID, Deadline: left,
--- a/shedkeel.go
+++ b/shedkeel.go
@@ -159,6 +159,7 @@
 	Unfenced  bool            `json:"unfenced" toml:"unfenced"`     // model: engines do not check who orders them
 	Capacity  int             `json:"capacity" toml:"capacity"`     // requests one group or server runs at once
 	Timeout   Duration        `json:"timeout" toml:"timeout"`       // longest that a request may take
+	MaxWait   Duration        `json:"max_wait" toml:"max_wait"`     // longest that a request may wait for its turn; 0: as long as it may take
 	Backends  []BackendServer `json:"backends" toml:"backends"`     // plain: its servers
 	OncePaths []string        `json:"once_paths" toml:"once_paths"` // plain: path prefixes whose calls must not be repeated
 }
