--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,22 @@
 # test which proves it then fails.
 mutants:
 	go test -tags mutants -timeout 30m -run TestMutants -v .
+
+# Measures planners, routing, spread and real keepers, and prints the tables
+# of docs/CAPACITY.md and docs/DESIGN.md. Takes about 15 minutes.
+measure: capacity
+	go test -run TestTrace -v -timeout 20m ./group -days 20
+	go test -run TestRoutingRules -v ./route -loads
+	go test -run TestOverhead -v . -overhead
+
+capacity: build
+	PATH="$(CURDIR)/bin:$$PATH" go test -run 'TestCapacity|TestStateSizes' -v -timeout 10m . -capacity
+	go test -run 'TestSpread$$' -v -timeout 10m ./member -sizes
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzSettings -fuzztime 20s ./config
+	go test -run '^$$' -fuzz FuzzDocument -fuzztime 20s ./config
+	go test -run '^$$' -fuzz FuzzPolicy -fuzztime 20s ./policy
+	go test -run '^$$' -fuzz FuzzEvents -fuzztime 20s ./entry
+	go test -run '^$$' -fuzz FuzzCompletion -fuzztime 20s ./entry
+	go test -run '^$$' -fuzz FuzzCall -fuzztime 20s ./wire
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -173,4 +173,4 @@
 
 // memberLive is how long others may take a node for live that they do not hear
 // of any more.
-const memberLive = 5 * time.Second
+const memberLive = 6 * time.Second
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -19,7 +19,7 @@
 	defer cancel()
 	sent := entry.Timers.Now()
 	entry.mutex.Lock()
-	call := entry.table.AskKeeper(entry.Incarnation, entry.stopping.Load())
+	call := entry.table.AskKeeper(entry.Incarnation, entry.stopping.Load(), sent)
 	entry.mutex.Unlock()
 	reply, err := entry.Keeper.Do(ctx, &wire.Call{Kind: &wire.Call_Sync{Sync: call}})
 	now := entry.Timers.Now()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 // NewIncarnation returns a name for a start of a process that is greater than
 // those of earlier starts on the same box.
 func NewIncarnation(now time.Time) string {
-	return now.UTC().Format("20060102T150405.000000000") + "-" + NewNonce()
+	return strconv.FormatInt(now.UnixMilli(), 36) + "-" + NewNonce()[:4]
 }
 
 // Listeners are the sockets that a keeper serves.
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -10,20 +10,19 @@
 // Ask returns the call that asks another keeper for all that is newer there.
 func (table *Table) Ask(now time.Duration) *wire.ExchangeCall {
 	return &wire.ExchangeCall{
-		Nodes:    nodesToWire(table.tellable(now)),
+		Self:     nodeToWire(table.Self),
+		Nodes:    table.nodeVersions(now),
 		Versions: table.versions(),
 		Digests:  table.digestVersions(),
 	}
 }
 
-// Answer takes in the nodes that a caller told of and returns what is newer
-// here than what it has.
+// Answer takes in what a caller told of itself and returns what is newer here
+// than what it has.
 func (table *Table) Answer(call *wire.ExchangeCall, now time.Duration) *wire.ExchangeReply {
-	for _, node := range call.GetNodes() {
-		table.MergeNode(nodeFromWire(node), now)
-	}
+	table.MergeNode(nodeFromWire(call.GetSelf()), now)
 	return &wire.ExchangeReply{
-		Nodes:   nodesToWire(table.tellable(now)),
+		Nodes:   table.newerNodes(call.GetNodes(), now),
 		Records: table.newerRecords(call.GetVersions()),
 		Digests: table.newerDigests(call.GetDigests(), now),
 	}
@@ -48,14 +47,17 @@
 }
 
 // AskKeeper returns an entry's call to its keeper.
-func (table *Table) AskKeeper(incarnation string, stopping bool) *wire.SyncCall {
-	return &wire.SyncCall{Incarnation: incarnation, Stopping: stopping, Versions: table.versions(), Digests: table.digestVersions()}
+func (table *Table) AskKeeper(incarnation string, stopping bool, now time.Duration) *wire.SyncCall {
+	return &wire.SyncCall{
+		Incarnation: incarnation, Stopping: stopping,
+		Versions: table.versions(), Digests: table.digestVersions(), Nodes: table.nodeVersions(now),
+	}
 }
 
 // AnswerEntry returns what is newer here than what an entry has.
 func (table *Table) AnswerEntry(call *wire.SyncCall, now time.Duration) *wire.SyncReply {
 	return &wire.SyncReply{
-		Nodes:   nodesToWire(table.tellable(now)),
+		Nodes:   table.newerNodes(call.GetNodes(), now),
 		Records: table.newerRecords(call.GetVersions()),
 		Digests: table.newerDigests(call.GetDigests(), now),
 	}
@@ -66,9 +68,29 @@
 	return table.Take(&wire.ExchangeReply{Nodes: reply.GetNodes(), Records: reply.GetRecords(), Digests: reply.GetDigests()}, sent, now)
 }
 
-// tellable returns the nodes worth telling others of. Telling of dead ones
-// would only bring them back as news to each other.
-func (table *Table) tellable(now time.Duration) []shedkeel.Node { return table.Live(now) }
+func (table *Table) nodeVersions(now time.Duration) []*wire.NodeVersion {
+	var versions []*wire.NodeVersion
+	for _, node := range table.Live(now) {
+		versions = append(versions, &wire.NodeVersion{Id: string(node.ID), Incarnation: node.Incarnation, Heartbeat: node.Heartbeat})
+	}
+	return versions
+}
+
+// newerNodes returns the live nodes that the other knows less of. Telling of
+// dead ones would only bring them back as news to each other.
+func (table *Table) newerNodes(theirs []*wire.NodeVersion, now time.Duration) []*wire.Node {
+	has := map[string]shedkeel.Node{}
+	for _, version := range theirs {
+		has[version.GetId()] = shedkeel.Node{Incarnation: version.GetIncarnation(), Heartbeat: version.GetHeartbeat()}
+	}
+	var newer []*wire.Node
+	for _, node := range table.Live(now) {
+		if known, found := has[string(node.ID)]; !found || newerNode(node, known) {
+			newer = append(newer, nodeToWire(node))
+		}
+	}
+	return newer
+}
 
 func (table *Table) versions() []*wire.Version {
 	var versions []*wire.Version
@@ -116,16 +138,12 @@
 	return newer
 }
 
-func nodesToWire(nodes []shedkeel.Node) []*wire.Node {
-	messages := make([]*wire.Node, len(nodes))
-	for index, node := range nodes {
-		messages[index] = &wire.Node{
-			Id: string(node.ID), Incarnation: node.Incarnation, Zone: string(node.Zone),
-			Wire: node.Wire, Entry: node.Entry, Stopping: node.Stopping, Heartbeat: node.Heartbeat,
-			Config: node.Config,
-		}
+func nodeToWire(node shedkeel.Node) *wire.Node {
+	return &wire.Node{
+		Id: string(node.ID), Incarnation: node.Incarnation, Zone: string(node.Zone),
+		Wire: node.Wire, Entry: node.Entry, Stopping: node.Stopping, Heartbeat: node.Heartbeat,
+		Config: node.Config,
 	}
-	return messages
 }
 
 func nodeFromWire(message *wire.Node) shedkeel.Node {
--- a/member/table.go
+++ b/member/table.go
@@ -19,7 +19,7 @@
 	KeyPlacements   = KeyPrefix + "placement/"
 	KeyLeases       = KeyPrefix + "lease/"
 	KeyClaims       = "shedkeel-claims/" // outside KeyPrefix: not spread
-	defaultLiveTime = 5 * time.Second
+	defaultLiveTime = 6 * time.Second
 )
 
 // Record is an agreed record as this process knows it.
@@ -58,15 +58,24 @@
 // use; its methods must not be called at once.
 type Table struct {
 	Self     shedkeel.Node // the zero Node in a process that is no node
-	LiveTime time.Duration // a node unheard of for longer is taken for dead; zero: 5 s
+	LiveTime time.Duration // a node unheard of for longer is taken for dead; zero: 6 s
 
 	nodes   map[shedkeel.NodeID]*NodeState
 	records map[string]Record
 	digests map[shedkeel.NodeID]Digest
 }
 
-// Beat advances this node's own heartbeat.
+// beatEvery is how often a node's heartbeat advances while nothing else about
+// it changes. Each advance is told to every node.
+const beatEvery = 1500 * time.Millisecond
+
+// Beat advances this node's own heartbeat if it is due or the node has
+// changed. It is called on every tick.
 func (table *Table) Beat(now time.Duration) {
+	known := table.nodes[table.Self.ID]
+	if known != nil && known.Node == table.Self && now-known.Advanced < beatEvery {
+		return
+	}
 	table.Self.Heartbeat++
 	table.MergeNode(table.Self, now)
 }
@@ -84,14 +93,19 @@
 		table.nodes[node.ID] = &NodeState{Node: node, Advanced: now}
 		return
 	}
-	newer := node.Incarnation > known.Node.Incarnation ||
-		node.Incarnation == known.Node.Incarnation && node.Heartbeat > known.Node.Heartbeat
-	if newer {
+	if newerNode(node, known.Node) {
 		known.Node = node
 		known.Advanced = now
 	}
 }
 
+func newerNode(node, known shedkeel.Node) bool {
+	if node.Incarnation != known.Incarnation {
+		return node.Incarnation > known.Incarnation
+	}
+	return node.Heartbeat > known.Heartbeat
+}
+
 // MergeRecord takes in a record if it is newer than the one known, and reports
 // whether it was. An older one is never taken.
 func (table *Table) MergeRecord(record Record) bool {
