Agree reserves ahead for outages of the key-value service; probe once a second

Second cause: probes take most of a keeper's processor time, and the box list most of what it reads. Change: the placement names for each group one free box of its domain, and an epoch. In an outage the last holder of the lease, if it hears from a majority of nodes and no later holder, puts it in the place of a lost member, and spreads that between keepers; the next agreed placement takes it in. Engines that check no fence get no reserve. Probes and the box list every second tick; placements are read once a generation. Ruled out: the exchange as the main cost of processor time (CPU profile: a quarter; probes are the most).

--- a/config/settings.go
+++ b/config/settings.go
@@ -178,8 +178,8 @@
 			return &shedkeel.InvalidError{Where: name, What: setting.key + " is not positive", Remedy: `write it as "500ms" or "3s"`}
 		}
 	}
-	if timing.Permit < 2*(timing.Tick+timing.Sync) {
-		return &shedkeel.InvalidError{Where: name, What: "timing.permit is shorter than two rounds of tick and sync", Remedy: "lengthen it, or permits run out between renewals"}
+	if timing.Permit < 3*timing.Tick+2*timing.Sync {
+		return &shedkeel.InvalidError{Where: name, What: "timing.permit is shorter than a round of probes, an exchange and two of sync", Remedy: "lengthen it, or permits run out between renewals"}
 	}
 	if timing.Lease < 2*(timing.LeaseMargin+timing.OrderLife+timing.Tick) {
 		return &shedkeel.InvalidError{Where: name, What: "timing.lease is too short for its margin, the order life and the tick", Remedy: "make it at least twice their sum"}
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	OrderFailed     = Event{405, slog.LevelWarn, "order failed"}
 	OrderRefused    = Event{406, slog.LevelWarn, "order refused by a fence"}
 	GroupChanged    = Event{407, slog.LevelInfo, "group found in another state"}
+	ReserveUsed     = Event{409, slog.LevelWarn, "reserve takes a lost member's place in an outage"}
 	PolicyFailed    = Event{408, slog.LevelError, "policy failed; the table in use stays"}
 	KeeperAway      = Event{500, slog.LevelWarn, "keeper does not answer"}
 	KeeperBack      = Event{501, slog.LevelInfo, "keeper answers again"}
@@ -55,7 +56,7 @@
 	return []Event{
 		Started, Stopping, Stopped, Failed, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
-		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, KeeperAway, KeeperBack,
+		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 	}
 }
--- a/group/fleet_test.go
+++ b/group/fleet_test.go
@@ -12,15 +12,16 @@
 // restart and leave, and a planner that is asked every second while anything
 // is amiss.
 type fleet struct {
-	planner   shedkeel.Planner
-	table     shedkeel.Table
-	config    shedkeel.Config
-	boxes     []*box
-	byID      map[shedkeel.BoxID]*box
-	placement shedkeel.Placement
-	now       time.Duration
-	loading   int // loads that the weight store serves now
-	outage    func(now time.Duration) bool
+	planner    shedkeel.Planner
+	table      shedkeel.Table
+	config     shedkeel.Config
+	boxes      []*box
+	byID       map[shedkeel.BoxID]*box
+	placement  shedkeel.Placement
+	now        time.Duration
+	loading    int // loads that the weight store serves now
+	outage     func(now time.Duration) bool
+	noReserves bool // reserves are not used in outages
 
 	groupDown time.Duration // summed over the wanted groups
 	stranded  time.Duration // summed over accelerators that are up and in no whole group
@@ -96,7 +97,9 @@
 	}
 	input := shedkeel.PlanInput{Now: fleet.now, Zone: "z", Config: fleet.config, Table: fleet.table, Boxes: fleet.views(), Placement: fleet.placement.Clone()}
 	var output shedkeel.PlanOutput
-	if !fleet.outage(fleet.now) {
+	if fleet.outage(fleet.now) {
+		fleet.fallBack(input)
+	} else {
 		output = fleet.planner.Plan(input)
 		for _, order := range output.Orders {
 			fleet.follow(order)
@@ -109,6 +112,20 @@
 	return output
 }
 
+// fallBack does what can be done while nothing can be agreed.
+func (fleet *fleet) fallBack(input shedkeel.PlanInput) {
+	planner, able := fleet.planner.(*Planner)
+	if !able || fleet.noReserves {
+		return
+	}
+	lost := planner.Fallback(input)
+	fleet.placement = fleet.placement.With(shedkeel.Fallback{Zone: "z", Base: fleet.placement.Generation, Lost: lost})
+	input.Placement = fleet.placement
+	for _, order := range Reconcile(input) {
+		fleet.follow(order)
+	}
+}
+
 func (fleet *fleet) progress(box *box) {
 	if box.loseBy && box.up(fleet.now) {
 		box.loseBy = false
--- a/group/planner.go
+++ b/group/planner.go
@@ -44,6 +44,7 @@
 		round.consolidate()
 	}
 	round.form()
+	round.reserve()
 	output := round.output()
 	output.Orders = append(Reconcile(input), round.prefetches()...)
 	return output
--- a/group/trace_test.go
+++ b/group/trace_test.go
@@ -177,13 +177,14 @@
 
 // contestant is a planner with its table, as measured on a trace.
 type contestant struct {
-	name     string
-	naive    bool
-	asserted bool // the test holds it to its aim
-	table    shedkeel.Table
-	groups   int
-	boxes    int  // in each domain; 0: traceBoxes
-	outages  bool // the key-value service is out for an hour every second day
+	name       string
+	naive      bool
+	asserted   bool // the test holds it to its aim
+	table      shedkeel.Table
+	groups     int
+	boxes      int // in each domain; 0: traceBoxes
+	noReserves bool
+	outages    bool // the key-value service is out for an hour every second day
 }
 
 func shippedTable(t *testing.T, name string) shedkeel.Table {
@@ -221,6 +222,7 @@
 	}
 	fleet.groupDown, fleet.stranded, fleet.slow = 0, 0, 0
 	start := fleet.now
+	fleet.noReserves = contestant.noReserves
 	if contestant.outages {
 		fleet.outage = func(now time.Duration) bool { return (now-start)%(48*time.Hour) >= 47*time.Hour }
 	}
@@ -277,6 +279,7 @@
 		{name: "nafha without patience, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.Patience = 0 }), groups: 16, boxes: 32},
 		{name: "nafha without cross-domain groups, no boxes over", table: without(nafha, func(table *shedkeel.Table) { table.CrossDomain = false }), groups: 16, boxes: 32},
 		{name: "naive, 16 groups, service outages", naive: true, groups: 16, outages: true},
+		{name: "karadere without reserves, service outages", table: karadere, groups: 16, outages: true, noReserves: true},
 		{name: "karadere, 16 groups, service outages", table: karadere, groups: 16, outages: true},
 	}
 }
--- a/keeper/agree.go
+++ b/keeper/agree.go
@@ -86,7 +86,7 @@
 	}
 	zone.placement = placement
 	zone.revision = record.Revision
-	zone.fenced = zone.agree(ctx, placement)
+	zone.fenced = zone.agree(ctx, placement.With(zone.fallback()))
 	return zone.fenced
 }
 
@@ -138,6 +138,6 @@
 		return
 	}
 	zone.keeper.Log.Write(event.LeaseLost, slog.String("zone", string(zone.zone)), slog.Uint64("epoch", zone.epoch))
-	zone.epoch = 0
+	zone.setEpoch(0)
 	zone.fenced = false
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -58,6 +58,11 @@
 	running    sync.WaitGroup
 }
 
+// slowTicks is how many ticks lie between two rounds of probes, which cost most
+// of a keeper's processor time, and between two readings of the box list, which
+// lags by more than that.
+const slowTicks = 2
+
 // nonceBytes is the length of the random names of writes and incarnations.
 const nonceBytes = 8
 
@@ -154,9 +159,15 @@
 	}
 	keeper.running.Go(func() { keeper.loopWatch(ctx) })
 	tick := time.Duration(keeper.Settings.Timing.Tick)
-	parts := []func(context.Context, time.Duration){keeper.tickExchange, keeper.tickProbe, keeper.tickPlan, keeper.tickBoxes}
+	parts := []struct {
+		every time.Duration
+		run   func(context.Context, time.Duration)
+	}{
+		{tick, keeper.tickExchange}, {tick, keeper.tickPlan},
+		{slowTicks * tick, keeper.tickProbe}, {slowTicks * tick, keeper.tickBoxes},
+	}
 	for _, part := range parts {
-		cancel := keeper.Timers.Subscribe(tick, func(now time.Duration) { part(ctx, now) })
+		cancel := keeper.Timers.Subscribe(part.every, func(now time.Duration) { part.run(ctx, now) })
 		keeper.running.Go(func() {
 			<-ctx.Done()
 			cancel()
--- a/keeper/operator.go
+++ b/keeper/operator.go
@@ -323,6 +323,7 @@
 	dump := Dump{Status: keeper.status(), Records: map[string]uint64{}, Calls: map[string]int64{}, Table: policy.DefaultTable()}
 	keeper.mutex.Lock()
 	dump.Config, _ = keeper.table.Config()
+	dump.Config.Accounts = slices.Clone(dump.Config.Accounts)
 	for index := range dump.Config.Accounts {
 		dump.Config.Accounts[index].KeyHash = ""
 	}
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -40,6 +40,7 @@
 	placement shedkeel.Placement
 	revision  int64
 	fenced    bool // the placement carries our epoch
+	falling   bool // orders are for reserves in an outage
 	table     shedkeel.Table
 	tableOf   uint64 // generation of the configuration that the table is from
 	unknown   map[shedkeel.BoxID]time.Duration
@@ -110,10 +111,13 @@
 	epoch, held := zone.lease.Held(keeper.Timers.Now(), 0)
 	if !held {
 		zone.drop()
+		if zone.mayFallBack(keeper.Timers.Now()) {
+			zone.fallBack(ctx)
+		}
 		return
 	}
 	if zone.epoch != epoch {
-		zone.epoch = epoch
+		zone.setEpoch(epoch)
 		zone.fenced = false
 		keeper.Log.Write(event.LeaseGained, slog.String("zone", string(zone.zone)), slog.Uint64("epoch", epoch))
 	}
@@ -123,6 +127,13 @@
 	zone.plan(ctx)
 }
 
+// setEpoch notes under which epoch this keeper plans; 0: it does not.
+func (zone *zonePlanner) setEpoch(epoch uint64) {
+	zone.keeper.mutex.Lock()
+	defer zone.keeper.mutex.Unlock()
+	zone.epoch = epoch
+}
+
 // plan decides once and gives the orders that the agreed placement calls for.
 func (zone *zonePlanner) plan(ctx context.Context) {
 	input, ready := zone.input(ctx)
@@ -131,7 +142,7 @@
 	}
 	output := zone.planner.Plan(input)
 	zone.explain(output.Decisions)
-	zone.order(ctx, output.Orders)
+	zone.order(ctx, zone.epoch, output.Orders)
 	if output.Changed {
 		zone.agree(ctx, output.Placement)
 	}
@@ -278,12 +289,12 @@
 
 // order gives orders while the lease holds for as long as an order may be
 // under way.
-func (zone *zonePlanner) order(ctx context.Context, orders []shedkeel.Order) {
+func (zone *zonePlanner) order(ctx context.Context, epoch uint64, orders []shedkeel.Order) {
 	var given sync.WaitGroup
 	var mutex sync.Mutex
 	slots := make(chan struct{}, maxOrders)
 	for _, order := range orders {
-		order.PlannerEpoch = zone.epoch
+		order.PlannerEpoch = epoch
 		slots <- struct{}{}
 		given.Go(func() {
 			defer func() { <-slots }()
@@ -305,10 +316,10 @@
 	ctx, cancel := context.WithTimeout(ctx, life)
 	defer cancel()
 	now := keeper.Timers.Now()
-	if order.Unfenced && now < zone.lease.HeldSince()+zone.lease.TTL+life {
+	if order.Unfenced && (zone.falling || now < zone.lease.HeldSince()+zone.lease.TTL+life) {
 		return now, false // a former holder's order may still be under way
 	}
-	if _, held := zone.lease.Held(now, life); !held {
+	if _, held := zone.lease.Held(now, life); !held && !zone.falling {
 		return now, false
 	}
 	err := keeper.Engines.Give(ctx, order)
--- a/keeper/spread.go
+++ b/keeper/spread.go
@@ -236,10 +236,7 @@
 // tickBoxes reads the box list while this keeper watches for its zone or plans
 // one.
 func (keeper *Keeper) tickBoxes(ctx context.Context, _ time.Duration) {
-	keeper.mutex.Lock()
-	planning := len(keeper.zones) > 0
-	keeper.mutex.Unlock()
-	if !planning && !keeper.isWatcher() {
+	if !keeper.plans() && !keeper.isWatcher() {
 		return
 	}
 	boxes, err := keeper.BoxList.Boxes(ctx)
@@ -253,6 +250,18 @@
 	keeper.boxes = boxes
 }
 
+// plans reports whether this keeper holds the lease of any zone.
+func (keeper *Keeper) plans() bool {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	for _, zone := range keeper.zones {
+		if zone.epoch != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // noteBoxList logs that the list is away, once. The mutex is held.
 func (keeper *Keeper) noteBoxList(err error) {
 	if !keeper.away["box list"] {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -154,6 +154,12 @@
 	return lease.record.Epoch, true
 }
 
+// LapsedFor reports whether this node was the last holder that it knows of, and
+// its lease ran out at least that long ago.
+func (lease *Lease) LapsedFor(now, atLeast time.Duration) bool {
+	return lease.mine() && now >= lease.until+atLeast
+}
+
 // HeldSince returns when the write was sent that first gained the lease.
 func (lease *Lease) HeldSince() time.Duration { return lease.gained }
 
--- a/member/table.go
+++ b/member/table.go
@@ -18,7 +18,8 @@
 	KeyConfig       = KeyPrefix + "config"
 	KeyPlacements   = KeyPrefix + "placement/"
 	KeyLeases       = KeyPrefix + "lease/"
-	KeyClaims       = "shedkeel-claims/" // outside KeyPrefix: not spread
+	KeyFallbacks    = KeyPrefix + "fallback/" // spread only, never written
+	KeyClaims       = "shedkeel-claims/"      // outside KeyPrefix: not spread
 	defaultLiveTime = 6 * time.Second
 )
 
@@ -63,6 +64,14 @@
 	nodes   map[shedkeel.NodeID]*NodeState
 	records map[string]Record
 	digests map[shedkeel.NodeID]Digest
+
+	// config and placements are what the records of these generations say.
+	// Reading a placement's JSON takes about a millisecond, and they are
+	// asked for several times a tick.
+	config       shedkeel.Config
+	configOf     uint64
+	placements   []shedkeel.Placement
+	placementsOf map[string]uint64
 }
 
 // beatEvery is how often a node's heartbeat advances while nothing else about
@@ -218,26 +227,68 @@
 	}
 }
 
-// Config returns the configuration in force, or false when none is known.
+// Config returns the configuration in force, or false when none is known. It is
+// shared with later calls and must not be changed.
 func (table *Table) Config() (shedkeel.Config, bool) {
-	var config shedkeel.Config
 	record := table.Record(KeyConfig)
-	if record.Generation == 0 || json.Unmarshal(record.Value, &config) != nil {
-		return config, false
+	if record.Generation == 0 {
+		return shedkeel.Config{}, false
+	}
+	if record.Generation != table.configOf {
+		var config shedkeel.Config
+		if json.Unmarshal(record.Value, &config) != nil {
+			return config, false
+		}
+		table.config, table.configOf = config, record.Generation
 	}
-	return config, true
+	return table.config, true
 }
 
-// Placements returns the agreed placements of all zones, by zone.
+// Placements returns the agreed placements of all zones, by zone, with the
+// reserves that are in use. They are shared with later calls and must not be
+// changed.
 func (table *Table) Placements() []shedkeel.Placement {
-	var placements []shedkeel.Placement
-	for _, record := range table.Records(KeyPlacements) {
+	records := append(table.Records(KeyPlacements), table.Records(KeyFallbacks)...)
+	if table.placementsCurrent(records) {
+		return table.placements
+	}
+	table.placements = nil
+	table.placementsOf = map[string]uint64{}
+	for _, record := range records {
+		table.readPlacement(record)
+		table.placementsOf[record.Key] = record.Generation
+	}
+	return table.placements
+}
+
+// readPlacement takes in a placement, or a fallback about one before it.
+func (table *Table) readPlacement(record Record) {
+	if strings.HasPrefix(record.Key, KeyPlacements) {
 		var placement shedkeel.Placement
 		if json.Unmarshal(record.Value, &placement) == nil {
-			placements = append(placements, placement)
+			table.placements = append(table.placements, placement)
+		}
+		return
+	}
+	var fallback shedkeel.Fallback
+	if json.Unmarshal(record.Value, &fallback) != nil {
+		return
+	}
+	for index := range table.placements {
+		table.placements[index] = table.placements[index].With(fallback)
+	}
+}
+
+func (table *Table) placementsCurrent(records []Record) bool {
+	if len(records) != len(table.placementsOf) {
+		return false
+	}
+	for _, record := range records {
+		if table.placementsOf[record.Key] != record.Generation {
+			return false
 		}
 	}
-	return placements
+	return true
 }
 
 // stamp is the part that all agreed records have.
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -491,6 +491,7 @@
 //	generation NODE COUNT  the node has that configuration in force
 //	status URL CODE        a model call there gets that status
 //	apply FILE             the document is accepted
+//	reserved NODE COUNT    so many groups have a box agreed ahead
 //	obeyed NODE            each member of the node's placement is in its group
 //	planner NODE           the node holds the lease of zone z1
 //	notplanner NODE        another holds it
@@ -519,6 +520,14 @@
 		return fmt.Sprintf("%d whole", countWhole(status)), strconv.Itoa(countWhole(status)) == condition[2]
 	case "generation":
 		return strconv.FormatUint(status.Generation, 10), strconv.FormatUint(status.Generation, 10) == condition[2]
+	case "reserved":
+		count := 0
+		for _, group := range status.Groups {
+			if group.Group.Reserve != nil {
+				count++
+			}
+		}
+		return fmt.Sprintf("%d have a reserve", count), strconv.Itoa(count) == condition[2]
 	case "obeyed":
 		for _, group := range status.Groups {
 			for _, member := range group.Group.Members {
--- a/shedkeel.go
+++ b/shedkeel.go
@@ -86,6 +86,58 @@
 	Epoch    uint64    `json:"epoch"` // grows with every change of members
 	Members  []Member  `json:"members"`
 	Draining bool      `json:"draining"` // finishes what it runs, takes nothing new
+	Reserve  *Reserve  `json:"reserve,omitempty"`
+}
+
+// Reserve is a box that was agreed ahead to take the place of one lost member
+// while the key-value service is out, and the epoch that the group then has.
+// It is kept for this group alone.
+type Reserve struct {
+	Member Member `json:"member"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// WithReserve returns the group with its reserve in the place of a lost member,
+// or the group itself when it has no reserve or no such member.
+func (group *Group) WithReserve(lost BoxID) Group {
+	if group.Reserve == nil || !group.Has(lost) {
+		return *group
+	}
+	formed := *group
+	formed.Members = slices.Clone(group.Members)
+	for place := range formed.Members {
+		if formed.Members[place].Box == lost {
+			formed.Members[place] = group.Reserve.Member
+		}
+	}
+	formed.Epoch = group.Reserve.Epoch
+	formed.Reserve = nil
+	return formed
+}
+
+// Fallback says which reserves of an agreed placement are in use while the
+// key-value service is out. It is spread between keepers and never written to
+// the service; the next agreed placement takes it in.
+type Fallback struct {
+	Generation uint64            `json:"generation"`
+	Zone       ZoneID            `json:"zone"`
+	Base       uint64            `json:"base"` // generation of the placement that it is about
+	Lost       map[GroupID]BoxID `json:"lost"`
+}
+
+// With returns the placement with the reserves that the fallback uses. A
+// fallback about another generation changes nothing.
+func (placement *Placement) With(fallback Fallback) Placement {
+	if fallback.Base != placement.Generation || fallback.Zone != placement.Zone {
+		return *placement
+	}
+	formed := placement.Clone()
+	for index := range formed.Groups {
+		if lost, used := fallback.Lost[formed.Groups[index].ID]; used {
+			formed.Groups[index] = formed.Groups[index].WithReserve(lost)
+		}
+	}
+	return formed
 }
 
 // Assignment returns what every member of the group must have loaded.
@@ -113,7 +165,11 @@
 func (placement *Placement) Validate() error {
 	owner := map[BoxID]GroupID{}
 	for _, group := range placement.Groups {
-		for _, member := range group.Members {
+		members := group.Members
+		if group.Reserve != nil {
+			members = append(slices.Clone(members), group.Reserve.Member)
+		}
+		for _, member := range members {
 			if other, taken := owner[member.Box]; taken {
 				return &ConflictError{What: "box " + string(member.Box) + " is in groups " + string(other) + " and " + string(group.ID)}
 			}
