--- a/policies/karadere.star
+++ b/policies/karadere.star
@@ -9,7 +9,7 @@
         spares = spares,
         warm_spares = True,
         patience_seconds = min(20, facts.restart_seconds),
-        consolidate = True,
+        consolidate = False,
         cross_domain = False,
         storm_fraction = 0.5,
     )
