--- a/claim/head.go
+++ b/claim/head.go
@@ -86,6 +86,9 @@
 	return int(raw[0]) % Shards
 }
 
+// ShardName names a shard in keys and in the choice of who writes it.
+func ShardName(shard int) string { return string(rune('a' + shard)) }
+
 // book is a shard's claims in memory.
 type book struct {
 	head    Head
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,6 +108,7 @@
 	idleTimeout   = 60 * time.Second
 	maxHeader     = 64 << 10
 	bodyTimeout   = 30 * time.Second // for a caller to send its request
+	writeTimeout  = 30 * time.Second // for a caller to take an answer or an event
 )
 
 func (entry *Entry) begin() error {
--- a/entry/http.go
+++ b/entry/http.go
@@ -274,4 +274,4 @@
 }
 
 // holder names this start of this entry in claims.
-func (entry *Entry) holder() string { return string(entry.Settings.Node) + "/" + entry.Incarnation }
+func (entry *Entry) holder() string { return shedkeel.HolderOf(entry.Settings.Node, entry.Incarnation) }
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -102,6 +102,7 @@
 	copyHeader(writer.Header(), answer.header)
 	entry.setOutcome(writer, outcomeAnswered)
 	writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 	writer.WriteHeader(answer.status)
 	_, _ = writer.Write(answer.body)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/engine"
@@ -74,7 +75,8 @@
 	try := passage.try
 	unknown := try.because(&shedkeel.UnknownRunError{Reason: "the stream of group " + try.choice.Name + " broke off", Cause: broke})
 	passage.resumes++
-	if !passage.begun || passage.resumes > maxResumes || try.context.Err() != nil {
+	hopeless := errors.Is(broke, errCallerGone) || try.context.Err() != nil
+	if !passage.begun || passage.resumes > maxResumes || hopeless {
 		return nil, unknown
 	}
 	try.call.header.Set(headerFrom, fmt.Sprint(passage.events))
@@ -104,6 +106,7 @@
 		if !passage.begun {
 			passage.begin(response)
 		}
+		_ = http.NewResponseController(passage.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := passage.writer.Write(message); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
--- a/keeper/agree.go
+++ b/keeper/agree.go
@@ -104,7 +104,7 @@
 	next.Zone = zone.zone
 	next.Generation = zone.placement.Generation + 1
 	next.PlannerEpoch = zone.epoch
-	next.Nonce = NewNonce()
+	next.Nonce = shedkeel.NewNonce()
 	value, err := json.Marshal(next)
 	if err == nil {
 		err = next.Validate()
--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -78,7 +78,7 @@
 
 // shardOwner returns the keeper that should write a shard.
 func (keeper *Keeper) shardOwner(shard int) shedkeel.Node {
-	ranked := member.Rank("claims/"+string(rune('a'+shard)), keeper.live(keeper.Timers.Now()))
+	ranked := member.Rank("claims/"+claim.ShardName(shard), keeper.live(keeper.Timers.Now()))
 	return ranked[0] // the keeper itself always counts as live
 }
 
@@ -94,11 +94,6 @@
 	return reply.GetClaim(), nil
 }
 
-// HolderOf names the entry of a box at one of its starts, as claims do.
-func HolderOf(node shedkeel.NodeID, incarnation string) string {
-	return string(node) + "/" + incarnation
-}
-
 // answer finds the entry that ran an attempt and asks it what came of it.
 func (keeper *Keeper) answer(ctx context.Context, call *wire.AnswerCall) *wire.AnswerReply {
 	ctx, cancel := context.WithTimeout(ctx, claimTime)
--- a/keeper/fallback.go
+++ b/keeper/fallback.go
@@ -62,9 +62,9 @@
 		return
 	}
 	input.Placement = zone.placement.With(fallback)
-	zone.falling = true
+	zone.fallingBack = true
 	zone.order(ctx, zone.placement.PlannerEpoch, group.Reconcile(input))
-	zone.falling = false
+	zone.fallingBack = false
 }
 
 // fallback returns what is in use of the placement that this keeper knows.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,12 +6,9 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -63,22 +60,6 @@
 // lags by more than that.
 const slowTicks = 2
 
-// nonceBytes is the length of the random names of writes and incarnations.
-const nonceBytes = 8
-
-// NewNonce returns a new random name.
-func NewNonce() string {
-	var raw [nonceBytes]byte
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
-}
-
-// NewIncarnation returns a name for a start of a process that is greater than
-// those of earlier starts on the same box.
-func NewIncarnation(now time.Time) string {
-	return strconv.FormatInt(now.UnixMilli(), 36) + "-" + NewNonce()[:4]
-}
-
 // Listeners are the sockets that a keeper serves.
 type Listeners struct {
 	Wire     net.Listener
@@ -127,7 +108,7 @@
 func (keeper *Keeper) begin() error {
 	settings := keeper.Settings
 	keeper.table.Self = shedkeel.Node{
-		ID: settings.Node, Incarnation: NewIncarnation(keeper.Now()), Zone: settings.Zone,
+		ID: settings.Node, Incarnation: shedkeel.NewIncarnation(keeper.Now()), Zone: settings.Zone,
 		Wire: settings.Wire.Advertise, Entry: settings.Entry.Advertise,
 		Stopping: true, // until the entry on this box says otherwise
 	}
@@ -142,10 +123,10 @@
 	for shard := range claim.Shards {
 		committer := claim.NewCommitter()
 		committer.Store = keeper.Store
-		committer.Prefix = member.KeyClaims + string(rune('a'+shard)) + "/"
+		committer.Prefix = member.KeyClaims + claim.ShardName(shard) + "/"
 		committer.Batch = time.Duration(settings.Timing.ClaimBatch)
 		committer.Retention = time.Duration(settings.Timing.Retention)
-		committer.Nonce = NewNonce
+		committer.Nonce = shedkeel.NewNonce
 		committer.Wall = keeper.Now
 		keeper.committers = append(keeper.committers, committer)
 	}
--- a/keeper/operator.go
+++ b/keeper/operator.go
@@ -163,7 +163,7 @@
 		return Accepted{}, &shedkeel.ConflictError{What: fmt.Sprintf("your change builds on generation %d and another operator made it %d", wanted.Generation, current.Generation)}
 	}
 	wanted.Generation++
-	wanted.Nonce = NewNonce()
+	wanted.Nonce = shedkeel.NewNonce()
 	value, err := json.Marshal(wanted)
 	if err != nil {
 		return Accepted{}, err
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -37,14 +37,14 @@
 
 	// placement is what this keeper wrote or read last, with the revision
 	// that its next compare-and-swap builds on.
-	placement shedkeel.Placement
-	revision  int64
-	fenced    bool // the placement carries our epoch
-	falling   bool // orders are for reserves in an outage
-	table     shedkeel.Table
-	tableOf   uint64 // generation of the configuration that the table is from
-	unknown   map[shedkeel.BoxID]time.Duration
-	decisions []shedkeel.Decision
+	placement   shedkeel.Placement
+	revision    int64
+	fenced      bool // the placement carries our epoch
+	fallingBack bool // orders are for reserves in an outage
+	table       shedkeel.Table
+	tableOf     uint64 // generation of the configuration that the table is from
+	unknown     map[shedkeel.BoxID]time.Duration
+	decisions   []shedkeel.Decision
 }
 
 // tickPlan tends the leases of all zones that have groups to plan, and plans
@@ -316,10 +316,10 @@
 	ctx, cancel := context.WithTimeout(ctx, life)
 	defer cancel()
 	now := keeper.Timers.Now()
-	if order.Unfenced && (zone.falling || now < zone.lease.HeldSince()+zone.lease.TTL+life) {
+	if order.Unfenced && (zone.fallingBack || now < zone.lease.HeldSince()+zone.lease.TTL+life) {
 		return now, false // a former holder's order may still be under way
 	}
-	if _, held := zone.lease.Held(now, life); !held && !zone.falling {
+	if _, held := zone.lease.Held(now, life); !held && !zone.fallingBack {
 		return now, false
 	}
 	err := keeper.Engines.Give(ctx, order)
--- a/member/spread_test.go
+++ b/member/spread_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/wire"
 )
 
 var sizes = flag.Bool("sizes", false, "measure the spread between keepers at all sizes, up to 380")
@@ -184,3 +185,40 @@
 		assert.Equal(t, table.Record(KeyConfig).Generation, uint64(1), "node %d", index)
 	}
 }
+
+// BenchmarkExchange measures one exchange, both sides with their encoding.
+func BenchmarkExchange(b *testing.B) {
+	for _, count := range []int{9, 50, 380} {
+		b.Run(fmt.Sprintf("keepers=%d", count), func(b *testing.B) {
+			spread := newSpread(count, max(50, count*600/380), 1)
+			for range 12 {
+				spread.tick()
+			}
+			for b.Loop() {
+				b.StopTimer()
+				spread.now += spreadTick
+				for index := range spread.tables {
+					spread.tables[1].MergeDigest(spread.digest(index))
+				}
+				b.StartTimer()
+				call, err := proto.Marshal(spread.tables[0].Ask(spread.now))
+				if err != nil {
+					b.Fatal(err)
+				}
+				asked := &wire.ExchangeCall{}
+				if err := proto.Unmarshal(call, asked); err != nil {
+					b.Fatal(err)
+				}
+				reply, err := proto.Marshal(spread.tables[1].Answer(asked, spread.now))
+				if err != nil {
+					b.Fatal(err)
+				}
+				answered := &wire.ExchangeReply{}
+				if err := proto.Unmarshal(reply, answered); err != nil {
+					b.Fatal(err)
+				}
+				spread.tables[0].Take(answered, spread.now, spread.now)
+			}
+		})
+	}
+}
--- a/overhead_test.go
+++ b/overhead_test.go
@@ -29,7 +29,6 @@
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/internal/standin"
-	"shedkeel.org/shedkeel/keeper"
 	"shedkeel.org/shedkeel/member"
 	"shedkeel.org/shedkeel/timer"
 	"shedkeel.org/shedkeel/wire"
@@ -109,7 +108,7 @@
 	settings.Entry.KeepFor = 1
 	process := &entry.Entry{
 		Settings: settings, Incarnation: "1", Backend: &engine.Transport{}, Timers: &timer.System{},
-		Random: rand.NewPCG(1, 1), NewAttempt: keeper.NewNonce,
+		Random: rand.NewPCG(1, 1), NewAttempt: shedkeel.NewNonce,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/program/entry.go
+++ b/program/entry.go
@@ -7,10 +7,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/event"
-	"shedkeel.org/shedkeel/keeper"
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/timer"
 )
@@ -47,13 +47,13 @@
 	seed := rand.Uint64()
 	process := &entry.Entry{
 		Settings:    daemon.settings,
-		Incarnation: keeper.NewIncarnation(time.Now()),
+		Incarnation: shedkeel.NewIncarnation(time.Now()),
 		Backend:     transport,
 		Timers:      &timer.System{},
 		Random:      rand.NewPCG(seed, seed),
 		Log:         daemon.log,
 		Metrics:     values,
-		NewAttempt:  keeper.NewNonce,
+		NewAttempt:  shedkeel.NewNonce,
 	}
 	daemon.log.Write(event.Started)
 	return daemon.finish(process.Run(ctx, entry.Listeners{Callers: callers, Admin: admin}))
