--- a/keeper/spread.go
+++ b/keeper/spread.go
@@ -15,7 +15,7 @@
 
 const (
 	// allPeers is up to how many keepers each asks all others every tick.
-	allPeers = 16
+	allPeers = 4
 	// somePeers is how many it asks when there are more.
 	somePeers = 3
 	// storeWatchers is how many keepers of each zone watch the key-value
