Do not take a member for lost because the box list lacks it; explain requests

Cause: a member that was missing from the box list counted as lost, though it answered its probes, so a short or lagging list would have broken groups up. Also: shedkeel request ID tells what an entry decided on a request; a keeper notes that the key-value service is back when its own write succeeds.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	budget   admit.Budget
 	attempts attempts
 	flights  flights
+	history  history
 
 	stopping   atomic.Bool
 	lastNamed  atomic.Int64 // when this entry was last named in a which-entry-box answer
--- a/entry/http.go
+++ b/entry/http.go
@@ -195,7 +195,8 @@
 	if entry.Metrics != nil {
 		mux.Handle("GET /metrics", entry.Metrics.Page)
 	}
-	mux.HandleFunc("GET /v1/dump", entry.serveDump)
+	mux.HandleFunc("GET /v1/dump", entry.operator(entry.serveDump))
+	mux.HandleFunc("GET /v1/requests/{id}", entry.operator(entry.serveRequest))
 	return mux
 }
 
@@ -236,12 +237,19 @@
 	Reason    string              `json:"reason,omitempty"`
 }
 
-func (entry *Entry) serveDump(writer http.ResponseWriter, request *http.Request) {
-	presented, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
-	if subtle.ConstantTimeCompare([]byte(presented), []byte(entry.Settings.Keeper.OperatorKey)) != 1 {
-		entry.writeError(writer, &refusal{status: http.StatusUnauthorized, text: "wrong operator key; give the one in keeper.operator_key"})
-		return
+// operator lets only holders of the operators' key through.
+func (entry *Entry) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		presented, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(presented), []byte(entry.Settings.Keeper.OperatorKey)) != 1 {
+			entry.writeError(writer, &refusal{status: http.StatusUnauthorized, text: "wrong operator key; give the one in keeper.operator_key"})
+			return
+		}
+		next(writer, request)
 	}
+}
+
+func (entry *Entry) serveDump(writer http.ResponseWriter, _ *http.Request) {
 	view := entry.view.Load()
 	now := entry.Timers.Now()
 	dump := Dump{
--- a/entry/model.go
+++ b/entry/model.go
@@ -42,6 +42,7 @@
 		entry.writeError(writer, err)
 		return
 	}
+	entry.name(writer, call)
 	answered := false
 	defer func() { entry.leave(call, answered) }()
 	if stream {
@@ -49,6 +50,7 @@
 		return
 	}
 	whole, err := entry.answerWhole(request.Context(), call)
+	entry.remember(call, err)
 	if err != nil {
 		entry.writeError(writer, err)
 		return
@@ -95,20 +97,25 @@
 	for {
 		try, err := entry.next(ctx, call)
 		if err != nil {
+			entry.remember(call, err)
 			entry.writeError(writer, err)
 			return false
 		}
 		passed := &passage{entry: entry, try: try, writer: writer}
 		err = passed.run()
 		try.end()
+		try.note(err)
 		switch {
 		case err == nil:
+			entry.remember(call, nil)
 			return true
 		case passed.begun:
+			entry.remember(call, err)
 			// The caller has part of the answer. Breaking the connection
 			// keeps every client library from taking it for the whole.
 			panic(http.ErrAbortHandler)
 		case !call.again(err) || ctx.Err() != nil:
+			entry.remember(call, err)
 			entry.writeError(writer, err)
 			return false
 		}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -33,6 +33,7 @@
 		entry.writeError(writer, err)
 		return
 	}
+	entry.name(writer, call)
 	answered := false
 	defer func() { entry.leave(call, answered) }()
 	var whole answer
@@ -41,6 +42,7 @@
 	} else {
 		whole, err = entry.answerWhole(request.Context(), call)
 	}
+	entry.remember(call, err)
 	if err != nil {
 		entry.writeError(writer, err)
 		return
--- a/entry/send.go
+++ b/entry/send.go
@@ -40,6 +40,8 @@
 	attempt    string // fixed name, or empty for a new one each try
 	echo       bool   // the answer must name the attempt
 
+	id       string // names the request to its caller and to operators
+	tries    []TryRecord
 	tried    []string
 	mayHave  error // why an earlier try may have run
 	admitted bool
@@ -133,7 +135,7 @@
 // send sends the try. Its error is a NotRunError when it did not run.
 func (try *try) send() (*http.Response, error) {
 	call := try.call
-	request, err := http.NewRequestWithContext(try.context, call.method, "http://"+try.choice.Address+call.path, bytes.NewReader(call.body)) //nolint:gosec // the address is the operators', the path goes to that server only
+	request, err := http.NewRequestWithContext(try.context, call.method, "http://"+try.choice.Address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, text: "the request cannot be sent on: " + err.Error()}
 	}
@@ -235,6 +237,7 @@
 			return answer{}, err
 		}
 		answered, err := try.once()
+		try.note(err)
 		if err == nil {
 			return answered, nil
 		}
@@ -244,6 +247,11 @@
 	}
 }
 
+// note remembers what became of the try.
+func (try *try) note(err error) {
+	try.call.tries = append(try.call.tries, TryRecord{Server: try.choice.Name, Load: try.choice.Load, Result: resultOf(err)})
+}
+
 func (try *try) once() (answer, error) {
 	defer try.end()
 	response, err := try.send() //nolint:bodyclose // whole closes it
--- a/keeper/agree.go
+++ b/keeper/agree.go
@@ -33,6 +33,7 @@
 	}
 	revision, err := keeper.Store.Swap(ctx, zone.leaseKey(), write.Revision, write.Value)
 	if err == nil {
+		keeper.noteStore(nil)
 		zone.lease.Written(revision, write.Value)
 		zone.publish(zone.leaseKey(), write.Value, revision)
 		return
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -11,6 +11,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/group"
 	"shedkeel.org/shedkeel/lease"
 	"shedkeel.org/shedkeel/member"
 	"shedkeel.org/shedkeel/policy"
@@ -169,14 +170,14 @@
 		}
 	}
 	input := shedkeel.PlanInput{Zone: zone.zone, Config: config, Boxes: map[shedkeel.BoxID]shedkeel.BoxView{}, Placement: zone.placement.Clone()}
-	for _, group := range zone.placement.Groups {
-		permit, found := whole[group.Assignment()]
+	for _, placed := range zone.placement.Groups {
+		permit, found := whole[placed.Assignment()]
 		if !found {
 			continue
 		}
-		for _, place := range group.Members {
+		for _, place := range placed.Members {
 			input.Boxes[place.Box] = shedkeel.BoxView{Seen: permit.Watched, State: shedkeel.BoxState{
-				Boot: place.Boot, Phase: shedkeel.PhaseReady, Weights: group.Service, Assigned: group.Assignment(), Running: permit.Load,
+				Boot: place.Boot, Phase: shedkeel.PhaseReady, Weights: placed.Service, Assigned: placed.Assignment(), Running: permit.Load,
 			}}
 		}
 	}
@@ -188,39 +189,64 @@
 
 // look probes the boxes of the zone that no watcher vouched for.
 func (zone *zonePlanner) look(ctx context.Context, boxes []shedkeel.Box, input *shedkeel.PlanInput) {
+	known, unlisted := zone.knownBoxes(boxes)
 	addresses := map[shedkeel.BoxID]string{}
-	for _, box := range boxes {
-		if box.Zone != zone.zone {
-			continue
+	for id, box := range known {
+		if _, vouched := input.Boxes[id]; !vouched {
+			addresses[id] = box.Address
 		}
-		if view, vouched := input.Boxes[box.ID]; vouched {
+	}
+	zone.keeper.probes.probe(ctx, addresses)
+	now := zone.keeper.Timers.Now()
+	for id, box := range known {
+		if view, vouched := input.Boxes[id]; vouched {
 			view.Box = box
-			input.Boxes[box.ID] = view
+			input.Boxes[id] = view
 			continue
 		}
-		addresses[box.ID] = box.Address
+		view := zone.lastSeen(box)
+		if unlisted[id] && (view.Seen < 0 || now-view.Seen > group.DefaultMissAfter) {
+			continue // neither listed nor answering: it is gone
+		}
+		input.Boxes[id] = view
 	}
-	zone.keeper.probes.probe(ctx, addresses)
-	listed := map[shedkeel.BoxID]bool{}
+}
+
+// knownBoxes returns the boxes of the zone: those on the list, and the members
+// of groups that the list lacks. The list lags and may be short; a member that
+// answers as it should is there, whatever the list says.
+func (zone *zonePlanner) knownBoxes(boxes []shedkeel.Box) (known map[shedkeel.BoxID]shedkeel.Box, unlisted map[shedkeel.BoxID]bool) {
+	known = map[shedkeel.BoxID]shedkeel.Box{}
+	unlisted = map[shedkeel.BoxID]bool{}
 	for _, box := range boxes {
-		if box.Zone != zone.zone {
-			continue
-		}
-		listed[box.ID] = true
-		if _, vouched := input.Boxes[box.ID]; vouched {
-			continue
+		if box.Zone == zone.zone {
+			known[box.ID] = box
 		}
-		view := zone.keeper.probes.view(box)
-		if since, doubtful := zone.unknown[box.ID]; doubtful {
-			if view.Seen <= since {
-				view.Seen = -1 // set aside until a probe shows what the order did
-			} else {
-				delete(zone.unknown, box.ID)
+	}
+	for _, placed := range zone.placement.Groups {
+		for _, place := range placed.Members {
+			if _, listed := known[place.Box]; !listed {
+				known[place.Box] = shedkeel.Box{ID: place.Box, Address: place.Address, Zone: zone.zone, Domain: placed.Domain}
+				unlisted[place.Box] = true
 			}
 		}
-		input.Boxes[box.ID] = view
 	}
-	maps.DeleteFunc(input.Boxes, func(id shedkeel.BoxID, _ shedkeel.BoxView) bool { return !listed[id] })
+	return known, unlisted
+}
+
+// lastSeen returns what a box last said. After an order with unknown outcome it
+// counts as silent until a later probe shows what the order did.
+func (zone *zonePlanner) lastSeen(box shedkeel.Box) shedkeel.BoxView {
+	view := zone.keeper.probes.view(box)
+	since, doubtful := zone.unknown[box.ID]
+	switch {
+	case !doubtful:
+	case view.Seen <= since:
+		view.Seen = -1
+	default:
+		delete(zone.unknown, box.ID)
+	}
+	return view
 }
 
 // policyTable runs the policy when the configuration has changed. A policy
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/keeper"
 )
 
@@ -51,6 +52,12 @@
 	return explanation, client.call(ctx, http.MethodGet, "/v1/explain/"+group, nil, &explanation)
 }
 
+// Request returns what the entry at the address decided on a request.
+func (client *Client) Request(ctx context.Context, id string) (entry.RequestRecord, error) {
+	var record entry.RequestRecord
+	return record, client.call(ctx, http.MethodGet, "/v1/requests/"+id, nil, &record)
+}
+
 // Dump returns the state of the process at the address as JSON.
 func (client *Client) Dump(ctx context.Context) (json.RawMessage, error) {
 	var dump json.RawMessage
@@ -106,9 +113,18 @@
 func (err *Error) Error() string { return err.Text }
 
 func failure(response *http.Response) error {
-	var body keeper.ErrorBody
-	if json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&body) != nil || body.Error == "" {
-		body.Error = fmt.Sprintf("status %d; is this address a keeper's operator port?", response.StatusCode)
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	var fromKeeper keeper.ErrorBody
+	var fromEntry struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	switch {
+	case json.Unmarshal(text, &fromKeeper) == nil && fromKeeper.Error != "":
+		return &Error{Status: response.StatusCode, Text: fromKeeper.Error}
+	case json.Unmarshal(text, &fromEntry) == nil && fromEntry.Error.Message != "":
+		return &Error{Status: response.StatusCode, Text: fromEntry.Error.Message}
 	}
-	return &Error{Status: response.StatusCode, Text: body.Error}
+	return &Error{Status: response.StatusCode, Text: fmt.Sprintf("status %d; is this the operator port of a keeper, or the admin port of an entry?", response.StatusCode)}
 }
--- a/operator/print.go
+++ b/operator/print.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/keeper"
 )
 
@@ -66,6 +67,14 @@
 	}
 }
 
+// PrintRequest writes what an entry decided on a request.
+func PrintRequest(writer io.Writer, record entry.RequestRecord) {
+	_, _ = fmt.Fprintf(writer, "request %s of account %s to %s took %s: %s\n", record.ID, record.Account, record.Service, record.Took, record.Result)
+	for number, try := range record.Tries {
+		_, _ = fmt.Fprintf(writer, "try %d: server %s with load %d: %s\n", number+1, try.Server, try.Load, try.Result)
+	}
+}
+
 // Diff returns what changes from one configuration to another, a line each.
 func Diff(from, to shedkeel.Config) []string {
 	var lines []string
--- a/program/operator.go
+++ b/program/operator.go
@@ -85,6 +85,7 @@
 			{Name: "get", Usage: "print the configuration in force", Action: get},
 			{Name: "status", Usage: "show groups, nodes and stranded accelerators", Action: status},
 			{Name: "explain", Usage: "tell why a group is as it is", ArgsUsage: "GROUP", Action: explain},
+			{Name: "request", Usage: "tell what the entry at --keeper decided on a request, by its Shedkeel-Request", ArgsUsage: "ID", Action: explainRequest},
 			{Name: "drain", Usage: "take a box out of service", ArgsUsage: "BOX", Action: drain},
 			{Name: "undrain", Usage: "put a box back into service", ArgsUsage: "BOX", Action: undrain},
 			{Name: "dump", Usage: "print the state of the process at --keeper", Action: dump},
@@ -239,6 +240,26 @@
 	return nil
 }
 
+func explainRequest(ctx context.Context, command *cli.Command) error {
+	id, err := argument(command)
+	if err != nil {
+		return err
+	}
+	client, err := clientOf(command)
+	if err != nil {
+		return err
+	}
+	record, err := client.Request(ctx, id)
+	if err != nil {
+		return err
+	}
+	if command.Bool("json") {
+		return printJSON(command, record)
+	}
+	operator.PrintRequest(command.Root().Writer, record)
+	return nil
+}
+
 func drain(ctx context.Context, command *cli.Command) error {
 	return redrain(ctx, command, func(drains []shedkeel.BoxID, box shedkeel.BoxID) []shedkeel.BoxID {
 		if slices.Contains(drains, box) {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -625,6 +625,7 @@
 	body, readErr := io.ReadAll(response.Body)
 	script.Check(os.WriteFile(script.MkAbs("answer"), body, 0o600))
 	script.Logf("%d %s after %s: %s", response.StatusCode, response.Header.Get("Shedkeel-Outcome"), time.Since(began).Round(time.Millisecond), body)
+	script.Setenv("REQUEST", response.Header.Get("Shedkeel-Request"))
 	outcome := response.Header.Get("Shedkeel-Outcome")
 	if readErr != nil {
 		outcome = "cut"
--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,37 @@
+package timer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestManual(t *testing.T) {
+	clock := &Manual{}
+	var calls []time.Duration
+	note := func(now time.Duration) { calls = append(calls, now) }
+	cancelFast := clock.Subscribe(2*time.Second, note)
+	clock.Subscribe(3*time.Second, note)
+	clock.Advance(6 * time.Second)
+	assert.DeepEqual(t, calls, []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 6 * time.Second})
+	cancelFast()
+	calls = nil
+	clock.Advance(4 * time.Second)
+	assert.DeepEqual(t, calls, []time.Duration{9 * time.Second})
+	assert.Equal(t, clock.Now(), 10*time.Second)
+}
+
+// TestSystem shows that calls come, and that none comes after cancel.
+func TestSystem(t *testing.T) {
+	system := &System{}
+	ticks := make(chan time.Duration, 1000)
+	cancel := system.Subscribe(time.Millisecond, func(now time.Duration) { ticks <- now })
+	first, second := <-ticks, <-ticks
+	assert.Assert(t, first < second)
+	cancel()
+	cancel() // twice does no harm
+	left := len(ticks)
+	assert.Assert(t, system.Now() >= second)
+	assert.Equal(t, len(ticks), left)
+}
--- a/wire/session.go
+++ b/wire/session.go
@@ -107,7 +107,7 @@
 	peer.session = session
 	if peer.Handler != nil {
 		incoming := &incoming{session: session, key: peer.Key, handler: peer.Handler}
-		go incoming.run() //nolint:gosec // the session outlives the call that opened it
+		go incoming.run()
 	}
 	return session, nil
 }
