--- a/mutants_test.go
+++ b/mutants_test.go
@@ -70,7 +70,13 @@
 		"member/permit.go", "if leaving[member.Box] {", "if false && leaving[member.Box] {", "TestScenarios/leaving", ".",
 	},
 	"6 leaving: a group is changed while it runs requests": {
-		"group/planner.go", "if len(must) == 0 && !round.closed(*group) {", "if false {", "TestLeavingMemberIsReplacedQuietly", "./group",
+		"group/mend.go", "if len(must) == 0 && !round.closed(*group) {", "if false {", "TestLeavingMemberIsReplacedQuietly", "./group",
+	},
+	"outage: reserves are not used": {
+		"keeper/plan.go", "if zone.mayFallBack(", "if false && zone.mayFallBack(", "TestScenarios/outage", ".",
+	},
+	"box list: a member that answers is lost with its entry": {
+		"keeper/plan.go", "if unlisted[id] && (view.Seen < 0", "if unlisted[id] && (true || view.Seen < 0", "TestScenarios/box_list", ".",
 	},
 	"7 planned stop: it does not wait to be forgotten": {
 		"entry/entry.go", "\tentry.waitForgotten()\n\tctx", "\tctx", "TestScenarios/planned_stop", ".",
