Tell each request of silence by what it can bear; reload on SIGHUP

Change: silence is told to each request, early only where its stream can still be on time; groups are marked and probed only after a certain silence.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -23,6 +23,9 @@
 	// recoverTime is the time in which what is held against a server halves
 	// while it gets no requests, so that it is tried again.
 	recoverTime = 2 * time.Second
+	// silentCost is what a server counts more that is silent for longer than
+	// usual, and not yet so long that it is avoided.
+	silentCost = 4
 	// farCost is what a server in another availability zone counts more: the
 	// link's delay against a typical answer.
 	farCost = 1.05
@@ -71,7 +74,6 @@
 	failures  float64       // part of requests that failed lately
 	judged    time.Duration // when slowness and failures were last changed
 	avoidTill time.Duration // silent, or said to be
-	stalled   chan struct{} // closed when it is found silent
 	listed    bool
 }
 
@@ -90,7 +92,7 @@
 	for _, server := range servers {
 		known := table.servers[server.key()]
 		if known == nil {
-			known = &state{running: map[*Choice]struct{}{}, slowness: 1, stalled: make(chan struct{})}
+			known = &state{running: map[*Choice]struct{}{}, slowness: 1}
 			table.servers[server.key()] = known
 		}
 		known.Server = server
@@ -111,19 +113,23 @@
 	Model   shedkeel.ModelID
 	Avoid   []shedkeel.InstanceID // already tried
 	Prompt  int                   // tokens to be read
+	Pause   time.Duration         // longest that a stream may pause and be on time
 	Now     time.Duration
 }
 
 // Choice is a server that a request is sent to. End must be called once.
 type Choice struct {
 	Server
-	Stalled <-chan struct{} // closed when the server is found silent
+	Stalled <-chan struct{} // tells each time that the server is silent for longer than the request can bear
 
-	table  *Table
-	state  *state
-	began  time.Duration
-	prompt int
-	begun  bool // its first event or answer has come
+	table   *Table
+	state   *state
+	began   time.Duration
+	prompt  int
+	pause   time.Duration
+	begun   bool // its first event or answer has come
+	stalled chan struct{}
+	told    bool // of the silence that lasts
 }
 
 // Choose returns the best server, or nil when none may be sent to.
@@ -165,6 +171,9 @@
 func (table *Table) cost(candidate *state, now time.Duration) float64 {
 	candidate.forgive(now)
 	cost := float64(len(candidate.running)+1) * candidate.slowness * (1 + failCost*candidate.failures)
+	if len(candidate.running) > 0 && now-candidate.sign > candidate.usual()+silenceMargin {
+		cost *= silentCost
+	}
 	if candidate.Zone != table.Zone {
 		cost *= farCost
 	}
@@ -186,7 +195,8 @@
 	if len(state.running) == 0 {
 		state.sign = query.Now
 	}
-	choice := &Choice{Server: state.Server, Stalled: state.stalled, table: table, state: state, began: query.Now, prompt: query.Prompt}
+	stalled := make(chan struct{}, 1)
+	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, began: query.Now, prompt: query.Prompt, pause: query.Pause, stalled: stalled}
 	state.running[choice] = struct{}{}
 	return choice
 }
@@ -198,9 +208,9 @@
 	defer choice.table.mutex.Unlock()
 	state := choice.state
 	state.sign = now
-	if state.avoidTill > 0 {
-		state.avoidTill = 0
-		state.stalled = make(chan struct{})
+	state.avoidTill = 0
+	for running := range state.running {
+		running.told = false
 	}
 	if !choice.begun {
 		choice.begun = true
--- a/event/event.go
+++ b/event/event.go
@@ -23,6 +23,8 @@
 	Stopping        = Event{101, slog.LevelInfo, "planned stop begun"}
 	Stopped         = Event{102, slog.LevelInfo, "process stopped"}
 	Failed          = Event{103, slog.LevelError, "process failed"}
+	Reloaded        = Event{104, slog.LevelInfo, "settings read again"}
+	ReloadFailed    = Event{105, slog.LevelError, "settings cannot be read again; those in force stay"}
 	StoreAway       = Event{200, slog.LevelWarn, "key-value service does not answer"}
 	StoreBack       = Event{201, slog.LevelInfo, "key-value service answers again"}
 	StoreOlder      = Event{202, slog.LevelWarn, "key-value service holds an older record than is in force"}
@@ -71,7 +73,7 @@
 // Catalog returns all events.
 func Catalog() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
+		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
--- a/node/node.go
+++ b/node/node.go
@@ -217,3 +217,12 @@
 		node.peers.notify(silence.Server.Group)
 	}
 }
+
+// Reload takes in what may change in the settings while the node runs: the
+// bounds. Addresses and names hold until the next start.
+func (node *Node) Reload(settings config.NodeSettings) {
+	bounds := settings.Bounds
+	node.front.Budget.Set(bounds.RetryRatio, time.Duration(bounds.RetryWindow), bounds.RetrySlack)
+	needsRestart := settings.Listen != node.Settings.Listen || settings.Store != node.Settings.Store || settings.Node != node.Settings.Node
+	node.Log.Write(event.Reloaded, slog.Bool("needs_restart", needsRestart))
+}
--- a/program/node.go
+++ b/program/node.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -83,6 +85,8 @@
 		Metrics:  values,
 	}
 	process.Prepare()
+	reload := &reloader{path: command.String("settings"), process: process, log: log}
+	go reload.run(ctx)
 	faces := node.Faces{
 		Directory: &platform.Directory{Addresses: process.Addresses, Keep: node.DirectoryKeep},
 		Readiness: &platform.Readiness{Ready: process.Ready},
@@ -91,6 +95,32 @@
 	return daemon.finish(process.Run(ctx, listeners, faces))
 }
 
+// reloader reads the settings again on SIGHUP.
+type reloader struct {
+	path    string
+	process *node.Node
+	log     *event.Log
+}
+
+func (reloader *reloader) run(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		settings, err := config.ReadNodeSettings(reloader.path)
+		if err != nil {
+			reloader.log.Write(event.ReloadFailed, slog.String("error", err.Error()))
+			continue
+		}
+		reloader.process.Reload(settings)
+	}
+}
+
 // plainClient is a client that keeps so many connections to each server.
 func plainClient(idle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle, IdleConnTimeout: backendIdle, DisableCompression: true}}
--- a/serve/budget.go
+++ b/serve/budget.go
@@ -66,6 +66,19 @@
 	return known
 }
 
+// Set changes the bound. A new window starts the counts anew as spent.
+func (budget *Budget) Set(ratio float64, window time.Duration, slack float64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.Ratio = ratio
+	budget.Slack = slack
+	if window == budget.Window {
+		return
+	}
+	budget.Window = window
+	budget.services = nil
+}
+
 // First notes a request for the service.
 func (budget *Budget) First(service shedkeel.ServiceID, now time.Duration) {
 	budget.mutex.Lock()
