Never take a group's own head for its substitute

A cold substitute kept three others idle for its 16 s load. Change: survivors are marked first; under traffic only staged servers are taken, cold ones load while the others serve elsewhere.

--- a/formation/form.go
+++ b/formation/form.go
@@ -44,7 +44,8 @@
 }
 
 // substitutes returns up to count free backend servers, those that join the
-// model fastest first. Ones that must load are taken only as loads allow.
+// model fastest first. Once callers are served, none is taken that must load
+// first: the others of its group would stand idle meanwhile.
 func (round *round) substitutes(domain shedkeel.DomainID, model *shedkeel.Model, count int) []*shedkeel.Instance {
 	if count <= 0 {
 		return nil
@@ -53,11 +54,8 @@
 	slices.SortStableFunc(found, func(a, b *shedkeel.Instance) int {
 		return cmp.Compare(joinCost(a, model.ID), joinCost(b, model.ID))
 	})
-	for index, instance := range found {
-		if joinCost(instance, model.ID) >= costLoad && !round.planner.mayLoad(round.input) {
-			found = found[:index]
-			break
-		}
+	if round.input.Traffic {
+		found = slices.DeleteFunc(found, func(instance *shedkeel.Instance) bool { return joinCost(instance, model.ID) >= costLoad })
 	}
 	return found[:min(count, len(found))]
 }
@@ -90,9 +88,6 @@
 			return
 		}
 		members := round.substitutes(domain, model, model.Size)
-		if len(members) < model.Size {
-			return
-		}
 		round.form(round.newName(model, domain), model, members)
 		counts[model.ID]++
 	}
@@ -167,14 +162,29 @@
 			continue
 		}
 		spares := int(math.Ceil(float64(sizes[domain]) * spareShare))
+		if round.hasGroups(domain) {
+			spares = max(spares, 1)
+		} else {
+			spares = 0 // better one group than none
+		}
 		room := len(round.free(domain)) - model.Size - spares
-		if room >= 0 && room+1 > most {
+		if room >= 0 && room+1 > most && len(round.substitutes(domain, model, model.Size)) == model.Size {
 			most, place = room+1, domain
 		}
 	}
 	return place, most > 0
 }
 
+// hasGroups reports whether the domain has groups that stand or are forming.
+func (round *round) hasGroups(domain shedkeel.DomainID) bool {
+	for _, instance := range round.input.Instances {
+		if instance.Domain == domain && round.used[instance.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // newName returns a name that no group bears now.
 func (round *round) newName(model *shedkeel.Model, domain shedkeel.DomainID) shedkeel.GroupID {
 	for {
@@ -228,12 +238,13 @@
 	}
 }
 
-// leastStaged returns the model whose members in the domain have the fewest
-// spares for each.
+// leastStaged returns the model that a spare of the domain should load: the
+// one of which free servers are few short of a group, if the domain has none
+// of it; else the one whose members there have the fewest spares for each.
 func (round *round) leastStaged(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
 	members := map[shedkeel.ModelID]int{}
 	for _, group := range round.groups {
-		if group.model != nil && group.domain == domain {
+		if group.model != nil && group.domain == domain && group.headState() != "" && round.used[group.head().ID] {
 			members[group.model.ID] += group.model.Size
 		}
 	}
@@ -246,6 +257,9 @@
 	most := -1.0
 	for _, model := range round.input.Engine.Models {
 		need := (float64(members[model.ID]) + 0.1) / float64(staged[model.ID]+1)
+		if members[model.ID] == 0 && staged[model.ID] > 0 && staged[model.ID] < model.Size {
+			need = float64(model.Size * staged[model.ID]) // no group stands: complete one
+		}
 		if need > most {
 			best, most = model.ID, need
 		}
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -142,16 +142,26 @@
 	return len(round.substitutes(group.domain, group.model, missing)) == missing
 }
 
+// keep marks servers as taken.
+func (round *round) keep(members []*shedkeel.Instance) {
+	for _, member := range members {
+		round.used[member.ID] = true
+	}
+}
+
 // repair forms the group anew with substitutes, under its own name and a new
 // epoch, or gives it up when there are none.
 func (round *round) repair(group *observed) {
 	members := round.survivors(group)
+	round.keep(members) // they are no substitutes for themselves
 	substitutes := round.substitutes(group.domain, group.model, group.model.Size-len(members))
-	members = append(members, substitutes...)
-	if len(members) == group.model.Size {
-		round.form(group.id, group.model, members)
+	if whole := append(members, substitutes...); len(whole) == group.model.Size { //nolint:gocritic // a list of its own
+		round.form(group.id, group.model, whole)
 		return
 	}
+	for _, member := range members {
+		delete(round.used, member.ID)
+	}
 	head := group.head()
 	switch {
 	case round.usable(head) && head.Member.State != shedkeel.MemberReady && head.Member.State != shedkeel.MemberJoining && head.Member.State != shedkeel.MemberBroken:
--- a/node/controller.go
+++ b/node/controller.go
@@ -26,8 +26,9 @@
 	termEpochs = 1 << 20
 	// probeTimeout is how long a member may take to answer a probe; it
 	// answers in milliseconds when it lives.
-	probeTimeout = 150 * time.Millisecond
-	// probeTries is how many probes in a row a dead member does not answer.
+	probeTimeout = 200 * time.Millisecond
+	// probeTries is how many probes at once a dead member does not answer; a
+	// single one may be lost on its way.
 	probeTries = 2
 	// reviveEvery is how often a dead member is probed again.
 	reviveEvery = time.Second
@@ -300,12 +301,13 @@
 
 // runProbe finds out whether a member answers.
 func (controller *controller) runProbe(ctx context.Context, instance shedkeel.Instance) {
+	answers := make(chan error, probeTries)
+	for range probeTries {
+		go controller.runTry(ctx, instance.Address, answers)
+	}
 	var err error
 	for range probeTries {
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err = controller.node.Engines.Report(probe, instance.Address)
-		cancel()
-		if err == nil {
+		if err = <-answers; err == nil {
 			break
 		}
 	}
@@ -318,6 +320,14 @@
 	controller.mutex.Unlock()
 }
 
+// runTry probes once.
+func (controller *controller) runTry(ctx context.Context, address string, answers chan<- error) {
+	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := controller.node.Engines.Report(probe, address)
+	answers <- err
+}
+
 func (controller *controller) probed(instance shedkeel.Instance, err error) {
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
