Admit by places: on time or behind; prepare groups that free servers could form

Change: a process fills 0.9 of its part of the places on time, further requests get in behind them at lowest priority, more are refused; planner prepares groups by need and converts spares only where a model needs groups 1.5 times more.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -113,6 +113,7 @@
 	Model   shedkeel.ModelID
 	Avoid   []shedkeel.InstanceID // already tried
 	Prompt  int                   // tokens to be read
+	Late    bool                  // it waits behind others and can't be on time
 	Now     time.Duration
 }
 
@@ -125,6 +126,7 @@
 	state   *state
 	began   time.Duration
 	prompt  int
+	late    bool
 	begun   bool // its first event or answer has come
 	stalled chan struct{}
 	told    bool // of the silence that lasts
@@ -194,7 +196,7 @@
 		state.sign = query.Now
 	}
 	stalled := make(chan struct{}, 1)
-	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, began: query.Now, prompt: query.Prompt, stalled: stalled}
+	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
 	state.running[choice] = struct{}{}
 	return choice
 }
@@ -235,19 +237,32 @@
 	state.judged = now
 }
 
-// Load returns how many requests run from this process on the servers that
-// serve a model of a service, how many they run at once, and how many servers
-// may be sent to.
-func (table *Table) Load(service shedkeel.ServiceID, model shedkeel.ModelID, now time.Duration) (running, slots, usable int) {
+// Load is what this process has running on the servers of a model.
+type Load struct {
+	OnTime int // requests that may still be on time
+	Late   int // requests that wait behind them
+	Slots  int // requests that the servers run at once
+	Usable int // servers that may be sent to
+}
+
+// Load returns what runs on the servers that serve a model of a service.
+func (table *Table) Load(service shedkeel.ServiceID, model shedkeel.ModelID, now time.Duration) Load {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	var load Load
 	for _, known := range table.pools[pool{service, model}] {
 		if known.avoidTill > now {
 			continue
 		}
-		running += len(known.running)
-		slots += known.Slots
-		usable++
+		for choice := range known.running {
+			if choice.late {
+				load.Late++
+			} else {
+				load.OnTime++
+			}
+		}
+		load.Slots += known.Slots
+		load.Usable++
 	}
-	return running, slots, usable
+	return load
 }
--- a/formation/form.go
+++ b/formation/form.go
@@ -83,14 +83,78 @@
 func (round *round) formNew() {
 	counts := round.counts()
 	for range len(round.input.Instances) {
-		model, domain := round.nextGroup(counts)
+		model, domain := round.nextGroup(counts, round.substitutes)
 		if model == nil {
-			return
+			break
 		}
 		members := round.substitutes(domain, model, model.Size)
 		round.form(round.newName(model, domain), model, members)
 		counts[model.ID]++
 	}
+	round.prepare(counts)
+}
+
+// prepare has free servers load the weights of groups that could be formed if
+// they had them. It takes them out of the round, so that they are no spares.
+func (round *round) prepare(counts map[shedkeel.ModelID]int) {
+	candidates := func(domain shedkeel.DomainID, model *shedkeel.Model, count int) []*shedkeel.Instance {
+		return round.candidates(domain, model, count, counts)
+	}
+	for range len(round.input.Instances) {
+		model, domain := round.nextGroup(counts, candidates)
+		if model == nil {
+			return
+		}
+		members := candidates(domain, model, model.Size)
+		round.keep(members)
+		counts[model.ID]++
+		for _, member := range members {
+			if joinCost(member, model.ID) == costLoad {
+				round.stage(member, model.ID, "it completes a group")
+			}
+		}
+	}
+}
+
+// convertNeed is how many times more a model must need a group for spares of
+// another to load it: they are out for a whole load.
+const convertNeed = 1.5
+
+// picker returns up to count free servers of a domain for a model.
+type picker func(domain shedkeel.DomainID, model *shedkeel.Model, count int) []*shedkeel.Instance
+
+// candidates returns up to count free servers that have the model's weights,
+// are loading them, or could load them. A server that has another model's is
+// one only if that model needs groups far less.
+func (round *round) candidates(domain shedkeel.DomainID, model *shedkeel.Model, count int, counts map[shedkeel.ModelID]int) []*shedkeel.Instance {
+	found := slices.DeleteFunc(round.free(domain), func(instance *shedkeel.Instance) bool {
+		if joinCost(instance, model.ID) < costLoad || len(instance.Staged) == 0 {
+			return false
+		}
+		other := round.input.Engine.Model(instance.Staged[0])
+		return other != nil && round.need(model, counts) < convertNeed*round.need(other, counts)
+	})
+	slices.SortStableFunc(found, func(a, b *shedkeel.Instance) int {
+		return cmp.Compare(round.loadCost(a, model.ID), round.loadCost(b, model.ID))
+	})
+	return found[:min(count, len(found))]
+}
+
+// loadCost orders servers by how little is lost when they load the model.
+func (round *round) loadCost(instance *shedkeel.Instance, model shedkeel.ModelID) int {
+	cost := joinCost(instance, model)
+	loading, busy := round.planner.loading[instance.ID]
+	switch {
+	case cost < costLoad:
+		return cost
+	case busy && loading.model == model:
+		return costLoad
+	case busy:
+		return costLoad + 3
+	case len(instance.Staged) > 0:
+		return costLoad + 2
+	}
+	return costLoad + 1
 }
 
 // counts returns how many groups of each model stand or are forming.
@@ -113,7 +177,7 @@
 
 // nextGroup returns the model that needs a group most among those for which a
 // domain has room, and that domain.
-func (round *round) nextGroup(counts map[shedkeel.ModelID]int) (*shedkeel.Model, shedkeel.DomainID) {
+func (round *round) nextGroup(counts map[shedkeel.ModelID]int, pick picker) (*shedkeel.Model, shedkeel.DomainID) {
 	var best *shedkeel.Model
 	var place shedkeel.DomainID
 	most := 0.0
@@ -124,7 +188,7 @@
 	for index := range round.input.Engine.Models {
 		model := &round.input.Engine.Models[index]
 		need := round.need(model, counts)
-		domain, found := round.roomFor(model)
+		domain, found := round.roomFor(model, pick)
 		if !found || counts[model.ID] >= minGroups && need < enough*neediest {
 			continue
 		}
@@ -156,7 +220,7 @@
 
 // roomFor returns the settled domain with the most free backend servers that
 // still keeps its spares after a new group of the model.
-func (round *round) roomFor(model *shedkeel.Model) (shedkeel.DomainID, bool) {
+func (round *round) roomFor(model *shedkeel.Model, pick picker) (shedkeel.DomainID, bool) {
 	sizes := map[shedkeel.DomainID]int{}
 	var domains []shedkeel.DomainID
 	for _, instance := range round.input.Instances {
@@ -179,7 +243,7 @@
 			spares = 0 // better one group than none
 		}
 		room := len(round.free(domain)) - model.Size - spares
-		if room >= 0 && room+1 > most && len(round.substitutes(domain, model, model.Size)) == model.Size {
+		if room >= 0 && room+1 > most && len(pick(domain, model, model.Size)) == model.Size {
 			most, place = room+1, domain
 		}
 	}
@@ -224,9 +288,12 @@
 
 func (round *round) stageDomain(domain shedkeel.DomainID) {
 	staged := map[shedkeel.ModelID]int{}
-	free := round.free(domain)
 	var empty []*shedkeel.Instance
-	for _, instance := range free {
+	for _, instance := range round.free(domain) {
+		if loading, busy := round.planner.loading[instance.ID]; busy {
+			staged[loading.model]++
+			continue
+		}
 		if len(instance.Staged) == 0 {
 			empty = append(empty, instance)
 		}
@@ -239,41 +306,22 @@
 		staged[model]++
 		round.stage(instance, model, "a spare loads ahead of need")
 	}
-	round.restage(domain, free, staged)
 }
 
 // stage orders a load onto the host, unless one is under way or loads are
 // bounded now.
 func (round *round) stage(instance *shedkeel.Instance, model shedkeel.ModelID, reason string) {
-	key := orderKey{kind: shedkeel.OrderStage, to: instance.ID}
-	if at, before := round.planner.sent[key]; before && round.input.Now-at < round.input.Engine.Model(model).Load*2 {
+	if _, busy := round.planner.loading[instance.ID]; busy {
 		return
 	}
 	if !round.planner.mayLoad(round.input) {
 		return
 	}
 	round.planner.loads = append(round.planner.loads, round.input.Now)
-	delete(round.planner.sent, key)
+	round.planner.loading[instance.ID] = loading{model: model, until: round.input.Now + 2*round.input.Engine.Model(model).Load}
 	round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderStage, To: instance.ID, Model: model}, reason)
 }
 
-// restage has spares load another model where they complete a group of one
-// that the domain has none of.
-func (round *round) restage(domain shedkeel.DomainID, free []*shedkeel.Instance, staged map[shedkeel.ModelID]int) {
-	for _, model := range round.input.Engine.Models {
-		missing := model.Size - staged[model.ID]
-		if round.members(domain)[model.ID] > 0 || staged[model.ID] == 0 || missing <= 0 || len(free) < model.Size {
-			continue
-		}
-		for _, instance := range free {
-			if missing > 0 && len(instance.Staged) > 0 && !instance.HasStaged(model.ID) {
-				missing--
-				round.stage(instance, model.ID, "a spare loads what completes a group")
-			}
-		}
-	}
-}
-
 // members returns how many members the groups of each model have in a domain.
 func (round *round) members(domain shedkeel.DomainID) map[shedkeel.ModelID]int {
 	members := map[shedkeel.ModelID]int{}
@@ -291,18 +339,14 @@
 }
 
 // leastStaged returns the model that a spare of the domain should load: the
-// one of which free servers are few short of a group, if the domain has none
-// of it; else the one whose members there have the fewest spares for each.
+// one whose members there have the fewest spares for each.
 func (round *round) leastStaged(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
 	members := round.members(domain)
 	best := round.input.Engine.Models[0].ID
 	most := -1.0
 	for _, model := range round.input.Engine.Models {
 		need := float64(members[model.ID]) / float64(staged[model.ID]+1)
-		if members[model.ID] == 0 && staged[model.ID] > 0 && staged[model.ID] < model.Size {
-			need = float64(model.Size * staged[model.ID]) // no group stands: complete one
-		}
-		if need > most || need == most && model.Size > round.input.Engine.Model(best).Size { // a larger group is harder to complete
+		if need > most || need == most && staged[model.ID] < staged[best] {
 			best, most = model.ID, need
 		}
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -72,11 +72,18 @@
 	forming  map[shedkeel.GroupID]*formingGroup
 	headless map[shedkeel.GroupID]time.Duration    // head missing since
 	loads    []time.Duration                       // when load orders were given
+	loading  map[shedkeel.InstanceID]loading       // ordered to load onto the host
 	silent   map[shedkeel.InstanceID]int           // orders in a row without an answer
 	passed   map[shedkeel.InstanceID]time.Duration // passed over until then
 	indexes  int
 }
 
+// loading is a load onto a host that was ordered.
+type loading struct {
+	model shedkeel.ModelID
+	until time.Duration // given up then
+}
+
 type orderKey struct {
 	kind  shedkeel.GroupOrderKind
 	to    shedkeel.InstanceID
@@ -140,6 +147,9 @@
 
 // Refuse tells that an engine said that an order does not fit its state.
 func (planner *Planner) Refuse(order shedkeel.GroupOrder) {
+	if order.Kind == shedkeel.OrderStage {
+		return // it is loading already, by the order of a former planner
+	}
 	forming := planner.forming[order.Group]
 	if forming != nil && order.Kind == shedkeel.OrderJoin && forming.epoch == order.Epoch {
 		// The engine has seen a higher epoch; the next formation gets one.
@@ -154,6 +164,7 @@
 		planner.sent = map[orderKey]time.Duration{}
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
 		planner.headless = map[shedkeel.GroupID]time.Duration{}
+		planner.loading = map[shedkeel.InstanceID]loading{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
 	}
@@ -162,6 +173,9 @@
 			planner.seen[instance.ID] = input.Now
 			planner.newest[instance.Domain] = input.Now
 		}
+		if loading, busy := planner.loading[instance.ID]; busy && (instance.HasStaged(loading.model) || input.Now >= loading.until) {
+			delete(planner.loading, instance.ID)
+		}
 	}
 	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Duration) bool { return input.Now-at > loadWindow })
 	for key, at := range planner.sent {
--- a/serve/front.go
+++ b/serve/front.go
@@ -95,6 +95,7 @@
 	runs     int         // sendings that may have run
 	mayRun   bool        // one of them may have run
 	sendings int         // that may have arrived
+	late     bool        // there is no place for it to be on time
 	outcome  []slog.Attr // of an answer, for the log
 }
 
--- a/serve/send.go
+++ b/serve/send.go
@@ -19,6 +19,7 @@
 // The kinds of failure of one sending.
 var (
 	errNoServer  = errors.New("no server may be sent to")
+	errFull      = errors.New("all servers have more requests than they can answer in time")
 	errNoBudget  = errors.New("no more repeats are allowed now")
 	errRuns      = errors.New("it has been tried on as many servers as its route allows")
 	errWrong     = errors.New("the answer belongs to another request or is not the server's own")
@@ -52,7 +53,12 @@
 	if service := life.view.Service(life.service); service == nil || service.Engine == nil {
 		model = ""
 	}
-	choice := life.front.Table.Choose(dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Now: now})
+	if model != "" && life.sendings == 0 {
+		if err := life.admit(model, now); err != nil {
+			return nil, err
+		}
+	}
+	choice := life.front.Table.Choose(dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now})
 	if choice == nil {
 		return nil, errNoServer
 	}
@@ -61,6 +67,44 @@
 	return choice, nil
 }
 
+// The parts of a model's places that this process may fill, when it takes an
+// even part of all requests.
+const (
+	// onTimeFill is up to where requests get in at once: beyond it they would
+	// wait for a place and be late.
+	onTimeFill = 0.9
+	// lateFill is how many more may wait behind them: callers give up after
+	// some two seconds without an event, and only the places that the others
+	// leave are theirs.
+	lateFill = 0.5
+	// lateUrgency is how urgent requests are that can only be late.
+	lateUrgency = 9
+)
+
+// admit finds out whether the groups of a model have a place for the request.
+// When there are more requests than places, some are served on time and some
+// wait behind them: if all waited in one line, all would be late.
+func (life *life) admit(model shedkeel.ModelID, now time.Duration) error {
+	load := life.front.Table.Load(life.service, model, now)
+	if load.Usable == 0 {
+		return errNoServer
+	}
+	part := float64(load.Slots) / float64(max(life.front.Nodes(), 1))
+	life.late = float64(load.OnTime) >= max(onTimeFill*part, 1)
+	if life.late && float64(load.Late) >= max(lateFill*part, 1) {
+		return errFull
+	}
+	return nil
+}
+
+// urgency is how urgent the request is to an engine; 0 is most urgent.
+func (life *life) urgency() int {
+	if life.late {
+		return lateUrgency
+	}
+	return priorityOf(life.route, life.account)
+}
+
 // notSent takes back the count of a sending that reached no server, so that
 // it draws on no budget.
 func (life *life) notSent(err error) {
@@ -108,7 +152,7 @@
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "") // the HTTP library would add its own
 	}
-	sending := shedkeel.Sending{Call: &life.call, To: choice.Instance, Deadline: left, LastEvent: lastEvent, Priority: priorityOf(life.route, life.account)}
+	sending := shedkeel.Sending{Call: &life.call, To: choice.Instance, Deadline: left, LastEvent: lastEvent, Priority: life.urgency()}
 	if life.account != nil {
 		sending.Account = life.account.ID
 	}
