One client of the platform's store; stand-in speaks its protocol

Cause: two clients stood side by side, one for a service that only our stand-in spoke. Change: platform.Store serves the keepers too; platform/standin answers for it; each server that did not refuse a stream counts as having run it.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -20,6 +20,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
 	"shedkeel.org/shedkeel/operator"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 var capacity = flag.Bool("capacity", false, "measure real keepers at several sizes")
@@ -56,7 +57,7 @@
 	t.Helper()
 	yard := &yard{host: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 200+index), store: standin.NewStore(), dir: t.TempDir()}
 	defer yard.end()
-	yard.serve(t, yard.host+".250:2379", yard.store.Handler())
+	yard.serve(t, yard.host+".250:2379", (&platformstandin.Store{Data: yard.store}).Handler())
 	var boxes []shedkeel.Box
 	for number := range groups*capacityMembers + 4 {
 		address := fmt.Sprintf("%s.%d:%d", yard.host, 200+number/100, 9000+number%100)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"shedkeel.org/shedkeel"
 )
 
-// Store is a key-value service that speaks the part of the etcd v3 JSON API
-// that shedkeel uses, and counts its calls. POST /snapshot keeps its data and
-// POST /restore goes back to them.
+// Store is the data of a key-value service with leases and a history. The
+// platform's stand-in speaks for it over HTTP.
 type Store struct {
 	faults   faultSwitch
 	mutex    sync.Mutex
@@ -24,9 +22,19 @@
 	keptAt   int64
 	changed  chan struct{} // closed at each change
 	log      []shedkeel.Record
+	floor    int64 // changes up to this revision are forgotten
+	leases   map[shedkeel.LeaseID]*standLease
+	byLease  map[string]shedkeel.LeaseID // of keys that go with a lease
+	granted  shedkeel.LeaseID
 	counts   Counts
 }
 
+// standLease is a lease that is not over.
+type standLease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
 // Counts is how many calls a store has had.
 type Counts struct {
 	Reads   int `json:"reads"`
@@ -36,20 +44,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{data: map[string]shedkeel.Record{}, changed: make(chan struct{})}
-}
-
-// Handler returns the store's HTTP side.
-func (store *Store) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v3/kv/range", store.serveRange)
-	mux.HandleFunc("POST /v3/kv/txn", store.serveTxn)
-	mux.HandleFunc("POST /v3/watch", store.serveWatch)
-	mux.Handle("POST /fault", &store.faults)
-	mux.HandleFunc("POST /snapshot", func(http.ResponseWriter, *http.Request) { store.Snapshot() })
-	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { store.Restore() })
-	mux.HandleFunc("GET /counts", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, store.Counts()) })
-	return mux
+	return &Store{
+		data: map[string]shedkeel.Record{}, changed: make(chan struct{}),
+		leases: map[shedkeel.LeaseID]*standLease{}, byLease: map[string]shedkeel.LeaseID{},
+	}
 }
 
 // Counts returns how many calls there were.
@@ -91,22 +89,15 @@
 
 // Watch follows a prefix, for tests that need no HTTP.
 func (store *Store) Watch(ctx context.Context, prefix string, seen func(shedkeel.Record)) error {
-	from := 0
+	records, at := store.List(prefix)
 	for {
-		store.mutex.Lock()
-		news := slices.Clone(store.log[from:])
-		from = len(store.log)
-		changed := store.changed
-		store.mutex.Unlock()
-		for _, record := range news {
-			if strings.HasPrefix(record.Key, prefix) {
-				seen(record)
-			}
+		for _, record := range records {
+			seen(record)
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
+		var err error
+		records, at, err = store.Changes(ctx, prefix, at, time.Minute)
+		if err != nil {
+			return err
 		}
 	}
 }
@@ -115,17 +106,8 @@
 func (store *Store) SetFaults(faults Faults) { store.faults.set(faults) }
 
 func (store *Store) swap(key string, revision int64, value []byte) (int64, bool) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	store.counts.Writes++
-	if store.data[key].Revision != revision {
-		return store.revision, false
-	}
-	store.revision++
-	record := shedkeel.Record{Key: key, Value: value, Revision: store.revision}
-	store.data[key] = record
-	store.tell(record)
-	return store.revision, true
+	written, err := store.Commit(shedkeel.Change{If: []shedkeel.Condition{{Key: key, Revision: revision}}, Put: []shedkeel.Put{{Key: key, Value: value}}})
+	return written, err == nil
 }
 
 // tell wakes the watches. The mutex is held.
@@ -156,155 +138,205 @@
 		store.data[key] = record
 	}
 	store.revision = store.keptAt
-	store.log = append(store.log, shedkeel.Record{Revision: -1})
+	store.log = nil
+	store.floor = store.revision
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
-type storedValue struct {
-	Key         []byte `json:"key"`
-	Value       []byte `json:"value,omitempty"`
-	ModRevision string `json:"mod_revision"`
-}
-
-func storedOf(record shedkeel.Record) storedValue {
-	return storedValue{Key: []byte(record.Key), Value: record.Value, ModRevision: strconv.FormatInt(record.Revision, 10)}
-}
-
-type header struct {
-	Revision string `json:"revision"`
+// Record returns a key's record; one with revision 0 if there is none.
+func (store *Store) Record(key string) shedkeel.Record {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	store.counts.Reads++
+	record, found := store.data[key]
+	if !found {
+		return shedkeel.Record{Key: key}
+	}
+	return record
 }
 
-func (store *Store) serveRange(writer http.ResponseWriter, request *http.Request) {
-	if !store.faults.pass(writer, request) {
-		return
-	}
-	var wanted struct {
-		Key      []byte `json:"key"`
-		RangeEnd []byte `json:"range_end"`
-	}
-	if err := json.NewDecoder(request.Body).Decode(&wanted); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return
-	}
+// List returns the records below the prefix, sorted by key, and the revision.
+func (store *Store) List(prefix string) ([]shedkeel.Record, int64) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.expire()
 	store.counts.Reads++
-	var found []storedValue
+	var found []shedkeel.Record
 	for key, record := range store.data {
-		inRange := len(wanted.RangeEnd) > 0 && key >= string(wanted.Key) && key < string(wanted.RangeEnd)
-		if key == string(wanted.Key) || inRange {
-			found = append(found, storedOf(record))
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, record)
 		}
 	}
-	slices.SortFunc(found, func(a, b storedValue) int { return strings.Compare(string(a.Key), string(b.Key)) })
-	writeJSON(writer, struct {
-		Header header        `json:"header"`
-		KVs    []storedValue `json:"kvs"`
-	}{header{strconv.FormatInt(store.revision, 10)}, found})
+	slices.SortFunc(found, func(a, b shedkeel.Record) int { return strings.Compare(a.Key, b.Key) })
+	return found, store.revision
 }
 
-func (store *Store) serveTxn(writer http.ResponseWriter, request *http.Request) {
-	if !store.faults.pass(writer, request) {
-		return
+// Changes waits for changes below the prefix after the revision. It returns a
+// HistoryGoneError when they are forgotten.
+func (store *Store) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) ([]shedkeel.Record, int64, error) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	store.mutex.Lock()
+	store.counts.Watches++
+	store.mutex.Unlock()
+	for {
+		store.mutex.Lock()
+		store.expire()
+		gone := since < store.floor || since > store.revision
+		at, changed := store.revision, store.changed
+		var news []shedkeel.Record
+		for _, record := range store.log {
+			if record.Revision > since && strings.HasPrefix(record.Key, prefix) {
+				news = append(news, record)
+			}
+		}
+		store.mutex.Unlock()
+		if gone {
+			return nil, 0, &shedkeel.HistoryGoneError{Since: since}
+		}
+		if len(news) > 0 {
+			return news, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-end.C:
+			return nil, at, nil
+		case <-changed:
+		}
 	}
-	var wanted struct {
-		Compare []struct {
-			Key         []byte `json:"key"`
-			ModRevision string `json:"mod_revision"`
-		} `json:"compare"`
-		Success []struct {
-			Put struct {
-				Key   []byte `json:"key"`
-				Value []byte `json:"value"`
-			} `json:"request_put"`
-		} `json:"success"`
+}
+
+// Forget drops the history of changes.
+func (store *Store) Forget() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.log = nil
+	store.floor = store.revision
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+// Commit makes all changes or none. Its error is a ConflictError or a
+// LeaseGoneError.
+func (store *Store) Commit(change shedkeel.Change) (int64, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	store.counts.Writes++
+	for _, condition := range change.If {
+		if store.data[condition.Key].Revision != condition.Revision {
+			return store.revision, &shedkeel.ConflictError{What: "key " + condition.Key}
+		}
 	}
-	if err := json.NewDecoder(request.Body).Decode(&wanted); err != nil || len(wanted.Compare) != 1 || len(wanted.Success) != 1 {
-		http.Error(writer, "one compare and one put are needed", http.StatusBadRequest)
-		return
+	for _, put := range change.Put {
+		if put.Lease != 0 && store.leases[put.Lease] == nil {
+			return store.revision, &shedkeel.LeaseGoneError{}
+		}
 	}
-	revision, err := strconv.ParseInt(wanted.Compare[0].ModRevision, 10, 64)
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return
+	store.revision++
+	for _, put := range change.Put {
+		record := shedkeel.Record{Key: put.Key, Value: put.Value, Revision: store.revision}
+		store.data[put.Key] = record
+		delete(store.byLease, put.Key)
+		if put.Lease != 0 {
+			store.byLease[put.Key] = put.Lease
+		}
+		store.tell(record)
 	}
-	written, swapped := store.swap(string(wanted.Success[0].Put.Key), revision, wanted.Success[0].Put.Value)
-	if store.faults.use(func(faults *Faults) *int { return &faults.LoseReplies }) {
-		abort()
+	store.remove(change.Remove)
+	return store.revision, nil
+}
+
+// remove removes keys at the present revision. The mutex is held.
+func (store *Store) remove(keys []string) {
+	for _, key := range keys {
+		if _, found := store.data[key]; !found {
+			continue
+		}
+		delete(store.data, key)
+		delete(store.byLease, key)
+		store.tell(shedkeel.Record{Key: key, Revision: store.revision, Gone: true})
 	}
-	writeJSON(writer, struct {
-		Header    header `json:"header"`
-		Succeeded bool   `json:"succeeded"`
-	}{header{strconv.FormatInt(written, 10)}, swapped})
 }
 
-type watchEvent struct {
-	KV storedValue `json:"kv"`
+// Grant makes a lease.
+func (store *Store) Grant(ttl time.Duration) shedkeel.LeaseID {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.counts.Writes++
+	store.granted++
+	store.leases[store.granted] = &standLease{ttl: ttl, until: time.Now().Add(ttl)}
+	time.AfterFunc(ttl+time.Millisecond, store.expireNow)
+	return store.granted
 }
 
-func (store *Store) serveWatch(writer http.ResponseWriter, request *http.Request) {
-	if !store.faults.pass(writer, request) {
-		return
-	}
-	var wanted struct {
-		Create struct {
-			Key           []byte `json:"key"`
-			RangeEnd      []byte `json:"range_end"`
-			StartRevision string `json:"start_revision"`
-		} `json:"create_request"`
-	}
-	if err := json.NewDecoder(request.Body).Decode(&wanted); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return
+// Renew makes a lease last anew. It returns a LeaseGoneError if it is over.
+func (store *Store) Renew(lease shedkeel.LeaseID) (time.Duration, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	store.counts.Reads++
+	known := store.leases[lease]
+	if known == nil {
+		return 0, &shedkeel.LeaseGoneError{}
 	}
-	start, _ := strconv.ParseInt(wanted.Create.StartRevision, 10, 64)
+	known.until = time.Now().Add(known.ttl)
+	time.AfterFunc(known.ttl+time.Millisecond, store.expireNow)
+	return known.ttl, nil
+}
+
+// Release ends a lease.
+func (store *Store) Release(lease shedkeel.LeaseID) {
 	store.mutex.Lock()
-	store.counts.Watches++
-	from := len(store.log)
-	for from > 0 && store.log[from-1].Revision >= start {
-		from--
+	defer store.mutex.Unlock()
+	store.counts.Writes++
+	if known := store.leases[lease]; known != nil {
+		known.until = time.Time{}
 	}
-	store.mutex.Unlock()
-	_ = http.NewResponseController(writer).Flush()
-	store.follow(writer, request, from, string(wanted.Create.Key), string(wanted.Create.RangeEnd))
+	store.expire()
 }
 
-// follow sends the changes of a range until the caller leaves or there is an
-// outage.
-func (store *Store) follow(writer http.ResponseWriter, request *http.Request, from int, first, end string) {
-	for {
-		store.mutex.Lock()
-		news := slices.Clone(store.log[from:])
-		from = len(store.log)
-		changed := store.changed
-		store.mutex.Unlock()
-		var events []watchEvent
-		for _, record := range news {
-			if record.Revision < 0 {
-				abort()
-			}
-			if record.Key >= first && record.Key < end {
-				events = append(events, watchEvent{KV: storedOf(record)})
-			}
+func (store *Store) expireNow() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+}
+
+// expire ends the leases that have run out and removes their keys. The mutex
+// is held.
+func (store *Store) expire() {
+	now := time.Now()
+	for id, lease := range store.leases {
+		if lease.until.After(now) {
+			continue
 		}
-		if len(events) > 0 {
-			if store.faults.get().Outage {
-				abort()
+		delete(store.leases, id)
+		var keys []string
+		for key, owner := range store.byLease {
+			if owner == id {
+				keys = append(keys, key)
 			}
-			var message struct {
-				Result struct {
-					Events []watchEvent `json:"events"`
-				} `json:"result"`
-			}
-			message.Result.Events = events
-			_ = json.NewEncoder(writer).Encode(message)
-			_ = http.NewResponseController(writer).Flush()
 		}
-		select {
-		case <-request.Context().Done():
-			return
-		case <-changed:
+		if len(keys) > 0 {
+			store.revision++
+			store.remove(keys)
 		}
 	}
 }
+
+// Pass applies the faults that hold for any call, and reports whether the call
+// may go on.
+func (store *Store) Pass(writer http.ResponseWriter, request *http.Request) bool {
+	return store.faults.pass(writer, request)
+}
+
+// LosesReply reports whether the reply to this write is to be lost.
+func (store *Store) LosesReply() bool {
+	return store.faults.use(func(faults *Faults) *int { return &faults.LoseReplies })
+}
+
+// FaultHandler takes the faults that are posted.
+func (store *Store) FaultHandler() http.Handler { return &store.faults }
--- a/program/node.go
+++ b/program/node.go
@@ -77,7 +77,7 @@
 	seed := rand.Uint64()
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewIncarnation(time.Now()),
-		Store:    &platform.KV{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: plainClient(4)},
+		Store:    &platform.Store{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: plainClient(4)},
 		Decoder:  platform.Decoder{},
 		Protocol: platform.Callers{},
 		Backend:  transport,
--- a/program/standin.go
+++ b/program/standin.go
@@ -14,6 +14,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 // Standin is the program shedkeel-standin, for tests and the demo.
@@ -69,7 +70,7 @@
 }
 
 func standStore(ctx context.Context, command *cli.Command) error {
-	return serveUntil(ctx, map[string]http.Handler{command.String("listen"): standin.NewStore().Handler()})
+	return serveUntil(ctx, map[string]http.Handler{command.String("listen"): (&platformstandin.Store{Data: standin.NewStore()}).Handler()})
 }
 
 func standBoxes(ctx context.Context, command *cli.Command) error {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -24,6 +24,7 @@
 	"shedkeel.org/shedkeel/internal/standin"
 	"shedkeel.org/shedkeel/keeper"
 	"shedkeel.org/shedkeel/operator"
+	"shedkeel.org/shedkeel/platform"
 	"shedkeel.org/shedkeel/program"
 )
 
@@ -563,25 +564,15 @@
 
 // holder returns the holder of the lease of zone z1, from the store itself.
 func (world *world) holder(ctx context.Context) string {
-	body := `{"key":"c2hlZGtlZWwvbGVhc2UvejE="}` // shedkeel/lease/z1
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+world.addresses["store"]+"/v3/kv/range", strings.NewReader(body))
-	if err != nil {
+	store := &platform.Store{Address: world.addresses["store"], Timeout: time.Second}
+	record, err := store.Get(ctx, "shedkeel/lease/z1")
+	if err != nil || record.Revision == 0 {
 		return ""
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	var found struct {
-		KVs []struct {
-			Value []byte `json:"value"`
-		} `json:"kvs"`
-	}
 	var lease struct {
 		Holder string `json:"holder"`
 	}
-	if json.NewDecoder(response.Body).Decode(&found) != nil || len(found.KVs) == 0 || json.Unmarshal(found.KVs[0].Value, &lease) != nil {
+	if json.Unmarshal(record.Value, &lease) != nil {
 		return ""
 	}
 	return lease.Holder
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -21,8 +21,6 @@
 	maxEvent = 1 << 20
 	// newsBuffer is how many events may wait for a caller that reads slowly.
 	newsBuffer = 4
-	// maxSendings bounds how often one stream is sent.
-	maxSendings = 4
 	// readBuffer is how much of a stream is read at once.
 	readBuffer = 4 << 10
 )
@@ -118,9 +116,11 @@
 	return stream.sources[0].choice.Stalled
 }
 
-// mayMove reports whether the stream may run on another server too.
+// mayMove reports whether the stream may run on another server too. Every
+// server that it was sent to and that did not refuse it counts as having run
+// it, for nothing tells whether one that was given up had begun.
 func (stream *stream) mayMove() bool {
-	return stream.route.Repeatable() && stream.sendings < maxSendings
+	return stream.route.Repeatable() && stream.runs < stream.route.MaxRuns
 }
 
 // hedge begins another source beside one that went silent.
@@ -146,6 +146,7 @@
 	source := &source{stream: stream, choice: choice, resumed: stream.lastID, last: stream.last}
 	source.context, source.cancel = context.WithCancel(ctx)
 	stream.sources = append(stream.sources, source)
+	stream.runs++
 	go source.loop()
 	return nil
 }
@@ -288,9 +289,10 @@
 	stream.reason = news.err
 	stream.notSent(news.err)
 	var notRun *shedkeel.NotRunError
-	if !errors.As(news.err, &notRun) {
+	if errors.As(news.err, &notRun) {
+		stream.runs--
+	} else {
 		stream.mayRun = true
-		stream.runs++
 	}
 	stream.log(event.SendingFailed, slog.String("server", string(news.source.choice.Instance)), slog.Int64("after", stream.last), slog.String("reason", news.err.Error()))
 	if len(stream.sources) > 0 {
