--- /dev/null
+++ b/formation/fleet_test.go
@@ -0,0 +1,419 @@
+package formation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// testEngine has a model of four boxes and one of two, like the users' sites.
+func testEngine() *shedkeel.Engine {
+	return &shedkeel.Engine{
+		Slots: 26, LoadsPerSecond: 4, LoadsAtOnce: 6,
+		Models: []shedkeel.Model{
+			{ID: "large", Size: 4, Share: 0.67, Load: 16 * time.Second, Warmup: 1600 * time.Millisecond},
+			{ID: "small", Size: 2, Share: 0.33, Load: 12 * time.Second, Warmup: 1100 * time.Millisecond},
+		},
+	}
+}
+
+// fakeServer is a backend server that follows the rules of engines.
+type fakeServer struct {
+	shedkeel.Instance
+	seen    uint64 // highest epoch
+	last    shedkeel.ModelID
+	readyAt time.Duration
+	loadsTo shedkeel.ModelID
+	loadAt  time.Duration
+	diedAt  time.Duration // 0: lives
+	stalled time.Duration // as a head: a member is missing since
+	list    []shedkeel.InstanceID
+}
+
+// fakeFleet plays engines in virtual time and notes broken rules.
+type fakeFleet struct {
+	engine  *shedkeel.Engine
+	random  *rand.Rand
+	now     time.Duration
+	servers map[shedkeel.InstanceID]*fakeServer
+	late    []lateOrder
+	loses   float64 // part of orders whose answer is lost
+	broken  []string
+	named   int
+}
+
+type lateOrder struct {
+	order shedkeel.GroupOrder
+	at    time.Duration
+}
+
+func newFakeFleet(seed uint64, domains, boxes int) *fakeFleet {
+	fleet := &fakeFleet{engine: testEngine(), random: rand.New(rand.NewPCG(seed, 7)), servers: map[shedkeel.InstanceID]*fakeServer{}}
+	for domain := range domains {
+		for range boxes {
+			fleet.add(shedkeel.DomainID(fmt.Sprintf("d%d", domain)))
+		}
+	}
+	return fleet
+}
+
+func (fleet *fakeFleet) add(domain shedkeel.DomainID) *fakeServer {
+	fleet.named++
+	id := shedkeel.InstanceID(fmt.Sprintf("s%03d", fleet.named))
+	server := &fakeServer{Instance: shedkeel.Instance{ID: id, Service: "svc", Address: string(id), Domain: domain}}
+	fleet.servers[id] = server
+	return server
+}
+
+// instances returns the list of servers as the platform's store has it: dead
+// ones stay for three heartbeats.
+func (fleet *fakeFleet) instances() []shedkeel.Instance {
+	var listed []shedkeel.Instance
+	for _, server := range fleet.servers {
+		if server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond {
+			continue
+		}
+		instance := server.Instance
+		if server.Member != nil {
+			member := *server.Member
+			instance.Member = &member
+		}
+		listed = append(listed, instance)
+	}
+	slices.SortFunc(listed, func(a, b shedkeel.Instance) int { return cmpStrings(string(a.ID), string(b.ID)) })
+	return listed
+}
+
+func cmpStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// dead returns what probes have found half a second after a death.
+func (fleet *fakeFleet) dead() map[shedkeel.InstanceID]bool {
+	found := map[shedkeel.InstanceID]bool{}
+	for id, server := range fleet.servers {
+		if server.diedAt != 0 && fleet.now-server.diedAt > 500*time.Millisecond {
+			found[id] = true
+		}
+	}
+	return found
+}
+
+// head returns the living head of a membership.
+func (fleet *fakeFleet) head(member *shedkeel.Membership) *fakeServer {
+	for _, server := range fleet.servers {
+		if server.Member != nil && server.Member.Group == member.Group && server.Member.Epoch == member.Epoch && server.Member.Rank == 0 {
+			return server
+		}
+	}
+	return nil
+}
+
+// carryOut has a server follow an order. It returns false if it refuses.
+func (fleet *fakeFleet) carryOut(order shedkeel.GroupOrder) bool {
+	server := fleet.servers[order.To]
+	matches := server.Member != nil && server.Member.Group == order.Group && server.Member.Epoch == order.Epoch
+	switch order.Kind {
+	case shedkeel.OrderJoin:
+		return fleet.join(server, order)
+	case shedkeel.OrderOpen:
+		if !matches || server.Member.Rank != 0 || server.Member.State != shedkeel.MemberReady {
+			return matches && server.Member.State == shedkeel.MemberOpen
+		}
+		fleet.checkOpen(server)
+		server.Member.State = shedkeel.MemberOpen
+	case shedkeel.OrderClose:
+		if matches && server.Member.State == shedkeel.MemberOpen {
+			server.Member.State = shedkeel.MemberReady
+		}
+		return matches
+	case shedkeel.OrderLeave:
+		if matches {
+			server.Member = nil
+		}
+	case shedkeel.OrderStage:
+		if server.loadAt != 0 {
+			return false
+		}
+		server.loadsTo, server.loadAt = order.Model, fleet.now+fleet.engine.Model(order.Model).Load
+	}
+	return true
+}
+
+func (fleet *fakeFleet) join(server *fakeServer, order shedkeel.GroupOrder) bool {
+	same := server.Member != nil && server.Member.Group == order.Group && server.Member.Epoch == order.Epoch
+	if order.Epoch < server.seen || same && !slices.Equal(server.list, order.Members) {
+		return false
+	}
+	if same {
+		return true
+	}
+	if server.Member != nil && server.Member.Group != order.Group {
+		head := fleet.head(server.Member)
+		given := head != nil && head.diedAt != 0 && fleet.now-head.diedAt > 5*time.Second // its group was given up since
+		if head != nil && !given && (head.Member.State == shedkeel.MemberOpen || head.Member.State == shedkeel.MemberClosing) {
+			fleet.broken = append(fleet.broken, fmt.Sprintf("%s: %s joins %s while the head of %s serves", fleet.now, server.ID, order.Group, server.Member.Group))
+		}
+	}
+	server.seen = order.Epoch
+	server.list = order.Members
+	server.Member = &shedkeel.Membership{Group: order.Group, Epoch: order.Epoch, Rank: slices.Index(order.Members, server.ID), State: shedkeel.MemberJoining}
+	model := fleet.engine.Model(order.Model)
+	switch {
+	case server.last == order.Model:
+		server.readyAt = fleet.now + 200*time.Millisecond
+	case server.HasStaged(order.Model):
+		server.readyAt = fleet.now + model.Warmup
+	default:
+		server.readyAt = fleet.now + model.Load
+	}
+	server.last = order.Model
+	server.Models = []shedkeel.ModelID{order.Model}
+	return true
+}
+
+// checkOpen notes a group that opens without a member that was ready.
+func (fleet *fakeFleet) checkOpen(head *fakeServer) {
+	model := fleet.engine.Model(ModelOf(head.Member.Group))
+	if len(head.list) != model.Size {
+		fleet.broken = append(fleet.broken, fmt.Sprintf("%s: %s opens with %d members", fleet.now, head.Member.Group, len(head.list)))
+	}
+	for _, id := range head.list {
+		member := fleet.servers[id]
+		wasReady := member.Member != nil && member.Member.Group == head.Member.Group && member.Member.Epoch == head.Member.Epoch && member.Member.State != shedkeel.MemberJoining
+		if !wasReady && member.diedAt == 0 {
+			fleet.broken = append(fleet.broken, fmt.Sprintf("%s: %s opens while %s is not ready", fleet.now, head.Member.Group, id))
+		}
+	}
+}
+
+// tick lets time pass at the engines.
+func (fleet *fakeFleet) tick(step time.Duration) {
+	fleet.now += step
+	for _, late := range fleet.late {
+		if late.at <= fleet.now && fleet.servers[late.order.To].diedAt == 0 {
+			fleet.carryOut(late.order)
+		}
+	}
+	fleet.late = slices.DeleteFunc(fleet.late, func(late lateOrder) bool { return late.at <= fleet.now })
+	for _, server := range fleet.servers {
+		if server.diedAt != 0 {
+			continue
+		}
+		if server.loadAt != 0 && fleet.now >= server.loadAt {
+			server.Staged, server.loadAt = []shedkeel.ModelID{server.loadsTo}, 0
+		}
+		if server.Member == nil {
+			continue
+		}
+		if server.Member.State == shedkeel.MemberJoining && fleet.now >= server.readyAt {
+			server.Member.State = shedkeel.MemberReady
+			server.Staged = []shedkeel.ModelID{server.last}
+		}
+		fleet.stall(server)
+	}
+}
+
+// stall breaks an open group whose member has been missing for five seconds.
+func (fleet *fakeFleet) stall(head *fakeServer) {
+	if head.Member.State != shedkeel.MemberOpen {
+		head.stalled = 0
+		return
+	}
+	whole := !slices.ContainsFunc(head.list, func(id shedkeel.InstanceID) bool {
+		member := fleet.servers[id]
+		return member.diedAt != 0 || member.Member == nil || member.Member.Epoch != head.Member.Epoch
+	})
+	switch {
+	case whole:
+		head.stalled = 0
+	case head.stalled == 0:
+		head.stalled = fleet.now
+	case fleet.now-head.stalled > 5*time.Second:
+		head.Member.State = shedkeel.MemberBroken
+	}
+}
+
+// give hands a plan's orders to the servers; some answers are lost, and their
+// orders carried out late or not at all.
+func (fleet *fakeFleet) give(planner *Planner, actions []Action) {
+	for _, action := range actions {
+		server := fleet.servers[action.Order.To]
+		switch {
+		case server.diedAt != 0:
+			planner.Unanswered(action.Order, fleet.now)
+		case fleet.random.Float64() < fleet.loses:
+			planner.Unanswered(action.Order, fleet.now)
+			after := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
+			fleet.late = append(fleet.late, lateOrder{action.Order, fleet.now + after})
+		case fleet.carryOut(action.Order):
+			planner.Confirm(action.Order)
+		default:
+			planner.Refuse(action.Order)
+		}
+	}
+}
+
+// serving returns how many groups of each model are open and whole.
+func (fleet *fakeFleet) serving() map[shedkeel.ModelID]int {
+	counts := map[shedkeel.ModelID]int{}
+	for _, server := range fleet.servers {
+		if server.diedAt == 0 && server.Member != nil && server.Member.State == shedkeel.MemberOpen && server.stalled == 0 {
+			counts[ModelOf(server.Member.Group)]++
+		}
+	}
+	return counts
+}
+
+const testStep = 50 * time.Millisecond
+
+// play runs planner and fleet for a time.
+func (fleet *fakeFleet) play(planner *Planner, length time.Duration, traffic bool) {
+	for end := fleet.now + length; fleet.now < end; {
+		fleet.give(planner, planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: traffic}))
+		fleet.tick(testStep)
+	}
+}
+
+// newPlanner returns the planner of a term.
+func newPlanner(term uint64) *Planner {
+	epochs := uint64(0)
+	return &Planner{NextEpoch: func() uint64 {
+		epochs++
+		return term<<20 + epochs
+	}}
+}
+
+// kill ends a random server that lives, one of a group if there is any.
+func (fleet *fakeFleet) kill() {
+	var living []*fakeServer
+	for _, server := range fleet.servers {
+		if server.diedAt == 0 && server.Member != nil {
+			living = append(living, server)
+		}
+	}
+	slices.SortFunc(living, func(a, b *fakeServer) int { return cmpStrings(string(a.ID), string(b.ID)) })
+	if len(living) > 0 {
+		living[fleet.random.IntN(len(living))].diedAt = fleet.now
+	}
+}
+
+func TestFormsEveryGroupThatHasRoom(t *testing.T) {
+	fleet := newFakeFleet(1, 6, 8)
+	fleet.play(newPlanner(1), 30*time.Second, false)
+	assert.DeepEqual(t, fleet.serving(), map[shedkeel.ModelID]int{"large": 6, "small": 6})
+	assert.Equal(t, len(fleet.broken), 0, "%v", fleet.broken)
+}
+
+// TestRulesHoldUnderFaults kills members and planners while orders are lost or
+// carried out late, and checks that no rule of the engines is ever broken and
+// that the groups stand again afterwards.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	seeds := 40
+	if testing.Short() {
+		seeds = 5
+	}
+	for seed := range seeds {
+		fleet := newFakeFleet(uint64(seed), 6, 8)
+		term := uint64(1)
+		planner := newPlanner(term)
+		fleet.play(planner, 30*time.Second, false)
+		for round := range 12 {
+			fleet.loses = []float64{0, 0.3}[round%2]
+			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
+			fleet.kill()
+			fleet.add(shedkeel.DomainID(fmt.Sprintf("d%d", fleet.random.IntN(6))))
+			if fleet.random.IntN(3) == 0 {
+				term++
+				planner = newPlanner(term)
+			}
+		}
+		fleet.loses = 0
+		fleet.play(planner, time.Minute, true)
+		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
+		serving := fleet.serving()
+		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+	}
+}
+
+// TestRepairWithoutAnotherFormation covers a head that was once taken for its
+// own substitute: the group was then ordered anew each quarter of a second and
+// never stood.
+func TestRepairWithoutAnotherFormation(t *testing.T) {
+	fleet := newFakeFleet(3, 1, 4)
+	fleet.engine.Models = fleet.engine.Models[1:] // groups of two
+	planner := newPlanner(1)
+	fleet.play(planner, 30*time.Second, false)
+	for _, server := range fleet.servers {
+		if server.Member != nil && server.Member.Rank == 1 {
+			server.diedAt = fleet.now
+			break
+		}
+	}
+	formed := 0
+	for end := fleet.now + 4*time.Second; fleet.now < end; {
+		actions := planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: true})
+		for _, action := range actions {
+			if action.Order.Kind == shedkeel.OrderJoin {
+				assert.Equal(t, len(slices.Compact(slices.Sorted(slices.Values(action.Order.Members)))), 2, "a member twice: %v", action.Order.Members)
+				formed++
+			}
+		}
+		fleet.give(planner, actions)
+		fleet.tick(testStep)
+	}
+	assert.Equal(t, formed, 2, "one join for each member")
+	assert.Equal(t, fleet.serving()["small"], 1)
+}
+
+// TestSilentServerIsPassedOver covers a substitute that answers no order: the
+// group must form with another one.
+func TestSilentServerIsPassedOver(t *testing.T) {
+	planner := newPlanner(1)
+	fleet := newFakeFleet(4, 1, 8)
+	fleet.play(planner, 30*time.Second, false)
+	order := shedkeel.GroupOrder{Kind: shedkeel.OrderJoin, To: "s001"}
+	for range unansweredMax {
+		planner.Unanswered(order, fleet.now)
+	}
+	round := &round{planner: planner, input: Input{Now: fleet.now}}
+	assert.Assert(t, !round.usable(&fleet.servers["s001"].Instance))
+	round.input.Now += unreachableTime
+	assert.Assert(t, round.usable(&fleet.servers["s001"].Instance))
+}
+
+func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
+	fleet := newFakeFleet(5, 10, 8)
+	planner := newPlanner(1)
+	loads := []time.Duration{}
+	for end := 40 * time.Second; fleet.now < end; {
+		actions := planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: true})
+		for _, action := range actions {
+			if action.Order.Kind == shedkeel.OrderStage {
+				loads = append(loads, fleet.now)
+			}
+		}
+		fleet.give(planner, actions)
+		fleet.tick(testStep)
+		recent := 0
+		for _, at := range loads {
+			if fleet.now-at < loadWindow {
+				recent++
+			}
+		}
+		assert.Assert(t, recent <= 20, "%d loads within %s", recent, loadWindow)
+	}
+	assert.Assert(t, len(loads) > 20, "loads go on")
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -78,8 +78,7 @@
 }
 
 // formNew forms groups from free backend servers: again and again one of the
-// model with the most work for each of its groups, in the domain with the most
-// free ones, as long as the domain keeps its spares.
+// model with the most work for each of its groups, as long as there is room.
 func (round *round) formNew() {
 	counts := round.counts()
 	for range len(round.input.Instances) {
@@ -218,8 +217,9 @@
 	return share / float64(max(model.Size, 1))
 }
 
-// roomFor returns the settled domain with the most free backend servers that
-// still keeps its spares after a new group of the model.
+// roomFor returns the settled domain with the fewest free backend servers that
+// still keeps its spares after a new group of the model. Small groups so leave
+// the room that larger ones need.
 func (round *round) roomFor(model *shedkeel.Model, pick picker) (shedkeel.DomainID, bool) {
 	sizes := map[shedkeel.DomainID]int{}
 	var domains []shedkeel.DomainID
@@ -230,7 +230,7 @@
 		sizes[instance.Domain]++
 	}
 	slices.Sort(domains)
-	most := 0
+	least := math.MaxInt
 	var place shedkeel.DomainID
 	for _, domain := range domains {
 		if round.input.Now-round.planner.newest[domain] < settleTime {
@@ -243,11 +243,11 @@
 			spares = 0 // better one group than none
 		}
 		room := len(round.free(domain)) - model.Size - spares
-		if room >= 0 && room+1 > most && len(pick(domain, model, model.Size)) == model.Size {
-			most, place = room+1, domain
+		if room >= 0 && room < least && len(pick(domain, model, model.Size)) == model.Size {
+			least, place = room, domain
 		}
 	}
-	return place, most > 0
+	return place, least < math.MaxInt
 }
 
 // hasGroups reports whether the domain has groups that stand or are forming.
