--- a/formation/form.go
+++ b/formation/form.go
@@ -331,7 +331,7 @@
 		}
 	}
 	for id, forming := range round.planner.forming {
-		if _, place, _ := parseGroup(id); place == domain {
+		if _, place := parseGroup(id); place == domain {
 			members[forming.model] += len(forming.members)
 		}
 	}
--- a/formation/names.go
+++ b/formation/names.go
@@ -15,20 +15,21 @@
 	return shedkeel.GroupID(fmt.Sprintf("%s/%s/%d", model, domain, index))
 }
 
-func parseGroup(id shedkeel.GroupID) (shedkeel.ModelID, shedkeel.DomainID, int) {
+// parseGroup returns the model and the domain of a name, or "" if it is none
+// that groupName made.
+func parseGroup(id shedkeel.GroupID) (shedkeel.ModelID, shedkeel.DomainID) {
 	parts := strings.Split(string(id), "/")
 	if len(parts) != 3 {
-		return "", "", 0
+		return "", ""
 	}
-	index, err := strconv.Atoi(parts[2])
-	if err != nil {
-		return "", "", 0
+	if _, err := strconv.Atoi(parts[2]); err != nil {
+		return "", ""
 	}
-	return shedkeel.ModelID(parts[0]), shedkeel.DomainID(parts[1]), index
+	return shedkeel.ModelID(parts[0]), shedkeel.DomainID(parts[1])
 }
 
 // ModelOf returns the model that a group serves, or "" if its name is foreign.
 func ModelOf(id shedkeel.GroupID) shedkeel.ModelID {
-	model, _, _ := parseGroup(id)
+	model, _ := parseGroup(id)
 	return model
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -266,7 +266,7 @@
 
 // modelOf returns the model that a group's name tells, or nil.
 func (round *round) modelOf(id shedkeel.GroupID) *shedkeel.Model {
-	name, _, _ := parseGroup(id)
+	name, _ := parseGroup(id)
 	return round.input.Engine.Model(name)
 }
 
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,229 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/timer"
+)
+
+func record(key string, revision int64) shedkeel.Record {
+	return shedkeel.Record{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
+}
+
+func gone(key string, revision int64) shedkeel.Record {
+	return shedkeel.Record{Key: key, Revision: revision, Gone: true}
+}
+
+func TestApply(t *testing.T) {
+	cases := map[string]struct {
+		updates []Update
+		want    map[string]int64
+		at      int64
+		asOf    time.Duration
+	}{
+		"newer replaces older": {
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: 1, AsOf: 1}, {Records: []shedkeel.Record{record("a", 3)}, At: 3, AsOf: 2}},
+			want:    map[string]int64{"a": 3}, at: 3, asOf: 2,
+		},
+		"older never replaces newer": {
+			updates: []Update{{Records: []shedkeel.Record{record("a", 3)}, At: 3, AsOf: 2}, {Records: []shedkeel.Record{record("a", 1)}, At: 1, AsOf: 1}},
+			want:    map[string]int64{"a": 3}, at: 3, asOf: 2,
+		},
+		"a removed key does not come back": {
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: 1}, {Records: []shedkeel.Record{gone("a", 2)}, At: 2}, {Records: []shedkeel.Record{record("a", 1)}, At: 1}},
+			want:    map[string]int64{}, at: 2,
+		},
+		"a key may be made anew": {
+			updates: []Update{{Records: []shedkeel.Record{gone("a", 2)}, At: 2}, {Records: []shedkeel.Record{record("a", 3)}, At: 3}},
+			want:    map[string]int64{"a": 3}, at: 3,
+		},
+		"a whole copy removes what it lacks": {
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1), record("b", 2)}, At: 2}, {Records: []shedkeel.Record{record("b", 2)}, Whole: true, At: 5}},
+			want:    map[string]int64{"b": 2}, at: 5,
+		},
+		"a whole copy leaves what is newer": {
+			updates: []Update{{Records: []shedkeel.Record{record("a", 9)}, At: 9}, {Whole: true, At: 5}},
+			want:    map[string]int64{"a": 9}, at: 9,
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			mirror := &Mirror{}
+			for _, update := range test.updates {
+				mirror.Apply(update)
+			}
+			found := map[string]int64{}
+			for _, record := range mirror.Below("") {
+				found[record.Key] = record.Revision
+			}
+			assert.DeepEqual(t, found, test.want)
+			assert.Equal(t, mirror.State().At, test.at)
+			assert.Equal(t, mirror.State().AsOf, test.asOf)
+		})
+	}
+}
+
+// TestRelay has mirrors follow each other in random order and checks that each
+// ends with what the service holds, and that none ever steps back.
+func TestRelay(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		store := standin.NewStore()
+		first, second := &Mirror{}, &Mirror{}
+		newest := map[string]int64{}
+		second.Listen(func(records []shedkeel.Record) {
+			for _, record := range records {
+				assert.Assert(t, record.Revision > newest[record.Key], "seed %d: %s went back from %d to %d", seed, record.Key, newest[record.Key], record.Revision)
+				newest[record.Key] = record.Revision
+			}
+		})
+		for range 60 {
+			change(t, store, random)
+			switch random.IntN(4) {
+			case 0:
+				records, at := store.List("")
+				first.Apply(Update{Records: records, Whole: true, At: at})
+			case 1:
+				records, at, err := store.Changes(t.Context(), "", first.State().At, 0)
+				assert.NilError(t, err)
+				first.Apply(Update{Records: records, At: at})
+			default:
+				second.Apply(first.Since(second.State().At))
+			}
+		}
+		records, at := store.List("")
+		first.Apply(Update{Records: records, Whole: true, At: at})
+		second.Apply(first.Since(second.State().At))
+		assert.DeepEqual(t, second.Below(""), records)
+	}
+}
+
+func change(t *testing.T, store *standin.Store, random *rand.Rand) {
+	t.Helper()
+	key := fmt.Sprint("k", random.IntN(5))
+	if random.IntN(3) == 0 {
+		_, err := store.Commit(shedkeel.Change{Remove: []string{key}})
+		assert.NilError(t, err)
+		return
+	}
+	_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: key, Value: []byte("v")}}})
+	assert.NilError(t, err)
+}
+
+// source is a service that can be made to fail.
+type source struct {
+	*standin.Store
+	mutex sync.Mutex
+	fails error
+	calls int
+}
+
+func (source *source) enter() error {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.calls++
+	return source.fails
+}
+
+func (source *source) set(err error) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.fails = err
+}
+
+func (source *source) List(_ context.Context, prefix string) ([]shedkeel.Record, int64, error) {
+	if err := source.enter(); err != nil {
+		return nil, 0, err
+	}
+	records, at := source.Store.List(prefix)
+	return records, at, nil
+}
+
+func (source *source) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) ([]shedkeel.Record, int64, error) {
+	if err := source.enter(); err != nil {
+		return nil, 0, err
+	}
+	return source.Store.Changes(ctx, prefix, since, wait)
+}
+
+// peer relays another mirror.
+type peer struct {
+	mirror *Mirror
+	now    func() time.Duration
+}
+
+func (*peer) Name() string { return "peer" }
+
+func (peer *peer) Relay(_ context.Context, since int64, wait time.Duration) (Update, error) {
+	time.Sleep(min(wait, 5*time.Millisecond))
+	update := peer.mirror.Since(since)
+	update.AsOf -= peer.now()
+	return update, nil
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("it never came about: " + what)
+}
+
+// TestFollower covers an outage of the service, a history that is gone, and a
+// peer that takes the service's place.
+func TestFollower(t *testing.T) {
+	store := standin.NewStore()
+	from := &source{Store: store}
+	clock := &timer.System{}
+	own := &Mirror{}
+	other := &Mirror{}
+	var followed Peer
+	var mutex sync.Mutex
+	choose := func() Peer {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return followed
+	}
+	follower := &Follower{Mirror: own, Source: from, Timers: clock, Choose: choose}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	put := func(key string) {
+		_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: key, Value: []byte("v")}}})
+		assert.NilError(t, err)
+	}
+	put("a")
+	eventually(t, "the first copy", func() bool { return own.Get("a").Revision > 0 })
+
+	from.set(errors.New("away"))
+	put("b")
+	store.Forget()
+	time.Sleep(2 * retryPause)
+	from.set(nil)
+	eventually(t, "what changed while the service was away and forgot", func() bool { return own.Get("b").Revision > 0 })
+
+	from.set(errors.New("away"))
+	age := clock.Now() - own.State().AsOf
+	records, at := store.List("")
+	other.Apply(Update{Records: append(records, record("c", at+1)), Whole: true, At: at + 1, AsOf: clock.Now()})
+	mutex.Lock()
+	followed = &peer{mirror: other, now: clock.Now}
+	mutex.Unlock()
+	eventually(t, "what the peer has", func() bool { return own.Get("c").Revision > 0 })
+	assert.Assert(t, clock.Now()-own.State().AsOf < age+5*time.Second)
+	assert.Assert(t, own.State().AsOf <= clock.Now(), "proof from the future")
+	cancel()
+	running.Wait()
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,7 +58,6 @@
 
 	stopping atomic.Bool
 	served   atomic.Int64
-	running  sync.WaitGroup
 }
 
 // Stop has every answer from now on ask its caller to close the connection.
--- a/serve/send.go
+++ b/serve/send.go
@@ -21,7 +21,6 @@
 	errNoServer  = errors.New("no server may be sent to")
 	errFull      = errors.New("all servers have more requests than they can answer in time")
 	errNoBudget  = errors.New("no more repeats are allowed now")
-	errRuns      = errors.New("it has been tried on as many servers as its route allows")
 	errWrong     = errors.New("the answer belongs to another request or is not the server's own")
 	errNotWhole  = errors.New("the answer did not come whole")
 	errServerBad = errors.New("the server failed")
--- /dev/null
+++ b/serve/serve_test.go
@@ -0,0 +1,419 @@
+package serve
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// protocol is a plain way of naming things, for tests.
+type protocol struct{}
+
+func (protocol) Read(request *http.Request) (shedkeel.Call, error) {
+	call := shedkeel.Call{
+		ID: request.Header.Get("Id"), Host: request.Host, Path: request.URL.Path, Target: request.RequestURI, Key: request.Header.Get("Key"),
+		KeyCount: len(request.Header.Values("Key")), Model: shedkeel.ModelID(request.Header.Get("Model")), LastEvent: request.Header.Get("After"),
+	}
+	if text := request.Header.Get("Deadline"); text != "" {
+		deadline, err := time.ParseDuration(text)
+		if err != nil {
+			return call, &shedkeel.InvalidError{Where: "Deadline", What: err.Error(), Remedy: "write a duration"}
+		}
+		call.Deadline = deadline
+	}
+	return call, nil
+}
+
+func (protocol) Write(header http.Header, sending shedkeel.Sending) {
+	header.Del("Key")
+	header.Set("To", string(sending.To))
+	header.Set("Account", string(sending.Account))
+	header.Set("After", sending.LastEvent)
+	header.Set("Deadline", sending.Deadline.String())
+}
+
+func (protocol) Answer(response *http.Response) shedkeel.BackendAnswer {
+	return shedkeel.BackendAnswer{ID: response.Header.Get("Id"), Sealed: response.Header.Get("Seal") != "", NotRun: response.Header.Get("Not-Run") != ""}
+}
+
+// step is what a fake server does with one request.
+type step struct {
+	err      error
+	status   int
+	body     string
+	events   int           // of a stream: up to this number
+	cutAfter int           // break off after this event; 0: never
+	hangs    int           // be silent after this event; 0: never
+	unframed bool          // the end of the connection is the end of the answer
+	empty    time.Duration // wait before the answer
+	wrongID  bool
+	unsealed bool
+	notRun   bool
+}
+
+// backend follows a script, a step a request.
+type backend struct {
+	mutex    sync.Mutex
+	steps    []step
+	requests []*http.Request
+	bodies   []string
+}
+
+func (backend *backend) Send(request *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	backend.mutex.Lock()
+	backend.requests = append(backend.requests, request)
+	backend.bodies = append(backend.bodies, string(body))
+	next := step{body: "ok"}
+	if len(backend.steps) > 0 {
+		next, backend.steps = backend.steps[0], backend.steps[1:]
+	}
+	backend.mutex.Unlock()
+	if next.err != nil {
+		return nil, next.err
+	}
+	select {
+	case <-time.After(next.empty):
+	case <-request.Context().Done():
+		return nil, &shedkeel.UnknownRunError{Reason: "no answer", Cause: request.Context().Err()}
+	}
+	return next.response(request), nil
+}
+
+func (step *step) response(request *http.Request) *http.Response {
+	header := http.Header{"Id": {request.Header.Get("Id")}, "Seal": {request.Header.Get("To")}}
+	if step.wrongID {
+		header.Set("Id", "another")
+	}
+	if step.unsealed {
+		header.Del("Seal")
+	}
+	if step.notRun {
+		header.Set("Not-Run", "1")
+	}
+	response := &http.Response{StatusCode: max(step.status, 200), Header: header, ContentLength: int64(len(step.body))}
+	if step.events == 0 {
+		response.Body = io.NopCloser(strings.NewReader(step.body))
+		return response
+	}
+	response.ContentLength = -1
+	if !step.unframed {
+		response.TransferEncoding = []string{"chunked"}
+	}
+	reader, writer := io.Pipe()
+	go step.runStream(request, writer)
+	response.Body = reader
+	return response
+}
+
+func (step *step) runStream(request *http.Request, writer *io.PipeWriter) {
+	first := 1
+	_, _ = fmt.Sscanf(request.Header.Get("After"), "%d", &first)
+	if request.Header.Get("After") != "" {
+		first++
+	}
+	for number := first; number <= step.events; number++ {
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %d\n\n", number, number)
+		switch number {
+		case step.cutAfter:
+			_, _ = io.WriteString(writer, "id: 9")
+			_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		case step.hangs:
+			<-request.Context().Done()
+			_ = writer.CloseWithError(request.Context().Err())
+			return
+		}
+	}
+	_ = writer.Close()
+}
+
+// harness is a front with a scripted backend.
+type harness struct {
+	*Front
+	backend *backend
+	asOf    atomic.Int64
+	clock   timer.System
+}
+
+func testConfig() *shedkeel.ServingConfig {
+	one := 1
+	return &shedkeel.ServingConfig{
+		Version: 3, Limits: shedkeel.Limits{BodyBytes: 100},
+		Routes: []shedkeel.Route{
+			{ID: "stream", Host: "h", Prefix: "/s/", Kind: shedkeel.RequestStream, Resumable: true, Timeout: 2 * time.Second, MaxRuns: 2, Targets: []shedkeel.Target{{Service: "llm", Weight: 1}}},
+			{ID: "safe", Host: "h", Prefix: "/safe/", Kind: shedkeel.RequestSafe, Timeout: time.Second, MaxRuns: 2, Targets: []shedkeel.Target{{Service: "plain", Weight: 1}}},
+			{ID: "once", Host: "h", Prefix: "/once/", Kind: shedkeel.RequestOnce, Timeout: time.Second, MaxRuns: 1, Targets: []shedkeel.Target{{Service: "plain", Weight: 1}}},
+			{ID: "longer", Host: "h", Prefix: "/safe/open/", Kind: shedkeel.RequestSafe, Public: true, Timeout: 200 * time.Millisecond, MaxRuns: 2, Targets: []shedkeel.Target{{Service: "plain", Weight: 1}}},
+		},
+		Services: []shedkeel.RoutedService{{ID: "plain"}, {ID: "llm", Engine: &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2}}, Slots: 8}}},
+		Accounts: []shedkeel.KeyedAccount{{ID: "clerk", Keys: []string{"k1", "k2"}, Priority: &one}},
+	}
+}
+
+func newHarness(t *testing.T, steps ...step) *harness {
+	t.Helper()
+	harness := &harness{backend: &backend{steps: steps}}
+	table := &dispatch.Table{Random: rand.NewPCG(1, 2)}
+	servers := []dispatch.Server{}
+	for index := range 3 {
+		name := shedkeel.InstanceID(fmt.Sprint("p", index))
+		servers = append(servers, dispatch.Server{Service: "plain", Instance: name, Address: "plain:1", Slots: 4})
+		head := shedkeel.InstanceID(fmt.Sprint("g", index))
+		servers = append(servers, dispatch.Server{Service: "llm", Model: "m", Instance: head, Address: "group:1", Slots: 8, Group: shedkeel.Assignment{Group: shedkeel.GroupID(head), Epoch: 1}})
+	}
+	table.Replace(servers)
+	view := NewView(testConfig())
+	harness.asOf.Store(int64(harness.clock.Now()))
+	harness.Front = &Front{
+		Protocol: protocol{}, Backend: harness.backend, Table: table, Timers: &harness.clock,
+		Budget:  &Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10, Careful: 1},
+		Believe: func() Belief { return Belief{View: view, AsOf: time.Duration(harness.asOf.Load())} },
+		Nodes:   func() int { return 1 }, KeyAge: time.Second,
+	}
+	cancel := harness.clock.Subscribe(10*time.Millisecond, func(now time.Duration) { table.FindSilent(now) })
+	t.Cleanup(cancel)
+	return harness
+}
+
+// result is what a caller gets.
+type result struct {
+	*httptest.ResponseRecorder
+	broken bool // the connection was broken off
+}
+
+func (harness *harness) do(method, path, body string, header ...string) result {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Host = "h"
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Key", "k1")
+	for index := 0; index+1 < len(header); index += 2 {
+		request.Header.Set(header[index], header[index+1])
+	}
+	recorder := result{ResponseRecorder: httptest.NewRecorder()}
+	func() {
+		defer func() { recorder.broken = recover() != nil }()
+		harness.ServeHTTP(recorder.ResponseRecorder, request)
+	}()
+	return recorder
+}
+
+func events(from, to int) string {
+	var text strings.Builder
+	for number := from; number <= to; number++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", number, number)
+	}
+	return text.String()
+}
+
+var (
+	errRefusedConn = &shedkeel.NotRunError{Reason: "connection refused"}
+	errLost        = &shedkeel.UnknownRunError{Reason: "no answer", Cause: io.EOF}
+)
+
+// TestPlainOutcomes checks what a caller is told after each course of events:
+// 503 only if the request did not run and never will.
+func TestPlainOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		steps  []step
+		status int
+		sent   int
+	}{
+		"answered":                             {"/safe/x", []step{{body: "ok"}}, 200, 1},
+		"safe, failed once":                    {"/safe/x", []step{{status: 500}, {body: "ok"}}, 200, 2},
+		"safe, failed twice":                   {"/safe/x", []step{{status: 500}, {status: 500}, {}}, 500, 2},
+		"safe, answer lost":                    {"/safe/x", []step{{err: errLost}, {body: "ok"}}, 200, 2},
+		"safe, answer lost twice":              {"/safe/x", []step{{err: errLost}, {err: errLost}, {}}, 502, 2},
+		"safe, another's answer":               {"/safe/x", []step{{wrongID: true}, {body: "ok"}}, 200, 2},
+		"safe, unsigned":                       {"/safe/x", []step{{unsealed: true}, {body: "ok"}}, 200, 2},
+		"once, answered":                       {"/once/x", []step{{body: "ok"}}, 200, 1},
+		"once, the server's failure passes on": {"/once/x", []step{{status: 500}, {}}, 500, 1},
+		"once, answer lost":                    {"/once/x", []step{{err: errLost}, {}}, 502, 1},
+		"once, not sent":                       {"/once/x", []step{{err: errRefusedConn}, {body: "ok"}}, 200, 2},
+		"once, refused":                        {"/once/x", []step{{status: 503, notRun: true}, {body: "ok"}}, 200, 2},
+		"once, refused, then lost":             {"/once/x", []step{{status: 503, notRun: true}, {err: errLost}, {}}, 502, 2},
+		"once, refused by all":                 {"/once/x", []step{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}, 503, 3},
+		"once, another's answer":               {"/once/x", []step{{wrongID: true}, {}}, 502, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.steps...)
+			got := harness.do(http.MethodPost, test.path, "body")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Equal(t, len(harness.backend.requests), test.sent)
+			assert.Equal(t, got.Code == 503, got.Header().Get("Retry-After") != "", "a refusal tells when to come back")
+		})
+	}
+}
+
+func TestWhatIsOwed(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		header []string
+		body   string
+		status int
+	}{
+		"no route":              {"/none/", nil, "", 404},
+		"unknown key":           {"/safe/x", []string{"Key", "k9"}, "", 401},
+		"second key of account": {"/safe/x", []string{"Key", "k2"}, "", 200},
+		"public needs no key":   {"/safe/open/x", []string{"Key", "k9"}, "", 200},
+		"body too large":        {"/safe/x", nil, strings.Repeat("x", 101), 413},
+		"no duration":           {"/safe/x", []string{"Deadline", "soon"}, "", 400},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			got := harness.do(http.MethodPost, test.path, test.body, test.header...)
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+		})
+	}
+}
+
+func TestOldConfigurationAcceptsNoKeys(t *testing.T) {
+	harness := newHarness(t)
+	harness.asOf.Store(int64(harness.clock.Now() - harness.KeyAge - time.Second))
+	got := harness.do(http.MethodPost, "/safe/x", "")
+	assert.Equal(t, got.Code, 503)
+	assert.Equal(t, len(harness.backend.requests), 0)
+	assert.Equal(t, harness.do(http.MethodPost, "/safe/open/x", "").Code, 200, "public routes need no proof")
+}
+
+func TestRequestTravelsUnchanged(t *testing.T) {
+	harness := newHarness(t)
+	got := harness.do(http.MethodPost, "/safe/a%2Fb/../c?x=1&y=%20", "the body", "Connection", "X-Hop", "X-Hop", "1", "X-Other", "2")
+	assert.Equal(t, got.Code, 200)
+	sent := harness.backend.requests[0]
+	assert.Equal(t, sent.URL.RequestURI(), "/safe/a%2Fb/../c?x=1&y=%20")
+	assert.Equal(t, harness.backend.bodies[0], "the body")
+	assert.Equal(t, sent.Header.Get("X-Hop"), "")
+	assert.Equal(t, sent.Header.Get("X-Other"), "2")
+	assert.Equal(t, sent.Header.Get("Key"), "")
+	assert.Equal(t, sent.Header.Get("Account"), "clerk")
+}
+
+func TestLimitOfTime(t *testing.T) {
+	harness := newHarness(t, step{empty: time.Minute})
+	begun := time.Now()
+	got := harness.do(http.MethodPost, "/safe/open/x", "")
+	assert.Equal(t, got.Code, 504)
+	assert.Assert(t, time.Since(begun) < 400*time.Millisecond, "held for %s", time.Since(begun))
+}
+
+// TestStreams checks that a caller gets each event once and in order, and that
+// only a whole stream looks whole.
+func TestStreams(t *testing.T) {
+	cases := map[string]struct {
+		steps  []step
+		after  string
+		want   string
+		status int
+		broken bool
+		sent   int
+	}{
+		"whole":                            {[]step{{events: 5}}, "", events(1, 5), 200, false, 1},
+		"resumed by the caller":            {[]step{{events: 5}}, "3", events(4, 5), 200, false, 1},
+		"cut inside an event":              {[]step{{events: 5, cutAfter: 3}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"silent":                           {[]step{{events: 5, hangs: 2}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"silent before its first event":    {[]step{{empty: time.Minute}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"cut twice":                        {[]step{{events: 5, cutAfter: 2}, {events: 5, cutAfter: 4}, {events: 5}}, "", events(1, 4), 200, true, 2},
+		"answer lost, then resumed":        {[]step{{err: errLost}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"cut, then the answer is lost":     {[]step{{events: 5, cutAfter: 2}, {err: errLost}, {events: 5}}, "", events(1, 2), 200, true, 2},
+		"no frame shows where it ends":     {[]step{{events: 5, unframed: true}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"refused, then served":             {[]step{{status: 503, notRun: true}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"refused by all":                   {[]step{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}, "", "", 503, false, 3},
+		"the servers' failure passes on":   {[]step{{status: 500}, {status: 500}}, "", "", 500, false, 2},
+		"lost twice":                       {[]step{{err: errLost}, {err: errLost}}, "", "", 502, false, 2},
+		"another's answer":                 {[]step{{wrongID: true}, {events: 3}}, "", events(1, 3), 200, false, 2},
+		"refused connections draw nothing": {[]step{{err: errRefusedConn}, {err: errRefusedConn}, {events: 2}}, "", events(1, 2), 200, false, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.steps...)
+			got := harness.do(http.MethodPost, "/s/x", "prompt", "Model", "m", "After", test.after)
+			assert.Equal(t, got.broken, test.broken)
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			if test.status == 200 {
+				assert.Equal(t, got.Body.String(), test.want)
+			}
+			harness.backend.mutex.Lock()
+			defer harness.backend.mutex.Unlock()
+			assert.Equal(t, len(harness.backend.requests), test.sent)
+		})
+	}
+}
+
+// TestStreamKeepsFirstHead checks that a stream which goes on elsewhere keeps
+// the head, and so the signature, of its first server.
+func TestStreamKeepsFirstHead(t *testing.T) {
+	harness := newHarness(t, step{events: 4, cutAfter: 2}, step{events: 4})
+	got := harness.do(http.MethodPost, "/s/x", "", "Model", "m")
+	first := harness.backend.requests[0].Header.Get("To")
+	assert.Equal(t, got.Header().Get("Seal"), first)
+	assert.Assert(t, harness.backend.requests[1].Header.Get("To") != first)
+	assert.Equal(t, harness.backend.requests[1].Header.Get("After"), "2")
+}
+
+func TestBudget(t *testing.T) {
+	budget := &Budget{Ratio: 0.5, Window: 10 * time.Second, Slack: 4, Careful: 1}
+	now := time.Minute
+	count := func(nodes int) int {
+		allowed := 0
+		for budget.Repeat("s", nodes, now) {
+			allowed++
+		}
+		return allowed
+	}
+	assert.Equal(t, count(2), 2, "half of the slack")
+	for range 10 {
+		budget.First("s", now)
+	}
+	assert.Equal(t, count(2), 5, "and a part of the requests")
+	now += 9 * time.Second
+	assert.Equal(t, count(2), 0, "they count for a whole window")
+	now += 2 * time.Second
+	assert.Equal(t, count(2), 2, "then no more")
+	budget.Set(0, 5*time.Second, 8)
+	assert.Equal(t, count(2), 4)
+}
+
+// TestPlaces checks that requests are refused only when there are more than
+// the groups can run and keep waiting.
+func TestPlaces(t *testing.T) {
+	harness := newHarness(t)
+	places := 3 * 8 // groups and slots
+	request := httptest.NewRequest(http.MethodPost, "/s/x", nil)
+	onTime, late, refused := 0, 0, 0
+	for range 2 * places {
+		life := &life{front: harness.Front, request: request, service: "llm", call: shedkeel.Call{Model: "m"}, view: harness.Believe().View}
+		_, err := life.choose(harness.clock.Now())
+		switch {
+		case errors.Is(err, errFull):
+			refused++
+		case life.late:
+			late++
+		default:
+			onTime++
+		}
+	}
+	assert.Equal(t, onTime, 22, "places within onTimeFill")
+	assert.Equal(t, late, int(lateFill*float64(places)))
+	assert.Equal(t, onTime+late+refused, 2*places)
+}
--- a/serve/view.go
+++ b/serve/view.go
@@ -73,7 +73,7 @@
 	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(name))
-	point := int(hash.Sum32() % uint32(total)) //nolint:gosec // weights are small
+	point := int(hash.Sum32() % uint32(total))
 	for _, target := range route.Targets {
 		point -= max(target.Weight, 0)
 		if point < 0 {
