Take nothing new three seconds into a planned stop

Change: directory answers are kept 1 s; 3 s after SIGTERM the node refuses, then finishes what runs.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -63,12 +63,11 @@
 	return fleet
 }
 
-func (fleet *fakeFleet) add(domain shedkeel.DomainID) *fakeServer {
+func (fleet *fakeFleet) add(domain shedkeel.DomainID) {
 	fleet.named++
 	id := shedkeel.InstanceID(fmt.Sprintf("s%03d", fleet.named))
 	server := &fakeServer{Instance: shedkeel.Instance{ID: id, Service: "svc", Address: string(id), Domain: domain}}
 	fleet.servers[id] = server
-	return server
 }
 
 // instances returns the list of servers as the platform's store has it: dead
--- a/node/node.go
+++ b/node/node.go
@@ -25,9 +25,9 @@
 
 const (
 	// DirectoryKeep is how long callers may keep an answer of the directory.
-	// Some keep it three times as long; that must pass within the grace time
-	// of a planned stop.
-	DirectoryKeep = 2 * time.Second
+	// Some keep it three times as long. A stopping node serves on until then;
+	// what it takes up later could not end within the grace time.
+	DirectoryKeep = time.Second
 	// keptTimes is how many times longer some callers keep an answer.
 	keptTimes = 3
 	// stopMargin is how long before the end of the grace time a stopping node
@@ -173,7 +173,7 @@
 }
 
 // stop takes the node out of the directory, serves on while callers may still
-// hold its address, and finishes what runs.
+// hold its address, then refuses what still comes and finishes what runs.
 func (node *Node) stop(callers *http.Server) error {
 	begun := node.Timers.Now()
 	node.Log.Write(event.Stopping)
@@ -182,8 +182,9 @@
 	node.controller.resign()
 	node.member.update()
 	grace := time.Duration(node.Settings.Bounds.Grace)
-	forgotten := min(keptTimes*DirectoryKeep, grace*3/4)
+	forgotten := min(keptTimes*DirectoryKeep, grace*3/8)
 	time.Sleep(forgotten)
+	node.front.Refuse()
 	left := grace - stopMargin - (node.Timers.Now() - begun)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- a/serve/front.go
+++ b/serve/front.go
@@ -56,13 +56,17 @@
 	// accepted by it.
 	KeyAge time.Duration
 
-	stopping atomic.Bool
+	stopping atomic.Bool // callers are asked to leave
+	refusing atomic.Bool // nothing new is taken
 	served   atomic.Int64
 }
 
 // Stop has every answer from now on ask its caller to close the connection.
 func (front *Front) Stop() { front.stopping.Store(true) }
 
+// Refuse has requests that come from now on go elsewhere.
+func (front *Front) Refuse() { front.refusing.Store(true) }
+
 // Served returns how many requests have come.
 func (front *Front) Served() int64 { return front.served.Load() }
 
@@ -118,6 +122,9 @@
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	if life.front.refusing.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "this node is stopping", back: comeBackSoon}
+	}
 	belief := life.front.Believe()
 	if belief.View == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", back: comeBackSoon}
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -199,8 +199,8 @@
 	broken bool // the connection was broken off
 }
 
-func (harness *harness) do(method, path, body string, header ...string) result {
-	request := httptest.NewRequest(method, path, strings.NewReader(body))
+func (harness *harness) post(path, body string, header ...string) result {
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	request.Host = "h"
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Key", "k1")
@@ -256,7 +256,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t, test.steps...)
-			got := harness.do(http.MethodPost, test.path, "body")
+			got := harness.post(test.path, "body")
 			assert.Equal(t, got.Code, test.status, got.Body.String())
 			assert.Equal(t, len(harness.backend.requests), test.sent)
 			assert.Equal(t, got.Code == 503, got.Header().Get("Retry-After") != "", "a refusal tells when to come back")
@@ -281,7 +281,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t)
-			got := harness.do(http.MethodPost, test.path, test.body, test.header...)
+			got := harness.post(test.path, test.body, test.header...)
 			assert.Equal(t, got.Code, test.status, got.Body.String())
 		})
 	}
@@ -290,15 +290,29 @@
 func TestOldConfigurationAcceptsNoKeys(t *testing.T) {
 	harness := newHarness(t)
 	harness.asOf.Store(int64(harness.clock.Now() - harness.KeyAge - time.Second))
-	got := harness.do(http.MethodPost, "/safe/x", "")
+	got := harness.post("/safe/x", "")
 	assert.Equal(t, got.Code, 503)
 	assert.Equal(t, len(harness.backend.requests), 0)
-	assert.Equal(t, harness.do(http.MethodPost, "/safe/open/x", "").Code, 200, "public routes need no proof")
+	assert.Equal(t, harness.post("/safe/open/x", "").Code, 200, "public routes need no proof")
+}
+
+// TestPlannedStop covers a stop that took requests up so late that they could
+// not end within the grace time: they must be told to go elsewhere.
+func TestPlannedStop(t *testing.T) {
+	harness := newHarness(t)
+	harness.Stop()
+	got := harness.post("/safe/x", "")
+	assert.Equal(t, got.Code, 200, "callers may still hold the address")
+	assert.Equal(t, got.Header().Get("Connection"), "close")
+	harness.Refuse()
+	got = harness.post("/safe/x", "")
+	assert.Equal(t, got.Code, 503)
+	assert.Equal(t, len(harness.backend.requests), 1)
 }
 
 func TestRequestTravelsUnchanged(t *testing.T) {
 	harness := newHarness(t)
-	got := harness.do(http.MethodPost, "/safe/a%2Fb/../c?x=1&y=%20", "the body", "Connection", "X-Hop", "X-Hop", "1", "X-Other", "2")
+	got := harness.post("/safe/a%2Fb/../c?x=1&y=%20", "the body", "Connection", "X-Hop", "X-Hop", "1", "X-Other", "2")
 	assert.Equal(t, got.Code, 200)
 	sent := harness.backend.requests[0]
 	assert.Equal(t, sent.URL.RequestURI(), "/safe/a%2Fb/../c?x=1&y=%20")
@@ -312,7 +326,7 @@
 func TestLimitOfTime(t *testing.T) {
 	harness := newHarness(t, step{empty: time.Minute})
 	begun := time.Now()
-	got := harness.do(http.MethodPost, "/safe/open/x", "")
+	got := harness.post("/safe/open/x", "")
 	assert.Equal(t, got.Code, 504)
 	assert.Assert(t, time.Since(begun) < 400*time.Millisecond, "held for %s", time.Since(begun))
 }
@@ -347,7 +361,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t, test.steps...)
-			got := harness.do(http.MethodPost, "/s/x", "prompt", "Model", "m", "After", test.after)
+			got := harness.post("/s/x", "prompt", "Model", "m", "After", test.after)
 			assert.Equal(t, got.broken, test.broken)
 			assert.Equal(t, got.Code, test.status, got.Body.String())
 			if test.status == 200 {
@@ -364,7 +378,7 @@
 // the head, and so the signature, of its first server.
 func TestStreamKeepsFirstHead(t *testing.T) {
 	harness := newHarness(t, step{events: 4, cutAfter: 2}, step{events: 4})
-	got := harness.do(http.MethodPost, "/s/x", "", "Model", "m")
+	got := harness.post("/s/x", "", "Model", "m")
 	first := harness.backend.requests[0].Header.Get("To")
 	assert.Equal(t, got.Header().Get("Seal"), first)
 	assert.Assert(t, harness.backend.requests[1].Header.Get("To") != first)
