Leave groups alone that work though a member is no longer listed

Change: such a group is held 6 s, or until it gives no sign; then it finishes what runs before it is formed anew.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -393,6 +393,35 @@
 	assert.Assert(t, round.usable(&fleet.servers["s001"].Instance))
 }
 
+// TestMemberThatIsNoLongerListed covers servers that are cut off from the
+// service alone: their groups work on, and must not be formed anew at once.
+func TestMemberThatIsNoLongerListed(t *testing.T) {
+	fleet := newFakeFleet(6, 1, 8)
+	planner := newPlanner(1)
+	fleet.play(planner, 30*time.Second, false)
+	input := func(stalled map[shedkeel.Assignment]bool) Input {
+		listed := slices.DeleteFunc(fleet.instances(), func(instance shedkeel.Instance) bool {
+			return instance.Member != nil && instance.Member.Rank == 1 && ModelOf(instance.Member.Group) == "large"
+		})
+		return Input{Now: fleet.now, Engine: fleet.engine, Instances: listed, Stalled: stalled, Traffic: true}
+	}
+	var group shedkeel.Assignment
+	for _, server := range fleet.servers {
+		if server.Member != nil && ModelOf(server.Member.Group) == "large" {
+			group = shedkeel.Assignment{Group: server.Member.Group, Epoch: server.Member.Epoch}
+		}
+	}
+	assert.Equal(t, len(planner.Plan(input(nil))), 0, "a group that works was touched")
+	fleet.now += absentTime
+	actions := planner.Plan(input(nil))
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderClose, "it finishes what runs first")
+
+	fleet.now += time.Second
+	actions = planner.Plan(input(map[shedkeel.Assignment]bool{group: true}))
+	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderJoin, "a group that stands still is formed anew at once")
+}
+
 func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
 	fleet := newFakeFleet(5, 10, 8)
 	planner := newPlanner(1)
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -68,11 +68,15 @@
 }
 
 func (round *round) mend(group *observed) {
+	assignment := shedkeel.Assignment{Group: group.id, Epoch: group.epoch}
 	intact, draining := true, false
 	for _, member := range group.members {
 		intact = intact && member != nil && !round.input.Dead[member.ID]
 		draining = draining || member != nil && member.Draining
 	}
+	if intact {
+		delete(round.planner.absent, assignment)
+	}
 	state := group.headState()
 	if state == "" {
 		if _, noted := round.planner.headless[group.id]; !noted {
@@ -96,11 +100,40 @@
 		round.giveHead(group, shedkeel.OrderOpen, "all members are ready")
 	case intact && !draining && someJoining(group):
 		round.hold(group)
+	case round.worksOn(group, intact):
+		round.hold(group)
 	default:
 		round.repair(group)
 	}
 }
 
+// worksOn reports whether an open group is to be left alone for now though
+// members are no longer listed.
+func (round *round) worksOn(group *observed, intact bool) bool {
+	assignment := shedkeel.Assignment{Group: group.id, Epoch: group.epoch}
+	if intact || round.input.Stalled[assignment] || !round.usable(group.head()) || group.headState() != shedkeel.MemberOpen {
+		return false
+	}
+	for _, member := range group.members {
+		if member != nil && !round.usable(member) {
+			return false
+		}
+	}
+	since, noted := round.planner.absent[assignment]
+	if !noted {
+		since = round.input.Now
+		round.planner.absent[assignment] = since
+	}
+	if round.input.Now-since < absentTime {
+		return true
+	}
+	round.keep(round.survivors(group))
+	if round.canMend(group) {
+		round.giveHead(group, shedkeel.OrderClose, "a member is no longer listed")
+	}
+	return true
+}
+
 func allReady(group *observed) bool {
 	return !slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool {
 		return member.Member.State != shedkeel.MemberReady
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -46,6 +46,10 @@
 	unansweredMax = 2
 	// unreachableTime is how long it is passed over then.
 	unreachableTime = 3 * time.Second
+	// absentTime is how long a group that goes on working is left alone though
+	// a member is no longer listed: cut off from the service alone, it comes
+	// back; leaving without a word, it serves on for some seconds.
+	absentTime = 6 * time.Second
 	// enough is the part of the neediest model's need from which another
 	// model gets no more groups: what is left stays spare.
 	enough = 0.5
@@ -55,8 +59,9 @@
 type Input struct {
 	Now       time.Duration
 	Engine    *shedkeel.Engine
-	Instances []shedkeel.Instance // of the service, as listed
-	Dead      map[shedkeel.InstanceID]bool
+	Instances []shedkeel.Instance          // of the service, as listed
+	Dead      map[shedkeel.InstanceID]bool // they answer no probe
+	Stalled   map[shedkeel.Assignment]bool // groups that give their requests no sign
 	Demand    map[shedkeel.ModelID]float64 // part of the work; empty: as configured
 	Traffic   bool                         // callers are being served, so loads are bounded
 }
@@ -71,6 +76,7 @@
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
 	headless map[shedkeel.GroupID]time.Duration    // head missing since
+	absent   map[shedkeel.Assignment]time.Duration // a member missing since
 	loads    []time.Duration                       // when load orders were given
 	loading  map[shedkeel.InstanceID]loading       // ordered to load onto the host
 	silent   map[shedkeel.InstanceID]int           // orders in a row without an answer
@@ -164,6 +170,7 @@
 		planner.sent = map[orderKey]time.Duration{}
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
 		planner.headless = map[shedkeel.GroupID]time.Duration{}
+		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.loading = map[shedkeel.InstanceID]loading{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
--- a/node/controller.go
+++ b/node/controller.go
@@ -36,6 +36,9 @@
 	// are passed over: those of all nodes come within it.
 	suspectPause = 400 * time.Millisecond
 
+	// stalledTime is how long a group counts as giving no sign after a notice.
+	stalledTime = 2 * time.Second
+
 	leadKey = "shedkeel/lead"
 	termKey = "shedkeel/term"
 )
@@ -246,7 +249,7 @@
 			dead[instance] = true
 		}
 		actions := planner.Plan(formation.Input{
-			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Traffic: node.front.Served() > 0,
+			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Stalled: controller.stalled(now), Traffic: node.front.Served() > 0,
 		})
 		controller.mutex.Unlock()
 		for _, action := range actions {
@@ -255,6 +258,21 @@
 	}
 }
 
+// stalled returns the groups that were lately said to give no sign. The mutex
+// is held.
+func (controller *controller) stalled(now time.Duration) map[shedkeel.Assignment]bool {
+	found := map[shedkeel.Assignment]bool{}
+	for group, at := range controller.followed {
+		switch {
+		case now-at < stalledTime:
+			found[group] = true
+		case now-at > time.Minute:
+			delete(controller.followed, group)
+		}
+	}
+	return found
+}
+
 // runOrder gives one order and tells the planner what became of it.
 func (controller *controller) runOrder(ctx context.Context, planner *formation.Planner, action formation.Action) {
 	node := controller.node
