Keep the loads under way for the next planner; free members once their head has left

Cause: a planner that took over ordered the same loads again, which began them anew; members of a group that was given up were held 5.5 s more. Change: loads under way stand in the store; a confirmed leave frees the members.

--- a/event/event.go
+++ b/event/event.go
@@ -68,6 +68,7 @@
 	MemberDead      = Event{643, slog.LevelWarn, "member of a replica group does not answer"}
 	MemberAlive     = Event{644, slog.LevelInfo, "member of a replica group answers again"}
 	LeaseRenewFail  = Event{645, slog.LevelWarn, "lease of this node was not renewed"}
+	LoadsNotKept    = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
 
 // Catalog returns all events.
@@ -78,7 +79,7 @@
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
-		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, LeaseRenewFail,
+		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, LeaseRenewFail, LoadsNotKept,
 	}
 }
 
--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -422,6 +422,27 @@
 	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderJoin, "a group that stands still is formed anew at once")
 }
 
+// TestLoadsAreAdopted covers a planner that ordered the loads of its forerunner
+// anew, which began them again: with planners that changed every few seconds
+// no spare was ever ready.
+func TestLoadsAreAdopted(t *testing.T) {
+	fleet := newFakeFleet(7, 1, 8)
+	former := newPlanner(1)
+	fleet.play(former, 30*time.Second, false)
+	fleet.add("d0")
+	fleet.add("d0")
+	fleet.play(former, 2*time.Second, true)
+	loading := former.Loading()
+	assert.Equal(t, len(loading), 2)
+	next := newPlanner(2)
+	next.Adopt(loading, fleet.engine, fleet.now)
+	for end := fleet.now + 10*time.Second; fleet.now < end; {
+		actions := next.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: true})
+		assert.Equal(t, len(actions), 0, "%v", actions)
+		fleet.tick(testStep)
+	}
+}
+
 func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
 	fleet := newFakeFleet(5, 10, 8)
 	planner := newPlanner(1)
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -210,6 +210,9 @@
 // headMayServe reports whether a head that was lost may still be serving, or
 // stand still, as far as its engine is concerned.
 func (round *round) headMayServe(group *observed) bool {
+	if round.planner.left[shedkeel.Assignment{Group: group.id, Epoch: group.epoch}] {
+		return false
+	}
 	since, noted := round.planner.headless[group.id]
 	if !noted {
 		since = round.input.Now
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -76,6 +76,7 @@
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
 	headless map[shedkeel.GroupID]time.Duration    // head missing since
+	left     map[shedkeel.Assignment]bool          // their heads have confirmed that they left
 	absent   map[shedkeel.Assignment]time.Duration // a member missing since
 	loads    []time.Duration                       // when load orders were given
 	loading  map[shedkeel.InstanceID]loading       // ordered to load onto the host
@@ -131,6 +132,9 @@
 // Confirm tells that an engine took the order.
 func (planner *Planner) Confirm(order shedkeel.GroupOrder) {
 	delete(planner.silent, order.To)
+	if order.Kind == shedkeel.OrderLeave {
+		planner.left[shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}] = true
+	}
 	forming := planner.forming[order.Group]
 	if forming == nil || order.Kind != shedkeel.OrderJoin || forming.epoch != order.Epoch {
 		return
@@ -141,6 +145,27 @@
 	}
 }
 
+// Loading returns the models that servers were ordered to load onto their
+// hosts and have not yet.
+func (planner *Planner) Loading() map[shedkeel.InstanceID]shedkeel.ModelID {
+	found := map[shedkeel.InstanceID]shedkeel.ModelID{}
+	for id, loading := range planner.loading {
+		found[id] = loading.model
+	}
+	return found
+}
+
+// Adopt takes over the loads that a former planner ordered: another order
+// would begin them anew. It is called before the first Plan.
+func (planner *Planner) Adopt(models map[shedkeel.InstanceID]shedkeel.ModelID, engine *shedkeel.Engine, now time.Duration) {
+	planner.loading = map[shedkeel.InstanceID]loading{}
+	for id, model := range models {
+		if known := engine.Model(model); known != nil {
+			planner.loading[id] = loading{model: model, until: now + known.Load + known.Load/4}
+		}
+	}
+}
+
 // Unanswered tells that the answer to an order did not come; the order may
 // still be carried out.
 func (planner *Planner) Unanswered(order shedkeel.GroupOrder, now time.Duration) {
@@ -170,11 +195,14 @@
 		planner.sent = map[orderKey]time.Duration{}
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
 		planner.headless = map[shedkeel.GroupID]time.Duration{}
+		planner.left = map[shedkeel.Assignment]bool{}
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
-		planner.loading = map[shedkeel.InstanceID]loading{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
 	}
+	if planner.loading == nil {
+		planner.loading = map[shedkeel.InstanceID]loading{}
+	}
 	for _, instance := range input.Instances {
 		if _, known := planner.seen[instance.ID]; !known {
 			planner.seen[instance.ID] = input.Now
--- a/node/controller.go
+++ b/node/controller.go
@@ -41,6 +41,8 @@
 
 	leadKey = "shedkeel/lead"
 	termKey = "shedkeel/term"
+	// loadsPrefix is below where the loads under way stand, by service.
+	loadsPrefix = "shedkeel/loads/"
 )
 
 // leadRecord says who plans. It goes with the leader's lease.
@@ -69,6 +71,8 @@
 	probing  map[shedkeel.InstanceID]bool
 	dead     map[shedkeel.InstanceID]time.Duration // probed again then
 	vacant   time.Duration                         // since when no one leads
+	// kept are the loads as written last. Only the planning loop uses it.
+	kept map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID
 }
 
 func (controller *controller) prepare() {
@@ -76,6 +80,7 @@
 	controller.suspects = map[shedkeel.Assignment]time.Duration{}
 	controller.followed = map[shedkeel.Assignment]time.Duration{}
 	controller.probing = map[shedkeel.InstanceID]bool{}
+	controller.kept = map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID{}
 	controller.dead = map[shedkeel.InstanceID]time.Duration{}
 }
 
@@ -239,11 +244,7 @@
 	for id, instances := range node.fleet.groupServices() {
 		controller.probeSuspects(ctx, instances, now)
 		controller.mutex.Lock()
-		planner := controller.planners[id]
-		if planner == nil {
-			planner = &formation.Planner{NextEpoch: controller.nextEpoch}
-			controller.planners[id] = planner
-		}
+		planner := controller.planner(id, view.Service(id).Engine, now)
 		dead := map[shedkeel.InstanceID]bool{}
 		for instance := range controller.dead {
 			dead[instance] = true
@@ -251,11 +252,57 @@
 		actions := planner.Plan(formation.Input{
 			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Stalled: controller.stalled(now), Traffic: node.front.Served() > 0,
 		})
+		loading := planner.Loading()
 		controller.mutex.Unlock()
 		for _, action := range actions {
 			go controller.runOrder(ctx, planner, action)
 		}
+		controller.keepLoads(ctx, id, loading)
+	}
+}
+
+// planner returns the planner of a service. A new one goes on with the loads
+// that its forerunner ordered. The mutex is held.
+func (controller *controller) planner(id shedkeel.ServiceID, engine *shedkeel.Engine, now time.Duration) *formation.Planner {
+	if planner := controller.planners[id]; planner != nil {
+		return planner
+	}
+	planner := &formation.Planner{NextEpoch: controller.nextEpoch}
+	controller.planners[id] = planner
+	record := controller.node.mirror.Get(loadsPrefix + string(id))
+	if record.Revision == 0 {
+		return planner
+	}
+	var loading map[shedkeel.InstanceID]shedkeel.ModelID
+	if err := json.Unmarshal(record.Value, &loading); err != nil {
+		controller.node.Log.Write(event.RecordSkipped, slog.String("key", record.Key), slog.String("error", err.Error()))
+		return planner
+	}
+	planner.Adopt(loading, engine, now)
+	controller.kept[id] = loading
+	return planner
+}
+
+// keepLoads writes which loads are under way, for the next planner.
+func (controller *controller) keepLoads(ctx context.Context, id shedkeel.ServiceID, loading map[shedkeel.InstanceID]shedkeel.ModelID) {
+	node := controller.node
+	added := false
+	for instance, model := range loading {
+		added = added || controller.kept[id][instance] != model
+	}
+	if !added {
+		return // one that has ended does no harm to the next planner
+	}
+	value, err := json.Marshal(loading)
+	if err != nil {
+		return // a map of strings can always be written
+	}
+	_, err = node.Store.Commit(ctx, shedkeel.Change{Put: []shedkeel.Put{{Key: loadsPrefix + string(id), Value: value}}})
+	if err != nil {
+		node.Log.Write(event.LoadsNotKept, slog.String("error", err.Error()))
+		return
 	}
+	controller.kept[id] = loading
 }
 
 // stalled returns the groups that were lately said to give no sign. The mutex
