--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -443,6 +443,22 @@
 	}
 }
 
+// TestLostLoadIsOrderedAgain covers an order to load whose answer was lost:
+// the server was taken for loading for half a minute and did nothing.
+func TestLostLoadIsOrderedAgain(t *testing.T) {
+	fleet := newFakeFleet(8, 1, 8)
+	planner := newPlanner(1)
+	fleet.play(planner, 30*time.Second, false)
+	fleet.add("d0")
+	fleet.loses = 1
+	fleet.play(planner, 1500*time.Millisecond, true)
+	fleet.loses, fleet.late = 0, nil
+	fleet.play(planner, unreachableTime+17*time.Second, true)
+	for _, server := range fleet.servers {
+		assert.Assert(t, len(server.Staged) == 1, "%s has loaded nothing", server.ID)
+	}
+}
+
 func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
 	fleet := newFakeFleet(5, 10, 8)
 	planner := newPlanner(1)
--- a/formation/form.go
+++ b/formation/form.go
@@ -275,6 +275,11 @@
 // stageSpares has free backend servers load weights ahead of need: each domain
 // gets spares for the models that its groups serve, in turn.
 func (round *round) stageSpares() {
+	for id, loading := range round.planner.loading {
+		if !loading.confirmed && round.usable(round.byID[id]) {
+			round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderStage, To: id, Model: loading.model}, "the answer to this order was lost")
+		}
+	}
 	done := map[shedkeel.DomainID]bool{}
 	for index := range round.input.Instances {
 		domain := round.input.Instances[index].Domain
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -87,8 +87,9 @@
 
 // loading is a load onto a host that was ordered.
 type loading struct {
-	model shedkeel.ModelID
-	until time.Duration // given up then
+	model     shedkeel.ModelID
+	until     time.Duration // given up then
+	confirmed bool          // the server has said that it loads
 }
 
 type orderKey struct {
@@ -132,6 +133,7 @@
 // Confirm tells that an engine took the order.
 func (planner *Planner) Confirm(order shedkeel.GroupOrder) {
 	delete(planner.silent, order.To)
+	planner.confirmLoad(order)
 	if order.Kind == shedkeel.OrderLeave {
 		planner.left[shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}] = true
 	}
@@ -145,6 +147,13 @@
 	}
 }
 
+func (planner *Planner) confirmLoad(order shedkeel.GroupOrder) {
+	if known, busy := planner.loading[order.To]; busy && order.Kind == shedkeel.OrderStage && known.model == order.Model {
+		known.confirmed = true
+		planner.loading[order.To] = known
+	}
+}
+
 // Loading returns the models that servers were ordered to load onto their
 // hosts and have not yet.
 func (planner *Planner) Loading() map[shedkeel.InstanceID]shedkeel.ModelID {
@@ -161,7 +170,7 @@
 	planner.loading = map[shedkeel.InstanceID]loading{}
 	for id, model := range models {
 		if known := engine.Model(model); known != nil {
-			planner.loading[id] = loading{model: model, until: now + known.Load + known.Load/4}
+			planner.loading[id] = loading{model: model, until: now + known.Load + known.Load/4, confirmed: true}
 		}
 	}
 }
@@ -179,7 +188,8 @@
 // Refuse tells that an engine said that an order does not fit its state.
 func (planner *Planner) Refuse(order shedkeel.GroupOrder) {
 	if order.Kind == shedkeel.OrderStage {
-		return // it is loading already, by the order of a former planner
+		planner.confirmLoad(order) // it is loading already, by an order whose answer was lost
+		return
 	}
 	forming := planner.forming[order.Group]
 	if forming != nil && order.Kind == shedkeel.OrderJoin && forming.epoch == order.Epoch {
