--- a/event/event.go
+++ b/event/event.go
@@ -25,6 +25,7 @@
 	Failed          = Event{103, slog.LevelError, "process failed"}
 	Reloaded        = Event{104, slog.LevelInfo, "settings read again"}
 	ReloadFailed    = Event{105, slog.LevelError, "settings cannot be read again; those in force stay"}
+	LinesLeftOut    = Event{106, slog.LevelWarn, "log lines were left out"}
 	StoreAway       = Event{200, slog.LevelWarn, "key-value service does not answer"}
 	StoreBack       = Event{201, slog.LevelInfo, "key-value service answers again"}
 	StoreOlder      = Event{202, slog.LevelWarn, "key-value service holds an older record than is in force"}
@@ -74,7 +75,7 @@
 // Catalog returns all events.
 func Catalog() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
+		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesLeftOut, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
@@ -86,6 +87,50 @@
 // Log writes numbered events. The zero value drops them.
 type Log struct {
 	Logger *slog.Logger
+
+	limits *limits // nil: every line is written
+	queue  *Queue  // nil: lines are written at once
+}
+
+// NewBoundedLog returns a log like NewLog's whose volume is bounded and that
+// never waits for its reader. Report is to be called about once a second.
+func NewBoundedLog(writer io.Writer, level string) (*Log, error) {
+	queue := NewQueue(writer)
+	log, err := NewLog(queue, level)
+	if err != nil {
+		queue.Close()
+		return nil, err
+	}
+	log.limits = &limits{}
+	log.queue = queue
+	return log, nil
+}
+
+// With returns a log whose lines carry the fields; it shares the bounds.
+func (log *Log) With(fields ...any) *Log {
+	with := *log
+	with.Logger = log.Logger.With(fields...)
+	return &with
+}
+
+// Report logs how many lines were left out since the last report, if any.
+func (log *Log) Report() {
+	if log == nil || log.limits == nil {
+		return
+	}
+	for number, count := range log.limits.takeSkipped() {
+		log.write(LinesLeftOut, slog.Int("of", number), slog.Int64("count", count))
+	}
+	if count := log.queue.Dropped(); count > 0 {
+		log.write(LinesLeftOut, slog.Int64("count", count))
+	}
+}
+
+// Close writes what waits. Nothing may be logged afterwards.
+func (log *Log) Close() {
+	if log != nil && log.queue != nil {
+		log.queue.Close()
+	}
 }
 
 // NewLog returns a log that writes JSON lines of at least the named level. Its
@@ -100,9 +145,13 @@
 
 // Write logs an event with further fields.
 func (log *Log) Write(event Event, fields ...slog.Attr) {
-	if log == nil || log.Logger == nil {
+	if log == nil || log.Logger == nil || log.limits != nil && !log.limits.allow(event) {
 		return
 	}
+	log.write(event, fields...)
+}
+
+func (log *Log) write(event Event, fields ...slog.Attr) {
 	fields = append([]slog.Attr{slog.Int("event", event.Number)}, fields...)
 	log.Logger.LogAttrs(context.Background(), event.Level, event.Text, fields...)
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -53,3 +54,52 @@
 	assert.ErrorContains(t, err, "debug, info, warn or error")
 	(*Log)(nil).Write(Started)
 }
+
+// stuck is a reader that never reads.
+type stuck struct{ release chan struct{} }
+
+func (stuck *stuck) Write(line []byte) (int, error) {
+	<-stuck.release
+	return len(line), nil
+}
+
+// TestLogNeverBlocks fills the pipe of a reader that does not read.
+func TestLogNeverBlocks(t *testing.T) {
+	reader := &stuck{release: make(chan struct{})}
+	queue := NewQueue(reader)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 2 * queueLines {
+			_, _ = queue.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a writer waited for the reader")
+	}
+	assert.Assert(t, queue.Dropped() >= queueLines-1)
+	close(reader.release)
+	queue.Close()
+}
+
+// TestVolumeIsBounded checks that routine lines give out long before failures
+// do, and that what was left out is said.
+func TestVolumeIsBounded(t *testing.T) {
+	var buffer bytes.Buffer
+	log, err := NewBoundedLog(&buffer, "info")
+	assert.NilError(t, err)
+	for range 3 * routineRate {
+		log.With("node", "n").Write(Answered)
+		log.Write(Refused)
+	}
+	log.Report()
+	log.Close()
+	count := func(number int) int {
+		return bytes.Count(buffer.Bytes(), fmt.Appendf(nil, `"event":%d`, number))
+	}
+	assert.Assert(t, count(Answered.Number) < routineRate*3/2)
+	assert.Equal(t, count(Refused.Number), 3*routineRate, "a failure was left out before what went well")
+	assert.Equal(t, count(LinesLeftOut.Number), 1)
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -242,11 +242,25 @@
 		}
 	}
 	for _, instances := range found {
-		slices.SortFunc(instances, func(a, b shedkeel.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		sortInstances(instances)
 	}
 	return found
 }
 
+// sortedInstances returns the backend servers by name. The mutex is held.
+func (fleet *fleet) sortedInstances() []shedkeel.Instance {
+	var found []shedkeel.Instance
+	for _, instance := range fleet.instances {
+		found = append(found, instance)
+	}
+	sortInstances(found)
+	return found
+}
+
+func sortInstances(instances []shedkeel.Instance) {
+	slices.SortFunc(instances, func(a, b shedkeel.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
 func (fleet *fleet) sortedNodes() []nodeRecord {
 	var found []nodeRecord
 	for _, node := range fleet.nodes {
--- a/node/node.go
+++ b/node/node.go
@@ -117,10 +117,13 @@
 	node.table.Random = node.Random
 	bounds := node.Settings.Bounds
 	node.front = serve.Front{
-		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log, Metrics: node.Metrics,
+		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
 		Believe: node.believe, Nodes: node.fleet.nodeCount, KeyAge: time.Duration(float64(bounds.Revoke) * keyShare),
 	}
+	if node.Metrics != nil {
+		node.front.Meter = serve.NewMeter(node.Metrics.Scope)
+	}
 	node.fleet.node = node
 	node.peers.node = node
 	node.member.node = node
@@ -139,7 +142,7 @@
 		node.serve(listeners.Readiness, faces.Readiness),
 	}
 	if listeners.Metrics != nil {
-		servers = append(servers, node.serve(listeners.Metrics, node.Metrics.Page))
+		servers = append(servers, node.serve(listeners.Metrics, node.adminHandler()))
 	}
 	node.running.Go(func() { _ = callers.Serve(listeners.Callers) })
 	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers}
@@ -150,12 +153,14 @@
 	node.running.Go(func() { node.member.run(working) })
 	node.running.Go(func() { node.controller.run(working) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.watchSilence)
+	cancelReport := node.Timers.Subscribe(time.Second, node.report)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
 
 	<-ctx.Done()
 	err := node.stop(callers)
 	cancelFleet()
 	cancelSilence()
+	cancelReport()
 	cancelWork()
 	for _, server := range servers {
 		_ = server.Close()
--- a/program/node.go
+++ b/program/node.go
@@ -61,11 +61,12 @@
 		_, err := fmt.Fprintln(command.Root().Writer, "settings are valid")
 		return err
 	}
-	log, err := event.NewLog(os.Stdout, settings.Log.Level)
+	log, err := event.NewBoundedLog(os.Stdout, settings.Log.Level)
 	if err != nil {
 		return err
 	}
-	log = &event.Log{Logger: log.Logger.With(slog.String("node", string(settings.Node)))}
+	defer log.Close()
+	log = log.With(slog.String("node", string(settings.Node)))
 	listeners, err := listenNode(settings)
 	if err != nil {
 		return err
--- a/serve/front.go
+++ b/serve/front.go
@@ -18,7 +18,6 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
-	"shedkeel.org/shedkeel/metrics"
 )
 
 const (
@@ -47,7 +46,7 @@
 	Budget   *Budget
 	Timers   shedkeel.Timers
 	Log      *event.Log
-	Metrics  *metrics.Metrics
+	Meter    *Meter // nil: nothing is counted
 	// Believe returns what is in force.
 	Believe func() Belief
 	// Nodes returns how many processes share the bounds.
@@ -207,16 +206,25 @@
 func (life *life) end(err error) {
 	var refused *refusal
 	took := life.front.Timers.Now() - life.began
+	meter := life.front.meter()
 	switch {
 	case err == nil:
+		count(meter.answered)
+		record(meter.took, took)
 		life.log(event.Answered, append(life.outcome, slog.Duration("took", took), slog.Int("sendings", life.sendings))...)
 		return
 	case errors.Is(err, errBroken):
+		count(meter.broken)
 		life.log(event.BrokenOff, slog.Duration("took", took), slog.Int("sendings", life.sendings), slog.String("reason", err.Error()))
 		panic(http.ErrAbortHandler) // the caller must not take what it got for whole
 	case !errors.As(err, &refused):
 		refused = &refusal{status: http.StatusBadGateway, reason: err.Error()}
 	}
+	if refused.status == http.StatusServiceUnavailable {
+		count(meter.refused)
+	} else {
+		count(meter.failed)
+	}
 	header := life.writer.Header()
 	if refused.back > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.back.Seconds(), 'f', 3, 64))
@@ -225,6 +233,14 @@
 	http.Error(life.writer, refused.reason, refused.status)
 }
 
+// meter returns where the front counts.
+func (front *Front) meter() *Meter {
+	if front.Meter == nil {
+		return &Meter{}
+	}
+	return front.Meter
+}
+
 func (life *life) log(kind event.Event, fields ...slog.Attr) {
 	fields = append(fields, slog.String("request", life.call.ID))
 	if life.route != nil {
--- /dev/null
+++ b/serve/meter.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Meter counts what becomes of requests. The zero value counts nothing.
+type Meter struct {
+	answered      tally.Counter
+	refused       tally.Counter
+	failed        tally.Counter
+	broken        tally.Counter
+	moves         tally.Counter
+	sendingFailed tally.Counter
+	noBudget      tally.Counter
+	noServer      tally.Counter
+	first         tally.Histogram
+	pause         tally.Histogram
+	took          tally.Histogram
+}
+
+// NewMeter returns a meter in the scope. Its buckets lie around the objectives
+// of the users' sites, 150 to 500 ms, and end at their deadlines.
+func NewMeter(scope tally.Scope) *Meter {
+	buckets := tally.DurationBuckets{}
+	for _, millis := range []int{20, 50, 100, 150, 200, 250, 300, 400, 500, 700, 1000, 1500, 2500, 4000, 8000} {
+		buckets = append(buckets, time.Duration(millis)*time.Millisecond)
+	}
+	return &Meter{
+		answered: scope.Counter("requests_answered"), refused: scope.Counter("requests_refused"), failed: scope.Counter("requests_failed"),
+		broken: scope.Counter("answers_broken_off"), moves: scope.Counter("streams_moved"), sendingFailed: scope.Counter("sendings_failed"),
+		noBudget: scope.Counter("repeats_not_allowed"), noServer: scope.Counter("no_server_found"),
+		first: scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
+	}
+}
+
+func count(counter tally.Counter) {
+	if counter != nil {
+		counter.Inc(1)
+	}
+}
+
+func record(histogram tally.Histogram, length time.Duration) {
+	if histogram != nil {
+		histogram.RecordDuration(length)
+	}
+}
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -38,6 +38,7 @@
 		if err == nil {
 			worst, err = answer, errServerBad
 		}
+		count(life.front.meter().sendingFailed)
 		life.log(event.SendingFailed, slog.String("server", string(choice.Instance)), slog.String("reason", err.Error()))
 		reason = err
 		life.notSent(err)
--- a/serve/send.go
+++ b/serve/send.go
@@ -46,6 +46,7 @@
 // choose picks the server for the next sending.
 func (life *life) choose(now time.Duration) (*dispatch.Choice, error) {
 	if life.sendings > 0 && !life.front.Budget.Repeat(life.service, life.front.Nodes(), now) {
+		count(life.front.meter().noBudget)
 		return nil, errNoBudget
 	}
 	model := life.call.Model
@@ -59,6 +60,7 @@
 	}
 	choice := life.front.Table.Choose(dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now})
 	if choice == nil {
+		count(life.front.meter().noServer)
 		return nil, errNoServer
 	}
 	life.tried = append(life.tried, choice.Instance)
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -128,6 +128,7 @@
 	silent := stream.sources[0]
 	silent.stalled = true
 	stream.timing.moves++
+	count(stream.front.meter().moves)
 	err := stream.start(ctx)
 	outcome := "begun at another server"
 	if err != nil {
@@ -274,6 +275,8 @@
 		if !stream.begun {
 			stream.writeHead(news.source.response, -1)
 		}
+		record(stream.front.meter().first, stream.timing.first)
+		record(stream.front.meter().pause, stream.timing.longest)
 		stream.outcome = []slog.Attr{
 			slog.Duration("first", stream.timing.first), slog.Duration("pause", stream.timing.longest), slog.Int("moves", stream.timing.moves),
 			slog.String("server", string(news.source.choice.Instance)), slog.String("group", string(news.source.choice.Group.Group)),
@@ -294,6 +297,7 @@
 	} else {
 		stream.mayRun = true
 	}
+	count(stream.front.meter().sendingFailed)
 	stream.log(event.SendingFailed, slog.String("server", string(news.source.choice.Instance)), slog.Int64("after", stream.last), slog.String("reason", news.err.Error()))
 	if len(stream.sources) > 0 {
 		return nil
