--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,304 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/config"
+	"shedkeel.org/shedkeel/engine"
+	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/node"
+	"shedkeel.org/shedkeel/platform"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// world is a store, backend servers and nodes, each at an address of its own.
+type world struct {
+	t      *testing.T
+	data   *standin.Store
+	store  *httptest.Server
+	fleet  *platformstandin.Fleet
+	nodes  []*runningNode
+	client *http.Client
+}
+
+type runningNode struct {
+	*node.Node
+	callers   string
+	directory string
+	readiness string
+	stop      context.CancelFunc
+	ended     sync.WaitGroup
+}
+
+const testConfig = `{"version":%d,
+ "routes":[
+  {"name":"r1","host":"h.example","path_prefix":"/copy/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":2,"resume_streams":true,"service":"llm"},
+  {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"}],
+ "services":[
+  {"name":"llm","health_path":"/health","max_connections":100,"engine":{"slots":8,"models":[{"name":"m0","size":2,"share":1,"pace":1,"load_s":0.3,"warmup_s":0.2}],"read_per_s":46000,"loads_per_s":4,"loads_at_once":6,"form_ms":100}},
+  {"name":"plain","health_path":"/health","max_connections":50}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"shop","api_keys":[%s]}]}`
+
+func newWorld(t *testing.T, nodes int) *world {
+	t.Helper()
+	world := &world{t: t, data: standin.NewStore(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	world.store = httptest.NewServer((&platformstandin.Store{Data: world.data}).Handler())
+	t.Cleanup(world.store.Close)
+	world.fleet = &platformstandin.Fleet{
+		Data: world.data, Step: 10 * time.Millisecond,
+		Models: map[string]platformstandin.Timing{"m0": {Size: 2, Load: 300 * time.Millisecond, Warmup: 200 * time.Millisecond, Rejoin: 50 * time.Millisecond}},
+	}
+	world.configure(1, `"key-1","key-2"`)
+	for index := range 8 {
+		world.serve(&platformstandin.Server{ID: fmt.Sprint("engine-", index), Service: "llm", Domain: fmt.Sprint("rack-", index/4)})
+	}
+	for index := range 2 {
+		world.serve(&platformstandin.Server{ID: fmt.Sprint("plain-", index), Service: "plain"})
+	}
+	for index := range nodes {
+		world.start(index)
+	}
+	return world
+}
+
+func (world *world) configure(version int, keys string) {
+	_, err := world.data.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, testConfig, version, keys)}}})
+	assert.NilError(world.t, err)
+}
+
+func (world *world) serve(server *platformstandin.Server) {
+	http := httptest.NewUnstartedServer(server)
+	server.Address = http.Listener.Addr().String()
+	world.fleet.Add(server)
+	http.Start()
+	world.t.Cleanup(func() {
+		http.CloseClientConnections()
+		http.Close()
+	})
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func (world *world) start(index int) {
+	t := world.t
+	listeners := node.Listeners{Callers: listen(t), Directory: listen(t), Readiness: listen(t), Control: listen(t)}
+	settings := config.DefaultNodeSettings()
+	settings.Node = shedkeel.NodeID(fmt.Sprint("node-", index))
+	settings.Zone = "z"
+	settings.Wire.Key = "k"
+	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second)
+	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String()}
+	transport := &engine.Transport{DialTimeout: 250 * time.Millisecond, IdleTimeout: time.Second}
+	process := &node.Node{
+		Settings: settings, Incarnation: shedkeel.NewNonce(),
+		Store:   &platform.Store{Address: strings.TrimPrefix(world.store.URL, "http://"), Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
+		Decoder: platform.Decoder{}, Protocol: platform.Callers{}, Backend: transport,
+		Engines: &platform.Engines{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
+		Timers:  &timer.System{}, Random: rand.NewPCG(uint64(index), 1),
+	}
+	process.Prepare()
+	ctx, stop := context.WithCancel(context.Background())
+	running := &runningNode{
+		Node: process, stop: stop, callers: listeners.Callers.Addr().String(),
+		directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(),
+	}
+	faces := node.Faces{
+		Directory: &platform.Directory{Addresses: process.Addresses, Keep: node.DirectoryKeep},
+		Readiness: &platform.Readiness{Ready: process.Ready},
+	}
+	running.ended.Go(func() { _ = process.Run(ctx, listeners, faces) })
+	world.nodes = append(world.nodes, running)
+	t.Cleanup(func() {
+		stop()
+		running.ended.Wait()
+		transport.Close()
+	})
+}
+
+// send sends one request and returns its status and body; 0 if the answer did
+// not come whole.
+func (world *world) send(address, id, path, key string, tokens int) (int, string) {
+	request, err := http.NewRequestWithContext(world.t.Context(), http.MethodPost, "http://"+address+path, strings.NewReader("x"))
+	assert.NilError(world.t, err)
+	request.Host = "h.example"
+	for name, value := range map[string]string{"X-Shedkeel-Attempt-Id": id, "X-Shedkeel-Key": key, "X-Shedkeel-Deadline-Ms": "8000", "X-Shedkeel-Model": "m0", "X-Shedkeel-Token-Usage": fmt.Sprint("100,", tokens)} {
+		request.Header.Set(name, value)
+	}
+	response, err := world.client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (world *world) eventually(what string, holds func() bool) {
+	world.t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	world.t.Fatal("it never came about: " + what)
+}
+
+func wholeStream(events int) string {
+	var text strings.Builder
+	for number := 1; number <= events; number++ {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", number, number)
+	}
+	return text.String()
+}
+
+func (world *world) addresses(index int) []string {
+	response, err := world.client.Get("http://" + world.nodes[index].directory + "/shedkeel/resolve?name=h.example&zone=z") //nolint:noctx // a test
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// TestWholePath covers, over the platform's protocol: groups are formed, calls
+// are answered, a member is lost in mid-stream, a key is removed, the store is
+// away, and a node stops as planned.
+func TestWholePath(t *testing.T) {
+	world := newWorld(t, 3)
+	world.eventually("groups that serve", func() bool { return len(world.fleet.Serving()["m0"]) >= 2 })
+	world.eventually("a stream", func() bool {
+		status, body := world.send(world.nodes[0].callers, shedkeel.NewNonce(), "/copy/a", "key-1", 50)
+		return status == 200 && body == wholeStream(10)
+	})
+	for _, node := range world.nodes {
+		world.eventually("a plain call", func() bool {
+			status, body := world.send(node.callers, shedkeel.NewNonce(), "/look/a%2Fb?x=1", "key-2", 0)
+			return status == 200 && body == "POST /look/a%2Fb?x=1 for shop"
+		})
+	}
+	status, _ := world.send(world.nodes[1].callers, "a1", "/look/x", "key-9", 0)
+	assert.Equal(t, status, 401)
+	status, _ = world.send(world.nodes[1].callers, "a2", "/none/x", "key-1", 0)
+	assert.Equal(t, status, 404)
+
+	world.loseMember()
+	world.removeKey()
+	world.loseStore()
+	world.stopNode()
+}
+
+// loseMember kills a member of each group but one while streams run.
+func (world *world) loseMember() {
+	heads := world.fleet.Serving()["m0"]
+	victims := map[string]bool{}
+	for _, head := range heads[1:] {
+		victims[head.Members()[1]] = true
+	}
+	var calls sync.WaitGroup
+	results := make([]string, 12)
+	for index := range results {
+		calls.Go(func() {
+			status, body := world.send(world.nodes[index%3].callers, fmt.Sprint("lost-", index), "/copy/a", "key-1", 200)
+			results[index] = fmt.Sprint(status, " ", body)
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	for victim := range victims {
+		world.fleet.Kill(victim)
+	}
+	calls.Wait()
+	for index, result := range results {
+		assert.Equal(world.t, result, "200 "+wholeStream(40), "stream %d", index)
+		assert.Assert(world.t, world.fleet.Ran(fmt.Sprint("lost-", index)) <= 2)
+	}
+	for victim := range victims {
+		assert.NilError(world.t, world.fleet.Lapse(victim))
+	}
+	world.eventually("the groups are whole again", func() bool { return len(world.fleet.Serving()["m0"]) >= len(heads) })
+}
+
+// removeKey removes a key: no node may accept it any more.
+func (world *world) removeKey() {
+	world.configure(2, `"key-2"`)
+	for _, node := range world.nodes {
+		world.eventually("the key is refused", func() bool {
+			status, _ := world.send(node.callers, shedkeel.NewNonce(), "/look/x", "key-1", 0)
+			return status == 401
+		})
+	}
+}
+
+// loseStore takes the store away: what is proved serves on for a while, then
+// keys are refused with 503, and its return brings all back.
+func (world *world) loseStore() {
+	world.data.SetFaults(standin.Faults{Outage: true})
+	status, _ := world.send(world.nodes[0].callers, "store-1", "/look/x", "key-2", 0)
+	assert.Equal(world.t, status, 200, "an outage is no reason to refuse at once")
+	world.eventually("keys are refused without proof", func() bool {
+		status, _ := world.send(world.nodes[0].callers, shedkeel.NewNonce(), "/look/x", "key-2", 0)
+		return status == 503
+	})
+	world.data.SetFaults(standin.Faults{})
+	world.eventually("keys are accepted again", func() bool {
+		status, _ := world.send(world.nodes[0].callers, shedkeel.NewNonce(), "/look/x", "key-2", 0)
+		return status == 200
+	})
+}
+
+// stopNode stops a node as planned: it leaves the directory at once, serves on
+// a while, and finishes what runs.
+func (world *world) stopNode() {
+	stopping := world.nodes[2]
+	world.eventually("all nodes are told", func() bool { return len(world.addresses(0)) == 3 })
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		status, body := world.send(stopping.callers, "stop-1", "/copy/a", "key-2", 200)
+		assert.Equal(world.t, status, 200)
+		assert.Equal(world.t, body, wholeStream(40))
+	})
+	time.Sleep(50 * time.Millisecond)
+	stopping.stop()
+	world.eventually("it is not ready", func() bool {
+		response, err := world.client.Get("http://" + stopping.readiness + "/shedkeel/ready") //nolint:noctx // a test
+		if err != nil {
+			return true
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	status, _ := world.send(stopping.callers, "stop-2", "/look/x", "key-2", 0)
+	assert.Equal(world.t, status, 200, "callers may still hold its address")
+	world.eventually("the others no longer name it", func() bool { return len(world.addresses(0)) == 2 })
+	calls.Wait()
+	stopping.ended.Wait()
+}
