--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -199,8 +199,8 @@
 }
 
 // tick lets time pass at the engines.
-func (fleet *fakeFleet) tick(step time.Duration) {
-	fleet.now += step
+func (fleet *fakeFleet) tick() {
+	fleet.now += testStep
 	for _, late := range fleet.late {
 		if late.at <= fleet.now && fleet.servers[late.order.To].diedAt == 0 {
 			fleet.carryOut(late.order)
@@ -282,7 +282,7 @@
 func (fleet *fakeFleet) play(planner *Planner, length time.Duration, traffic bool) {
 	for end := fleet.now + length; fleet.now < end; {
 		fleet.give(planner, planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: traffic}))
-		fleet.tick(testStep)
+		fleet.tick()
 	}
 }
 
@@ -371,7 +371,7 @@
 			}
 		}
 		fleet.give(planner, actions)
-		fleet.tick(testStep)
+		fleet.tick()
 	}
 	assert.Equal(t, formed, 2, "one join for each member")
 	assert.Equal(t, fleet.serving()["small"], 1)
@@ -439,7 +439,7 @@
 	for end := fleet.now + 10*time.Second; fleet.now < end; {
 		actions := next.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Dead: fleet.dead(), Traffic: true})
 		assert.Equal(t, len(actions), 0, "%v", actions)
-		fleet.tick(testStep)
+		fleet.tick()
 	}
 }
 
@@ -471,7 +471,7 @@
 			}
 		}
 		fleet.give(planner, actions)
-		fleet.tick(testStep)
+		fleet.tick()
 		recent := 0
 		for _, at := range loads {
 			if fleet.now-at < loadWindow {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -176,7 +176,7 @@
 }
 
 func (world *world) addresses(index int) []string {
-	response, err := world.client.Get("http://" + world.nodes[index].directory + "/shedkeel/resolve?name=h.example&zone=z") //nolint:noctx // a test
+	response, err := world.client.Get("http://" + world.nodes[index].directory + "/shedkeel/resolve?name=h.example&zone=z")
 	if err != nil {
 		return nil
 	}
@@ -289,7 +289,7 @@
 	time.Sleep(50 * time.Millisecond)
 	stopping.stop()
 	world.eventually("it is not ready", func() bool {
-		response, err := world.client.Get("http://" + stopping.readiness + "/shedkeel/ready") //nolint:noctx // a test
+		response, err := world.client.Get("http://" + stopping.readiness + "/shedkeel/ready")
 		if err != nil {
 			return true
 		}
--- a/program/operator.go
+++ b/program/operator.go
@@ -92,6 +92,10 @@
 			{Name: "drain", Usage: "take a box out of service", ArgsUsage: "BOX", Action: drain},
 			{Name: "undrain", Usage: "put a box back into service", ArgsUsage: "BOX", Action: undrain},
 			{Name: "dump", Usage: "print the state of the process at --keeper", Action: dump},
+			{Name: "trace", Usage: "tell a request's or a group's story from the logs of nodes", ArgsUsage: "[FILE...]", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "request", Usage: "the request's `ID`, as its caller sent it"},
+				&cli.StringFlag{Name: "group", Usage: "the replica group's `NAME`"},
+			}, Action: traceLogs},
 			{Name: "policy", Usage: "work on policies", Commands: []*cli.Command{
 				{Name: "check", Usage: "check a policy and show what it would decide", ArgsUsage: "FILE", Flags: []cli.Flag{
 					&cli.IntFlag{Name: "members", Value: 8, Usage: "boxes in a group"},
