Use a member only once its head has confirmed that it left

Change: a group that is given up is left by its head first, whatever state it is listed in; only broken groups and silent heads are spared that. The soak of real processes is begun.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -46,6 +46,8 @@
 	loses   float64 // part of orders whose answer is lost
 	broken  []string
 	named   int
+	lag     int // how many steps late the list is
+	past    [][]shedkeel.Instance
 }
 
 type lateOrder struct {
@@ -70,9 +72,15 @@
 	fleet.servers[id] = server
 }
 
-// instances returns the list of servers as the platform's store has it: dead
-// ones stay for three heartbeats.
+// instances returns the list of servers as a planner sees it, late.
 func (fleet *fakeFleet) instances() []shedkeel.Instance {
+	fleet.past = append(fleet.past, fleet.listed())
+	return fleet.past[max(len(fleet.past)-1-fleet.lag, 0)]
+}
+
+// listed returns the list of servers as the platform's store has it: dead ones
+// stay for three heartbeats.
+func (fleet *fakeFleet) listed() []shedkeel.Instance {
 	var listed []shedkeel.Instance
 	for _, server := range fleet.servers {
 		if server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond {
@@ -328,6 +336,7 @@
 		fleet := newFakeFleet(uint64(seed), 6, 8)
 		term := uint64(1)
 		planner := newPlanner(term)
+		fleet.lag = seed % 4 // a list may be 150 ms late
 		fleet.play(planner, 30*time.Second, false)
 		for round := range 12 {
 			fleet.loses = []float64{0, 0.3}[round%2]
@@ -459,6 +468,39 @@
 	}
 }
 
+// TestReadyHeadMayBeOpening covers a head that was ordered to open and is
+// still listed as ready: it was used as a substitute while it served (TWO).
+// Its members are free only once it has confirmed that it left.
+func TestReadyHeadMayBeOpening(t *testing.T) {
+	member := func(id string, group shedkeel.GroupID, rank int, state shedkeel.MemberState) shedkeel.Instance {
+		return shedkeel.Instance{
+			ID: shedkeel.InstanceID(id), Domain: "d", Staged: []shedkeel.ModelID{"small"}, Models: []shedkeel.ModelID{"small"},
+			Member: &shedkeel.Membership{Group: group, Epoch: 7, Rank: rank, State: state},
+		}
+	}
+	listed := []shedkeel.Instance{
+		member("a0", "small/d/1", 0, shedkeel.MemberReady), member("a1", "small/d/1", 1, shedkeel.MemberReady),
+		member("b0", "small/d/2", 0, shedkeel.MemberOpen), member("b1", "small/d/2", 1, shedkeel.MemberReady),
+	}
+	planner := newPlanner(1)
+	input := Input{Now: time.Minute, Engine: testEngine(), Instances: listed, Traffic: true}
+	actions := planner.Plan(input)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderOpen)
+
+	input.Now += testStep
+	input.Dead = map[shedkeel.InstanceID]bool{"a1": true, "b1": true}
+	actions = planner.Plan(input)
+	for _, action := range actions {
+		assert.Equal(t, action.Order.Kind, shedkeel.OrderLeave, "%v", action.Order)
+		planner.Confirm(action.Order)
+	}
+	assert.Assert(t, len(actions) > 0)
+	input.Now += testStep
+	actions = planner.Plan(input)
+	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderJoin)
+}
+
 func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
 	fleet := newFakeFleet(5, 10, 8)
 	planner := newPlanner(1)
--- a/formation/form.go
+++ b/formation/form.go
@@ -33,12 +33,7 @@
 		if group.epoch != instance.Member.Epoch {
 			return false // its group was formed anew without it
 		}
-		head := group.head()
-		if head == nil || !round.usable(head) {
-			return round.headMayServe(group)
-		}
-		state := head.Member.State
-		return state == shedkeel.MemberOpen || state == shedkeel.MemberClosing
+		return round.headMayServe(group)
 	}
 	return false
 }
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -78,7 +78,7 @@
 		delete(round.planner.absent, assignment)
 	}
 	state := group.headState()
-	if state == "" {
+	if !round.usable(group.head()) {
 		if _, noted := round.planner.headless[group.id]; !noted {
 			round.planner.headless[group.id] = round.input.Now
 		}
@@ -195,24 +195,27 @@
 	for _, member := range members {
 		delete(round.used, member.ID)
 	}
-	head := group.head()
 	switch {
-	case round.usable(head) && head.Member.State != shedkeel.MemberReady && head.Member.State != shedkeel.MemberJoining && head.Member.State != shedkeel.MemberBroken:
+	case !round.headMayServe(group):
+		// Its members are free.
+	case round.usable(group.head()):
 		round.hold(group)
 		round.giveHead(group, shedkeel.OrderLeave, "a member is lost and there is no substitute")
-	case round.usable(head):
-		// The head does not serve; its members are free.
-	case round.headMayServe(group):
+	default:
 		round.hold(group)
 	}
 }
 
-// headMayServe reports whether a head that was lost may still be serving, or
-// stand still, as far as its engine is concerned.
+// headMayServe reports whether the head of a group may be serving, or stand
+// still, as far as its engine is concerned. One that is listed as ready may be
+// opening by an order that is still under way, of a former planner too.
 func (round *round) headMayServe(group *observed) bool {
 	if round.planner.left[shedkeel.Assignment{Group: group.id, Epoch: group.epoch}] {
 		return false
 	}
+	if round.usable(group.head()) {
+		return group.headState() != shedkeel.MemberBroken
+	}
 	since, noted := round.planner.headless[group.id]
 	if !noted {
 		since = round.input.Now
--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"shedkeel.org/shedkeel/internal/standin"
+)
+
+// runFaults breaks things one after another for a while, and mends each.
+func (world *world) runFaults(random *rand.Rand, length time.Duration) {
+	kinds := []func(*rand.Rand) string{
+		world.killNode, world.stopNode, world.freezeNode, world.cutStore, world.loseServer, world.spoilServer,
+		world.drainServer, world.storeFault, world.removeKey, world.hangUp,
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		what := kinds[random.IntN(len(kinds))](random)
+		world.mutex.Lock()
+		world.faults = append(world.faults, time.Now().Format("05.000 ")+what)
+		world.mutex.Unlock()
+		time.Sleep(between(random, 50, 600))
+	}
+}
+
+func between(random *rand.Rand, least, most int64) time.Duration {
+	return time.Duration(least+random.Int64N(most-least)) * time.Millisecond
+}
+
+func (world *world) node(random *rand.Rand) *process {
+	return world.nodes[random.IntN(len(world.nodes))]
+}
+
+func (world *world) killNode(random *rand.Rand) string {
+	node := world.node(random)
+	node.end(syscall.SIGKILL)
+	time.Sleep(between(random, 100, 1200))
+	world.startNode(node)
+	return "killed and restarted " + node.name
+}
+
+func (world *world) stopNode(random *rand.Rand) string {
+	node := world.node(random)
+	node.end(syscall.SIGTERM)
+	world.startNode(node)
+	return "stopped and restarted " + node.name
+}
+
+func (world *world) freezeNode(random *rand.Rand) string {
+	node := world.node(random)
+	length := between(random, 200, 2500)
+	node.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	node.signal(syscall.SIGCONT)
+	return fmt.Sprintf("froze %s for %s", node.name, length)
+}
+
+func (world *world) hangUp(random *rand.Rand) string {
+	node := world.node(random)
+	node.signal(syscall.SIGHUP)
+	return "SIGHUP to " + node.name
+}
+
+func (world *world) cutStore(random *rand.Rand) string {
+	node := world.node(random)
+	manner := []manner{delayed, silent, deaf, refusing}[random.IntN(4)]
+	node.store.set(manner)
+	length := between(random, 300, 3000)
+	time.Sleep(length)
+	node.store.set(passing)
+	return fmt.Sprintf("store of %s in manner %d for %s", node.name, manner, length)
+}
+
+// loseServer kills a server of a group or a plain one. Its record goes as after
+// three heartbeats; another server comes.
+func (world *world) loseServer(random *rand.Rand) string {
+	service, id := world.victim(random)
+	if id == "" {
+		return "no server to lose"
+	}
+	world.fleet.Kill(id)
+	time.AfterFunc(1500*time.Millisecond, func() {
+		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
+	})
+	world.replaceServer(random, service)
+	return "lost " + id
+}
+
+func (world *world) replaceServer(random *rand.Rand, service string) {
+	domain := ""
+	if service == "llm" {
+		domain = fmt.Sprint("rack-", random.IntN(2))
+	}
+	world.addServer(service, domain)
+}
+
+// victim returns a server that still lives, one of three of the plain ones.
+func (world *world) victim(random *rand.Rand) (service, id string) {
+	living := world.fleet.Living()
+	slices.Sort(living)
+	if len(living) < 8 {
+		return "", ""
+	}
+	id = living[random.IntN(len(living))]
+	service = "llm"
+	if id[:5] == "plain" {
+		service = "plain"
+	}
+	return service, id
+}
+
+func (world *world) spoilServer(random *rand.Rand) string {
+	_, id := world.victim(random)
+	world.mutex.Lock()
+	way := world.servers[id]
+	world.mutex.Unlock()
+	if way == nil {
+		return "no server to spoil"
+	}
+	manner := []manner{delayed, silent, refusing}[random.IntN(3)]
+	way.set(manner)
+	length := between(random, 200, 2000)
+	time.Sleep(length)
+	way.set(passing)
+	return fmt.Sprintf("way to %s in manner %d for %s", id, manner, length)
+}
+
+func (world *world) drainServer(random *rand.Rand) string {
+	service, id := world.victim(random)
+	if id == "" {
+		return "no server to drain"
+	}
+	world.fleet.Drain(id)
+	time.AfterFunc(3*time.Second, func() {
+		world.fleet.Kill(id)
+		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
+	})
+	world.replaceServer(random, service)
+	return "drained " + id
+}
+
+func (world *world) storeFault(random *rand.Rand) string {
+	faults := []standin.Faults{{Outage: true}, {DelayMS: 200}, {LoseReplies: 3}}[random.IntN(3)]
+	world.data.SetFaults(faults)
+	length := between(random, 200, 2500)
+	time.Sleep(length)
+	world.data.SetFaults(standin.Faults{})
+	if random.IntN(2) == 0 {
+		world.data.Forget()
+	}
+	return fmt.Sprintf("store %+v for %s", faults, length)
+}
+
+func (world *world) removeKey(*rand.Rand) string {
+	world.configure()
+	return "a key removed, another added"
+}
