Follow other mirrors for longer, and from the start

Change: patience of 1.5 s; a node that is not listed yet follows others; changes gather for 150 ms in a process's first 4 s.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -21,14 +21,19 @@
 	// relayWait is the same for a question to another mirror.
 	relayWait = 300 * time.Millisecond
 	// staleAge is the age from which a follower of another mirror asks the
-	// service itself: a watch of the other, its answer and a question to it.
-	staleAge = watchWait + relayWait + 100*time.Millisecond
+	// service itself: a watch of the other and two questions to it, which come
+	// at any moment of the watch, and their answers.
+	staleAge = watchWait + 2*relayWait + 200*time.Millisecond
 	// proofWait is how long a watch waits that is to prove the age of a copy
 	// that has become stale.
 	proofWait = 50 * time.Millisecond
 	// gatherPause is how long changes are let gather after some have come:
 	// they come in bursts, and each answer costs a call.
 	gatherPause = 25 * time.Millisecond
+	// startPause is the same in startTime, while all processes of a fleet and
+	// its backend servers may be recording themselves.
+	startPause = 150 * time.Millisecond
+	startTime  = 4 * time.Second
 	// retryPause is the pause after a failed question; it doubles up to
 	// maxRetryPause while they fail.
 	retryPause    = 100 * time.Millisecond
@@ -69,6 +74,7 @@
 // what peers tell is too old.
 func (follower *Follower) runSource(ctx context.Context) {
 	failPause := retryPause
+	started := follower.Timers.Now()
 	for ctx.Err() == nil {
 		state := follower.Mirror.State()
 		fresh := state.Known && follower.Timers.Now()-state.AsOf < staleAge
@@ -84,9 +90,14 @@
 			continue
 		}
 		failPause = retryPause
-		if follower.Mirror.State().At > state.At {
-			sleep(ctx, gatherPause)
+		if follower.Mirror.State().At == state.At {
+			continue
+		}
+		pause := gatherPause
+		if follower.Timers.Now()-started < startTime {
+			pause = startPause
 		}
+		sleep(ctx, pause)
 	}
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -22,7 +22,7 @@
 	fleetTick = 100 * time.Millisecond
 	// troubleAge is the age of the mirror from which the service counts as
 	// away: more than its watch takes.
-	troubleAge = 1500 * time.Millisecond
+	troubleAge = 1700 * time.Millisecond
 	// lapseHold is how long a record that went while the service was away is
 	// still believed after its return: living servers have written theirs
 	// again about two seconds after it, by the platform's pages.
--- a/node/peers.go
+++ b/node/peers.go
@@ -72,10 +72,11 @@
 func (peers *peers) choose() mirror.Peer {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	place := -1
-	for index, node := range peers.nodes {
-		if node.ID == peers.node.Settings.Node {
-			place = index
+	// A node that is not listed yet follows others too, once there are any.
+	place := 0
+	for _, node := range peers.nodes {
+		if node.ID < peers.node.Settings.Node {
+			place++
 		}
 	}
 	if place < watchers {
