--- a/config/node.go
+++ b/config/node.go
@@ -37,7 +37,7 @@
 type NodeBounds struct {
 	Grace       shedkeel.Duration `toml:"grace"`        // from SIGTERM to the kill
 	Revoke      shedkeel.Duration `toml:"revoke"`       // from the removal of a key until no request runs with it
-	DirectoryTL shedkeel.Duration `toml:"directory"`    // longest that a directory answer counts
+	Directory   shedkeel.Duration `toml:"directory"`    // longest that a directory answer counts
 	RetryRatio  float64           `toml:"retry_ratio"`  // repeats for each request, over all nodes
 	RetryWindow shedkeel.Duration `toml:"retry_window"` // in which they are counted
 	RetrySlack  float64           `toml:"retry_slack"`  // repeats allowed besides
@@ -47,7 +47,7 @@
 func DefaultNodeSettings() NodeSettings {
 	return NodeSettings{
 		Bounds: NodeBounds{
-			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), DirectoryTL: shedkeel.Duration(5 * time.Second),
+			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), Directory: shedkeel.Duration(5 * time.Second),
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 		},
 		Log: LogSettings{Level: "info"},
@@ -88,7 +88,7 @@
 	}
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
-		"bounds.directory": settings.Bounds.DirectoryTL, "bounds.retry_window": settings.Bounds.RetryWindow,
+		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
 	}
 	for key, value := range times {
 		if value <= 0 {
--- /dev/null
+++ b/config/node_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+const nodeText = `node = "n1"
+zone = "z"
+store = "127.0.0.1:1"
+[listen]
+callers = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+readiness = "127.0.0.1:4"
+control = "127.0.0.1:5"
+[wire]
+key = "k"
+[bounds]
+grace = "9s"
+`
+
+func TestNodeSettings(t *testing.T) {
+	cases := map[string]struct {
+		change func(string) string
+		remedy string // "": the file is valid
+	}{
+		"valid":           {func(text string) string { return text }, ""},
+		"no node":         {func(text string) string { return strings.Replace(text, `node = "n1"`, "", 1) }, "node is missing; set it"},
+		"no key":          {func(text string) string { return strings.Replace(text, `key = "k"`, "", 1) }, "wire.key is missing; set it"},
+		"no port":         {func(text string) string { return strings.Replace(text, "127.0.0.1:1", "127.0.0.1", 1) }, "store is no address"},
+		"a wrong address": {func(text string) string { return text + "[log]\nlevel = \"info\"\n" + "[listen2]\n" }, "unknown key listen2"},
+		"unknown key":     {func(text string) string { return "speed = 3\n" + text }, "unknown key speed"},
+		"no time":         {func(text string) string { return strings.Replace(text, `"9s"`, `"0s"`, 1) }, `bounds.grace is not positive; write it as "500ms" or "3s"`},
+		"half a file":     {func(text string) string { return text[:40] }, "mend that line"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "node.toml")
+			assert.NilError(t, os.WriteFile(path, []byte(test.change(nodeText)), 0o600))
+			settings, err := ReadNodeSettings(path)
+			if test.remedy != "" {
+				assert.ErrorContains(t, err, test.remedy)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, settings.Bounds.Grace, shedkeel.Duration(9*time.Second))
+			assert.Equal(t, settings.Bounds.RetryRatio, DefaultNodeSettings().Bounds.RetryRatio)
+		})
+	}
+}
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -226,7 +226,7 @@
 
 // form begins a formation.
 func (round *round) form(id shedkeel.GroupID, model *shedkeel.Model, members []*shedkeel.Instance) {
-	forming := &formingGroup{epoch: round.planner.NextEpoch(), model: model.ID, begun: round.input.Now, done: map[shedkeel.InstanceID]bool{}}
+	forming := &formingGroup{epoch: round.planner.NextEpoch(), model: model.ID, done: map[shedkeel.InstanceID]bool{}}
 	for _, member := range members {
 		forming.members = append(forming.members, member.ID)
 		round.used[member.ID] = true
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -103,7 +103,6 @@
 	epoch    uint64
 	model    shedkeel.ModelID
 	members  []shedkeel.InstanceID
-	begun    time.Duration
 	headDone bool // the head has confirmed; the others may be ordered
 	done     map[shedkeel.InstanceID]bool
 }
@@ -325,9 +324,3 @@
 	order.Address = round.byID[order.To].Address
 	round.actions = append(round.actions, Action{Order: order, Reason: reason})
 }
-
-// Counts is how many groups of a model stand.
-type Counts struct {
-	Open    int
-	Forming int
-}
--- a/program/node.go
+++ b/program/node.go
@@ -92,7 +92,7 @@
 	reload := &reloader{path: command.String("settings"), process: process, log: log}
 	go reload.run(ctx)
 	faces := node.Faces{
-		Directory: &platform.Directory{Addresses: process.Addresses, Keep: node.DirectoryKeep},
+		Directory: &platform.Directory{Addresses: process.Addresses, Keep: min(node.DirectoryKeep, time.Duration(settings.Bounds.Directory))},
 		Readiness: &platform.Readiness{Ready: process.Ready},
 	}
 	daemon := &daemon{log: log}
