--- a/node/fleet.go
+++ b/node/fleet.go
@@ -279,6 +279,22 @@
 	return len(fleet.nodes)
 }
 
+// serving returns how many nodes callers are sent to.
+func (fleet *fleet) serving() int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	count := 0
+	for _, node := range fleet.nodes {
+		if !node.Stopping {
+			count++
+		}
+	}
+	if count == 0 {
+		return assumedNodes
+	}
+	return count
+}
+
 // Addresses returns the callers' addresses of the nodes that serve, those of
 // the availability zone first, or none while too little is known.
 func (node *Node) Addresses(zone string) []string {
--- a/serve/front.go
+++ b/serve/front.go
@@ -49,8 +49,10 @@
 	Meter    *Meter // nil: nothing is counted
 	// Believe returns what is in force.
 	Believe func() Belief
-	// Nodes returns how many processes share the bounds.
+	// Nodes returns how many processes share the bound on repeats.
 	Nodes func() int
+	// Serving returns how many processes share the requests.
+	Serving func() int
 	// KeyAge is how old the proof of a configuration may be for keys to be
 	// accepted by it.
 	KeyAge time.Duration
--- a/serve/send.go
+++ b/serve/send.go
@@ -90,7 +90,7 @@
 	if load.Usable == 0 {
 		return errNoServer
 	}
-	part := float64(load.Slots) / float64(max(life.front.Nodes(), 1))
+	part := float64(load.Slots) / float64(max(life.front.Serving(), 1))
 	life.late = float64(load.OnTime) >= max(onTimeFill*part, 1)
 	if life.late && float64(load.Late) >= max(lateFill*part, 1) {
 		return errFull
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -186,7 +186,7 @@
 		Protocol: protocol{}, Backend: harness.backend, Table: table, Timers: &harness.clock,
 		Budget:  &Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10, Careful: 1},
 		Believe: func() Belief { return Belief{View: view, AsOf: time.Duration(harness.asOf.Load())} },
-		Nodes:   func() int { return 1 }, KeyAge: time.Second,
+		Nodes:   func() int { return 1 }, Serving: func() int { return 1 }, KeyAge: time.Second,
 	}
 	cancel := harness.clock.Subscribe(10*time.Millisecond, func(now time.Duration) { table.FindSilent(now) })
 	t.Cleanup(cancel)
@@ -412,7 +412,8 @@
 // the groups can run and keep waiting.
 func TestPlaces(t *testing.T) {
 	harness := newHarness(t)
-	places := 3 * 8 // groups and slots
+	places := 3 * 8                         // groups and slots
+	harness.Nodes = func() int { return 9 } // one serves: the others are stopping
 	request := httptest.NewRequest(http.MethodPost, "/s/x", nil)
 	onTime, late, refused := 0, 0, 0
 	for range 2 * places {
