--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -57,8 +57,8 @@
 	return idleFirst + choice.reading()
 }
 
-// usual is how long the server usually gives no sign, with what runs there
-// from this process.
+// usual is how long the server usually sends no event or answer, with what
+// runs there from this process.
 func (state *state) usual() time.Duration {
 	if state.Model == "" {
 		return plainSilence
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -30,8 +30,8 @@
 	// settleTime is how long no backend server may have entered a domain
 	// before new groups are planned there, so that a domain is planned whole.
 	settleTime = 800 * time.Millisecond
-	// stallTime is how long an engine whose group lost a member stands still
-	// before it gives the group up, by the platform's pages, and a margin.
+	// stallTime is how long an engine whose group lost a member stalls before it
+	// gives the group up (stall_ms of the platform, 5 s), and a margin.
 	stallTime = 5500 * time.Millisecond
 	// loadWindow is the span over which load orders are counted.
 	loadWindow = 5 * time.Second
--- a/node/probes.go
+++ b/node/probes.go
@@ -38,8 +38,8 @@
 	controller.suspects[group] = now
 }
 
-// stalled returns the groups that were lately said to give no sign. The mutex
-// is held.
+// stalled returns the groups that were lately reported silent. The mutex is
+// held.
 func (controller *controller) stalled(now time.Duration) map[shedkeel.Assignment]bool {
 	found := map[shedkeel.Assignment]bool{}
 	for group, at := range controller.followed {
--- a/serve/front.go
+++ b/serve/front.go
@@ -1,5 +1,5 @@
-// Package serve is the life of a request: what it is owed by the
-// configuration, which servers it is sent to, and what its caller is told. A
+// Package serve handles requests: which route and client account they belong
+// to, which servers they are sent to, and what their callers are told. A
 // caller gets the whole answer of one backend server, or the truth: that the
 // request did not run (503, and when to come back), or that it may have run
 // (502, 504).
@@ -116,7 +116,7 @@
 	life.end(err)
 }
 
-// begin finds out what the request is owed.
+// begin matches the request to its route and client account and reads its body.
 func (life *life) begin() error {
 	call, err := life.front.Protocol.Read(life.request)
 	life.call = call
