--- a/node/node.go
+++ b/node/node.go
@@ -37,9 +37,10 @@
 	// slide, and requests of a second ago count less than fully.
 	budgetCare = 0.7
 	// keyShare is the part of the revocation bound for which a proof of the
-	// configuration is good: a watch may miss changes for a second, and the
-	// request must still reach its server.
-	keyShare = 0.6
+	// configuration is good. A watch may miss changes for a second, which with
+	// it stays within a bound of five. A proof is up to 1.3 s old at rest, so a
+	// smaller part refuses what the platform still counts as in touch.
+	keyShare = 0.76
 	// silenceTick is how often running requests are checked for silence.
 	silenceTick = 20 * time.Millisecond
 	// callerIdle is how long a caller's connection may rest; longer than what
