One wait, one test of who leads, one refresh, one note of a missing head

Cause: reading the change once more: mirror and node each had the same wait for a time or a context; whether a record names this node stood in two places, what follows changed records in two, the note since when a head is missing in two. Change: timer.Sleep, leadRecord.names, fleet.refresh, headlessSince and observed.assignment; behavior and tests stay.

--- a/formation/mend.go
+++ b/formation/mend.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"shedkeel.org/shedkeel"
 )
@@ -68,7 +69,7 @@
 }
 
 func (round *round) mend(group *observed) {
-	assignment := shedkeel.Assignment{Group: group.id, Epoch: group.epoch}
+	assignment := group.assignment()
 	intact, draining := true, false
 	for _, member := range group.members {
 		intact = intact && member != nil && !round.input.Dead[member.ID]
@@ -78,12 +79,10 @@
 		delete(round.planner.absent, assignment)
 	}
 	state := group.headState()
-	if !round.usable(group.head()) {
-		if _, noted := round.planner.headless[group.id]; !noted {
-			round.planner.headless[group.id] = round.input.Now
-		}
-	} else {
+	if round.usable(group.head()) {
 		delete(round.planner.headless, group.id)
+	} else {
+		round.headlessSince(group)
 	}
 	switch {
 	case intact && !draining && state == shedkeel.MemberOpen:
@@ -110,7 +109,7 @@
 // worksOn reports whether an open group is to be left alone for now though
 // members are no longer listed.
 func (round *round) worksOn(group *observed, intact bool) bool {
-	assignment := shedkeel.Assignment{Group: group.id, Epoch: group.epoch}
+	assignment := group.assignment()
 	if intact || round.input.Stalled[assignment] || !round.usable(group.head()) || group.headState() != shedkeel.MemberOpen {
 		return false
 	}
@@ -210,18 +209,23 @@
 // still, as far as its engine is concerned. One that is listed as ready may be
 // opening by an order that is still under way, of a former planner too.
 func (round *round) headMayServe(group *observed) bool {
-	if round.planner.left[shedkeel.Assignment{Group: group.id, Epoch: group.epoch}] {
+	if round.planner.left[group.assignment()] {
 		return false
 	}
 	if round.usable(group.head()) {
 		return group.headState() != shedkeel.MemberBroken
 	}
+	return round.input.Now-round.headlessSince(group) < stallTime
+}
+
+// headlessSince returns since when the group's head is missing, and notes it.
+func (round *round) headlessSince(group *observed) time.Duration {
 	since, noted := round.planner.headless[group.id]
 	if !noted {
 		since = round.input.Now
 		round.planner.headless[group.id] = since
 	}
-	return round.input.Now-since < stallTime
+	return since
 }
 
 // form begins a formation.
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -254,6 +254,11 @@
 	return group.members[0]
 }
 
+// assignment names the group in its epoch.
+func (group *observed) assignment() shedkeel.Assignment {
+	return shedkeel.Assignment{Group: group.id, Epoch: group.epoch}
+}
+
 func (group *observed) headState() shedkeel.MemberState {
 	if head := group.head(); head != nil {
 		return head.Member.State
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -9,6 +9,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/timer"
 )
 
 const (
@@ -79,13 +80,13 @@
 		state := follower.Mirror.State()
 		fresh := state.Known && follower.Timers.Now()-state.AsOf < staleAge
 		if fresh && follower.Choose() != nil {
-			sleep(ctx, retryPause)
+			timer.Sleep(ctx, retryPause)
 			continue
 		}
 		err := follower.askSource(ctx, state)
 		follower.note(ctx, err)
 		if err != nil {
-			sleep(ctx, failPause)
+			timer.Sleep(ctx, failPause)
 			failPause = min(2*failPause, maxRetryPause)
 			continue
 		}
@@ -97,7 +98,7 @@
 		if follower.Timers.Now()-started < startTime {
 			pause = startPause
 		}
-		sleep(ctx, pause)
+		timer.Sleep(ctx, pause)
 	}
 }
 
@@ -152,25 +153,16 @@
 		peer := follower.Choose()
 		state := follower.Mirror.State()
 		if peer == nil || !state.Known {
-			sleep(ctx, retryPause)
+			timer.Sleep(ctx, retryPause)
 			continue
 		}
 		sent := follower.Timers.Now()
 		update, err := peer.Relay(ctx, state.At, relayWait)
 		if err != nil {
-			sleep(ctx, retryPause)
+			timer.Sleep(ctx, retryPause)
 			continue
 		}
 		update.AsOf += sent
 		follower.Mirror.Apply(update)
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/controller.go
+++ b/node/controller.go
@@ -11,6 +11,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/formation"
+	"shedkeel.org/shedkeel/timer"
 )
 
 const (
@@ -56,7 +57,7 @@
 		} else {
 			controller.elect(ctx, now)
 		}
-		pause(ctx, planTick)
+		timer.Sleep(ctx, planTick)
 	}
 }
 
--- a/node/election.go
+++ b/node/election.go
@@ -9,6 +9,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/formation"
+	"shedkeel.org/shedkeel/timer"
 )
 
 const (
@@ -29,6 +30,11 @@
 	Term        uint64          `json:"term"`
 }
 
+// names reports whether the record names this start of the node.
+func (lead *leadRecord) names(node *Node) bool {
+	return lead.Node == node.Settings.Node && lead.Incarnation == node.Incarnation
+}
+
 type termRecord struct {
 	Term uint64 `json:"term"`
 }
@@ -41,7 +47,7 @@
 		return false
 	}
 	lead := controller.lead()
-	mine := lead.Node == controller.node.Settings.Node && lead.Incarnation == controller.node.Incarnation
+	mine := lead.names(controller.node)
 	if mine && !controller.resigned && controller.node.member.valid(now) {
 		return true
 	}
@@ -129,7 +135,7 @@
 		// Another was faster, or the outcome is unknown; the mirror shows
 		// which.
 		controller.vacant = 0
-		pause(ctx, planTick)
+		timer.Sleep(ctx, planTick)
 		controller.adopt(term)
 		return
 	}
@@ -141,7 +147,7 @@
 // adopt begins to lead if the record says that this node does.
 func (controller *controller) adopt(term uint64) {
 	lead := controller.lead()
-	if lead.Node != controller.node.Settings.Node || lead.Incarnation != controller.node.Incarnation || lead.Term != term {
+	if !lead.names(controller.node) || lead.Term != term {
 		return
 	}
 	controller.mutex.Lock()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -76,12 +76,7 @@
 			nodes = fleet.takeNode(record, now) || nodes
 		}
 	}
-	if servers {
-		fleet.rebuild()
-	}
-	if nodes {
-		fleet.node.peers.update(fleet.sortedNodes())
-	}
+	fleet.refresh(servers, nodes)
 }
 
 func (fleet *fleet) skipped(record shedkeel.Record, err error) {
@@ -170,6 +165,11 @@
 			servers = true
 		}
 	}
+	fleet.refresh(servers, nodes)
+}
+
+// refresh passes on what has changed. The mutex is held.
+func (fleet *fleet) refresh(servers, nodes bool) {
 	if servers {
 		fleet.rebuild()
 	}
--- a/node/member.go
+++ b/node/member.go
@@ -10,6 +10,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/timer"
 )
 
 const (
@@ -48,7 +49,7 @@
 			next = now + renewEvery
 			membership.step(ctx)
 		}
-		pause(ctx, 20*time.Millisecond)
+		timer.Sleep(ctx, 20*time.Millisecond)
 	}
 	ending, cancel := context.WithTimeout(context.Background(), leaseMargin)
 	defer cancel()
@@ -107,12 +108,3 @@
 	}
 	return err == nil
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -3,6 +3,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -28,6 +29,16 @@
 	return subscription.cancel
 }
 
+// Sleep waits for the length of time, or until the context ends.
+func Sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 type subscription struct {
 	clock    *System
 	interval time.Duration
