Have a replaced head leave before its server is used elsewhere

Change: a server of a replaced formation is free only when that formation's head has gone on, is broken, has confirmed that it left, or was out of reach for stallTime; a replaced head that can be reached is ordered to leave.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,6 +34,7 @@
 	loadAt  time.Duration
 	diedAt  time.Duration // 0: lives
 	stalled time.Duration // as a head: a member is missing since
+	mute    time.Duration // until then the planner can't reach it, though it serves
 	list    []shedkeel.InstanceID
 }
 
@@ -111,7 +113,7 @@
 func (fleet *fakeFleet) dead() map[shedkeel.InstanceID]bool {
 	found := map[shedkeel.InstanceID]bool{}
 	for id, server := range fleet.servers {
-		if server.diedAt != 0 && fleet.now-server.diedAt > 500*time.Millisecond {
+		if server.diedAt != 0 && fleet.now-server.diedAt > 500*time.Millisecond || fleet.now < server.mute {
 			found[id] = true
 		}
 	}
@@ -259,7 +261,7 @@
 	for _, action := range actions {
 		server := fleet.servers[action.Order.To]
 		switch {
-		case server.diedAt != 0:
+		case server.diedAt != 0, fleet.now < server.mute:
 			planner.Unanswered(action.Order, fleet.now)
 		case fleet.random.Float64() < fleet.loses:
 			planner.Unanswered(action.Order, fleet.now)
@@ -356,6 +358,36 @@
 	}
 }
 
+// TestRulesHoldWhileServersAreOutOfReach has servers that serve look dead to
+// the planner for a while: their groups are formed anew without them, and what
+// they come back to is no longer theirs.
+func TestRulesHoldWhileServersAreOutOfReach(t *testing.T) {
+	for seed := range 40 {
+		fleet := newFakeFleet(uint64(seed), 6, 8)
+		term := uint64(1)
+		planner := newPlanner(term)
+		fleet.play(planner, 30*time.Second, false)
+		for range 12 {
+			for range 3 {
+				ids := slices.Sorted(maps.Keys(fleet.servers))
+				server := fleet.servers[ids[fleet.random.IntN(len(ids))]]
+				server.mute = fleet.now + time.Duration(fleet.random.Int64N(int64(8*time.Second)))
+			}
+			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
+			fleet.kill()
+			fleet.add(shedkeel.DomainID(fmt.Sprintf("d%d", fleet.random.IntN(6))))
+			if fleet.random.IntN(4) == 0 {
+				term++
+				planner = newPlanner(term)
+			}
+		}
+		fleet.play(planner, time.Minute, true)
+		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
+		serving := fleet.serving()
+		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+	}
+}
+
 // TestRepairWithoutAnotherFormation covers a head that was once taken for its
 // own substitute: the group was then ordered anew each quarter of a second and
 // never stood.
--- a/formation/form.go
+++ b/formation/form.go
@@ -26,16 +26,11 @@
 	if instance.Member == nil {
 		return false
 	}
-	for _, group := range round.groups {
-		if group.id != instance.Member.Group {
-			continue
-		}
-		if group.epoch != instance.Member.Epoch {
-			return false // its group was formed anew without it
-		}
+	group := round.byName[instance.Member.Group]
+	if group.epoch == instance.Member.Epoch {
 		return round.headMayServe(group)
 	}
-	return false
+	return round.formerHeadMayServe(instance.Member.Assignment())
 }
 
 // substitutes returns up to count free backend servers, those that join the
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -66,6 +66,7 @@
 		}
 		round.mend(group)
 	}
+	round.dismissFormerHeads()
 }
 
 func (round *round) mend(group *observed) {
@@ -80,9 +81,9 @@
 	}
 	state := group.headState()
 	if round.usable(group.head()) {
-		delete(round.planner.headless, group.id)
+		delete(round.planner.headless, assignment)
 	} else {
-		round.headlessSince(group)
+		round.headlessSince(assignment)
 	}
 	switch {
 	case intact && !draining && state == shedkeel.MemberOpen:
@@ -215,15 +216,48 @@
 	if round.usable(group.head()) {
 		return group.headState() != shedkeel.MemberBroken
 	}
-	return round.input.Now-round.headlessSince(group) < stallTime
+	return round.input.Now-round.headlessSince(group.assignment()) < stallTime
 }
 
-// headlessSince returns since when the group's head is missing, and notes it.
-func (round *round) headlessSince(group *observed) time.Duration {
-	since, noted := round.planner.headless[group.id]
+// formerHeadMayServe reports the same of a formation that has been replaced by
+// a later one of the same name. Its head may be outside of the later one, and
+// serve still: it was taken for lost.
+func (round *round) formerHeadMayServe(former shedkeel.Assignment) bool {
+	if round.planner.left[former] {
+		return false
+	}
+	head := round.byID[round.planner.heads[former]]
+	switch {
+	case head != nil && (head.Member == nil || head.Member.Assignment() != former):
+		return false // it has gone on to something else
+	case round.usable(head):
+		return head.Member.State != shedkeel.MemberBroken
+	}
+	return round.input.Now-round.headlessSince(former) < stallTime
+}
+
+// dismissFormerHeads has heads leave formations that were replaced without
+// them.
+func (round *round) dismissFormerHeads() {
+	for index := range round.input.Instances {
+		instance := &round.input.Instances[index]
+		member := instance.Member
+		if member == nil || member.Rank != 0 || member.Epoch == round.byName[member.Group].epoch || round.used[instance.ID] || !round.usable(instance) {
+			continue
+		}
+		if round.formerHeadMayServe(member.Assignment()) {
+			round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderLeave, To: instance.ID, Group: member.Group, Epoch: member.Epoch}, "its group was formed anew without it")
+		}
+	}
+}
+
+// headlessSince returns since when the formation's head is missing, and notes
+// it.
+func (round *round) headlessSince(assignment shedkeel.Assignment) time.Duration {
+	since, noted := round.planner.headless[assignment]
 	if !noted {
 		since = round.input.Now
-		round.planner.headless[group.id] = since
+		round.planner.headless[assignment] = since
 	}
 	return since
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -75,7 +75,8 @@
 	newest   map[shedkeel.DomainID]time.Duration   // when the last one entered
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
-	headless map[shedkeel.GroupID]time.Duration    // head missing since
+	headless map[shedkeel.Assignment]time.Duration // head missing since
+	heads    map[shedkeel.Assignment]shedkeel.InstanceID
 	left     map[shedkeel.Assignment]bool          // their heads have confirmed that they left
 	absent   map[shedkeel.Assignment]time.Duration // a member missing since
 	loads    []time.Duration                       // when load orders were given
@@ -203,7 +204,8 @@
 		planner.newest = map[shedkeel.DomainID]time.Duration{}
 		planner.sent = map[orderKey]time.Duration{}
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
-		planner.headless = map[shedkeel.GroupID]time.Duration{}
+		planner.headless = map[shedkeel.Assignment]time.Duration{}
+		planner.heads = map[shedkeel.Assignment]shedkeel.InstanceID{}
 		planner.left = map[shedkeel.Assignment]bool{}
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.silent = map[shedkeel.InstanceID]int{}
@@ -272,6 +274,7 @@
 	input   Input
 	byID    map[shedkeel.InstanceID]*shedkeel.Instance
 	groups  []*observed
+	byName  map[shedkeel.GroupID]*observed
 	used    map[shedkeel.InstanceID]bool // in a group, forming or held back
 	actions []Action
 }
@@ -283,6 +286,7 @@
 // observe puts together the groups that the engines tell of.
 func (round *round) observe() {
 	byName := map[shedkeel.GroupID]*observed{}
+	round.byName = byName
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
 		if instance.Member == nil {
@@ -295,6 +299,9 @@
 			round.groups = append(round.groups, group)
 		}
 		group.epoch = max(group.epoch, instance.Member.Epoch)
+		if instance.Member.Rank == 0 {
+			round.planner.heads[instance.Member.Assignment()] = instance.ID
+		}
 	}
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
--- a/serving.go
+++ b/serving.go
@@ -74,13 +74,34 @@
 // Engine describes the engines of a service of replica groups.
 type Engine struct {
 	Models         []Model
-	Slots          int     // requests that a group runs at once
-	ReadPerSecond  float64 // prompt tokens
-	LoadsPerSecond float64 // that may begin, over all boxes
-	LoadsAtOnce    int     // beyond which each takes longer
+	Slots          int           // requests that a group runs at once
+	Stride         int           // steps of one pass over all that a group runs
+	Chunk          int           // prompt tokens that one step reads at most
+	Step           time.Duration // of a token of one request
+	StepEach       time.Duration // that each request that runs adds to a step
+	ReadPerSecond  float64       // prompt tokens
+	LoadsPerSecond float64       // that may begin, over all boxes
+	LoadsAtOnce    int           // beyond which each takes longer
 	FormTime       time.Duration
 }
 
+// LongestPass is the longest time that a group of the model works between two
+// events of a stream: each step of a pass reads as much of waiting prompts as
+// it may, and all places are taken. It is 0 where the engine's times are not
+// stated.
+func (engine *Engine) LongestPass(model *Model) time.Duration {
+	if engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	reading := time.Duration(float64(engine.Chunk) / engine.ReadPerSecond * float64(time.Second))
+	step := reading + engine.Step + time.Duration(engine.Slots)*engine.StepEach
+	pass := time.Duration(engine.Stride) * step
+	if model.Pace > 0 {
+		pass = time.Duration(float64(pass) * model.Pace)
+	}
+	return pass
+}
+
 // Model returns the model of that name, or nil.
 func (engine *Engine) Model(id ModelID) *Model {
 	for index := range engine.Models {
@@ -128,6 +149,11 @@
 	State MemberState
 }
 
+// Assignment names the group in its epoch.
+func (membership *Membership) Assignment() Assignment {
+	return Assignment{Group: membership.Group, Epoch: membership.Epoch}
+}
+
 // Instance is a backend server as it stands in the platform's list.
 type Instance struct {
 	ID       InstanceID
