Ask the planner about silent groups instead of having all nodes leave them

Change: the silence that counts is the longest pass that the engine's stated times allow (284 ms and 170 ms for the models of the sites) plus 60 ms; a silent group is told to the planner only, each half second while it lasts; the planner probes its members and has all nodes avoid it when one is dead.

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -10,15 +10,20 @@
 	// stepTime is the longest usual time between two events of a group whose
 	// engine reads no prompts: five tokens of some 10 ms.
 	stepTime = 60 * time.Millisecond
+	// defaultPass is the longest time between two events of a group whose
+	// engine's times are not stated.
+	defaultPass = 120 * time.Millisecond
+	// reportAgain is how often a silence that lasts is reported: the process
+	// that is to look into it may be a new one by then.
+	reportAgain = 500 * time.Millisecond
 	// firstTime is the longest usual time to the first event of a short
 	// prompt on an idle group.
 	firstTime = 210 * time.Millisecond
 	// silenceMargin is how much longer than usual the silence of a group lasts
-	// that has lost a member. Prompts of other processes are read in between;
-	// 1.6% of the pauses of a calm day are over 100 ms, 0.1% over 180 ms. A
-	// shorter margin was measured to spend all repeats on false alarms, and
-	// to save no stream: a first event elsewhere takes 180 to 240 ms.
-	silenceMargin = 120 * time.Millisecond
+	// that has lost a member: links and timers of this process. Noticing a
+	// loss earlier saves no stream, since a first event elsewhere takes 180 to
+	// 240 ms; each false alarm has a prompt read twice (docs/PLATFORM.md).
+	silenceMargin = 60 * time.Millisecond
 	// plainSilence is after how long without any answer a plain server with
 	// requests running counts as silent.
 	plainSilence = 500 * time.Millisecond
@@ -63,12 +68,16 @@
 	if state.Model == "" {
 		return plainSilence
 	}
-	usual := firstTime
+	pass := state.Pass
+	if pass <= 0 {
+		pass = defaultPass
+	}
+	usual := firstTime + pass
 	reading := time.Duration(0)
 	for choice := range state.running {
 		if choice.begun {
-			usual = stepTime
-			continue
+			// Prompts of other processes may be read in every step.
+			return pass
 		}
 		reading += choice.reading()
 	}
@@ -76,8 +85,8 @@
 }
 
 // FindSilent marks the servers that have given no sign for longer than usual,
-// tells the requests that run there, and returns the servers that were not
-// marked before.
+// tells the requests that run there, and returns the servers whose silence was
+// not reported lately.
 func (table *Table) FindSilent(now time.Duration) []Silence {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
@@ -93,7 +102,8 @@
 		for choice := range known.running {
 			choice.tell()
 		}
-		if known.avoidTill <= now {
+		if known.reported == 0 || now-known.reported >= reportAgain {
+			known.reported = now
 			found = append(found, Silence{Server: known.Server, For: silent, Running: len(known.running)})
 		}
 		known.avoidTill = max(known.avoidTill, now+avoidTime)
@@ -114,7 +124,7 @@
 }
 
 // Avoid keeps requests from a group, in that epoch, for the time, and tells
-// those that run there.
+// those that run there. A group that gives signs of life here is not avoided.
 func (table *Table) Avoid(group shedkeel.Assignment, now, time time.Duration) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -41,7 +41,8 @@
 	Address  string
 	Zone     shedkeel.ZoneID
 	Slots    int
-	Rate     float64 // prompt tokens read a second; 0: not stated
+	Rate     float64       // prompt tokens read a second; 0: not stated
+	Pass     time.Duration // longest time between two events while it works; 0: not stated
 }
 
 // key names the server; a group formed anew is another server.
@@ -74,6 +75,7 @@
 	failures  float64       // part of requests that failed lately
 	judged    time.Duration // when slowness and failures were last changed
 	avoidTill time.Duration // silent, or said to be
+	reported  time.Duration // when its silence was last returned by FindSilent; 0: not in this one
 	listed    bool
 }
 
@@ -194,6 +196,7 @@
 func (state *state) take(table *Table, query Query) *Choice {
 	if len(state.running) == 0 {
 		state.sign = query.Now
+		state.reported = 0
 	}
 	stalled := make(chan struct{}, 1)
 	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
@@ -209,6 +212,7 @@
 	state := choice.state
 	state.sign = now
 	state.avoidTill = 0
+	state.reported = 0
 	for running := range state.running {
 		running.told = false
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -197,12 +197,15 @@
 				continue
 			}
 			server.Model = formation.ModelOf(instance.Member.Group)
-			server.Group = shedkeel.Assignment{Group: instance.Member.Group, Epoch: instance.Member.Epoch}
+			server.Group = instance.Member.Assignment()
 			server.Slots = service.Engine.Slots
 			server.Rate = service.Engine.ReadPerSecond
 			if model := service.Engine.Model(server.Model); model != nil && model.Pace > 0 {
 				server.Rate /= model.Pace
 			}
+			if model := service.Engine.Model(server.Model); model != nil {
+				server.Pass = service.Engine.LongestPass(model)
+			}
 		}
 		servers = append(servers, server)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -212,7 +212,8 @@
 	return !node.stopping.Load() && node.fleet.view.Load() != nil && age < node.front.KeyAge
 }
 
-// watchSilence finds servers that have gone silent and tells others of groups.
+// watchSilence finds servers that have gone silent and tells the node that
+// plans of groups.
 func (node *Node) watchSilence(now time.Duration) {
 	for _, silence := range node.table.FindSilent(now) {
 		node.Log.Write(event.ServerSilent, slog.String("server", string(silence.Server.Instance)), slog.String("group", string(silence.Server.Group.Group)),
@@ -220,8 +221,7 @@
 		if silence.Server.Group.Group == "" {
 			continue
 		}
-		node.controller.suspect(silence.Server.Group)
-		node.peers.notify(silence.Server.Group)
+		node.peers.suspect(silence.Server.Group)
 	}
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// noticeTime is how long a group is avoided on another node's word alone.
-	noticeTime = 1500 * time.Millisecond
+	// lossTime is how long a group is avoided on the word of the node that
+	// plans. It is told again each time the lost member is probed.
+	lossTime = reviveEvery + reviveEvery/2
 	// noticeTimeout bounds the sending of a notice.
 	noticeTimeout = 500 * time.Millisecond
 	// relayMargin is how much longer than its wait a question to another
@@ -99,17 +100,36 @@
 	return found
 }
 
-// notify tells the other nodes that a group does not answer.
-func (peers *peers) notify(group shedkeel.Assignment) {
+// suspect tells the node that plans that a group is silent here. It finds out
+// whether a member is lost: a group that reads long prompts is silent too, and
+// if each node told all others, all would leave it for those that remain.
+func (peers *peers) suspect(group shedkeel.Assignment) {
+	leader := peers.node.controller.lead().Node
+	if leader == peers.node.Settings.Node {
+		peers.node.controller.suspect(group)
+		return
+	}
+	peers.mutex.Lock()
+	peer := peers.known[leader]
+	peers.mutex.Unlock()
+	if peer != nil {
+		go peer.runNotice(group, 0)
+	}
+}
+
+// lost tells the other nodes that a group has lost a member.
+func (peers *peers) lost(group shedkeel.Assignment) {
 	for _, peer := range peers.all() {
-		go peer.runNotify(group)
+		go peer.runNotice(group, lossTime)
 	}
 }
 
-func (peer *peer) runNotify(group shedkeel.Assignment) {
+// runNotice sends one notice. The group is to be avoided for the time; 0 says
+// that it is only suspected.
+func (peer *peer) runNotice(group shedkeel.Assignment, avoid time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
-	notice := &wire.NoticeCall{Node: string(peer.node.Settings.Node), Group: string(group.Group), Epoch: group.Epoch, ForMs: uint32(noticeTime.Milliseconds())}
+	notice := &wire.NoticeCall{Node: string(peer.node.Settings.Node), Group: string(group.Group), Epoch: group.Epoch, ForMs: uint32(avoid.Milliseconds())}
 	// A notice that is lost costs the other node the time to find out itself.
 	_, _ = peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Notice{Notice: notice}})
 }
@@ -180,9 +200,13 @@
 func (peers *peers) takeNotice(notice *wire.NoticeCall) *wire.Reply {
 	node := peers.node
 	group := shedkeel.Assignment{Group: shedkeel.GroupID(notice.GetGroup()), Epoch: notice.GetEpoch()}
-	node.Log.Write(event.NoticeTaken, slog.String("from", notice.GetNode()), slog.String("group", notice.GetGroup()), slog.Uint64("epoch", notice.GetEpoch()))
-	node.table.Avoid(group, node.Timers.Now(), time.Duration(notice.GetForMs())*time.Millisecond)
-	node.controller.suspect(group)
+	avoid := time.Duration(notice.GetForMs()) * time.Millisecond
+	node.Log.Write(event.NoticeTaken, slog.String("from", notice.GetNode()), slog.String("group", notice.GetGroup()), slog.Uint64("epoch", notice.GetEpoch()), slog.Duration("avoid", avoid))
+	if avoid > 0 {
+		node.table.Avoid(group, node.Timers.Now(), avoid)
+	} else {
+		node.controller.suspect(group)
+	}
 	return &wire.Reply{Kind: &wire.Reply_Notice{Notice: &wire.NoticeReply{}}}
 }
 
--- a/node/probes.go
+++ b/node/probes.go
@@ -63,7 +63,7 @@
 		again, dead := controller.dead[instance.ID]
 		due := dead && now >= again
 		if instance.Member != nil && !dead {
-			_, due = suspects[shedkeel.Assignment{Group: instance.Member.Group, Epoch: instance.Member.Epoch}]
+			_, due = suspects[instance.Member.Assignment()]
 		}
 		if due && !controller.probing[instance.ID] {
 			controller.probing[instance.ID] = true
@@ -103,6 +103,13 @@
 	answers <- err
 }
 
+// lost has all nodes avoid a group that lost a member.
+func (controller *controller) lost(group shedkeel.Assignment) {
+	node := controller.node
+	node.table.Avoid(group, node.Timers.Now(), lossTime)
+	node.peers.lost(group)
+}
+
 func (controller *controller) probed(instance shedkeel.Instance, err error) {
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
@@ -110,6 +117,9 @@
 	switch {
 	case err != nil:
 		controller.dead[instance.ID] = controller.node.Timers.Now() + reviveEvery
+		if instance.Member != nil {
+			controller.lost(instance.Member.Assignment())
+		}
 		if !dead {
 			controller.node.Log.Write(event.MemberDead, slog.String("server", string(instance.ID)), slog.String("error", err.Error()))
 		}
