Let spares wait as standbys, so that they join a group in 0.2 s

Change: a free server whose host has a model joins a formation of its own that is never opened; a later join of the same model takes 0.2 s. Names of standbys are foreign to all that reads groups, so none counts or opens them. Test: TestWarmSparesJoinFast (fails without the change).

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -388,6 +388,25 @@
 	}
 }
 
+// TestWarmSparesJoinFast has a member of each group die in turn: with a spare
+// that waits as a standby the group stands again before a cold one had even
+// warmed up.
+func TestWarmSparesJoinFast(t *testing.T) {
+	fleet := newFakeFleet(3, 6, 8)
+	planner := newPlanner(1)
+	fleet.play(planner, 30*time.Second, false)
+	whole := fleet.serving()
+	for range 4 {
+		fleet.kill()
+		fleet.play(planner, 600*time.Millisecond, true) // until probes have found it
+		fleet.play(planner, time.Second, true)
+		assert.DeepEqual(t, fleet.serving(), whole)
+		fleet.add("d0")
+		fleet.play(planner, 30*time.Second, true) // the spare is made up for
+	}
+	assert.Equal(t, len(fleet.broken), 0, "%v", fleet.broken)
+}
+
 // TestRepairWithoutAnotherFormation covers a head that was once taken for its
 // own substitute: the group was then ordered anew each quarter of a second and
 // never stood.
--- a/formation/form.go
+++ b/formation/form.go
@@ -23,7 +23,7 @@
 // inStandingGroup reports whether the instance is in a group that this round
 // has not judged yet or that may be serving.
 func (round *round) inStandingGroup(instance *shedkeel.Instance) bool {
-	if instance.Member == nil {
+	if instance.Member == nil || isStandby(instance.Member.Group) {
 		return false
 	}
 	group := round.byName[instance.Member.Group]
--- a/formation/names.go
+++ b/formation/names.go
@@ -28,6 +28,21 @@
 	return shedkeel.ModelID(parts[0]), shedkeel.DomainID(parts[1])
 }
 
+// standbyPart stands in the names of standbys, which parseGroup takes for
+// foreign.
+const standbyPart = "standby"
+
+// standbyName names the formation in which a spare waits by itself.
+func standbyName(model shedkeel.ModelID, spare shedkeel.InstanceID) shedkeel.GroupID {
+	return shedkeel.GroupID(fmt.Sprintf("%s/%s/%s", model, standbyPart, spare))
+}
+
+// isStandby reports whether the formation is that of a waiting spare.
+func isStandby(id shedkeel.GroupID) bool {
+	parts := strings.Split(string(id), "/")
+	return len(parts) == 3 && parts[1] == standbyPart
+}
+
 // ModelOf returns the model that a group serves, or "" if its name is foreign.
 func ModelOf(id shedkeel.GroupID) shedkeel.ModelID {
 	model, _ := parseGroup(id)
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -83,6 +83,7 @@
 	loading  map[shedkeel.InstanceID]loading       // ordered to load onto the host
 	silent   map[shedkeel.InstanceID]int           // orders in a row without an answer
 	passed   map[shedkeel.InstanceID]time.Duration // passed over until then
+	warmed   map[shedkeel.InstanceID]time.Duration // spares ordered to wait as standbys, and when
 	indexes  int
 }
 
@@ -127,6 +128,7 @@
 	round.mendGroups()
 	round.formNew()
 	round.stageSpares()
+	round.warmSpares()
 	return round.actions
 }
 
@@ -210,6 +212,7 @@
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
+		planner.warmed = map[shedkeel.InstanceID]time.Duration{}
 	}
 	if planner.loading == nil {
 		planner.loading = map[shedkeel.InstanceID]loading{}
