Replace slow members; use the last spares for the model that lacks groups; log what servers are used for

Changes: the planner asks group members for their pace each two seconds and forms groups anew without members of pace 2 or more if there are substitutes (a slow head leaves first); a model that needs a group 1.3 times more than another may use the last spares; heads of replaced formations get no requests; event 648 each two seconds. Tests: TestSlowMembersAreReplaced, TestLastSparesServeTheModelThatLacksGroups.

--- a/event/event.go
+++ b/event/event.go
@@ -69,6 +69,8 @@
 	MemberDead      = Event{643, slog.LevelWarn, "member of a replica group does not answer"}
 	MemberAlive     = Event{644, slog.LevelInfo, "member of a replica group answers again"}
 	ProbeUnsure     = Event{647, slog.LevelWarn, "probe of a member proves nothing"}
+	DomainUsage     = Event{648, slog.LevelInfo, "what the backend servers of a domain are used for"}
+	PaceChanged     = Event{649, slog.LevelInfo, "member of a replica group became slow or sound"}
 	LeaseRenewFail  = Event{645, slog.LevelWarn, "lease of this node was not renewed"}
 	LoadsNotKept    = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -81,7 +83,7 @@
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
-		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, LeaseRenewFail, LoadsNotKept,
+		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, LeaseRenewFail, LoadsNotKept,
 	}
 }
 
--- a/formation/form.go
+++ b/formation/form.go
@@ -13,6 +13,9 @@
 	var found []*shedkeel.Instance
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
+		if _, slow := round.input.Slow[instance.ID]; slow {
+			continue
+		}
 		if instance.Domain == domain && round.usable(instance) && !round.used[instance.ID] && !round.inStandingGroup(instance) {
 			found = append(found, instance)
 		}
@@ -177,7 +180,7 @@
 	for index := range round.input.Engine.Models {
 		model := &round.input.Engine.Models[index]
 		need := round.need(model, counts)
-		domain, found := round.roomFor(model, pick)
+		domain, found := round.roomFor(model, pick, round.lacksGroups(model, counts))
 		if !found || counts[model.ID] >= minGroups && need < enough*neediest {
 			continue
 		}
@@ -210,7 +213,7 @@
 // roomFor returns the settled domain with the fewest free backend servers that
 // still keeps its spares after a new group of the model. Small groups so leave
 // the room that larger ones need.
-func (round *round) roomFor(model *shedkeel.Model, pick picker) (shedkeel.DomainID, bool) {
+func (round *round) roomFor(model *shedkeel.Model, pick picker, useSpares bool) (shedkeel.DomainID, bool) {
 	sizes := map[shedkeel.DomainID]int{}
 	var domains []shedkeel.DomainID
 	for _, instance := range round.input.Instances {
@@ -227,9 +230,7 @@
 			continue
 		}
 		spares := int(math.Ceil(float64(sizes[domain]) * spareShare))
-		if round.hasGroups(domain) {
-			spares = max(spares, 1)
-		} else {
+		if useSpares || !round.hasGroups(domain) {
 			spares = 0 // better one group than none
 		}
 		room := len(round.free(domain)) - model.Size - spares
@@ -240,6 +241,26 @@
 	return place, least < math.MaxInt
 }
 
+// shortNeed is how many times more than another model a model must need a
+// group for it to be formed from the last spares of a domain. Two of nine
+// groups lost give 1.2, three give 1.4.
+const shortNeed = 1.3
+
+// lacksGroups reports whether a model has lost so many groups, compared with
+// others, that one more is worth the spares of a domain.
+func (round *round) lacksGroups(model *shedkeel.Model, counts map[shedkeel.ModelID]int) bool {
+	if !round.input.Traffic {
+		return false // the first groups are formed one model after the other
+	}
+	for index := range round.input.Engine.Models {
+		other := &round.input.Engine.Models[index]
+		if other.ID != model.ID && round.need(model, counts) >= shortNeed*round.need(other, counts) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasGroups reports whether the domain has groups that stand or are forming.
 func (round *round) hasGroups(domain shedkeel.DomainID) bool {
 	for _, instance := range round.input.Instances {
--- /dev/null
+++ b/formation/form_test.go
@@ -0,0 +1,63 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestLastSparesServeTheModelThatLacksGroups covers domains that kept spares
+// for the one group that stood while another model had lost half of its own.
+func TestLastSparesServeTheModelThatLacksGroups(t *testing.T) {
+	cases := map[string]struct {
+		large  int // groups that stand elsewhere
+		formed bool
+	}{
+		"it has enough": {6, false},
+		"it lacks some": {2, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var listed []shedkeel.Instance
+			add := func(model shedkeel.ModelID, domain string, group string, size int) {
+				for rank := range size {
+					instance := shedkeel.Instance{
+						ID: shedkeel.InstanceID(fmt.Sprint(domain, group, rank)), Domain: shedkeel.DomainID(domain),
+						Staged: []shedkeel.ModelID{model}, Models: []shedkeel.ModelID{model},
+					}
+					if group != "" {
+						state := shedkeel.MemberReady
+						if rank == 0 {
+							state = shedkeel.MemberOpen
+						}
+						instance.Member = &shedkeel.Membership{Group: groupName(model, instance.Domain, len(listed)-rank), Epoch: 7, Rank: rank, State: state}
+					}
+					listed = append(listed, instance)
+				}
+			}
+			for index := range test.large {
+				add("large", fmt.Sprint("a", index), "l", 4)
+			}
+			for index := range 6 {
+				add("small", fmt.Sprint("b", index), "s", 2)
+			}
+			add("small", "d", "s", 2)
+			add("large", "d", "", 4)
+			planner := newPlanner(1)
+			input := Input{Now: time.Minute, Engine: testEngine(), Instances: listed, Traffic: true}
+			planner.Plan(input)
+			input.Now += settleTime
+			joins := 0
+			for _, action := range planner.Plan(input) {
+				if action.Order.Kind == shedkeel.OrderJoin && action.Order.Model == "large" {
+					joins++
+				}
+			}
+			assert.Equal(t, joins > 0, test.formed)
+		})
+	}
+}
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -69,6 +69,26 @@
 	round.dismissFormerHeads()
 }
 
+// replaceSlow forms an open group anew without its slow members, if there are
+// substitutes: all of it works at the pace of the slowest.
+func (round *round) replaceSlow(group *observed) {
+	sound := slices.DeleteFunc(slices.Clone(group.members), func(member *shedkeel.Instance) bool {
+		_, slow := round.input.Slow[member.ID]
+		return slow
+	})
+	_, slowHead := round.input.Slow[group.head().ID]
+	missing := len(group.members) - len(sound)
+	substitutes := round.substitutes(group.domain, group.model, missing)
+	switch {
+	case missing == 0 || len(substitutes) < missing:
+		return // better slow than not at all
+	case slowHead:
+		round.giveHead(group, shedkeel.OrderLeave, "it is slow, and its group is formed anew without it")
+	default:
+		round.form(group.id, group.model, append(sound, substitutes...))
+	}
+}
+
 func (round *round) mend(group *observed) {
 	assignment := group.assignment()
 	intact, draining := true, false
@@ -88,6 +108,7 @@
 	switch {
 	case intact && !draining && state == shedkeel.MemberOpen:
 		round.hold(group)
+		round.replaceSlow(group)
 	case intact && draining && state == shedkeel.MemberOpen:
 		round.hold(group)
 		if round.canMend(group) {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -59,11 +59,12 @@
 type Input struct {
 	Now       time.Duration
 	Engine    *shedkeel.Engine
-	Instances []shedkeel.Instance          // of the service, as listed
-	Dead      map[shedkeel.InstanceID]bool // they answer no probe
-	Stalled   map[shedkeel.Assignment]bool // groups that give their requests no sign
-	Demand    map[shedkeel.ModelID]float64 // part of the work; empty: as configured
-	Traffic   bool                         // callers are being served, so loads are bounded
+	Instances []shedkeel.Instance             // of the service, as listed
+	Dead      map[shedkeel.InstanceID]bool    // they answer no probe
+	Slow      map[shedkeel.InstanceID]float64 // they work, but so many times slower
+	Stalled   map[shedkeel.Assignment]bool    // groups that give their requests no sign
+	Demand    map[shedkeel.ModelID]float64    // part of the work; empty: as configured
+	Traffic   bool                            // callers are being served, so loads are bounded
 }
 
 // Planner plans the groups of one service. Its exported fields are set before
@@ -85,6 +86,7 @@
 	passed   map[shedkeel.InstanceID]time.Duration // passed over until then
 	warmed   map[shedkeel.InstanceID]time.Duration // spares ordered to wait as standbys, and when
 	indexes  int
+	last     *round
 }
 
 // loading is a load onto a host that was ordered.
@@ -129,6 +131,7 @@
 	round.formNew()
 	round.stageSpares()
 	round.warmSpares()
+	planner.last = round
 	return round.actions
 }
 
--- /dev/null
+++ b/formation/slow_test.go
@@ -0,0 +1,48 @@
+package formation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+func TestSlowMembersAreReplaced(t *testing.T) {
+	member := func(id string, rank int, state shedkeel.MemberState) shedkeel.Instance {
+		instance := shedkeel.Instance{ID: shedkeel.InstanceID(id), Domain: "d", Staged: []shedkeel.ModelID{"small"}, Models: []shedkeel.ModelID{"small"}}
+		if rank >= 0 {
+			instance.Member = &shedkeel.Membership{Group: "small/d/1", Epoch: 7, Rank: rank, State: state}
+		}
+		return instance
+	}
+	group := []shedkeel.Instance{member("a0", 0, shedkeel.MemberOpen), member("a1", 1, shedkeel.MemberReady)}
+	spare := member("s", -1, "")
+	cases := map[string]struct {
+		instances []shedkeel.Instance
+		slow      shedkeel.InstanceID
+		kind      shedkeel.GroupOrderKind // of the first order; "": none
+		members   []shedkeel.InstanceID
+	}{
+		"none is slow":           {append(slices.Clone(group), spare), "", "", nil},
+		"a member":               {append(slices.Clone(group), spare), "a1", shedkeel.OrderJoin, []shedkeel.InstanceID{"a0", "s"}},
+		"the head":               {append(slices.Clone(group), spare), "a0", shedkeel.OrderLeave, nil},
+		"without a substitute":   {group, "a1", "", nil},
+		"the substitute is slow": {append(slices.Clone(group), spare), "s", "", nil},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			slow := map[shedkeel.InstanceID]float64{test.slow: 5}
+			actions := newPlanner(1).Plan(Input{Now: time.Minute, Engine: testEngine(), Instances: test.instances, Slow: slow, Traffic: true})
+			if test.kind == "" {
+				assert.Equal(t, len(actions), 0, "%v", actions)
+				return
+			}
+			assert.Equal(t, len(actions), 1, "%v", actions)
+			assert.Equal(t, actions[0].Order.Kind, test.kind)
+			assert.DeepEqual(t, actions[0].Order.Members, test.members)
+		})
+	}
+}
--- a/node/controller.go
+++ b/node/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,12 +20,15 @@
 	planTick = 50 * time.Millisecond
 	// planAge is how old what a leader knows may be for it to give orders.
 	planAge = 2 * time.Second
+	// usageEvery is how often the use of servers is logged.
+	usageEvery = 2 * time.Second
 )
 
 // controller plans replica groups while its node leads.
 type controller struct {
 	node   *Node
 	prober prober
+	paces  paces
 
 	mutex    sync.Mutex
 	resigned bool
@@ -37,6 +41,7 @@
 	probing  map[shedkeel.InstanceID]bool
 	dead     map[shedkeel.InstanceID]time.Duration // probed again then
 	vacant   time.Duration                         // since when no one leads
+	told     time.Duration                         // when the use of servers was logged last
 	// kept are the loads as written last. Only the planning loop uses it.
 	kept map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID
 }
@@ -48,6 +53,7 @@
 	controller.probing = map[shedkeel.InstanceID]bool{}
 	controller.kept = map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID{}
 	controller.prober = prober{Engines: controller.node.Engines, Timers: controller.node.Timers}
+	controller.paces = paces{controller: controller, slow: map[shedkeel.InstanceID]float64{}}
 	controller.dead = map[shedkeel.InstanceID]time.Duration{}
 }
 
@@ -84,10 +90,12 @@
 		for instance := range controller.dead {
 			dead[instance] = true
 		}
+		slow := maps.Clone(controller.paces.slow)
 		actions := planner.Plan(formation.Input{
-			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Stalled: controller.stalled(now), Traffic: node.front.Served() > 0,
+			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Slow: slow, Stalled: controller.stalled(now), Traffic: node.front.Served() > 0,
 		})
 		loading := planner.Loading()
+		controller.tellUsage(planner, now)
 		controller.mutex.Unlock()
 		for _, action := range actions {
 			go controller.runOrder(ctx, planner, action)
@@ -96,6 +104,18 @@
 	}
 }
 
+// tellUsage logs what servers are used for. The mutex is held.
+func (controller *controller) tellUsage(planner *formation.Planner, now time.Duration) {
+	if now-controller.told < usageEvery {
+		return
+	}
+	controller.told = now
+	for _, usage := range planner.Usage() {
+		controller.node.Log.Write(event.DomainUsage, slog.String("domain", string(usage.Domain)), slog.Any("serving", usage.Serving), slog.Any("spare", usage.Spare),
+			slog.Int("loading", usage.Loading), slog.Int("empty", usage.Empty), slog.Int("lost", usage.Lost))
+	}
+}
+
 // planner returns the planner of a service. A new one goes on with the loads
 // that its forerunner ordered. The mutex is held.
 func (controller *controller) planner(id shedkeel.ServiceID, engine *shedkeel.Engine, now time.Duration) *formation.Planner {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -187,6 +187,12 @@
 	if view == nil {
 		return
 	}
+	epochs := map[shedkeel.GroupID]uint64{}
+	for _, instance := range fleet.instances {
+		if instance.Member != nil {
+			epochs[instance.Member.Group] = max(epochs[instance.Member.Group], instance.Member.Epoch)
+		}
+	}
 	var servers []dispatch.Server
 	for _, instance := range fleet.instances {
 		service := view.Service(instance.Service)
@@ -198,6 +204,9 @@
 			if instance.Member == nil || instance.Member.Rank != 0 || instance.Member.State != shedkeel.MemberOpen {
 				continue
 			}
+			if instance.Member.Epoch < epochs[instance.Member.Group] {
+				continue // the group was formed anew without this head
+			}
 			server.Model = formation.ModelOf(instance.Member.Group)
 			server.Group = instance.Member.Assignment()
 			server.Slots = service.Engine.Slots
--- a/node/node.go
+++ b/node/node.go
@@ -155,6 +155,7 @@
 	node.running.Go(func() { node.follower.Run(working) })
 	node.running.Go(func() { node.member.run(working) })
 	node.running.Go(func() { node.controller.run(working) })
+	node.running.Go(func() { node.controller.paces.run(working) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.watchSilence)
 	cancelReport := node.Timers.Subscribe(time.Second, node.report)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
--- /dev/null
+++ b/node/paces.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+)
+
+const (
+	// paceEvery is how often the planner asks each member of a group for its
+	// pace. Each question costs what a probe costs.
+	paceEvery = 2 * time.Second
+	// paceParts is into how many parts the members are split that are asked
+	// one after the other, so that the questions come evenly.
+	paceParts = 10
+	// paceTimeout is how long an answer may take; a server that gives none is
+	// left to the probes.
+	paceTimeout = 200 * time.Millisecond
+	// slowPace is the pace from which a member counts as slow. Members of one
+	// service vary by some tenths; slow ones take several times as long.
+	slowPace = 2.0
+	// soundPace is the pace below which a slow member counts as sound again.
+	soundPace = 1.3
+)
+
+// paces asks the members of groups how slow they are: a group works at the
+// pace of its slowest member, and each node alone sees few of its requests.
+type paces struct {
+	controller *controller
+	part       int
+	slow       map[shedkeel.InstanceID]float64 // slow ones and their pace
+}
+
+// run asks while the node plans.
+func (paces *paces) run(ctx context.Context) {
+	ticker := time.NewTicker(paceEvery / paceParts)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		controller := paces.controller
+		if !controller.leading(controller.node.Timers.Now()) {
+			continue
+		}
+		paces.part++
+		for _, instances := range controller.node.fleet.groupServices() {
+			paces.askPart(ctx, instances)
+		}
+	}
+}
+
+func (paces *paces) askPart(ctx context.Context, instances []shedkeel.Instance) {
+	for index, instance := range instances {
+		if index%paceParts != paces.part%paceParts {
+			continue
+		}
+		if _, slow := paces.known(instance.ID); instance.Member != nil || slow {
+			go paces.runAsk(ctx, instance)
+		}
+	}
+}
+
+func (paces *paces) known(id shedkeel.InstanceID) (float64, bool) {
+	paces.controller.mutex.Lock()
+	defer paces.controller.mutex.Unlock()
+	pace, slow := paces.slow[id]
+	return pace, slow
+}
+
+func (paces *paces) runAsk(ctx context.Context, instance shedkeel.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
+	defer cancel()
+	report, err := paces.controller.node.Engines.Report(ctx, instance.Address)
+	if err != nil {
+		return // probes find out whether it lives, once its group is silent
+	}
+	paces.take(instance.ID, report.Pace)
+}
+
+// take takes in the pace that a server tells.
+func (paces *paces) take(id shedkeel.InstanceID, pace float64) {
+	_, slow := paces.known(id)
+	if slow == (pace >= slowPace) || slow && pace > soundPace {
+		return
+	}
+	paces.controller.mutex.Lock()
+	if slow {
+		delete(paces.slow, id)
+	} else {
+		paces.slow[id] = pace
+	}
+	paces.controller.mutex.Unlock()
+	paces.controller.node.Log.Write(event.PaceChanged, slog.String("server", string(id)), slog.Float64("pace", pace), slog.Bool("slow", !slow))
+}
