--- a/config/node.go
+++ b/config/node.go
@@ -89,6 +89,9 @@
 			return &shedkeel.InvalidError{Where: name, What: key + " is no address: " + err.Error(), Remedy: "write it as IP:PORT"}
 		}
 	}
+	if settings.Capacity < 0 {
+		return &shedkeel.InvalidError{Where: name, What: "capacity is negative", Remedy: "write the box's share of a processor core, or leave it out"}
+	}
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
 		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -38,6 +38,8 @@
 		"a wrong address": {func(text string) string { return text + "[log]\nlevel = \"info\"\n" + "[listen2]\n" }, "unknown key listen2"},
 		"unknown key":     {func(text string) string { return "speed = 3\n" + text }, "unknown key speed"},
 		"no time":         {func(text string) string { return strings.Replace(text, `"9s"`, `"0s"`, 1) }, `bounds.grace is not positive; write it as "500ms" or "3s"`},
+		"no capacity":     {func(text string) string { return "capacity = -0.2\n" + text }, "capacity is negative; write the box's share"},
+		"a whole core":    {func(text string) string { return "capacity = 1\n" + text }, ""},
 		"half a file":     {func(text string) string { return text[:40] }, "mend that line"},
 	}
 	for name, test := range cases {
