One list of headers that stay behind; repeats sent nowhere are not counted; smaller fleet.rebuild

Causes: hop-by-hop headers were listed in entry and in serve, and entry did not drop those that Connection names; a repeat drew on the budget though no server was left to send it to; fleet.rebuild had grown past what one reads at once; paces of servers that are gone were kept.

--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/engine"
 )
 
 // HeaderOutcome says in every response which of the three outcomes it is.
@@ -107,19 +109,11 @@
 	_, _ = writer.Write(answer.body)
 }
 
-// hopHeaders are about one connection and not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
+// copyHeader copies the headers that travel along. The length is not among
+// them: the answer may have been held, or go on in pieces.
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
+	maps.Copy(to, engine.PassedOn(from))
+	to.Del("Content-Length")
 }
 
 // runningError says that another try of the same call is still running.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -187,7 +187,7 @@
 	if view == nil {
 		return
 	}
-	epochs := map[shedkeel.GroupID]uint64{}
+	epochs := map[shedkeel.GroupID]uint64{} // the latest of each group
 	for _, instance := range fleet.instances {
 		if instance.Member != nil {
 			epochs[instance.Member.Group] = max(epochs[instance.Member.Group], instance.Member.Epoch)
@@ -196,34 +196,47 @@
 	var servers []dispatch.Server
 	for _, instance := range fleet.instances {
 		service := view.Service(instance.Service)
-		if service == nil || instance.Draining {
-			continue
-		}
-		server := dispatch.Server{Service: instance.Service, Instance: instance.ID, Address: instance.Address, Zone: instance.Zone, Slots: instance.Slots}
-		if service.Engine != nil {
-			if instance.Member == nil || instance.Member.Rank != 0 || instance.Member.State != shedkeel.MemberOpen {
-				continue
-			}
-			if instance.Member.Epoch < epochs[instance.Member.Group] {
-				continue // the group was formed anew without this head
-			}
-			server.Model = formation.ModelOf(instance.Member.Group)
-			server.Group = instance.Member.Assignment()
-			server.Slots = service.Engine.Slots
-			server.Rate = service.Engine.ReadPerSecond
-			if model := service.Engine.Model(server.Model); model != nil && model.Pace > 0 {
-				server.Rate /= model.Pace
-			}
-			if model := service.Engine.Model(server.Model); model != nil {
-				server.Pass = service.Engine.LongestPass(model)
-			}
+		switch {
+		case service == nil || instance.Draining:
+		case service.Engine == nil:
+			servers = append(servers, serverOf(&instance))
+		case headServes(instance.Member, epochs):
+			servers = append(servers, groupOf(&instance, service.Engine))
 		}
-		servers = append(servers, server)
 	}
 	fleet.node.table.Replace(servers)
 	fleet.logServers(servers)
 }
 
+// headServes reports whether a member is the open head of its group. One whose
+// group was formed anew without it may be open still.
+func headServes(member *shedkeel.Membership, epochs map[shedkeel.GroupID]uint64) bool {
+	return member != nil && member.Rank == 0 && member.State == shedkeel.MemberOpen && member.Epoch == epochs[member.Group]
+}
+
+// serverOf returns a backend server as requests are sent to it.
+func serverOf(instance *shedkeel.Instance) dispatch.Server {
+	return dispatch.Server{Service: instance.Service, Instance: instance.ID, Address: instance.Address, Zone: instance.Zone, Slots: instance.Slots}
+}
+
+// groupOf returns a replica group, by its head, as requests are sent to it.
+func groupOf(head *shedkeel.Instance, engine *shedkeel.Engine) dispatch.Server {
+	server := serverOf(head)
+	server.Model = formation.ModelOf(head.Member.Group)
+	server.Group = head.Member.Assignment()
+	server.Slots = engine.Slots
+	server.Rate = engine.ReadPerSecond
+	model := engine.Model(server.Model)
+	if model == nil {
+		return server
+	}
+	server.Pass = engine.LongestPass(model)
+	if model.Pace > 0 {
+		server.Rate /= model.Pace
+	}
+	return server
+}
+
 // logServers logs how many servers and groups may be sent to.
 func (fleet *fleet) logServers(servers []dispatch.Server) {
 	counts := map[string]int{}
--- a/node/paces.go
+++ b/node/paces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -49,28 +50,40 @@
 			continue
 		}
 		paces.part++
-		for _, instances := range controller.node.fleet.groupServices() {
+		services := controller.node.fleet.groupServices()
+		for _, instances := range services {
 			paces.askPart(ctx, instances)
 		}
+		paces.forgetGone(services)
 	}
 }
 
+// forgetGone forgets slow servers that are no longer listed.
+func (paces *paces) forgetGone(services map[shedkeel.ServiceID][]shedkeel.Instance) {
+	listed := map[shedkeel.InstanceID]bool{}
+	for _, instances := range services {
+		for _, instance := range instances {
+			listed[instance.ID] = true
+		}
+	}
+	paces.controller.mutex.Lock()
+	defer paces.controller.mutex.Unlock()
+	maps.DeleteFunc(paces.slow, func(id shedkeel.InstanceID, _ float64) bool { return !listed[id] })
+}
+
 func (paces *paces) askPart(ctx context.Context, instances []shedkeel.Instance) {
 	for index, instance := range instances {
-		if index%paceParts != paces.part%paceParts {
-			continue
-		}
-		if _, slow := paces.known(instance.ID); instance.Member != nil || slow {
+		if index%paceParts == paces.part%paceParts && (instance.Member != nil || paces.isSlow(instance.ID)) {
 			go paces.runAsk(ctx, instance)
 		}
 	}
 }
 
-func (paces *paces) known(id shedkeel.InstanceID) (float64, bool) {
+func (paces *paces) isSlow(id shedkeel.InstanceID) bool {
 	paces.controller.mutex.Lock()
 	defer paces.controller.mutex.Unlock()
-	pace, slow := paces.slow[id]
-	return pace, slow
+	_, slow := paces.slow[id]
+	return slow
 }
 
 func (paces *paces) runAsk(ctx context.Context, instance shedkeel.Instance) {
@@ -85,16 +98,17 @@
 
 // take takes in the pace that a server tells.
 func (paces *paces) take(id shedkeel.InstanceID, pace float64) {
-	_, slow := paces.known(id)
-	if slow == (pace >= slowPace) || slow && pace > soundPace {
+	wasSlow := paces.isSlow(id)
+	slow := pace >= slowPace || wasSlow && pace > soundPace
+	if slow == wasSlow {
 		return
 	}
 	paces.controller.mutex.Lock()
 	if slow {
-		delete(paces.slow, id)
-	} else {
 		paces.slow[id] = pace
+	} else {
+		delete(paces.slow, id)
 	}
 	paces.controller.mutex.Unlock()
-	paces.controller.node.Log.Write(event.PaceChanged, slog.String("server", string(id)), slog.Float64("pace", pace), slog.Bool("slow", !slow))
+	paces.controller.node.Log.Write(event.PaceChanged, slog.String("server", string(id)), slog.Float64("pace", pace), slog.Bool("slow", slow))
 }
--- /dev/null
+++ b/node/paces_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+)
+
+func TestPaces(t *testing.T) {
+	cases := map[string]struct {
+		told []float64 // one after the other
+		slow bool
+	}{
+		"usual":                    {[]float64{1}, false},
+		"none told":                {[]float64{0}, false},
+		"somewhat slow":            {[]float64{1.9}, false},
+		"slow":                     {[]float64{1, 5}, true},
+		"slow, and not yet usual":  {[]float64{5, 1.4}, true},
+		"slow, and sound again":    {[]float64{5, 1.2}, false},
+		"slow again after a while": {[]float64{5, 1.2, 5}, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			log, err := event.NewLog(io.Discard, "info")
+			assert.NilError(t, err)
+			controller := &controller{node: &Node{Log: log}}
+			paces := &paces{controller: controller, slow: map[shedkeel.InstanceID]float64{}}
+			for _, pace := range test.told {
+				paces.take("a", pace)
+			}
+			assert.Equal(t, paces.isSlow("a"), test.slow)
+			paces.forgetGone(map[shedkeel.ServiceID][]shedkeel.Instance{"llm": {{ID: "b"}}})
+			assert.Assert(t, !paces.isSlow("a"), "it is no longer listed")
+		})
+	}
+}
--- a/serve/budget.go
+++ b/serve/budget.go
@@ -100,3 +100,12 @@
 	spending.repeats[spending.slot%budgetSlots]++
 	return true
 }
+
+// TakeBack takes back a repeat that was allowed just now and was sent nowhere.
+func (budget *Budget) TakeBack(service shedkeel.ServiceID, now time.Duration) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	spending := budget.at(service, now)
+	slot := &spending.repeats[spending.slot%budgetSlots]
+	*slot = max(*slot-1, 0)
+}
--- a/serve/send.go
+++ b/serve/send.go
@@ -26,26 +26,10 @@
 	errServerBad = errors.New("the server failed")
 )
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-// passedOn returns the headers that travel along.
-func passedOn(header http.Header) http.Header {
-	passed := header.Clone()
-	for _, named := range header.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		passed.Del(name)
-	}
-	return passed
-}
-
 // choose picks the server for the next sending.
 func (life *life) choose(now time.Duration) (*dispatch.Choice, error) {
-	if life.sendings > 0 && !life.front.Budget.Repeat(life.service, life.front.Nodes(), now) {
+	repeat := life.sendings > 0
+	if repeat && !life.front.Budget.Repeat(life.service, life.front.Nodes(), now) {
 		count(life.front.meter().noBudget)
 		return nil, errNoBudget
 	}
@@ -60,6 +44,9 @@
 	}
 	choice := life.front.Table.Choose(dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now})
 	if choice == nil {
+		if repeat {
+			life.front.Budget.TakeBack(life.service, now)
+		}
 		count(life.front.meter().noServer)
 		return nil, errNoServer
 	}
@@ -148,7 +135,7 @@
 	request.URL = life.targetURL(choice.Address)
 	request.Host = life.request.Host
 	request.ContentLength = int64(len(life.body))
-	request.Header = passedOn(life.request.Header)
+	request.Header = engine.PassedOn(life.request.Header)
 	request.Header.Del("Content-Length")
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "") // the HTTP library would add its own
@@ -203,7 +190,7 @@
 // writeHead passes the head of a backend server's answer on.
 func (life *life) writeHead(response *http.Response, length int) {
 	header := life.writer.Header()
-	for name, values := range passedOn(response.Header) {
+	for name, values := range engine.PassedOn(response.Header) {
 		header[name] = values
 	}
 	if length >= 0 {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -396,6 +396,10 @@
 		return allowed
 	}
 	assert.Equal(t, count(2), 2, "half of the slack")
+	budget.TakeBack("s", now)
+	assert.Equal(t, count(2), 1, "one was sent nowhere")
+	budget.TakeBack("other", now)
+	assert.Equal(t, count(2), 0, "another service's repeat")
 	for range 10 {
 		budget.First("s", now)
 	}
@@ -408,6 +412,19 @@
 	assert.Equal(t, count(2), 4)
 }
 
+// TestRepeatSentNowhereIsNotCounted has all three servers refuse: two repeats
+// were sent, and the third found no server.
+func TestRepeatSentNowhereIsNotCounted(t *testing.T) {
+	refused := step{status: 503, notRun: true}
+	harness := newHarness(t, refused, refused, refused)
+	assert.Equal(t, harness.post("/once/x", "body").Code, 503)
+	left := 0
+	for harness.Budget.Repeat("plain", 1, harness.clock.Now()) {
+		left++
+	}
+	assert.Equal(t, left, 10-2)
+}
+
 // TestPlaces checks that requests are refused only when there are more than
 // the groups can run and keep waiting.
 func TestPlaces(t *testing.T) {
