Take the store for away only when copies are older than a calm fleet's ever are

Changes: the store counts as away from 2.3 s; in fleets of up to 12 nodes a stale one asks it at once, as before. Tests: TestGoneServers and TestSmallFleetAsksAtOnce; both fail without the change.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -36,7 +36,10 @@
 	// askEach is how long after the question of one process to the service
 	// the next one's may come on average, when many have nobody to follow:
 	// without a bound, 79 of them cost 200 calls a second in an outage.
-	askEach = 50 * time.Millisecond
+	// A process that finds its copy stale in a fleet of up to askFreely asks
+	// at once.
+	askEach   = 50 * time.Millisecond
+	askFreely = 12
 	// startPause is the same in startTime, while all processes of a fleet and
 	// its backend servers may be recording themselves.
 	startPause = 150 * time.Millisecond
@@ -132,19 +135,22 @@
 	}
 	now := follower.Timers.Now()
 	if follower.turn == 0 {
-		follower.turn = now + follower.share(askEach)
+		follower.turn = now + follower.share()
 	}
 	if now < follower.turn {
 		return false
 	}
-	follower.turn = now + follower.share(askEach)
+	follower.turn = now + follower.share()
 	return true
 }
 
-// share returns a random time of which the mean is so much for each process.
-func (follower *Follower) share(each time.Duration) time.Duration {
-	most := 2 * each * time.Duration(max(follower.Processes(), 1))
-	return time.Duration(follower.draw(uint64(most)))
+// share returns a random time, of which the mean is askEach for each process.
+func (follower *Follower) share() time.Duration {
+	processes := follower.Processes()
+	if processes <= askFreely {
+		return 0
+	}
+	return time.Duration(follower.draw(uint64(2 * askEach * time.Duration(processes))))
 }
 
 func (follower *Follower) askSource(ctx context.Context, state State) error {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -233,6 +233,29 @@
 	running.Wait()
 }
 
+// TestSmallFleetAsksAtOnce covers a stale follower whose peers know nothing
+// newer: in a small fleet it must not wait for its turn.
+func TestSmallFleetAsksAtOnce(t *testing.T) {
+	store := standin.NewStore()
+	_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "a", Value: []byte("v")}}})
+	assert.NilError(t, err)
+	clock := &timer.System{}
+	own, dead := &Mirror{}, &peer{mirror: &Mirror{}, now: clock.Now}
+	own.Apply(Update{Whole: true, AsOf: clock.Now() - staleAge})
+	follower := &Follower{
+		Mirror: own, Source: &source{Store: store}, Timers: clock, Choose: func() Peer { return dead }, Others: func() []Peer { return nil },
+		Processes: func() int { return 9 }, Random: rand.NewPCG(1, 2),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	began := clock.Now()
+	running.Go(func() { follower.Run(ctx) })
+	eventually(t, "the newest record", func() bool { return own.Get("a").Revision > 0 })
+	assert.Assert(t, clock.Now()-began < 3*retryPause, "it took %s", clock.Now()-began)
+	cancel()
+	running.Wait()
+}
+
 func TestFollower(t *testing.T) {
 	store := standin.NewStore()
 	from := &source{Store: store}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -22,8 +22,10 @@
 	// fleetTick is how often records are checked that are held though gone.
 	fleetTick = 100 * time.Millisecond
 	// troubleAge is the age of the mirror from which the service counts as
-	// away: more than its watch takes.
-	troubleAge = 1700 * time.Millisecond
+	// away. A calm fleet's copies are up to 1.5 s old, and some tenths more
+	// until a stale one is renewed: taking that for trouble kept a server that
+	// had left for two seconds.
+	troubleAge = 2300 * time.Millisecond
 	// lapseHold is how long a record that went while the service was away is
 	// still believed after its return: living servers have written theirs
 	// again about two seconds after it, by the platform's pages.
