Follow up suspicions of all services' groups at once

Cause: seen in the last reading of the change: the planner probed the suspects of one service after the other, and each call dropped what was noticed of the others and forgot their dead members. Change: one call with the servers of all services; comments on fields of the planner. Test: TestSuspectsOfEachService (fails without the change: one of two is probed).

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -76,17 +76,17 @@
 	newest   map[shedkeel.DomainID]time.Duration   // when the last one entered
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
-	headless map[shedkeel.Assignment]time.Duration // head missing since
-	heads    map[shedkeel.Assignment]shedkeel.InstanceID
-	left     map[shedkeel.Assignment]bool          // their heads have confirmed that they left
-	absent   map[shedkeel.Assignment]time.Duration // a member missing since
-	loads    []time.Duration                       // when load orders were given
-	loading  map[shedkeel.InstanceID]loading       // ordered to load onto the host
-	silent   map[shedkeel.InstanceID]int           // orders in a row without an answer
-	passed   map[shedkeel.InstanceID]time.Duration // passed over until then
-	warmed   map[shedkeel.InstanceID]time.Duration // spares ordered to wait as standbys, and when
+	headless map[shedkeel.Assignment]time.Duration       // head missing since
+	heads    map[shedkeel.Assignment]shedkeel.InstanceID // who the head was when last seen
+	left     map[shedkeel.Assignment]bool                // their heads have confirmed that they left
+	absent   map[shedkeel.Assignment]time.Duration       // a member missing since
+	loads    []time.Duration                             // when load orders were given
+	loading  map[shedkeel.InstanceID]loading             // ordered to load onto the host
+	silent   map[shedkeel.InstanceID]int                 // orders in a row without an answer
+	passed   map[shedkeel.InstanceID]time.Duration       // passed over until then
+	warmed   map[shedkeel.InstanceID]time.Duration       // spares ordered to wait as standbys, and when
 	indexes  int
-	last     *round
+	last     *round // the latest planning, for Usage
 }
 
 // loading is a load onto a host that was ordered.
@@ -280,8 +280,8 @@
 	input   Input
 	byID    map[shedkeel.InstanceID]*shedkeel.Instance
 	groups  []*observed
-	byName  map[shedkeel.GroupID]*observed
-	used    map[shedkeel.InstanceID]bool // in a group, forming or held back
+	byName  map[shedkeel.GroupID]*observed // the same
+	used    map[shedkeel.InstanceID]bool   // in a group, forming or held back
 	actions []Action
 }
 
--- a/node/controller.go
+++ b/node/controller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,8 +83,9 @@
 	if now-node.mirror.State().AsOf > planAge || view == nil {
 		return
 	}
-	for id, instances := range node.fleet.groupServices() {
-		controller.probeSuspects(ctx, instances, now)
+	services := node.fleet.groupServices()
+	controller.probeSuspects(ctx, slices.Concat(slices.Collect(maps.Values(services))...), now)
+	for id, instances := range services {
 		controller.mutex.Lock()
 		planner := controller.planner(id, view.Service(id).Engine, now)
 		dead := map[shedkeel.InstanceID]bool{}
--- /dev/null
+++ b/node/services_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/serve"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// TestSuspectsOfEachService has groups of two services suspected at once: the
+// planning of one service passed over what was noticed of the other.
+func TestSuspectsOfEachService(t *testing.T) {
+	log, err := event.NewLog(io.Discard, "info")
+	assert.NilError(t, err)
+	timers := &timer.Manual{}
+	node := &Node{Log: log, Timers: timers, Random: rand.NewPCG(1, 2), Decoder: listDecoder{}, Engines: &answering{}}
+	node.Prepare()
+	timers.Advance(time.Minute)
+	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 1, Share: 1}}}
+	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "one", Engine: engine}, {ID: "two", Engine: engine}}}))
+	node.fleet.instances = map[string]shedkeel.Instance{}
+	controller := &node.controller
+	for _, service := range []shedkeel.ServiceID{"one", "two"} {
+		id := shedkeel.InstanceID("member of " + service)
+		group := shedkeel.Assignment{Group: shedkeel.GroupID("m/" + string(service) + "/1"), Epoch: 7}
+		node.fleet.instances[string(id)] = shedkeel.Instance{
+			ID: id, Service: service, Domain: shedkeel.DomainID(service), Member: &shedkeel.Membership{Group: group.Group, Epoch: group.Epoch, State: shedkeel.MemberOpen},
+		}
+		controller.suspect(group)
+		controller.dead[shedkeel.InstanceID("dead one of "+service)] = timers.Now() + time.Hour
+		node.fleet.instances["dead one of "+string(service)] = shedkeel.Instance{ID: shedkeel.InstanceID("dead one of " + service), Service: service}
+	}
+	controller.plan(t.Context(), timers.Now())
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	assert.Equal(t, len(controller.probing), 2, "both members are probed")
+	assert.Equal(t, len(controller.dead), 2, "dead servers of both services are remembered")
+}
