The planner looks servers up by domain and forgets former formations

Each planning walked all servers again for each model, domain and choice (a third of the planner's time in a profile of its tests), and nothing was ever forgotten of formations that no server tells of; the latest epoch of a group was found out in three places. Change: a round sorts the servers by domain once; what is remembered of a formation goes a minute after the last server told of it; LatestEpochs serves the planner, the list of groups and the table of a node.

--- /dev/null
+++ b/formation/forget_test.go
@@ -0,0 +1,40 @@
+package formation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestFormerFormationsAreForgotten has a planner see one formation after the
+// other for an hour, each with a head that is lost: what it remembers must not
+// grow with time.
+func TestFormerFormationsAreForgotten(t *testing.T) {
+	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2, Share: 1}}}
+	planner := &Planner{NextEpoch: func() uint64 { return 1 << 40 }}
+	for second := range 3600 {
+		now := time.Hour + time.Duration(second)*time.Second
+		listed := []shedkeel.Instance{{ID: "b", Domain: "d", Staged: []shedkeel.ModelID{"m"}, Member: &shedkeel.Membership{
+			Group: "m/d/1", Epoch: uint64(second/10 + 1), Rank: 1, State: shedkeel.MemberReady,
+		}}}
+		if second%10 < 5 {
+			listed = append(listed, shedkeel.Instance{ID: "a", Domain: "d", Member: &shedkeel.Membership{
+				Group: "m/d/1", Epoch: uint64(second/10 + 1), Rank: 0, State: shedkeel.MemberOpen,
+			}})
+		}
+		for _, action := range planner.Plan(Input{Now: now, Engine: engine, Instances: listed, Traffic: true}) {
+			planner.Confirm(action.Order)
+		}
+	}
+	const most = 10 // formations in forgetTime, and those that end it
+	sizes := map[string]int{
+		"heads": len(planner.heads), "headless": len(planner.headless), "left": len(planner.left),
+		"absent": len(planner.absent), "told": len(planner.told), "sent": len(planner.sent), "warmed": len(planner.warmed),
+	}
+	for name, size := range sizes {
+		assert.Assert(t, size <= most, "%s remembers %d", name, size)
+	}
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -11,12 +11,11 @@
 // free returns the usable backend servers of a domain that are in no group.
 func (round *round) free(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
-	for index := range round.input.Instances {
-		instance := &round.input.Instances[index]
+	for _, instance := range round.byDomain[domain] {
 		if _, slow := round.input.Slow[instance.ID]; slow {
 			continue
 		}
-		if instance.Domain == domain && round.usable(instance) && !round.used[instance.ID] && !round.inStandingGroup(instance) {
+		if round.usable(instance) && !round.used[instance.ID] && !round.inStandingGroup(instance) {
 			found = append(found, instance)
 		}
 	}
@@ -214,22 +213,13 @@
 // still keeps its spares after a new group of the model. Small groups so leave
 // the room that larger ones need.
 func (round *round) roomFor(model *shedkeel.Model, pick picker, useSpares bool) (shedkeel.DomainID, bool) {
-	sizes := map[shedkeel.DomainID]int{}
-	var domains []shedkeel.DomainID
-	for _, instance := range round.input.Instances {
-		if sizes[instance.Domain] == 0 {
-			domains = append(domains, instance.Domain)
-		}
-		sizes[instance.Domain]++
-	}
-	slices.Sort(domains)
 	least := math.MaxInt
 	var place shedkeel.DomainID
-	for _, domain := range domains {
+	for _, domain := range round.domains {
 		if round.input.Now-round.planner.newest[domain] < settleTime {
 			continue
 		}
-		spares := int(math.Ceil(float64(sizes[domain]) * spareShare))
+		spares := int(math.Ceil(float64(len(round.byDomain[domain])) * spareShare))
 		if useSpares || !round.hasGroups(domain) {
 			spares = 0 // better one group than none
 		}
@@ -263,12 +253,7 @@
 
 // hasGroups reports whether the domain has groups that stand or are forming.
 func (round *round) hasGroups(domain shedkeel.DomainID) bool {
-	for _, instance := range round.input.Instances {
-		if instance.Domain == domain && round.used[instance.ID] {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(round.byDomain[domain], func(instance *shedkeel.Instance) bool { return round.used[instance.ID] })
 }
 
 // newName returns a name that no group bears now.
@@ -291,14 +276,10 @@
 			round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderStage, To: id, Model: loading.model}, "the answer to this order was lost")
 		}
 	}
-	done := map[shedkeel.DomainID]bool{}
-	for index := range round.input.Instances {
-		domain := round.input.Instances[index].Domain
-		if done[domain] || round.input.Now-round.planner.newest[domain] < settleTime {
-			continue
+	for _, domain := range round.domains {
+		if round.input.Now-round.planner.newest[domain] >= settleTime {
+			round.stageDomain(domain)
 		}
-		done[domain] = true
-		round.stageDomain(domain)
 	}
 }
 
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"shedkeel.org/shedkeel"
@@ -16,22 +17,32 @@
 	Members []shedkeel.InstanceID
 }
 
+// LatestEpochs returns the highest epoch of each group that any of the backend
+// servers tells of. Formations of lower epochs are former ones.
+func LatestEpochs(instances iter.Seq[shedkeel.Instance]) map[shedkeel.GroupID]uint64 {
+	epochs := map[shedkeel.GroupID]uint64{}
+	for instance := range instances {
+		if member := instance.Member; member != nil {
+			epochs[member.Group] = max(epochs[member.Group], member.Epoch)
+		}
+	}
+	return epochs
+}
+
 // Groups returns the replica groups that backend servers tell of, by name,
 // each in its highest epoch.
 func Groups(instances []shedkeel.Instance) []Group {
+	epochs := LatestEpochs(slices.Values(instances))
 	byName := map[shedkeel.GroupID]*Group{}
 	for _, instance := range instances {
-		if instance.Member == nil {
+		if instance.Member == nil || instance.Member.Epoch != epochs[instance.Member.Group] {
 			continue
 		}
 		group := byName[instance.Member.Group]
-		if group == nil || group.Epoch < instance.Member.Epoch {
+		if group == nil {
 			group = &Group{Group: instance.Member.Group, Epoch: instance.Member.Epoch, Model: ModelOf(instance.Member.Group)}
 			byName[group.Group] = group
 		}
-		if group.Epoch != instance.Member.Epoch {
-			continue
-		}
 		group.Members = append(group.Members, instance.ID)
 		if instance.Member.Rank == 0 {
 			group.State = instance.Member.State
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,10 @@
 	// a member is no longer listed: cut off from the service alone, it comes
 	// back; leaving without a word, it serves on for some seconds.
 	absentTime = 6 * time.Second
+	// forgetTime is after how long nothing is remembered of a formation that no
+	// listed server tells of: far longer than any server of it, cut off from
+	// the service, could serve on.
+	forgetTime = time.Minute
 	// enough is the part of the neediest model's need from which another
 	// model gets no more groups: what is left stays spare.
 	enough = 0.5
@@ -76,6 +81,7 @@
 	newest   map[shedkeel.DomainID]time.Duration   // when the last one entered
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
+	told     map[shedkeel.Assignment]time.Duration       // when a listed server told of it last
 	headless map[shedkeel.Assignment]time.Duration       // head missing since
 	heads    map[shedkeel.Assignment]shedkeel.InstanceID // who the head was when last seen
 	left     map[shedkeel.Assignment]bool                // their heads have confirmed that they left
@@ -121,10 +127,7 @@
 func (planner *Planner) Plan(input Input) []Action {
 	planner.begin(input)
 	round := &round{planner: planner, input: input, byID: map[shedkeel.InstanceID]*shedkeel.Instance{}, used: map[shedkeel.InstanceID]bool{}}
-	for index := range input.Instances {
-		instance := &input.Instances[index]
-		round.byID[instance.ID] = instance
-	}
+	round.index()
 	round.observe()
 	round.continueForming()
 	round.mendGroups()
@@ -209,6 +212,7 @@
 		planner.newest = map[shedkeel.DomainID]time.Duration{}
 		planner.sent = map[orderKey]time.Duration{}
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
+		planner.told = map[shedkeel.Assignment]time.Duration{}
 		planner.headless = map[shedkeel.Assignment]time.Duration{}
 		planner.heads = map[shedkeel.Assignment]shedkeel.InstanceID{}
 		planner.left = map[shedkeel.Assignment]bool{}
@@ -230,10 +234,22 @@
 		}
 	}
 	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Duration) bool { return input.Now-at > loadWindow })
-	for key, at := range planner.sent {
-		if input.Now-at > time.Minute {
-			delete(planner.sent, key)
+	planner.forget(input.Now)
+}
+
+// forget forgets orders, standbys and formations of long ago.
+func (planner *Planner) forget(now time.Duration) {
+	maps.DeleteFunc(planner.sent, func(_ orderKey, at time.Duration) bool { return now-at > forgetTime })
+	maps.DeleteFunc(planner.warmed, func(_ shedkeel.InstanceID, at time.Duration) bool { return now-at > warmAgain })
+	for assignment, at := range planner.told {
+		if now-at <= forgetTime {
+			continue
 		}
+		delete(planner.told, assignment)
+		delete(planner.heads, assignment)
+		delete(planner.headless, assignment)
+		delete(planner.left, assignment)
+		delete(planner.absent, assignment)
 	}
 }
 
@@ -276,13 +292,26 @@
 
 // round is one planning.
 type round struct {
-	planner *Planner
-	input   Input
-	byID    map[shedkeel.InstanceID]*shedkeel.Instance
-	groups  []*observed
-	byName  map[shedkeel.GroupID]*observed // the same
-	used    map[shedkeel.InstanceID]bool   // in a group, forming or held back
-	actions []Action
+	planner  *Planner
+	input    Input
+	byID     map[shedkeel.InstanceID]*shedkeel.Instance
+	byDomain map[shedkeel.DomainID][]*shedkeel.Instance
+	domains  []shedkeel.DomainID // by name
+	groups   []*observed
+	byName   map[shedkeel.GroupID]*observed // the same
+	used     map[shedkeel.InstanceID]bool   // in a group, forming or held back
+	actions  []Action
+}
+
+// index sorts the backend servers by name and by domain.
+func (round *round) index() {
+	round.byDomain = map[shedkeel.DomainID][]*shedkeel.Instance{}
+	for index := range round.input.Instances {
+		instance := &round.input.Instances[index]
+		round.byID[instance.ID] = instance
+		round.byDomain[instance.Domain] = append(round.byDomain[instance.Domain], instance)
+	}
+	round.domains = slices.Sorted(maps.Keys(round.byDomain))
 }
 
 func (round *round) usable(instance *shedkeel.Instance) bool {
@@ -293,6 +322,7 @@
 func (round *round) observe() {
 	byName := map[shedkeel.GroupID]*observed{}
 	round.byName = byName
+	epochs := LatestEpochs(slices.Values(round.input.Instances))
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
 		if instance.Member == nil {
@@ -304,7 +334,8 @@
 			byName[group.id] = group
 			round.groups = append(round.groups, group)
 		}
-		group.epoch = max(group.epoch, instance.Member.Epoch)
+		round.planner.told[instance.Member.Assignment()] = round.input.Now
+		group.epoch = epochs[group.id]
 		if instance.Member.Rank == 0 {
 			round.planner.heads[instance.Member.Assignment()] = instance.ID
 		}
--- a/formation/usage.go
+++ b/formation/usage.go
@@ -1,11 +1,6 @@
 package formation
 
-import (
-	"cmp"
-	"slices"
-
-	"shedkeel.org/shedkeel"
-)
+import "shedkeel.org/shedkeel"
 
 // DomainUsage is what the backend servers of a domain are used for, so that
 // logs can tell why some serve nobody.
@@ -28,21 +23,14 @@
 
 // usage sums up the round.
 func (round *round) usage() []DomainUsage {
-	byDomain := map[shedkeel.DomainID]*DomainUsage{}
-	for index := range round.input.Instances {
-		instance := &round.input.Instances[index]
-		domain := byDomain[instance.Domain]
-		if domain == nil {
-			domain = &DomainUsage{Domain: instance.Domain, Serving: map[shedkeel.ModelID]int{}, Spare: map[shedkeel.ModelID]int{}}
-			byDomain[instance.Domain] = domain
-		}
-		round.count(domain, instance)
-	}
 	var found []DomainUsage
-	for _, domain := range byDomain {
-		found = append(found, *domain)
+	for _, domain := range round.domains {
+		usage := DomainUsage{Domain: domain, Serving: map[shedkeel.ModelID]int{}, Spare: map[shedkeel.ModelID]int{}}
+		for _, instance := range round.byDomain[domain] {
+			round.count(&usage, instance)
+		}
+		found = append(found, usage)
 	}
-	slices.SortFunc(found, func(a, b DomainUsage) int { return cmp.Compare(a.Domain, b.Domain) })
 	return found
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -189,12 +189,7 @@
 	if view == nil {
 		return
 	}
-	epochs := map[shedkeel.GroupID]uint64{} // the latest of each group
-	for _, instance := range fleet.instances {
-		if instance.Member != nil {
-			epochs[instance.Member.Group] = max(epochs[instance.Member.Group], instance.Member.Epoch)
-		}
-	}
+	epochs := formation.LatestEpochs(maps.Values(fleet.instances))
 	var servers []dispatch.Server
 	for _, instance := range fleet.instances {
 		service := view.Service(instance.Service)
