The leader has a lease of its own; nodes of large fleets renew theirs seldom

Found on the way: a write to lead whose answer was lost and which was done later left a record that its node never acted on, and as the node kept the lease, no other node could lead either. Change: the leader's record goes with a lease of its own (1.5 s), which only the leader renews; a record that names the lease that the node keeps makes it lead, also when it is done late. A node is listed for 4 s without a renewal in fleets of more than 12 nodes, for 1.5 s in smaller ones. The planner's questions of pace run on the timer service; the use of servers is logged for all services or none; the tests of nodes share their set-up.

--- a/node/controller.go
+++ b/node/controller.go
@@ -30,6 +30,7 @@
 	node   *Node
 	prober prober
 	paces  paces
+	lease  lease // its end ends this node's leading
 
 	mutex    sync.Mutex
 	resigned bool
@@ -48,6 +49,7 @@
 }
 
 func (controller *controller) prepare() {
+	controller.lease = lease{node: controller.node, ttl: leadTTL}
 	controller.planners = map[shedkeel.ServiceID]*formation.Planner{}
 	controller.suspects = map[shedkeel.Assignment]time.Duration{}
 	controller.followed = map[shedkeel.Assignment]time.Duration{}
@@ -84,6 +86,10 @@
 		return
 	}
 	services := node.fleet.groupServices()
+	tellUsage := now-controller.told >= usageEvery
+	if tellUsage {
+		controller.told = now
+	}
 	controller.probeSuspects(ctx, slices.Concat(slices.Collect(maps.Values(services))...), now)
 	for id, instances := range services {
 		controller.mutex.Lock()
@@ -97,7 +103,9 @@
 			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, Slow: slow, Stalled: controller.stalled(now), Traffic: node.front.Served() > 0,
 		})
 		loading := planner.Loading()
-		controller.tellUsage(planner, now)
+		if tellUsage {
+			controller.tellUsage(planner)
+		}
 		controller.mutex.Unlock()
 		for _, action := range actions {
 			go controller.runOrder(ctx, planner, action)
@@ -107,11 +115,7 @@
 }
 
 // tellUsage logs what servers are used for. The mutex is held.
-func (controller *controller) tellUsage(planner *formation.Planner, now time.Duration) {
-	if now-controller.told < usageEvery {
-		return
-	}
-	controller.told = now
+func (controller *controller) tellUsage(planner *formation.Planner) {
 	for _, usage := range planner.Usage() {
 		controller.node.Log.Write(event.DomainUsage, slog.String("domain", string(usage.Domain)), slog.Any("serving", usage.Serving), slog.Any("spare", usage.Spare),
 			slog.Int("loading", usage.Loading), slog.Int("empty", usage.Empty), slog.Int("lost", usage.Lost))
@@ -144,7 +148,7 @@
 func (controller *controller) runOrder(ctx context.Context, planner *formation.Planner, action formation.Action) {
 	node := controller.node
 	order := action.Order
-	if !node.member.valid(node.Timers.Now()) {
+	if !controller.lease.valid(node.Timers.Now()) {
 		return // another may lead by now
 	}
 	err := node.Engines.Order(ctx, order)
--- a/node/election.go
+++ b/node/election.go
@@ -16,6 +16,12 @@
 	// electionStep is how much later each further node tries to lead, so that
 	// they seldom write at once.
 	electionStep = 60 * time.Millisecond
+	// leadTTL is how long a leader leads without a renewal: long enough for two
+	// renewals to fail, short enough that a successor of a dead one acts within
+	// two seconds.
+	leadTTL = 1500 * time.Millisecond
+	// leadRenew is how often a leader renews its lease.
+	leadRenew = leadTTL / 3
 	// termEpochs is how many epochs one term of a leader has.
 	termEpochs = 1 << 20
 
@@ -28,11 +34,16 @@
 	Node        shedkeel.NodeID `json:"node"`
 	Incarnation string          `json:"incarnation"`
 	Term        uint64          `json:"term"`
+	// Lease is what the record goes with. A write of which the outcome is
+	// unknown may be done when the node has another one already.
+	Lease shedkeel.LeaseID `json:"lease"`
 }
 
-// names reports whether the record names this start of the node.
-func (lead *leadRecord) names(node *Node) bool {
-	return lead.Node == node.Settings.Node && lead.Incarnation == node.Incarnation
+// leadsBy reports whether the record says that this start of the node leads,
+// for as long as the lease that it keeps.
+func (controller *controller) leadsBy(lead leadRecord) bool {
+	node := controller.node
+	return lead.Node == node.Settings.Node && lead.Incarnation == node.Incarnation && lead.Lease == controller.lease.ID()
 }
 
 type termRecord struct {
@@ -46,9 +57,8 @@
 	if !controller.leads {
 		return false
 	}
-	lead := controller.lead()
-	mine := lead.names(controller.node)
-	if mine && !controller.resigned && controller.node.member.valid(now) {
+	mine := controller.leadsBy(controller.lead())
+	if mine && !controller.resigned && controller.lease.valid(now) {
 		return true
 	}
 	if !mine || controller.resigned {
@@ -67,13 +77,21 @@
 	if !led {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaseMargin)
-	defer cancel()
-	record := controller.node.mirror.Get(leadKey)
-	_, err := controller.node.Store.Commit(ctx, shedkeel.Change{If: []shedkeel.Condition{{Key: leadKey, Revision: record.Revision}}, Remove: []string{leadKey}})
-	if err != nil {
-		controller.node.Log.Write(event.LeadLost, slog.String("error", err.Error()))
+	controller.lease.end() // the record that this node leads goes with it
+}
+
+// runLease renews the leader's lease while this node leads.
+func (controller *controller) runLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		controller.mutex.Lock()
+		leads := controller.leads
+		controller.mutex.Unlock()
+		if leads && controller.lease.ID() != 0 {
+			controller.lease.renew(ctx)
+		}
+		timer.Sleep(ctx, leadRenew)
 	}
+	controller.lease.end()
 }
 
 // lead returns the record of who leads, as far as is known here.
@@ -96,10 +114,15 @@
 	controller.mutex.Lock()
 	resigned := controller.resigned
 	controller.mutex.Unlock()
-	if resigned || !state.Known || now-state.AsOf > planAge || !node.member.valid(now) || node.mirror.Get(leadKey).Revision != 0 {
+	if resigned || !state.Known || now-state.AsOf > planAge || node.member.lease.ID() == 0 {
 		controller.vacant = 0
 		return
 	}
+	if node.mirror.Get(leadKey).Revision != 0 {
+		controller.vacant = 0
+		controller.adopt()
+		return
+	}
 	if controller.vacant == 0 {
 		controller.vacant = now
 	}
@@ -114,12 +137,14 @@
 			return
 		}
 	}
-	controller.tryLead(ctx, record.Revision, term.Term+1)
+	if controller.lease.valid(now) || controller.lease.grant(ctx) {
+		controller.tryLead(ctx, record.Revision, term.Term+1)
+	}
 }
 
 func (controller *controller) tryLead(ctx context.Context, revision int64, term uint64) {
 	node := controller.node
-	lead, err := json.Marshal(leadRecord{Node: node.Settings.Node, Incarnation: node.Incarnation, Term: term})
+	lead, err := json.Marshal(leadRecord{Node: node.Settings.Node, Incarnation: node.Incarnation, Term: term, Lease: controller.lease.ID()})
 	if err != nil {
 		return
 	}
@@ -129,32 +154,35 @@
 	}
 	written, err := node.Store.Commit(ctx, shedkeel.Change{
 		If:  []shedkeel.Condition{{Key: leadKey, Revision: 0}, {Key: termKey, Revision: revision}},
-		Put: []shedkeel.Put{{Key: leadKey, Value: lead, Lease: shedkeel.LeaseID(node.member.lease.Load())}, {Key: termKey, Value: next}},
+		Put: []shedkeel.Put{{Key: leadKey, Value: lead, Lease: controller.lease.ID()}, {Key: termKey, Value: next}},
 	})
 	if err != nil {
-		// Another was faster, or the outcome is unknown; the mirror shows
-		// which.
+		// Another was faster, or the outcome is unknown: if it is done after
+		// all, the mirror shows it and the node leads then.
 		controller.vacant = 0
-		timer.Sleep(ctx, planTick)
-		controller.adopt(term)
 		return
 	}
 	node.mirror.Apply(mirrorUpdate(
 		shedkeel.Record{Key: leadKey, Value: lead, Revision: written}, shedkeel.Record{Key: termKey, Value: next, Revision: written}))
-	controller.adopt(term)
+	controller.adopt()
 }
 
 // adopt begins to lead if the record says that this node does.
-func (controller *controller) adopt(term uint64) {
+func (controller *controller) adopt() {
 	lead := controller.lead()
-	if !lead.names(controller.node) || lead.Term != term {
+	if !controller.leadsBy(lead) || !controller.lease.valid(controller.node.Timers.Now()) {
 		return
 	}
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
+	if controller.leads {
+		return
+	}
 	controller.leads = true
-	controller.term = term
-	controller.epochs = 0
+	if lead.Term != controller.term {
+		controller.term = lead.Term
+		controller.epochs = 0
+	}
 	controller.planners = map[shedkeel.ServiceID]*formation.Planner{}
-	controller.node.Log.Write(event.LeadGained, slog.Uint64("term", term))
+	controller.node.Log.Write(event.LeadGained, slog.Uint64("term", lead.Term))
 }
--- a/node/lapse_test.go
+++ b/node/lapse_test.go
@@ -1,28 +1,15 @@
 package node
 
 import (
-	"io"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/mirror"
-	"shedkeel.org/shedkeel/timer"
 )
 
-// listDecoder takes the keys of records for the names of backend servers.
-type listDecoder struct{ Decoder }
-
-func (listDecoder) ConfigKey() string      { return "config" }
-func (listDecoder) InstancePrefix() string { return "servers/" }
-func (listDecoder) Instance(key string, _ []byte) (shedkeel.Instance, error) {
-	return shedkeel.Instance{ID: shedkeel.InstanceID(key)}, nil
-}
-
 // TestGoneServers has a server's record go after the copy has had some age:
 // only if the service was away may it be believed for longer. On a calm day
 // two nodes whose copies were 1.7 s old kept a server that had left for 2 s.
@@ -37,12 +24,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			log, err := event.NewLog(io.Discard, "info")
-			assert.NilError(t, err)
-			timers := &timer.Manual{}
-			node := &Node{Log: log, Timers: timers, Random: rand.NewPCG(1, 2), Decoder: listDecoder{}}
-			node.Prepare()
-			timers.Advance(time.Minute)
+			node, timers := newTestNode(t)
 			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Revision: 1}}})
 			timers.Advance(test.age)
 			node.fleet.tick(timers.Now())
--- /dev/null
+++ b/node/lease.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+)
+
+// leaseMargin is what two clocks may drift apart over a lease, and what an
+// order takes to leave.
+const leaseMargin = 300 * time.Millisecond
+
+// lease is a lease of the key-value service that a node keeps. The records
+// written with it go when it has not been renewed for its time.
+type lease struct {
+	node *Node
+	ttl  time.Duration
+
+	id    atomic.Int64 // 0: none
+	until atomic.Int64 // it lasts at least until then, on this node's clock
+}
+
+// valid reports whether the lease surely still lasts.
+func (lease *lease) valid(now time.Duration) bool {
+	return lease.id.Load() != 0 && now < time.Duration(lease.until.Load())-leaseMargin
+}
+
+// ID names the lease to the service.
+func (lease *lease) ID() shedkeel.LeaseID { return shedkeel.LeaseID(lease.id.Load()) }
+
+// renew renews the lease and reports whether it lasts. One that is over is
+// forgotten.
+func (lease *lease) renew(ctx context.Context) bool {
+	sent := lease.node.Timers.Now()
+	err := lease.node.Store.Renew(ctx, lease.ID())
+	if err == nil {
+		lease.until.Store(int64(sent + lease.ttl))
+		return true
+	}
+	var gone *shedkeel.LeaseGoneError
+	if errors.As(err, &gone) {
+		lease.id.Store(0)
+	}
+	lease.node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
+	return false
+}
+
+// grant gets a new lease and reports whether it did.
+func (lease *lease) grant(ctx context.Context) bool {
+	sent := lease.node.Timers.Now()
+	granted, ttl, err := lease.node.Store.Grant(ctx, lease.ttl)
+	if err != nil {
+		lease.node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
+		return false
+	}
+	lease.until.Store(int64(sent + min(ttl, lease.ttl)))
+	lease.id.Store(int64(granted))
+	return true
+}
+
+// end gives the lease up.
+func (lease *lease) end() {
+	if lease.ID() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseMargin)
+	defer cancel()
+	_ = lease.node.Store.Release(ctx, lease.ID()) // it runs out by itself
+	lease.id.Store(0)
+}
--- a/node/member.go
+++ b/node/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -14,82 +13,76 @@
 )
 
 const (
-	// leaseTTL is how long a node counts as living without a renewal: long
-	// enough for two renewals to fail, short enough that a successor of a
-	// dead planner acts within two seconds.
-	leaseTTL = 1500 * time.Millisecond
-	// renewEvery is how often a lease is renewed.
-	renewEvery = 500 * time.Millisecond
-	// leaseMargin is what two clocks may drift apart over a lease, and what
-	// an order takes to leave.
-	leaseMargin = 300 * time.Millisecond
+	// longTTL is how long a node of a large fleet is listed without a renewal.
+	// Each renewal is a call to the service, and few callers are sent to a node
+	// that is dead but still listed.
+	longTTL = 4 * time.Second
+	// shortTTL is the same in a small fleet, where the dead node's callers are
+	// many: long enough for two renewals to fail.
+	shortTTL = 1500 * time.Millisecond
+	// smallFleet is up to how many nodes a fleet is small.
+	smallFleet = 12
+	// renewals is how often a lease is renewed in its time.
+	renewals = 3
+	// listedRetry is how long after a failed renewal the next one comes.
+	listedRetry = 500 * time.Millisecond
+	// memberTick is how often a node looks whether its record has changed.
+	memberTick = 20 * time.Millisecond
 )
 
 // membership keeps the node's record in the key-value service.
 type membership struct {
 	node    *Node
-	lease   atomic.Int64 // 0: none
-	until   atomic.Int64 // the lease lasts at least until then, on this node's clock
-	changed atomic.Bool  // the record must be written again
+	lease   lease
+	changed atomic.Bool // the record must be written again
 }
 
 // update has the record written again.
 func (membership *membership) update() { membership.changed.Store(true) }
 
-// valid reports whether the lease surely still lasts.
-func (membership *membership) valid(now time.Duration) bool {
-	return membership.lease.Load() != 0 && now < time.Duration(membership.until.Load())-leaseMargin
-}
-
 func (membership *membership) run(ctx context.Context) {
 	next := time.Duration(0)
 	for ctx.Err() == nil {
 		now := membership.node.Timers.Now()
 		if now >= next || membership.changed.Load() {
-			next = now + renewEvery
-			membership.step(ctx)
+			next = now + listedRetry
+			if membership.step(ctx) {
+				next = now + membership.lease.ttl/renewals
+			}
 		}
-		timer.Sleep(ctx, 20*time.Millisecond)
-	}
-	ending, cancel := context.WithTimeout(context.Background(), leaseMargin)
-	defer cancel()
-	if lease := membership.lease.Load(); lease != 0 {
-		_ = membership.node.Store.Release(ending, shedkeel.LeaseID(lease)) // it runs out by itself
+		timer.Sleep(ctx, memberTick)
 	}
+	membership.lease.end()
 }
 
 // step renews the lease, or gets a new one, and writes the record if needed.
-func (membership *membership) step(ctx context.Context) {
-	lease := shedkeel.LeaseID(membership.lease.Load())
-	sent := membership.node.Timers.Now()
-	if lease != 0 {
-		err := membership.node.Store.Renew(ctx, lease)
-		var gone *shedkeel.LeaseGoneError
-		switch {
-		case err == nil:
-			membership.until.Store(int64(sent + leaseTTL))
-		case errors.As(err, &gone):
-			membership.lease.Store(0)
-			lease = 0
-		default:
-			membership.node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
-			return
-		}
+// It reports whether the node is listed as it should be.
+func (membership *membership) step(ctx context.Context) bool {
+	lease := &membership.lease
+	if lease.ID() != 0 && !lease.renew(ctx) && lease.ID() != 0 {
+		return false // the service does not answer
 	}
-	if lease == 0 {
-		granted, ttl, err := membership.node.Store.Grant(ctx, leaseTTL)
-		if err != nil {
-			membership.node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
-			return
+	if ttl := membership.ttl(); lease.ID() == 0 || lease.ttl != ttl {
+		lease.ttl = ttl // the former lease runs out when the record goes with a new one
+		if !lease.grant(ctx) {
+			return false
 		}
-		lease = granted
-		membership.until.Store(int64(sent + min(ttl, leaseTTL)))
-		membership.lease.Store(int64(granted))
 		membership.changed.Store(true)
 	}
-	if membership.changed.Swap(false) && !membership.write(ctx, lease) {
-		membership.changed.Store(true)
+	if !membership.changed.Swap(false) || membership.write(ctx) {
+		return true
+	}
+	membership.changed.Store(true)
+	return false
+}
+
+// ttl returns how long a node is to be listed without a renewal: as in a large
+// fleet until it has found out how many there are.
+func (membership *membership) ttl() time.Duration {
+	if membership.lease.ID() != 0 && membership.node.fleet.nodeCount() <= smallFleet {
+		return shortTTL
 	}
+	return longTTL
 }
 
 // record returns how the node describes itself.
@@ -100,13 +93,13 @@
 	}
 }
 
-func (membership *membership) write(ctx context.Context, lease shedkeel.LeaseID) bool {
+func (membership *membership) write(ctx context.Context) bool {
 	node := membership.node
 	value, err := json.Marshal(node.record())
 	if err != nil {
 		return true // it can never be written
 	}
-	put := shedkeel.Put{Key: nodePrefix + string(node.Settings.Node), Value: value, Lease: lease}
+	put := shedkeel.Put{Key: nodePrefix + string(node.Settings.Node), Value: value, Lease: membership.lease.ID()}
 	_, err = node.Store.Commit(ctx, shedkeel.Change{Put: []shedkeel.Put{put}})
 	if err != nil {
 		node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,7 @@
 	node.fleet.node = node
 	node.peers.node = node
 	node.member.node = node
+	node.member.lease = lease{node: node, ttl: longTTL}
 	node.controller.node = node
 	node.controller.prepare()
 	node.mirror.Listen(node.fleet.changed)
@@ -155,14 +156,16 @@
 	node.running.Go(func() { node.follower.Run(working) })
 	node.running.Go(func() { node.member.run(working) })
 	node.running.Go(func() { node.controller.run(working) })
-	node.running.Go(func() { node.controller.paces.run(working) })
+	node.running.Go(func() { node.controller.runLease(working) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.watchSilence)
 	cancelReport := node.Timers.Subscribe(time.Second, node.report)
+	cancelPaces := node.Timers.Subscribe(paceEvery/paceParts, node.controller.paces.tick)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
 
 	<-ctx.Done()
 	err := node.stop(callers)
 	cancelFleet()
+	cancelPaces()
 	cancelSilence()
 	cancelReport()
 	cancelWork()
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"io"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,8 +8,6 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
-	"shedkeel.org/shedkeel/event"
-	"shedkeel.org/shedkeel/timer"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -28,12 +24,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			log, err := event.NewLog(io.Discard, "info")
-			assert.NilError(t, err)
-			timers := &timer.Manual{}
-			node := &Node{Log: log, Timers: timers, Random: rand.NewPCG(1, 2)}
-			node.Prepare()
-			timers.Advance(time.Minute)
+			node, timers := newTestNode(t)
 			group := shedkeel.Assignment{Group: "m/d/1", Epoch: 3}
 			node.table.Replace([]dispatch.Server{{Service: "llm", Model: "m", Instance: "i", Group: group}})
 
--- a/node/paces.go
+++ b/node/paces.go
@@ -35,27 +35,18 @@
 	slow       map[shedkeel.InstanceID]float64 // slow ones and their pace
 }
 
-// run asks while the node plans.
-func (paces *paces) run(ctx context.Context) {
-	ticker := time.NewTicker(paceEvery / paceParts)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		controller := paces.controller
-		if !controller.leading(controller.node.Timers.Now()) {
-			continue
-		}
-		paces.part++
-		services := controller.node.fleet.groupServices()
-		for _, instances := range services {
-			paces.askPart(ctx, instances)
-		}
-		paces.forgetGone(services)
+// tick asks one part of the members while the node plans.
+func (paces *paces) tick(now time.Duration) {
+	controller := paces.controller
+	if !controller.leading(now) {
+		return
+	}
+	paces.part++
+	services := controller.node.fleet.groupServices()
+	for _, instances := range services {
+		paces.askPart(instances)
 	}
+	paces.forgetGone(services)
 }
 
 // forgetGone forgets slow servers that are no longer listed.
@@ -71,10 +62,10 @@
 	maps.DeleteFunc(paces.slow, func(id shedkeel.InstanceID, _ float64) bool { return !listed[id] })
 }
 
-func (paces *paces) askPart(ctx context.Context, instances []shedkeel.Instance) {
+func (paces *paces) askPart(instances []shedkeel.Instance) {
 	for index, instance := range instances {
 		if index%paceParts == paces.part%paceParts && (instance.Member != nil || paces.isSlow(instance.ID)) {
-			go paces.runAsk(ctx, instance)
+			go paces.runAsk(instance)
 		}
 	}
 }
@@ -86,8 +77,8 @@
 	return slow
 }
 
-func (paces *paces) runAsk(ctx context.Context, instance shedkeel.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
+func (paces *paces) runAsk(instance shedkeel.Instance) {
+	ctx, cancel := context.WithTimeout(context.Background(), paceTimeout)
 	defer cancel()
 	report, err := paces.controller.node.Engines.Report(ctx, instance.Address)
 	if err != nil {
--- a/node/services_test.go
+++ b/node/services_test.go
@@ -1,29 +1,20 @@
 package node
 
 import (
-	"io"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/serve"
-	"shedkeel.org/shedkeel/timer"
 )
 
 // TestSuspectsOfEachService has groups of two services suspected at once: the
 // planning of one service passed over what was noticed of the other.
 func TestSuspectsOfEachService(t *testing.T) {
-	log, err := event.NewLog(io.Discard, "info")
-	assert.NilError(t, err)
-	timers := &timer.Manual{}
-	node := &Node{Log: log, Timers: timers, Random: rand.NewPCG(1, 2), Decoder: listDecoder{}, Engines: &answering{}}
-	node.Prepare()
-	timers.Advance(time.Minute)
+	node, timers := newTestNode(t)
 	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
 	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 1, Share: 1}}}
 	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "one", Engine: engine}, {ID: "two", Engine: engine}}}))
