The command line looks into running nodes: status, explain, request, trace

For nodes there was only a dump of their state and the log files; `status`, `explain` and `request` knew keepers and entries only. Change: a log that is bounded remembers its latest 2,048 lines, also those that found the reader too slow. A node answers /v1/status, /v1/explain/GROUP (its members, those that are dead, slow or draining, and its events) and /v1/requests/ID at its metrics address; the client tells answers of keepers and nodes apart by themselves, so the commands stay the same. Gauges count groups by state. Metrics have a registry of their own, so that several parts can run in one process. Tests: TestRecent; TestOperatorsClient asks two running nodes for the fleet, a group, a refused request, and for what they do not know. The memory is bounded by lines, about 0.6 MB a node.

--- a/event/event.go
+++ b/event/event.go
@@ -116,6 +116,15 @@
 	return &with
 }
 
+// Recent returns those of the latest lines in which the field has the value,
+// oldest first. A log that is not bounded remembers none.
+func (log *Log) Recent(field, value string) [][]byte {
+	if log == nil || log.queue == nil {
+		return nil
+	}
+	return log.queue.Recent(field, value)
+}
+
 // Report logs how many lines were left out since the last report, if any.
 func (log *Log) Report() {
 	if log == nil || log.limits == nil {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"regexp"
@@ -103,3 +104,23 @@
 	assert.Equal(t, count(Refused.Number), 3*routineRate, "a failure was left out before what went well")
 	assert.Equal(t, count(LinesLeftOut.Number), 1)
 }
+
+// TestRecent asks a log for its latest lines, of which more were written than
+// it remembers.
+func TestRecent(t *testing.T) {
+	log, err := NewBoundedLog(io.Discard, "info")
+	assert.NilError(t, err)
+	defer log.Close()
+	log.Write(Refused, slog.String("request", "forgotten"))
+	for range recentLines {
+		log.write(Answered, slog.String("request", "r"))
+	}
+	log.Write(Refused, slog.String("request", "a <\"> b"), slog.Int("number", 1))
+	log.Write(Refused, slog.String("request", "a <\"> b"), slog.Int("number", 2))
+	found := log.Recent("request", "a <\"> b")
+	assert.Equal(t, len(found), 2)
+	assert.Assert(t, bytes.Contains(found[0], []byte(`"number":1`)), "the oldest comes first")
+	assert.Equal(t, len(log.Recent("request", "forgotten")), 0)
+	assert.Equal(t, len(log.Recent("request", "r")), recentLines-2)
+	assert.Equal(t, len((*Log)(nil).Recent("request", "r")), 0)
+}
--- a/event/queue.go
+++ b/event/queue.go
@@ -1,6 +1,9 @@
 package event
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -13,6 +16,9 @@
 	// queueLines is how many lines may wait for a reader that is slow; some
 	// 300 bytes each.
 	queueLines = 2048
+	// recentLines is how many lines are remembered for operators who ask a
+	// running process; at some 300 bytes each they take 0.6 MB.
+	recentLines = 2048
 	// routineRate is how many lines a second each event has that tells of
 	// nothing wrong; a node serves some 20 requests a second today.
 	routineRate = 100
@@ -29,6 +35,10 @@
 	ended   chan struct{}
 	out     io.Writer
 	once    sync.Once
+
+	mutex  sync.Mutex
+	recent [][]byte // the latest lines, in a ring
+	next   int      // where the ring goes on
 }
 
 // NewQueue returns a queue that writes to out until Close.
@@ -47,14 +57,52 @@
 
 // Write takes one line. It never blocks and never fails.
 func (queue *Queue) Write(line []byte) (int, error) {
+	kept := bytes.Clone(line)
+	queue.remember(kept)
 	select {
-	case queue.lines <- append([]byte(nil), line...):
+	case queue.lines <- kept:
 	default:
 		queue.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+func (queue *Queue) remember(line []byte) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	if len(queue.recent) < recentLines {
+		queue.recent = append(queue.recent, line)
+		return
+	}
+	queue.recent[queue.next] = line
+	queue.next = (queue.next + 1) % recentLines
+}
+
+// Recent returns those of the latest lines in which the field has the value,
+// oldest first, also those that found the queue full.
+func (queue *Queue) Recent(field, value string) [][]byte {
+	wanted := fmt.Appendf(nil, "%s:%s", quoted(field), quoted(value))
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	var found [][]byte
+	for index := range queue.recent {
+		line := queue.recent[(queue.next+index)%len(queue.recent)]
+		if bytes.Contains(line, wanted) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// quoted returns a text as the log writes it.
+func quoted(text string) []byte {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	_ = encoder.Encode(text) // a text can always be encoded
+	return bytes.TrimSpace(buffer.Bytes())
+}
+
 // Dropped returns how many lines found the queue full since it was last asked.
 func (queue *Queue) Dropped() int64 { return queue.dropped.Swap(0) }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	registered "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -21,8 +23,11 @@
 }
 
 // New returns the metrics of a process, whose name begins each value's name.
+// Those of two parts in one process, as in tests, are apart.
 func New(process string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := registered.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         process,
 		CachedReporter: reporter,
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,16 +1,18 @@
 package node
 
 import (
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/formation"
 )
 
+// Process is what a node calls itself to operators' clients.
+const Process = "node"
+
 // Dump is the state of a node, without secrets.
 type Dump struct {
+	Process     string            `json:"process"`
 	Node        shedkeel.NodeID   `json:"node"`
 	Incarnation string            `json:"incarnation"`
 	Stopping    bool              `json:"stopping"`
@@ -42,28 +44,13 @@
 	Staged   []shedkeel.ModelID  `json:"staged"`
 }
 
-// adminHandler serves metrics and the state of the node.
-func (node *Node) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	if node.Metrics != nil {
-		mux.Handle("GET /metrics", node.Metrics.Page)
-	}
-	mux.HandleFunc("GET /v1/dump", func(writer http.ResponseWriter, _ *http.Request) {
-		writer.Header().Set("Content-Type", "application/json")
-		encoder := json.NewEncoder(writer)
-		encoder.SetIndent("", "  ")
-		_ = encoder.Encode(node.dump())
-	})
-	return mux
-}
-
 func (node *Node) dump() Dump {
 	state := node.mirror.State()
 	node.controller.mutex.Lock()
 	leads := node.controller.leads
 	node.controller.mutex.Unlock()
 	dump := Dump{
-		Node: node.Settings.Node, Incarnation: node.Incarnation, Stopping: node.stopping.Load(), Leads: leads,
+		Process: Process, Node: node.Settings.Node, Incarnation: node.Incarnation, Stopping: node.stopping.Load(), Leads: leads,
 		Leader: node.controller.lead().Node, Revision: state.At, Served: node.front.Served(),
 		Age: (node.Timers.Now() - state.AsOf).Round(time.Millisecond).String(),
 	}
@@ -90,22 +77,3 @@
 		}
 	}
 }
-
-// report logs and counts once a second what has no event of its own.
-func (node *Node) report(now time.Duration) {
-	node.Log.Report()
-	if node.Metrics == nil {
-		return
-	}
-	scope := node.Metrics.Scope
-	scope.Gauge("mirror_age_seconds").Update((now - node.mirror.State().AsOf).Seconds())
-	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
-	if counted, ok := node.Store.(interface {
-		Calls() (reads, writes, watches int64)
-	}); ok {
-		reads, writes, watches := counted.Calls()
-		scope.Gauge("store_reads").Update(float64(reads))
-		scope.Gauge("store_writes").Update(float64(writes))
-		scope.Gauge("store_watches").Update(float64(watches))
-	}
-}
--- /dev/null
+++ b/node/explain.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"shedkeel.org/shedkeel"
+)
+
+// EventLines is the content type of log lines, one JSON object each.
+const EventLines = "application/x-ndjson"
+
+// Explanation is what a node knows of a replica group.
+type Explanation struct {
+	Process string            `json:"process"`
+	Node    shedkeel.NodeID   `json:"node"`
+	Leader  shedkeel.NodeID   `json:"leader"` // plans it and has given its orders
+	Group   shedkeel.GroupID  `json:"group"`
+	Members []MemberDump      `json:"members"` // listed ones, also of former formations
+	Events  []json.RawMessage `json:"events"`  // lines of this node's log
+}
+
+// MemberDump is a backend server that tells of a replica group.
+type MemberDump struct {
+	Server   shedkeel.InstanceID  `json:"server"`
+	Rank     int                  `json:"rank"`
+	Epoch    uint64               `json:"epoch"`
+	State    shedkeel.MemberState `json:"state"`
+	Draining bool                 `json:"draining"`
+	Dead     bool                 `json:"dead"` // it answers no probe; only the leader knows
+	Slow     float64              `json:"slow"` // times slower than it should be; 0: not, or not known here
+}
+
+// adminHandler serves metrics and the state of the node.
+func (node *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	if node.Metrics != nil {
+		mux.Handle("GET /metrics", node.Metrics.Page)
+	}
+	mux.HandleFunc("GET /v1/dump", node.serveDump)
+	mux.HandleFunc("GET /v1/status", node.serveDump)
+	mux.HandleFunc("GET /v1/explain/{group...}", node.serveExplain)
+	mux.HandleFunc("GET /v1/requests/{id}", node.serveRequest)
+	return mux
+}
+
+func (node *Node) serveDump(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, node.dump())
+}
+
+// serveExplain answers what the node knows of a group.
+func (node *Node) serveExplain(writer http.ResponseWriter, request *http.Request) {
+	group := shedkeel.GroupID(request.PathValue("group"))
+	explanation := Explanation{
+		Process: Process, Node: node.Settings.Node, Leader: node.controller.lead().Node, Group: group, Members: node.members(group),
+		Events: []json.RawMessage{},
+	}
+	for _, line := range node.Log.Recent("group", string(group)) {
+		explanation.Events = append(explanation.Events, bytes.TrimSpace(line))
+	}
+	if len(explanation.Members) == 0 && len(explanation.Events) == 0 {
+		notFound(writer, fmt.Sprintf("no listed server tells of group %s, and none of this node's latest events; its planner is node %s", group, explanation.Leader))
+		return
+	}
+	writeJSON(writer, http.StatusOK, explanation)
+}
+
+// members returns the listed servers that tell of a group.
+func (node *Node) members(group shedkeel.GroupID) []MemberDump {
+	node.fleet.mutex.Lock()
+	instances := node.fleet.sortedInstances()
+	node.fleet.mutex.Unlock()
+	controller := &node.controller
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	members := []MemberDump{}
+	for _, instance := range instances {
+		if instance.Member == nil || instance.Member.Group != group {
+			continue
+		}
+		_, dead := controller.dead[instance.ID]
+		members = append(members, MemberDump{
+			Server: instance.ID, Rank: instance.Member.Rank, Epoch: instance.Member.Epoch, State: instance.Member.State,
+			Draining: instance.Draining, Dead: dead, Slow: controller.paces.slow[instance.ID],
+		})
+	}
+	return members
+}
+
+// serveRequest answers the log lines of a request.
+func (node *Node) serveRequest(writer http.ResponseWriter, request *http.Request) {
+	id := request.PathValue("id")
+	lines := node.Log.Recent("request", id)
+	if len(lines) == 0 {
+		notFound(writer, fmt.Sprintf("none of the latest events of node %s tells of request %s; ask the node that its caller sent it to, or read its log", node.Settings.Node, id))
+		return
+	}
+	writer.Header().Set("Content-Type", EventLines)
+	for _, line := range lines {
+		_, _ = writer.Write(line) // who asked is gone
+	}
+}
+
+func notFound(writer http.ResponseWriter, text string) {
+	writeJSON(writer, http.StatusNotFound, map[string]string{"error": text})
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(body) // who asked is gone
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,7 +20,9 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/engine"
+	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/platform"
 	platformstandin "shedkeel.org/shedkeel/platform/standin"
@@ -41,6 +44,7 @@
 	callers   string
 	directory string
 	readiness string
+	admin     string
 	stop      context.CancelFunc
 	ended     sync.WaitGroup
 }
@@ -102,7 +106,7 @@
 
 func (world *world) start(index int) {
 	t := world.t
-	listeners := node.Listeners{Callers: listen(t), Directory: listen(t), Readiness: listen(t), Control: listen(t)}
+	listeners := node.Listeners{Callers: listen(t), Directory: listen(t), Readiness: listen(t), Control: listen(t), Metrics: listen(t)}
 	settings := config.DefaultNodeSettings()
 	settings.Node = shedkeel.NodeID(fmt.Sprint("node-", index))
 	settings.Zone = "z"
@@ -110,18 +114,22 @@
 	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second)
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String()}
 	transport := &engine.Transport{DialTimeout: 250 * time.Millisecond, IdleTimeout: time.Second}
+	log, err := event.NewBoundedLog(io.Discard, "info")
+	assert.NilError(t, err)
+	values := metrics.New("test")
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewNonce(),
 		Store:   &platform.Store{Address: strings.TrimPrefix(world.store.URL, "http://"), Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
 		Decoder: platform.Decoder{}, Protocol: platform.Callers{}, Backend: transport,
 		Engines: &platform.Engines{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
 		Timers:  &timer.System{}, Random: rand.NewPCG(uint64(index), 1),
+		Log: log.With(slog.String("node", string(settings.Node))), Metrics: values,
 	}
 	process.Prepare()
 	ctx, stop := context.WithCancel(context.Background())
 	running := &runningNode{
 		Node: process, stop: stop, callers: listeners.Callers.Addr().String(),
-		directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(),
+		directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(), admin: listeners.Metrics.Addr().String(),
 	}
 	faces := node.Faces{
 		Directory: &platform.Directory{Addresses: process.Addresses, Keep: node.DirectoryKeep},
@@ -133,6 +141,8 @@
 		stop()
 		running.ended.Wait()
 		transport.Close()
+		values.Close()
+		log.Close()
 	})
 }
 
--- /dev/null
+++ b/node/operator_test.go
@@ -0,0 +1,78 @@
+package node_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/operator"
+)
+
+// TestOperatorsClient asks running nodes with the operators' client for the
+// fleet, for a group, for a request that failed, and for what they don't know.
+func TestOperatorsClient(t *testing.T) {
+	world := newWorld(t, 2)
+	world.eventually("groups that serve", func() bool { return len(world.fleet.Serving()["m0"]) >= 2 })
+	client := &operator.Client{Keeper: world.nodes[0].admin}
+	var status bytes.Buffer
+	world.eventually("the node's view of open groups", func() bool {
+		answer, err := client.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, answer.Keeper == nil)
+		status.Reset()
+		operator.PrintStatus(&status, answer)
+		return strings.Contains(status.String(), "groups: ") && !strings.Contains(status.String(), "groups: 0 open")
+	})
+	assert.Assert(t, strings.Contains(status.String(), "2 nodes, planned by node-"), status.String())
+	assert.Assert(t, strings.Contains(status.String(), "plain-0"), "a server in no group")
+
+	leader := client
+	view, err := client.Status(t.Context())
+	assert.NilError(t, err)
+	group := string(view.Node.Groups[0].Group)
+	for _, running := range world.nodes {
+		if answer, err := client.Status(t.Context()); err == nil && answer.Node.Leader == running.Settings.Node {
+			leader = &operator.Client{Keeper: running.admin}
+		}
+	}
+	explanation, err := leader.Explain(t.Context(), group)
+	assert.NilError(t, err)
+	var printed bytes.Buffer
+	operator.PrintExplanation(&printed, explanation)
+	assert.Assert(t, strings.Contains(printed.String(), "order to an engine"), printed.String())
+	assert.Equal(t, len(explanation.Node.Members), 2)
+
+	id := shedkeel.NewNonce()
+	world.eventually("a refusal by a node that knows its configuration", func() bool {
+		code, _ := world.send(world.nodes[0].callers, id, "/copy/a", "unknown-key", 5)
+		return code == http.StatusUnauthorized
+	})
+	story, err := client.Request(t.Context(), id)
+	assert.NilError(t, err)
+	printed.Reset()
+	operator.PrintRequest(&printed, story)
+	assert.Assert(t, strings.Contains(printed.String(), "the key belongs to no client account"), printed.String())
+
+	trace := &operator.Trace{Request: id}
+	assert.NilError(t, client.Trace(t.Context(), trace))
+	lines, err := trace.Lines()
+	assert.NilError(t, err)
+	assert.Equal(t, lines[0].Node, "node-0")
+
+	_, err = client.Request(t.Context(), "unknown")
+	assert.ErrorContains(t, err, "none of the latest events of node node-0 tells of request unknown")
+	_, err = client.Explain(t.Context(), "m0/nowhere/1")
+	assert.ErrorContains(t, err, "no listed server tells of group m0/nowhere/1")
+
+	response, err := world.client.Get("http://" + world.nodes[0].admin + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(page), `groups{state="open"}`), "groups by state")
+}
--- /dev/null
+++ b/node/report.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/formation"
+)
+
+// report logs and counts once a second what has no event of its own.
+func (node *Node) report(now time.Duration) {
+	node.Log.Report()
+	if node.Metrics == nil {
+		return
+	}
+	scope := node.Metrics.Scope
+	scope.Gauge("mirror_age_seconds").Update((now - node.mirror.State().AsOf).Seconds())
+	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
+	for state, count := range node.fleet.groupStates() {
+		scope.Tagged(map[string]string{"state": state}).Gauge("groups").Update(float64(count))
+	}
+	if counted, ok := node.Store.(interface {
+		Calls() (reads, writes, watches int64)
+	}); ok {
+		reads, writes, watches := counted.Calls()
+		scope.Gauge("store_reads").Update(float64(reads))
+		scope.Gauge("store_writes").Update(float64(writes))
+		scope.Gauge("store_watches").Update(float64(watches))
+	}
+}
+
+// unlistedHead is the state of a group whose head is not listed.
+const unlistedHead = "headless"
+
+// groupStates counts the replica groups by the state of their heads, each
+// state that there is.
+func (fleet *fleet) groupStates() map[string]int {
+	counts := map[string]int{unlistedHead: 0}
+	for _, state := range []shedkeel.MemberState{shedkeel.MemberJoining, shedkeel.MemberReady, shedkeel.MemberOpen, shedkeel.MemberClosing, shedkeel.MemberBroken} {
+		counts[string(state)] = 0
+	}
+	fleet.mutex.Lock()
+	groups := formation.Groups(fleet.sortedInstances())
+	fleet.mutex.Unlock()
+	for _, group := range groups {
+		state := string(group.State)
+		if _, known := counts[state]; !known {
+			state = unlistedHead
+		}
+		counts[state]++
+	}
+	return counts
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,5 +1,5 @@
-// Package operator is the operators' client: it speaks to any keeper of the
-// fleet and prints what it learns as tables or JSON.
+// Package operator is the operators' client: it speaks to any keeper or node of
+// the fleet and prints what it learns as tables or JSON.
 package operator
 
 import (
@@ -12,8 +12,8 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/keeper"
+	"shedkeel.org/shedkeel/node"
 )
 
 const (
@@ -21,7 +21,7 @@
 	maxAnswer   = 64 << 20
 )
 
-// Client speaks to one keeper.
+// Client speaks to one keeper, entry or node.
 type Client struct {
 	Keeper string // host:port, or an https URL
 	Key    string // the operators' key
@@ -40,22 +40,40 @@
 	return accepted, client.call(ctx, http.MethodPut, "/v1/config", config, &accepted)
 }
 
-// Status returns the fleet as the keeper sees it.
-func (client *Client) Status(ctx context.Context) (keeper.Status, error) {
-	var status keeper.Status
+// Status returns the fleet as the keeper or node sees it.
+func (client *Client) Status(ctx context.Context) (Either[keeper.Status, node.Dump], error) {
+	var status Either[keeper.Status, node.Dump]
 	return status, client.call(ctx, http.MethodGet, "/v1/status", nil, &status)
 }
 
 // Explain returns why a group is as it is.
-func (client *Client) Explain(ctx context.Context, group string) (keeper.Explanation, error) {
-	var explanation keeper.Explanation
+func (client *Client) Explain(ctx context.Context, group string) (Either[keeper.Explanation, node.Explanation], error) {
+	var explanation Either[keeper.Explanation, node.Explanation]
 	return explanation, client.call(ctx, http.MethodGet, "/v1/explain/"+group, nil, &explanation)
 }
 
-// Request returns what the entry at the address decided on a request.
-func (client *Client) Request(ctx context.Context, id string) (entry.RequestRecord, error) {
-	var record entry.RequestRecord
-	return record, client.call(ctx, http.MethodGet, "/v1/requests/"+id, nil, &record)
+// Request returns what the entry at the address decided on a request, or what
+// the node at the address has logged of it.
+func (client *Client) Request(ctx context.Context, id string) (RequestStory, error) {
+	story := RequestStory{ID: id}
+	return story, client.call(ctx, http.MethodGet, "/v1/requests/"+id, nil, &story)
+}
+
+// Trace adds what the node at the address remembers to a trace.
+func (client *Client) Trace(ctx context.Context, trace *Trace) error {
+	if trace.Request != "" {
+		story, err := client.Request(ctx, trace.Request)
+		trace.lines = append(trace.lines, story.Lines...)
+		return err
+	}
+	explanation, err := client.Explain(ctx, trace.Group)
+	if err != nil || explanation.Node == nil {
+		return err
+	}
+	for _, line := range explanation.Node.Events {
+		trace.take(string(line))
+	}
+	return nil
 }
 
 // Dump returns the state of the process at the address as JSON.
@@ -93,7 +111,11 @@
 	if response.StatusCode != http.StatusOK {
 		return failure(response)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(answer)
+	limited := io.LimitReader(response.Body, maxAnswer)
+	if story, ok := answer.(*RequestStory); ok && response.Header.Get("Content-Type") == node.EventLines {
+		return story.read(limited)
+	}
+	return json.NewDecoder(limited).Decode(answer)
 }
 
 func (client *Client) url(path string) string {
@@ -126,5 +148,5 @@
 	case json.Unmarshal(text, &fromEntry) == nil && fromEntry.Error.Message != "":
 		return &Error{Status: response.StatusCode, Text: fromEntry.Error.Message}
 	}
-	return &Error{Status: response.StatusCode, Text: fmt.Sprintf("status %d; is this the operator port of a keeper, or the admin port of an entry?", response.StatusCode)}
+	return &Error{Status: response.StatusCode, Text: fmt.Sprintf("status %d; is this the operator port of a keeper, the admin port of an entry, or the metrics port of a node?", response.StatusCode)}
 }
--- a/operator/print.go
+++ b/operator/print.go
@@ -10,12 +10,20 @@
 	"text/tabwriter"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/keeper"
+	"shedkeel.org/shedkeel/node"
 )
 
 // PrintStatus writes a status as tables.
-func PrintStatus(writer io.Writer, status keeper.Status) {
+func PrintStatus(writer io.Writer, status Either[keeper.Status, node.Dump]) {
+	if status.Node != nil {
+		printNodeStatus(writer, status.Node)
+		return
+	}
+	printKeeperStatus(writer, status.Keeper)
+}
+
+func printKeeperStatus(writer io.Writer, status *keeper.Status) {
 	counts := map[string]int{}
 	for _, group := range status.Groups {
 		counts[group.State]++
@@ -52,7 +60,15 @@
 }
 
 // PrintExplanation writes why a group is as it is.
-func PrintExplanation(writer io.Writer, explanation keeper.Explanation) {
+func PrintExplanation(writer io.Writer, explanation Either[keeper.Explanation, node.Explanation]) {
+	if explanation.Node != nil {
+		printNodeExplanation(writer, explanation.Node)
+		return
+	}
+	printKeeperExplanation(writer, explanation.Keeper)
+}
+
+func printKeeperExplanation(writer io.Writer, explanation *keeper.Explanation) {
 	group := explanation.Group
 	_, _ = fmt.Fprintf(writer, "group %s of %s at epoch %d is %s", group.Group.ID, group.Group.Service, group.Group.Epoch, cmp.Or(group.State, "gone"))
 	if group.Reason != "" {
@@ -67,8 +83,13 @@
 	}
 }
 
-// PrintRequest writes what an entry decided on a request.
-func PrintRequest(writer io.Writer, record entry.RequestRecord) {
+// PrintRequest writes what became of a request.
+func PrintRequest(writer io.Writer, story RequestStory) {
+	if story.Entry == nil {
+		_ = PrintTrace(writer, story.Lines)
+		return
+	}
+	record := story.Entry
 	_, _ = fmt.Fprintf(writer, "request %s of account %s to %s took %s: %s\n", record.ID, record.Account, record.Service, record.Took, record.Result)
 	for number, try := range record.Tries {
 		_, _ = fmt.Fprintf(writer, "try %d: server %s with load %d: %s\n", number+1, try.Server, try.Load, try.Result)
--- /dev/null
+++ b/operator/print_node.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/node"
+)
+
+// printNodeStatus writes the fleet as a node sees it.
+func printNodeStatus(writer io.Writer, status *node.Dump) {
+	states := map[shedkeel.MemberState]int{}
+	for _, group := range status.Groups {
+		states[group.State]++
+	}
+	_, _ = fmt.Fprintf(writer, "configuration %d, seen by node %s; its copy of the store is %s old\n", status.Config, status.Node, status.Age)
+	_, _ = fmt.Fprintf(writer, "groups: %d open, %d forming, %d closing or broken, %d without a listed head\n", states[shedkeel.MemberOpen],
+		states[shedkeel.MemberJoining]+states[shedkeel.MemberReady], states[shedkeel.MemberClosing]+states[shedkeel.MemberBroken], states[""])
+	_, _ = fmt.Fprintf(writer, "%d nodes, planned by %s\n", len(status.Nodes), cmp.Or(string(status.Leader), "nobody"))
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nGROUP\tMODEL\tEPOCH\tHEAD\tMEMBERS")
+	for _, group := range status.Groups {
+		members := make([]string, len(group.Members))
+		for index, member := range group.Members {
+			members[index] = string(member)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", group.Group, group.Model, group.Epoch, cmp.Or(string(group.State), "not listed"), strings.Join(members, ","))
+	}
+	_, _ = fmt.Fprintln(table, "\nSERVER IN NO GROUP\tSERVICE\tSTATE\tWEIGHTS ON ITS HOST")
+	for _, server := range status.Servers {
+		state := "ready"
+		if server.Draining {
+			state = "draining"
+		}
+		weights := make([]string, len(server.Staged))
+		for index, model := range server.Staged {
+			weights[index] = string(model)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", server.Server, server.Service, state, cmp.Or(strings.Join(weights, ","), "-"))
+	}
+	_ = table.Flush()
+}
+
+// printNodeExplanation writes what a node knows of a group.
+func printNodeExplanation(writer io.Writer, explanation *node.Explanation) {
+	_, _ = fmt.Fprintf(writer, "group %s, seen by node %s; planned by %s\n", explanation.Group, explanation.Node, cmp.Or(string(explanation.Leader), "nobody"))
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nMEMBER\tRANK\tEPOCH\tSTATE\tFOUND")
+	for _, member := range explanation.Members {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\n", member.Server, member.Rank, member.Epoch, member.State, findings(member))
+	}
+	_ = table.Flush()
+	_, _ = fmt.Fprintln(writer)
+	trace := &Trace{Group: string(explanation.Group)}
+	for _, line := range explanation.Events {
+		trace.take(string(line))
+	}
+	lines, err := trace.Lines()
+	if err != nil {
+		_, _ = fmt.Fprintln(writer, "no event of this node tells of it; ask the node that plans")
+		return
+	}
+	_ = PrintTrace(writer, lines)
+}
+
+// findings names what is wrong with a member.
+func findings(member node.MemberDump) string {
+	var found []string
+	if member.Draining {
+		found = append(found, "draining")
+	}
+	if member.Dead {
+		found = append(found, "answers no probe")
+	}
+	if member.Slow > 0 {
+		found = append(found, fmt.Sprintf("%.1f times slower than it should be", member.Slow))
+	}
+	return cmp.Or(strings.Join(found, ", "), "-")
+}
--- a/program/operator.go
+++ b/program/operator.go
@@ -17,8 +17,8 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/config"
-	"shedkeel.org/shedkeel/entry"
 	"shedkeel.org/shedkeel/keeper"
+	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/operator"
 	"shedkeel.org/shedkeel/policy"
 )
@@ -68,11 +68,11 @@
 func operatorCommand() *cli.Command {
 	return &cli.Command{
 		Name:                  "shedkeel",
-		Usage:                 "operate a shedkeel fleet through any of its keepers",
+		Usage:                 "operate a shedkeel fleet through any of its keepers or nodes",
 		Description:           "Exit codes: 0 done, 1 failed, 2 invalid input, 3 another operator was faster,\n4 outcome unknown, 5 keeper or key-value service away.",
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "keeper", Usage: "operator `ADDRESS` of a keeper, or admin address of an entry for dump", Value: "127.0.0.1:7400", Sources: cli.EnvVars("SHEDKEEL_KEEPER")},
+			&cli.StringFlag{Name: "keeper", Usage: "operator `ADDRESS` of a keeper, metrics address of a node, or admin address of an entry for dump and request", Value: "127.0.0.1:7400", Sources: cli.EnvVars("SHEDKEEL_KEEPER")},
 			&cli.StringFlag{Name: "key", Usage: "the operators' `KEY`", Sources: cli.EnvVars("SHEDKEEL_KEY")},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 			&cli.StringFlag{Name: "certificate", Usage: "PEM `FILE` to show to keepers with TLS"},
@@ -88,13 +88,14 @@
 			{Name: "get", Usage: "print the configuration in force", Action: get},
 			{Name: "status", Usage: "show groups, nodes and stranded accelerators", Action: status},
 			{Name: "explain", Usage: "tell why a group is as it is", ArgsUsage: "GROUP", Action: explain},
-			{Name: "request", Usage: "tell what the entry at --keeper decided on a request, by its Shedkeel-Request", ArgsUsage: "ID", Action: explainRequest},
+			{Name: "request", Usage: "tell what the entry or node at --keeper decided on a request, by its Shedkeel-Request or its own id", ArgsUsage: "ID", Action: explainRequest},
 			{Name: "drain", Usage: "take a box out of service", ArgsUsage: "BOX", Action: drain},
 			{Name: "undrain", Usage: "put a box back into service", ArgsUsage: "BOX", Action: undrain},
 			{Name: "dump", Usage: "print the state of the process at --keeper", Action: dump},
 			{Name: "trace", Usage: "tell a request's or a group's story from the logs of nodes", ArgsUsage: "[FILE...]", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "request", Usage: "the request's `ID`, as its caller sent it"},
 				&cli.StringFlag{Name: "group", Usage: "the replica group's `NAME`"},
+				&cli.StringSliceFlag{Name: "node", Usage: "metrics `ADDRESS` of a running node to ask, beside the files; may be repeated"},
 			}, Action: traceLogs},
 			{Name: "policy", Usage: "work on policies", Commands: []*cli.Command{
 				{Name: "check", Usage: "check a policy and show what it would decide", ArgsUsage: "FILE", Flags: []cli.Flag{
@@ -229,8 +230,9 @@
 }
 
 func status(ctx context.Context, command *cli.Command) error {
-	ask := func(client *operator.Client) (keeper.Status, error) { return client.Status(ctx) }
-	return show(command, ask, operator.PrintStatus)
+	return show(command, func(client *operator.Client) (operator.Either[keeper.Status, node.Dump], error) {
+		return client.Status(ctx)
+	}, operator.PrintStatus)
 }
 
 func explain(ctx context.Context, command *cli.Command) error {
@@ -238,7 +240,9 @@
 	if err != nil {
 		return err
 	}
-	ask := func(client *operator.Client) (keeper.Explanation, error) { return client.Explain(ctx, group) }
+	ask := func(client *operator.Client) (operator.Either[keeper.Explanation, node.Explanation], error) {
+		return client.Explain(ctx, group)
+	}
 	return show(command, ask, operator.PrintExplanation)
 }
 
@@ -247,7 +251,7 @@
 	if err != nil {
 		return err
 	}
-	ask := func(client *operator.Client) (entry.RequestRecord, error) { return client.Request(ctx, id) }
+	ask := func(client *operator.Client) (operator.RequestStory, error) { return client.Request(ctx, id) }
 	return show(command, ask, operator.PrintRequest)
 }
 
--- a/program/trace.go
+++ b/program/trace.go
@@ -12,7 +12,7 @@
 )
 
 // traceLogs prints what logs tell of one request or group.
-func traceLogs(_ context.Context, command *cli.Command) error {
+func traceLogs(ctx context.Context, command *cli.Command) error {
 	trace := &operator.Trace{Request: command.String("request"), Group: command.String("group")}
 	if (trace.Request == "") == (trace.Group == "") {
 		return &shedkeel.InvalidError{Where: command.Name, What: "it needs one of --request and --group", Remedy: "give one"}
@@ -20,6 +20,9 @@
 	if err := readLogs(command, trace); err != nil {
 		return err
 	}
+	if err := askNodes(ctx, command, trace); err != nil {
+		return err
+	}
 	lines, err := trace.Lines()
 	if err != nil {
 		return err
@@ -33,8 +36,28 @@
 	return operator.PrintTrace(command.Root().Writer, lines)
 }
 
-// readLogs reads the named files, or standard input if none is named.
+// askNodes asks the named nodes for what they remember. One that does not
+// answer, or that remembers nothing, is named and passed over.
+func askNodes(ctx context.Context, command *cli.Command, trace *operator.Trace) error {
+	for _, address := range command.StringSlice("node") {
+		client, err := clientOf(command)
+		if err != nil {
+			return err
+		}
+		client.Keeper = address
+		if err := client.Trace(ctx, trace); err != nil {
+			_, _ = fmt.Fprintf(command.Root().ErrWriter, "%s: %s\n", address, err)
+		}
+	}
+	return nil
+}
+
+// readLogs reads the named files, or standard input if neither a file nor a
+// node is named.
 func readLogs(command *cli.Command, trace *operator.Trace) error {
+	if command.Args().Len() == 0 && len(command.StringSlice("node")) > 0 {
+		return nil
+	}
 	if command.Args().Len() == 0 {
 		return trace.Read(os.Stdin)
 	}
