One node follows the store for all, and another takes over at once

Cause: two nodes followed the store, half of the others each, so that one could fail; every change of a server ended two watches. They were most of the calls that were left, also on the small sites. Change: all follow the node in the second place, which follows the store; the first, which plans already, follows it too. A node that gives no answer, or a copy older than 1.2 s, is not followed for 2 s; the first place follows the store then, and the others follow it. If neither answers, the order stays and the copy goes stale, whereupon each asks the store in its turn, as before. Tests: TestChoose.

--- a/node/peers.go
+++ b/node/peers.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -22,11 +24,19 @@
 	// relayMargin is how much longer than its wait a question to another
 	// mirror may take.
 	relayMargin = 400 * time.Millisecond
-	// watchers is how many nodes follow the key-value service themselves; the
-	// others follow them, so that calls don't grow with nodes.
-	watchers = 2
+	// failTime is how long a node is not followed that has not answered, or with
+	// a copy that was too old.
+	failTime = 2 * time.Second
+	// sourceAge is how old the copy of a node may be that others follow: its
+	// watches take 0.7 s, and what has changed is let gather for 0.1 s.
+	sourceAge = 1200 * time.Millisecond
 )
 
+// sources are the places of the nodes that others follow, the first that
+// answers. It follows the key-value service itself, so that calls don't grow
+// with nodes. The node in the first place plans already.
+var sources = [...]int{1, 0}
+
 // peers are the other nodes, as far as they are known.
 type peers struct {
 	node *Node
@@ -40,9 +50,10 @@
 
 // peer is one other node.
 type peer struct {
-	id   shedkeel.NodeID
-	node *Node
-	wire *wire.Peer
+	id     shedkeel.NodeID
+	node   *Node
+	wire   *wire.Peer
+	failed atomic.Int64 // when it was last found unfit to be followed; 0: never
 }
 
 // update makes these the nodes that are known.
@@ -75,22 +86,35 @@
 func (peers *peers) choose() mirror.Peer {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	// A node that is not listed yet follows others too, once there are any.
-	place := 0
-	own := peers.node.record()
-	for _, node := range peers.nodes {
-		if node.ID != own.ID && compareNodes(node, own) < 0 {
-			place++
+	nodes := peers.withOwn()
+	var first *peer
+	for _, place := range sources {
+		if place >= len(nodes) {
+			continue
+		}
+		if nodes[place].ID == peers.node.Settings.Node {
+			return nil
+		}
+		followed := peers.known[nodes[place].ID]
+		if !followed.failedLately() {
+			return followed
+		}
+		if first == nil {
+			first = followed
 		}
 	}
-	if place < watchers {
-		return nil
-	}
-	followed := peers.known[peers.nodes[place%watchers].ID]
-	if followed == nil {
-		return nil
+	return first // none answers; the copy will be stale, and its turn to ask the service comes
+}
+
+// withOwn returns the nodes in order, this one among them though it may not be
+// listed yet: it follows others too, once there are any. The mutex is held.
+func (peers *peers) withOwn() []nodeRecord {
+	own := peers.node.record()
+	place, listed := slices.BinarySearchFunc(peers.nodes, own, compareNodes)
+	if listed {
+		return peers.nodes
 	}
-	return followed
+	return slices.Insert(slices.Clone(peers.nodes), place, own)
 }
 
 // others returns the other nodes as mirrors that may be asked.
@@ -155,8 +179,22 @@
 // Name names the node.
 func (peer *peer) Name() string { return string(peer.id) }
 
+// failedLately reports whether the node was found unfit to be followed of late.
+func (peer *peer) failedLately() bool {
+	failed := time.Duration(peer.failed.Load())
+	return failed != 0 && peer.node.Timers.Now()-failed < failTime
+}
+
 // Relay asks the node's mirror.
 func (peer *peer) Relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
+	update, err := peer.relay(ctx, since, wait)
+	if err != nil && ctx.Err() == nil || err == nil && -update.AsOf > sourceAge {
+		peer.failed.Store(int64(peer.node.Timers.Now()))
+	}
+	return update, err
+}
+
+func (peer *peer) relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+relayMargin)
 	defer cancel()
 	reply, err := peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Relay{Relay: &wire.RelayCall{Since: since, WaitMs: uint32(wait.Milliseconds())}}})
--- /dev/null
+++ b/node/peers_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestChoose has a node of each place find out whose copy to follow.
+func TestChoose(t *testing.T) {
+	order := []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "b", Capacity: 0.8}, {ID: "c", Capacity: 0.2}, {ID: "d", Capacity: 0.2}}
+	cases := map[string]struct {
+		own    shedkeel.NodeID
+		nodes  []nodeRecord // others and itself, as listed
+		failed []shedkeel.NodeID
+		follow string // "": the key-value service
+	}{
+		"alone":                             {"a", order[:1], nil, ""},
+		"not listed yet, and none is":       {"a", nil, nil, ""},
+		"not listed yet, others are":        {"d", order[:3], nil, "b"},
+		"the second follows the service":    {"b", order, nil, ""},
+		"the first follows the second":      {"a", order, nil, "b"},
+		"others follow the second":          {"c", order, nil, "b"},
+		"the second has failed":             {"c", order, []shedkeel.NodeID{"b"}, "a"},
+		"the second has failed, seen first": {"a", order, []shedkeel.NodeID{"b"}, ""},
+		"both have failed":                  {"d", order, []shedkeel.NodeID{"a", "b"}, "b"},
+		"another one has failed":            {"d", order, []shedkeel.NodeID{"c"}, "b"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newTestNode(t)
+			node.Settings.Node = test.own
+			for _, record := range order {
+				if record.ID == test.own {
+					node.Settings.Capacity = record.Capacity
+				}
+			}
+			node.peers.update(test.nodes)
+			for _, id := range test.failed {
+				node.peers.known[id].failed.Store(int64(timers.Now()))
+			}
+			followed := ""
+			if peer := node.peers.choose(); peer != nil {
+				followed = peer.Name()
+			}
+			assert.Equal(t, followed, test.follow)
+
+			timers.Advance(failTime)
+			if peer := node.peers.choose(); peer != nil && test.follow != "" {
+				assert.Equal(t, peer.Name(), "b", "a failure is held against a node for a while only")
+			}
+		})
+	}
+}
