One node spreads the requests of models over their groups

Change: the third node in order names the group that is likely to give the first event soonest, by the prompts that wait there and the requests that likely run; a node takes the word unless it sees that group silent, slow or failing. It waits 20 ms at most, then chooses alone, and the second or first node is asked for a second. Moved streams are not spread. The scenario tests take the client's new answers.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -100,7 +100,7 @@
 		status, err := client.Status(t.Context())
 		assert.NilError(t, err)
 		seen += groups
-		whole += countWhole(status)
+		whole += countWhole(*status.Keeper)
 	}
 	return float64(seen-whole) / float64(seen)
 }
@@ -177,7 +177,7 @@
 	whole := 0
 	for range 300 {
 		if status, err := client.Status(t.Context()); err == nil {
-			whole = countWhole(status)
+			whole = countWhole(*status.Keeper)
 		}
 		if whole == groups {
 			return
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -48,12 +48,15 @@
 	Running int
 }
 
-func (choice *Choice) reading() time.Duration {
-	rate := choice.Rate
+func (choice *Choice) reading() time.Duration { return choice.Server.reading(choice.prompt) }
+
+// reading is how long the server reads a prompt of so many tokens.
+func (server *Server) reading(prompt int) time.Duration {
+	rate := server.Rate
 	if rate <= 0 {
 		rate = defaultRate
 	}
-	return time.Duration(float64(choice.prompt) / rate * float64(time.Second))
+	return time.Duration(float64(prompt) / rate * float64(time.Second))
 }
 
 // expected is the usual time to the first sign of the request.
--- /dev/null
+++ b/dispatch/spread_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// crowd is how requests of one model come from many processes, each of which
+// has a table of its own.
+type crowd struct {
+	processes int
+	groups    int
+	rate      float64 // requests a second, of all
+	length    time.Duration
+	spread    bool // one process spreads all
+}
+
+// together returns how many requests, of all, were sent to a group to which
+// two or more others had been sent in the time in which a group reads one
+// prompt and makes a pass: they are read at once.
+func (crowd *crowd) together(seed uint64) int {
+	const readTogether = 80 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, 1))
+	var servers []Server
+	for number := range crowd.groups {
+		servers = append(servers, Server{Service: "s", Model: "m", Instance: shedkeel.InstanceID(fmt.Sprint(number)), Zone: "z", Slots: 30, Rate: 23_000})
+	}
+	tables := make([]*Table, crowd.processes)
+	for number := range tables {
+		tables[number] = &Table{Zone: "z", Random: rand.NewPCG(seed, uint64(number))}
+		tables[number].Replace(servers)
+	}
+	sent := map[shedkeel.InstanceID][]time.Duration{}
+	running := map[time.Duration]*Choice{}
+	count := 0
+	for now := time.Minute; now < 2*time.Minute; now += time.Duration(random.ExpFloat64() / crowd.rate * float64(time.Second)) {
+		for began, choice := range running {
+			if now-began > choice.expected() {
+				choice.Sign(now)
+			}
+			if now-began > time.Second {
+				choice.End(false, now)
+				delete(running, began)
+			}
+		}
+		query := Query{Service: "s", Model: "m", Prompt: 1400, Now: now}
+		if crowd.spread {
+			query.Wish = tables[0].Spread(query, "z")
+		}
+		choice := tables[random.IntN(len(tables))].Choose(query)
+		running[now] = choice
+		near := 0
+		for _, before := range sent[choice.Instance] {
+			if now-before < readTogether {
+				near++
+			}
+		}
+		if near >= 2 {
+			count++
+		}
+		sent[choice.Instance] = append(sent[choice.Instance], now)
+	}
+	return count
+}
+
+// TestSpreadKeepsPromptsApart compares groups chosen by each of 57 processes
+// alone with groups named by the one that spreads all requests.
+func TestSpreadKeepsPromptsApart(t *testing.T) {
+	alone := &crowd{processes: 57, groups: 9, rate: 85}
+	spread := &crowd{processes: 57, groups: 9, rate: 85, spread: true}
+	for seed := range uint64(3) {
+		before, after := alone.together(seed), spread.together(seed)
+		t.Logf("of about 5,100 requests, read with two others or more: %d alone, %d spread", before, after)
+		assert.Assert(t, after*10 < before)
+	}
+}
+
+// TestSpread gives one request after the other to groups of which some should
+// get fewer.
+func TestSpread(t *testing.T) {
+	const now = time.Minute
+	cases := map[string]struct {
+		alter func(*Table, *Server) // of the second of two groups
+		zone  shedkeel.ZoneID
+		most  int // requests of ten that the second may get
+		least int
+	}{
+		"alike":               {func(*Table, *Server) {}, "z", 5, 5},
+		"avoided":             {func(table *Table, server *Server) { table.Avoid(server.Group, now, time.Second) }, "z", 0, 0},
+		"four times as slow":  {func(table *Table, server *Server) { table.servers[server.key()].slowness = 4 }, "z", 4, 1},
+		"it failed lately":    {func(table *Table, server *Server) { table.servers[server.key()].failures = 0.9 }, "z", 1, 0},
+		"in the other's zone": {func(*Table, *Server) {}, "far", 5, 5},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Zone: "z", Random: rand.NewPCG(1, 1)}
+			first := Server{Service: "s", Model: "m", Instance: "first", Zone: "z", Group: shedkeel.Assignment{Group: "m/d/1", Epoch: 1}, Rate: 23_000}
+			second := Server{Service: "s", Model: "m", Instance: "second", Zone: "far", Group: shedkeel.Assignment{Group: "m/d/2", Epoch: 1}, Rate: 23_000}
+			table.Replace([]Server{first, second})
+			for _, known := range table.servers {
+				known.judged = now
+			}
+			test.alter(table, &second)
+			got := map[shedkeel.InstanceID]int{}
+			for range 10 {
+				got[table.Spread(Query{Service: "s", Model: "m", Prompt: 1400, Now: now}, test.zone)]++
+			}
+			assert.Assert(t, got["second"] <= test.most && got["second"] >= test.least, "%v", got)
+		})
+	}
+	empty := &Table{}
+	assert.Equal(t, empty.Spread(Query{Service: "s", Model: "m", Now: now}, "z"), shedkeel.InstanceID(""))
+}
+
+// TestWish shows when a process sends a request where another says.
+func TestWish(t *testing.T) {
+	const now = time.Minute
+	cases := map[string]struct {
+		wish  shedkeel.InstanceID
+		alter func(*state) // of the group that is wished
+		taken bool
+	}{
+		"alike":                     {"b", func(*state) {}, true},
+		"one more of its own there": {"b", func(state *state) { state.running[&Choice{}] = struct{}{}; state.sign = now }, true},
+		"it is silent here":         {"b", func(state *state) { state.avoidTill = now + time.Second }, false},
+		"it is slow here":           {"b", func(state *state) { state.slowness = 5; state.judged = now }, false},
+		"not known here":            {"c", func(*state) {}, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Zone: "z", Random: rand.NewPCG(1, 1)}
+			table.Replace([]Server{{Service: "s", Model: "m", Instance: "a", Zone: "z"}, {Service: "s", Model: "m", Instance: "b", Zone: "far"}})
+			for _, known := range table.servers {
+				if known.Instance == test.wish {
+					test.alter(known)
+				}
+			}
+			choice := table.Choose(Query{Service: "s", Model: "m", Wish: test.wish, Now: now})
+			assert.Equal(t, choice.Instance == test.wish, test.taken)
+		})
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -26,6 +26,11 @@
 	// silentCost is what a server counts more that is silent for longer than
 	// usual, and not yet so long that it is avoided.
 	silentCost = 4
+	// wishTrust is how many times more than the best server one may cost, by
+	// what this process sees, that a request is wished to be sent to. Two
+	// requests of its own there cost twice as much as one; a silent, slow or
+	// failing server costs more.
+	wishTrust = 3.5
 	// farCost is what a server in another availability zone counts more: the
 	// link's delay against a typical answer.
 	farCost = 1.05
@@ -43,6 +48,7 @@
 	Slots    int
 	Rate     float64       // prompt tokens read a second; 0: not stated
 	Pass     time.Duration // longest time between two events while it works; 0: not stated
+	Each     time.Duration // how much longer the time between two events is for each request that runs there; 0: not stated
 }
 
 // key names the server; a group formed anew is another server.
@@ -77,6 +83,7 @@
 	avoidTill time.Duration // silent, or said to be
 	reported  time.Duration // when its silence was last returned by FindSilent; 0: not in this one
 	listed    bool
+	given     given // by Spread, for all processes
 }
 
 // Replace makes the servers the ones to choose from. What is known of those
@@ -115,6 +122,7 @@
 	Model   shedkeel.ModelID
 	Avoid   []shedkeel.InstanceID // already tried
 	Prompt  int                   // tokens to be read
+	Wish    shedkeel.InstanceID   // where it is best sent, by what all processes send; "": not known
 	Late    bool                  // it waits behind others and can't be on time
 	Now     time.Duration
 }
@@ -138,13 +146,16 @@
 func (table *Table) Choose(query Query) *Choice {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	var best *state
-	lowest, ties := 0.0, uint64(0)
+	var best, wish *state
+	lowest, ties, wishCost := 0.0, uint64(0), 0.0
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
 		if candidate.avoidTill > query.Now || avoided(query.Avoid, candidate.Instance) {
 			continue
 		}
 		cost := table.cost(candidate, query.Now)
+		if query.Wish != "" && candidate.Instance == query.Wish {
+			wish, wishCost = candidate, cost
+		}
 		switch {
 		case best == nil || cost < lowest:
 			best, lowest, ties = candidate, cost, 1
@@ -158,6 +169,9 @@
 	if best == nil {
 		return nil
 	}
+	if wish != nil && wishCost <= wishTrust*lowest {
+		best = wish
+	}
 	return best.take(table, query)
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -228,8 +228,10 @@
 		return server
 	}
 	server.Pass = engine.LongestPass(model)
+	server.Each = time.Duration(engine.Stride) * engine.StepEach
 	if model.Pace > 0 {
 		server.Rate /= model.Pace
+		server.Each = time.Duration(float64(server.Each) * model.Pace)
 	}
 	return server
 }
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 	node.front = serve.Front{
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
-		Believe: node.believe, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving, KeyAge: time.Duration(float64(bounds.Revoke) * keyShare),
+		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving, KeyAge: time.Duration(float64(bounds.Revoke) * keyShare),
 	}
 	if node.Metrics != nil {
 		node.front.Meter = serve.NewMeter(node.Metrics.Scope)
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -53,7 +52,9 @@
 	id     shedkeel.NodeID
 	node   *Node
 	wire   *wire.Peer
-	failed atomic.Int64 // when it was last found unfit to be followed; 0: never
+	asked  *wire.Peer // for requests, which must not wait while the other one dials
+	failed failure    // as a node to be followed
+	mute   failure    // as the node that spreads requests
 }
 
 // update makes these the nodes that are known.
@@ -69,13 +70,14 @@
 		}
 		same := before[other.ID]
 		if same == nil || same.wire.Address != other.Control {
-			same = &peer{id: other.ID, node: peers.node, wire: &wire.Peer{Address: other.Control, Key: peers.node.Settings.Wire.Key}}
+			key := peers.node.Settings.Wire.Key
+			same = &peer{id: other.ID, node: peers.node, wire: &wire.Peer{Address: other.Control, Key: key}, asked: &wire.Peer{Address: other.Control, Key: key}}
 		}
 		peers.known[other.ID] = same
 	}
 	for id, peer := range before {
 		if peers.known[id] != peer {
-			peer.wire.Close()
+			peer.close()
 		}
 	}
 	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)))
@@ -96,7 +98,7 @@
 			return nil
 		}
 		followed := peers.known[nodes[place].ID]
-		if !followed.failedLately() {
+		if !followed.failed.within(failTime, peers.node.Timers.Now()) {
 			return followed
 		}
 		if first == nil {
@@ -172,24 +174,23 @@
 
 func (peers *peers) close() {
 	for _, peer := range peers.all() {
-		peer.wire.Close()
+		peer.close()
 	}
 }
 
+func (peer *peer) close() {
+	peer.wire.Close()
+	peer.asked.Close()
+}
+
 // Name names the node.
 func (peer *peer) Name() string { return string(peer.id) }
 
-// failedLately reports whether the node was found unfit to be followed of late.
-func (peer *peer) failedLately() bool {
-	failed := time.Duration(peer.failed.Load())
-	return failed != 0 && peer.node.Timers.Now()-failed < failTime
-}
-
 // Relay asks the node's mirror.
 func (peer *peer) Relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
 	update, err := peer.relay(ctx, since, wait)
 	if err != nil && ctx.Err() == nil || err == nil && -update.AsOf > sourceAge {
-		peer.failed.Store(int64(peer.node.Timers.Now()))
+		peer.failed.note(peer.node.Timers.Now())
 	}
 	return update, err
 }
@@ -225,8 +226,10 @@
 		return peers.relay(ctx, kind.Relay)
 	case *wire.Call_Notice:
 		return peers.takeNotice(kind.Notice)
+	case *wire.Call_Spread:
+		return peers.takeSpread(kind.Spread)
 	}
-	return &wire.Reply{Error: "a node answers relays and notices only; upgrade the other side"}
+	return &wire.Reply{Error: "a node answers relays, notices and spreads only; upgrade one side"}
 }
 
 func (peers *peers) relay(ctx context.Context, call *wire.RelayCall) *wire.Reply {
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -39,7 +39,7 @@
 			}
 			node.peers.update(test.nodes)
 			for _, id := range test.failed {
-				node.peers.known[id].failed.Store(int64(timers.Now()))
+				node.peers.known[id].failed.note(timers.Now())
 			}
 			followed := ""
 			if peer := node.peers.choose(); peer != nil {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -404,7 +404,7 @@
 	}
 	status, err := (&operator.Client{Keeper: script.Getenv("KEEPER1"), Key: "operator-key"}).Status(context.Background())
 	script.Check(err)
-	cmdAwait(script, false, []string{"30s", "whole", "1", strconv.Itoa(len(status.Groups))})
+	cmdAwait(script, false, []string{"30s", "whole", "1", strconv.Itoa(len(status.Keeper.Groups))})
 }
 
 // cmdPlanner sets PLANNER to the number of the node that holds the lease, and
@@ -513,13 +513,14 @@
 		return err.Error(), false
 	}
 	client := &operator.Client{Keeper: world.address(node, 7400), Key: "operator-key"}
-	status, err := client.Status(ctx)
+	answer, err := client.Status(ctx)
 	if err != nil {
 		return err.Error(), false
 	}
+	status := answer.Keeper
 	switch condition[0] {
 	case "whole":
-		return fmt.Sprintf("%d whole", countWhole(status)), strconv.Itoa(countWhole(status)) == condition[2]
+		return fmt.Sprintf("%d whole", countWhole(*status)), strconv.Itoa(countWhole(*status)) == condition[2]
 	case "generation":
 		return strconv.FormatUint(status.Generation, 10), strconv.FormatUint(status.Generation, 10) == condition[2]
 	case "reserved":
--- a/serve/send.go
+++ b/serve/send.go
@@ -42,7 +42,11 @@
 			return nil, err
 		}
 	}
-	choice := life.front.Table.Choose(dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now})
+	query := dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now}
+	if model != "" && !repeat && life.front.Spread != nil {
+		query.Wish = life.front.Spread(life.request.Context(), query)
+	}
+	choice := life.front.Table.Choose(query)
 	if choice == nil {
 		if repeat {
 			life.front.Budget.TakeBack(life.service, now)
