One reader of a stream's events for entries and nodes

Cause: `entry` and `serve` each read events with a loop of their own, which differed in what they made of the end of a stream and of long lines. Change: engine.ReadEvent; an entry takes an end without its end mark for a break, as before.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,6 @@
 	go test -run '^$$' -fuzz FuzzSettings -fuzztime 20s ./config
 	go test -run '^$$' -fuzz FuzzDocument -fuzztime 20s ./config
 	go test -run '^$$' -fuzz FuzzPolicy -fuzztime 20s ./policy
-	go test -run '^$$' -fuzz FuzzEvents -fuzztime 20s ./entry
+	go test -run '^$$' -fuzz FuzzEvents -fuzztime 20s ./engine
 	go test -run '^$$' -fuzz FuzzCompletion -fuzztime 20s ./entry
 	go test -run '^$$' -fuzz FuzzCall -fuzztime 20s ./wire
--- /dev/null
+++ b/engine/event_test.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReadEvent(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 100) + "\n\n" // longer than the reader's buffer
+	cases := map[string]struct {
+		stream string
+		events []string
+		err    error
+	}{
+		"none":                       {"", nil, io.EOF},
+		"two":                        {"id: 1\ndata: a\n\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "data: b\n\n"}, io.EOF},
+		"lines that end in two ways": {"data: a\r\n\r\ndata: b\n\n", []string{"data: a\r\n\r\n", "data: b\n\n"}, io.EOF},
+		"one that is long":           {long, []string{long}, io.EOF},
+		"the end is inside one":      {"data: a\n\ndata: b\n", []string{"data: a\n\n"}, io.ErrUnexpectedEOF},
+		"the end is inside a line":   {"data: a\n\ndat", []string{"data: a\n\n"}, io.ErrUnexpectedEOF},
+		"too long":                   {"data: " + strings.Repeat("x", maxEvent) + "\n\n", nil, ErrEventTooLong},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			reader := bufio.NewReaderSize(strings.NewReader(test.stream), 16)
+			for _, want := range test.events {
+				event, err := ReadEvent(reader)
+				assert.NilError(t, err)
+				assert.Equal(t, string(event), want)
+			}
+			_, err := ReadEvent(reader)
+			assert.ErrorIs(t, err, test.err)
+		})
+	}
+}
+
+// FuzzEvents checks that events read from a stream are whole, and together are
+// a prefix of it.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: b\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: a\r\n\r\n\n\ndata: b"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := bufio.NewReaderSize(bytes.NewReader(stream), 16)
+		var read []byte
+		for {
+			message, err := ReadEvent(reader)
+			if errors.Is(err, io.EOF) {
+				assert.DeepEqual(t, read, append([]byte(nil), stream...))
+			}
+			if err != nil {
+				break
+			}
+			read = append(read, message...)
+		}
+		assert.Assert(t, bytes.HasPrefix(stream, read))
+	})
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -18,8 +18,6 @@
 const (
 	// HeaderFrom asks an engine to resume an attempt's stream at an event.
 	headerFrom = "Shedkeel-From"
-	// maxEvent bounds one event of a stream, in bytes.
-	maxEvent = 1 << 20
 	// maxResumes bounds how often one stream is resumed.
 	maxResumes = 3
 	// readBuffer is how much of a stream is read at once.
@@ -99,7 +97,10 @@
 	defer func() { _ = response.Body.Close() }()
 	reader := bufio.NewReaderSize(response.Body, readBuffer)
 	for {
-		message, err := readEvent(reader)
+		message, err := engine.ReadEvent(reader)
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF // the end mark is missing
+		}
 		if err != nil {
 			return err
 		}
@@ -137,35 +138,6 @@
 	return http.NewResponseController(passage.writer).Flush()
 }
 
-// readEvent reads up to and with the blank line that ends an event. A part of
-// an event is never returned.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var message []byte
-	for {
-		line, err := reader.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF // an event or the end mark is missing
-			}
-			return nil, err
-		}
-		message = append(message, line...)
-		if len(message) > maxEvent {
-			return nil, errTooLong
-		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && endsLine(message, line) {
-			return message, nil
-		}
-	}
-}
-
-// endsLine reports whether the line stands at the beginning of a line of the
-// message, and is not the rest of one that did not fit the buffer.
-func endsLine(message, line []byte) bool {
-	before := message[:len(message)-len(line)]
-	return len(before) == 0 || before[len(before)-1] == '\n'
-}
-
 func isEndMark(message []byte) bool {
 	return bytes.Equal(bytes.TrimRight(message, "\r\n"), endMark)
 }
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -46,7 +46,7 @@
 		"entry/send.go", "if named != try.attempt && (named", "if false && (named", "TestOutcomes|TestStreams", "./entry",
 	},
 	"3 whole answer: the end mark is not needed": {
-		"entry/stream.go", "message, err := readEvent(reader)\n", "message, err := readEvent(reader)\n\t\tif errors.Is(err, io.ErrUnexpectedEOF) {\n\t\t\treturn passage.finish()\n\t\t}\n", "TestStreams", "./entry",
+		"entry/stream.go", "message, err := engine.ReadEvent(reader)\n", "message, err := engine.ReadEvent(reader)\n\t\tif errors.Is(err, io.EOF) {\n\t\t\treturn passage.finish()\n\t\t}\n", "TestStreams", "./entry",
 	},
 	"3 whole answer: an answer may end with its connection": {
 		"entry/send.go", "if noEnd {", "if noEnd && false {", "TestOutcomes", "./entry",
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -13,12 +13,11 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
 )
 
 const (
-	// maxEvent bounds one event of a stream, in bytes.
-	maxEvent = 1 << 20
 	// newsBuffer is how many events may wait for a caller that reads slowly.
 	newsBuffer = 4
 	// readBuffer is how much of a stream is read at once.
@@ -185,7 +184,7 @@
 	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	reader := bufio.NewReaderSize(response.Body, readBuffer)
 	for {
-		message, err := readEvent(reader)
+		message, err := engine.ReadEvent(reader)
 		if errors.Is(err, io.EOF) && unframed {
 			// Nothing shows whether the end of the connection is the end of
 			// the stream.
@@ -333,28 +332,6 @@
 	}
 }
 
-// readEvent reads up to and with the blank line that ends an event. A part of
-// an event is never returned: an end inside one is an io.ErrUnexpectedEOF.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var message []byte
-	for {
-		line, err := reader.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(message)+len(line) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
-		}
-		message = append(message, line...)
-		if len(message) > maxEvent {
-			return nil, errNotWhole
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return message, nil
-		}
-	}
-}
-
 // eventID returns an event's id as a number and as it stands; 0 and "" if it
 // has none.
 func eventID(message []byte) (int64, string) {
