Places are counted over all nodes; large models have several that spread

Cause: a node let requests in by its even part of a model's places. On the grown sites that is three to five places of the large model, which fill by chance: requests were put behind others, or refused, while groups had room. Change: who asks where to send a request tells what it has running there, on time and behind; the answer has the sum over all nodes. Without an answer the even part holds. Groups of a model are split into parts of up to 24 by the hash of their names; each part has a node of its own to spread its requests, which is asked for a part drawn at random. On the users' sites there is one.

--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"hash/fnv"
 	"math"
 	"time"
 
@@ -18,10 +19,17 @@
 	// eachTime is how much longer a pass of a group takes for each request that
 	// runs there, where the engine's times are not stated.
 	eachTime = time.Millisecond
+	// partGroups is how many groups of a model one process spreads requests
+	// over: enough that one of them is seldom busy, few enough that the
+	// questions take a few hundredths of its core.
+	partGroups = 24
 	// slowFrom is from where on a group counts as slow by the answers that this
 	// process had of it. Each process sees few of them, and below it they
 	// differ by chance.
 	slowFrom = 2.0
+	// toldTime is how long it counts what a process told of its requests; one
+	// that sends none for so long has few running.
+	toldTime = 3 * time.Second
 	// farTime is what a group in another availability zone counts more: a link
 	// of 1 to 2 ms there and back.
 	farTime = 3 * time.Millisecond
@@ -42,19 +50,93 @@
 	given.running *= math.Exp(-passed.Seconds() / recentTime.Seconds())
 }
 
+// Running is how many requests run on a model.
+type Running struct {
+	OnTime int // requests that may be on time
+	Late   int // requests that wait behind them
+}
+
+// Asker is a process that asks where a request is best sent.
+type Asker struct {
+	Process string
+	Zone    shedkeel.ZoneID
+	Running Running // what it has running on the model, without this request
+}
+
+// Advice is what the process that spreads the requests of all says of one.
+type Advice struct {
+	Head    shedkeel.InstanceID // of the group that it is best sent to; "": none may be sent to
+	Running Running             // of all processes, on all groups of the model
+}
+
+// told is what a process told last of the requests it has running.
+type told struct {
+	running Running
+	at      time.Duration
+}
+
 // Spread returns the group of a model that is likely to give the first event
 // soonest, by the requests that were spread before, and counts this one as
-// given to it. It returns "" when none may be sent to.
+// given to it.
 //
 // One process spreads the requests of all: each alone knows few of those that
 // run on a group, and prompts that are read at once hold each other up.
-func (table *Table) Spread(query Query, zone shedkeel.ZoneID) shedkeel.InstanceID {
+func (table *Table) Spread(query Query, asker Asker) Advice {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	members := pool{query.Service, query.Model}
+	advice := Advice{Running: table.total(members, asker, query.Now)}
+	if best := table.soonest(query, asker.Zone); best != nil {
+		best.given.reading += best.reading(query.Prompt)
+		best.given.running++
+		advice.Head = best.Instance
+	}
+	return advice
+}
+
+// Parts returns into how many parts the groups of a model are split, each of
+// which another process may spread requests over.
+func (table *Table) Parts(service shedkeel.ServiceID, model shedkeel.ModelID) int {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	return (len(table.pools[pool{service, model}]) + partGroups - 1) / partGroups
+}
+
+// hashOf tells the part of a group, the same in all processes.
+func hashOf(group shedkeel.GroupID) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(group)) // it never fails
+	return hash.Sum32()
+}
+
+// total notes what the asker has running and returns what all have. The mutex
+// is held.
+func (table *Table) total(members pool, asker Asker, now time.Duration) Running {
+	if table.told == nil {
+		table.told = map[pool]map[string]told{}
+	}
+	if table.told[members] == nil {
+		table.told[members] = map[string]told{}
+	}
+	table.told[members][asker.Process] = told{running: asker.Running, at: now}
+	var total Running
+	for process, told := range table.told[members] {
+		if now-told.at > toldTime {
+			delete(table.told[members], process)
+			continue
+		}
+		total.OnTime += told.running.OnTime
+		total.Late += told.running.Late
+	}
+	return total
+}
+
+// soonest returns the group of the shortest wait. The mutex is held.
+func (table *Table) soonest(query Query, zone shedkeel.ZoneID) *state {
 	var best *state
 	soonest := 0.0
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
-		if candidate.avoidTill > query.Now {
+		if candidate.avoidTill > query.Now || candidate.hash%uint32(max(query.Parts, 1)) != uint32(query.Part) {
 			continue
 		}
 		wait := candidate.wait(zone, query.Now)
@@ -62,12 +144,7 @@
 			best, soonest = candidate, wait
 		}
 	}
-	if best == nil {
-		return ""
-	}
-	best.given.reading += best.reading(query.Prompt)
-	best.given.running++
-	return best.Instance
+	return best
 }
 
 // wait is about how long a first event would take, in seconds.
--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -51,7 +51,7 @@
 		}
 		query := Query{Service: "s", Model: "m", Prompt: 1400, Now: now}
 		if crowd.spread {
-			query.Wish = tables[0].Spread(query, "z")
+			query.Wish = tables[0].Spread(query, Asker{Zone: "z"}).Head
 		}
 		choice := tables[random.IntN(len(tables))].Choose(query)
 		running[now] = choice
@@ -109,13 +109,29 @@
 			test.alter(table, &second)
 			got := map[shedkeel.InstanceID]int{}
 			for range 10 {
-				got[table.Spread(Query{Service: "s", Model: "m", Prompt: 1400, Now: now}, test.zone)]++
+				got[table.Spread(Query{Service: "s", Model: "m", Prompt: 1400, Now: now}, Asker{Zone: test.zone}).Head]++
 			}
 			assert.Assert(t, got["second"] <= test.most && got["second"] >= test.least, "%v", got)
 		})
 	}
 	empty := &Table{}
-	assert.Equal(t, empty.Spread(Query{Service: "s", Model: "m", Now: now}, "z"), shedkeel.InstanceID(""))
+	assert.Equal(t, empty.Spread(Query{Service: "s", Model: "m", Now: now}, Asker{Zone: "z"}).Head, shedkeel.InstanceID(""))
+}
+
+// TestRunningOfAll has three processes tell what they have running; one tells
+// nothing more after a while.
+func TestRunningOfAll(t *testing.T) {
+	table := &Table{}
+	ask := func(process string, onTime, late int, model shedkeel.ModelID, now time.Duration) Running {
+		query := Query{Service: "s", Model: model, Now: now}
+		return table.Spread(query, Asker{Process: process, Running: Running{OnTime: onTime, Late: late}}).Running
+	}
+	assert.DeepEqual(t, ask("a", 2, 0, "m", time.Second), Running{OnTime: 2})
+	assert.DeepEqual(t, ask("b", 3, 1, "m", time.Second), Running{OnTime: 5, Late: 1})
+	assert.DeepEqual(t, ask("c", 1, 0, "other", time.Second), Running{OnTime: 1})
+	assert.DeepEqual(t, ask("a", 0, 2, "m", 2*time.Second), Running{OnTime: 3, Late: 3})
+	// The other one has told nothing for long.
+	assert.DeepEqual(t, ask("a", 1, 0, "m", time.Second+toldTime+time.Millisecond), Running{OnTime: 1})
 }
 
 // TestWish shows when a process sends a request where another says.
@@ -146,3 +162,52 @@
 		})
 	}
 }
+
+// TestParts has requests spread over one part of many groups after the other:
+// together the parts are all groups, and each group is in one.
+func TestParts(t *testing.T) {
+	cases := map[string]struct {
+		groups, parts int
+	}{
+		"none": {0, 0},
+		"few":  {partGroups, 1},
+		"many": {4*partGroups - 1, 4},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{}
+			var servers []Server
+			for number := range test.groups {
+				name := fmt.Sprint("m/d/", number)
+				servers = append(servers, Server{Service: "s", Model: "m", Instance: shedkeel.InstanceID(name), Group: shedkeel.Assignment{Group: shedkeel.GroupID(name)}})
+			}
+			table.Replace(servers)
+			assert.Equal(t, table.Parts("s", "m"), test.parts)
+			partOf := map[shedkeel.InstanceID]int{}
+			for part := range test.parts {
+				for range 3 * test.groups {
+					head := table.Spread(Query{Service: "s", Model: "m", Prompt: 100, Part: part, Parts: test.parts, Now: time.Minute}, Asker{}).Head
+					before, known := partOf[head]
+					assert.Assert(t, !known || before == part, "%s is in two parts", head)
+					partOf[head] = part
+				}
+			}
+			assert.Equal(t, len(partOf), test.groups)
+		})
+	}
+}
+
+func BenchmarkSpread(b *testing.B) {
+	table := &Table{}
+	var servers []Server
+	for number := range partGroups {
+		name := fmt.Sprint("m/d/", number)
+		servers = append(servers, Server{Service: "s", Model: "m", Instance: shedkeel.InstanceID(name), Group: shedkeel.Assignment{Group: shedkeel.GroupID(name)}})
+	}
+	table.Replace(servers)
+	now := time.Minute
+	for number := 0; b.Loop(); number++ {
+		now += time.Millisecond
+		table.Spread(Query{Service: "s", Model: "m", Prompt: 1400, Now: now}, Asker{Process: fmt.Sprint(number % 380)})
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -65,6 +65,7 @@
 	mutex   sync.Mutex
 	servers map[string]*state
 	pools   map[pool][]*state
+	told    map[pool]map[string]told // by process, for Spread
 }
 
 type pool struct {
@@ -83,7 +84,8 @@
 	avoidTill time.Duration // silent, or said to be
 	reported  time.Duration // when its silence was last returned by FindSilent; 0: not in this one
 	listed    bool
-	given     given // by Spread, for all processes
+	given     given  // by Spread, for all processes
+	hash      uint32 // of the group's name
 }
 
 // Replace makes the servers the ones to choose from. What is known of those
@@ -101,7 +103,7 @@
 	for _, server := range servers {
 		known := table.servers[server.key()]
 		if known == nil {
-			known = &state{running: map[*Choice]struct{}{}, slowness: 1}
+			known = &state{running: map[*Choice]struct{}{}, slowness: 1, hash: hashOf(server.Group.Group)}
 			table.servers[server.key()] = known
 		}
 		known.Server = server
@@ -124,6 +126,8 @@
 	Prompt  int                   // tokens to be read
 	Wish    shedkeel.InstanceID   // where it is best sent, by what all processes send; "": not known
 	Late    bool                  // it waits behind others and can't be on time
+	Part    int                   // for Spread: only groups of this part of the model's
+	Parts   int                   // into so many; 0: one
 	Now     time.Duration
 }
 
@@ -257,8 +261,7 @@
 
 // Load is what this process has running on the servers of a model.
 type Load struct {
-	OnTime int // requests that may still be on time
-	Late   int // requests that wait behind them
+	Running
 	Slots  int // requests that the servers run at once
 	Usable int // servers that may be sent to
 }
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,7 @@
 	}
 	node.fleet.node = node
 	node.peers.node = node
+	node.peers.random = rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())
 	node.member.node = node
 	node.member.lease = lease{node: node, ttl: longTTL}
 	node.controller.node = node
--- a/node/peers.go
+++ b/node/peers.go
@@ -43,6 +43,8 @@
 	mutex sync.Mutex
 	nodes []nodeRecord // as compareNodes orders them, this node among them
 	known map[shedkeel.NodeID]*peer
+	// random is not used elsewhere, and only with the mutex held.
+	random shedkeel.Random
 
 	packer packer
 }
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -10,34 +10,26 @@
 
 // TestChoose has a node of each place find out whose copy to follow.
 func TestChoose(t *testing.T) {
-	order := []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "b", Capacity: 0.8}, {ID: "c", Capacity: 0.2}, {ID: "d", Capacity: 0.2}}
 	cases := map[string]struct {
 		own    shedkeel.NodeID
 		nodes  []nodeRecord // others and itself, as listed
 		failed []shedkeel.NodeID
 		follow string // "": the key-value service
 	}{
-		"alone":                             {"a", order[:1], nil, ""},
+		"alone":                             {"a", fourNodes[:1], nil, ""},
 		"not listed yet, and none is":       {"a", nil, nil, ""},
-		"not listed yet, others are":        {"d", order[:3], nil, "b"},
-		"the second follows the service":    {"b", order, nil, ""},
-		"the first follows the second":      {"a", order, nil, "b"},
-		"others follow the second":          {"c", order, nil, "b"},
-		"the second has failed":             {"c", order, []shedkeel.NodeID{"b"}, "a"},
-		"the second has failed, seen first": {"a", order, []shedkeel.NodeID{"b"}, ""},
-		"both have failed":                  {"d", order, []shedkeel.NodeID{"a", "b"}, "b"},
-		"another one has failed":            {"d", order, []shedkeel.NodeID{"c"}, "b"},
+		"not listed yet, others are":        {"d", fourNodes[:3], nil, "b"},
+		"the second follows the service":    {"b", fourNodes, nil, ""},
+		"the first follows the second":      {"a", fourNodes, nil, "b"},
+		"others follow the second":          {"c", fourNodes, nil, "b"},
+		"the second has failed":             {"c", fourNodes, []shedkeel.NodeID{"b"}, "a"},
+		"the second has failed, seen first": {"a", fourNodes, []shedkeel.NodeID{"b"}, ""},
+		"both have failed":                  {"d", fourNodes, []shedkeel.NodeID{"a", "b"}, "b"},
+		"another one has failed":            {"d", fourNodes, []shedkeel.NodeID{"c"}, "b"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			node, timers := newTestNode(t)
-			node.Settings.Node = test.own
-			for _, record := range order {
-				if record.ID == test.own {
-					node.Settings.Capacity = record.Capacity
-				}
-			}
-			node.peers.update(test.nodes)
+			node, timers := newListedNode(t, test.own, test.nodes)
 			for _, id := range test.failed {
 				node.peers.known[id].failed.note(timers.Now())
 			}
--- a/node/spread.go
+++ b/node/spread.go
@@ -20,9 +20,9 @@
 	spreadPause = time.Second
 )
 
-// spreaders are the places of the nodes that spread the requests of all, the
-// first that answers: those in the first two places plan and follow the store.
-var spreaders = [...]int{2, 1, 0}
+// helpers is how many nodes in the first places have other work: to plan, and
+// to follow the store. They spread requests only if no other does.
+const helpers = 2
 
 // failure is when something was last found to fail. The zero value is never.
 type failure struct{ at atomic.Int64 }
@@ -35,32 +35,62 @@
 	return at != 0 && now-at < span
 }
 
-// spread returns the head of the group to which a request is best sent, by
-// what all nodes send, or "" when nothing is known.
-func (peers *peers) spread(ctx context.Context, query dispatch.Query) shedkeel.InstanceID {
-	peer, own := peers.spreader(query.Now)
+// spread returns what the node that spreads the requests of all says of one,
+// or false when it says nothing. This node has so many others running on the
+// model.
+func (peers *peers) spread(ctx context.Context, query dispatch.Query, running dispatch.Running) (dispatch.Advice, bool) {
+	query.Parts = peers.node.table.Parts(query.Service, query.Model)
+	if query.Parts > 1 {
+		query.Part = peers.pick(query.Parts)
+	}
+	peer, own := peers.spreader(query.Part, query.Now)
+	settings := &peers.node.Settings
 	if own {
-		return peers.node.table.Spread(query, peers.node.Settings.Zone)
+		return peers.node.table.Spread(query, dispatch.Asker{Process: string(settings.Node), Zone: settings.Zone, Running: running}), true
 	}
 	if peer == nil {
-		return ""
+		return dispatch.Advice{}, false
 	}
 	asking, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
-	call := &wire.SpreadCall{Service: string(query.Service), Model: string(query.Model), Zone: string(peers.node.Settings.Zone), Prompt: uint32(max(query.Prompt, 0))}
+	call := &wire.SpreadCall{
+		Node: string(settings.Node), Zone: string(settings.Zone), Service: string(query.Service), Model: string(query.Model), Prompt: uint32(max(query.Prompt, 0)),
+		Running: &wire.Running{OnTime: uint32(running.OnTime), Late: uint32(running.Late)},
+		Part:    uint32(query.Part), Parts: uint32(query.Parts),
+	}
 	reply, err := peer.asked.Do(asking, &wire.Call{Kind: &wire.Call_Spread{Spread: call}})
-	if err != nil && ctx.Err() == nil {
-		peer.mute.note(peers.node.Timers.Now())
+	answer := reply.GetSpread()
+	if err != nil || answer == nil {
+		if ctx.Err() == nil {
+			peer.mute.note(peers.node.Timers.Now())
+		}
+		return dispatch.Advice{}, false
 	}
-	return shedkeel.InstanceID(reply.GetSpread().GetInstance())
+	return dispatch.Advice{Head: shedkeel.InstanceID(answer.GetInstance()), Running: runningOf(answer.GetRunning())}, true
+}
+
+func runningOf(running *wire.Running) dispatch.Running {
+	return dispatch.Running{OnTime: int(running.GetOnTime()), Late: int(running.GetLate())}
 }
 
-// spreader returns the node to ask, or whether it is this one.
-func (peers *peers) spreader(now time.Duration) (asked *peer, own bool) {
+// pick returns a part of groups at random.
+func (peers *peers) pick(parts int) int {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return int(peers.random.Uint64() % uint64(parts))
+}
+
+// spreader returns the node to ask for a part of a model's groups, or whether
+// it is this one: each part has a node of its own, as far as there are enough.
+func (peers *peers) spreader(part int, now time.Duration) (asked *peer, own bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	nodes := peers.withOwn()
-	for _, place := range spreaders {
+	places := []int{helpers - 1, helpers - 2}
+	if rest := len(nodes) - helpers; rest > 0 {
+		places = append([]int{helpers + part%rest}, places...)
+	}
+	for _, place := range places {
 		if place >= len(nodes) {
 			continue
 		}
@@ -78,7 +108,11 @@
 func (peers *peers) takeSpread(call *wire.SpreadCall) *wire.Reply {
 	query := dispatch.Query{
 		Service: shedkeel.ServiceID(call.GetService()), Model: shedkeel.ModelID(call.GetModel()), Prompt: int(call.GetPrompt()), Now: peers.node.Timers.Now(),
+		Part: int(call.GetPart()), Parts: int(call.GetParts()),
 	}
-	head := peers.node.table.Spread(query, shedkeel.ZoneID(call.GetZone()))
-	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{Instance: string(head)}}}
+	asker := dispatch.Asker{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: runningOf(call.GetRunning())}
+	advice := peers.node.table.Spread(query, asker)
+	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{
+		Instance: string(advice.Head), Running: &wire.Running{OnTime: uint32(advice.Running.OnTime), Late: uint32(advice.Running.Late)},
+	}}}
 }
--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -13,35 +13,30 @@
 )
 
 func TestSpreader(t *testing.T) {
-	order := []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "b", Capacity: 0.8}, {ID: "c", Capacity: 0.2}, {ID: "d", Capacity: 0.2}}
 	cases := map[string]struct {
 		own   shedkeel.NodeID
 		nodes []nodeRecord
 		mute  []shedkeel.NodeID
+		part  int
 		asked shedkeel.NodeID // its own name: it spreads itself; "": none
 	}{
-		"alone":                  {"a", order[:1], nil, "a"},
-		"of two":                 {"a", order[:2], nil, "b"},
-		"the third spreads":      {"d", order, nil, "c"},
-		"it is the third":        {"c", order, nil, "c"},
-		"the third is mute":      {"d", order, []shedkeel.NodeID{"c"}, "b"},
-		"the second takes over":  {"b", order, []shedkeel.NodeID{"c"}, "b"},
-		"all that may, are mute": {"d", order, []shedkeel.NodeID{"a", "b", "c"}, ""},
+		"alone":                  {"a", fourNodes[:1], nil, 0, "a"},
+		"of two":                 {"a", fourNodes[:2], nil, 0, "b"},
+		"the third spreads":      {"d", fourNodes, nil, 0, "c"},
+		"it is the third":        {"c", fourNodes, nil, 0, "c"},
+		"the third is mute":      {"d", fourNodes, []shedkeel.NodeID{"c"}, 0, "b"},
+		"the second takes over":  {"b", fourNodes, []shedkeel.NodeID{"c"}, 0, "b"},
+		"another part":           {"a", fourNodes, nil, 1, "d"},
+		"more parts than nodes":  {"a", fourNodes, nil, 2, "c"},
+		"all that may, are mute": {"d", fourNodes, []shedkeel.NodeID{"a", "b", "c"}, 0, ""},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			node, timers := newTestNode(t)
-			node.Settings.Node = test.own
-			for _, record := range order {
-				if record.ID == test.own {
-					node.Settings.Capacity = record.Capacity
-				}
-			}
-			node.peers.update(test.nodes)
+			node, timers := newListedNode(t, test.own, test.nodes)
 			for _, id := range test.mute {
 				node.peers.known[id].mute.note(timers.Now())
 			}
-			peer, own := node.peers.spreader(timers.Now())
+			peer, own := node.peers.spreader(test.part, timers.Now())
 			asked := shedkeel.NodeID("")
 			switch {
 			case own:
@@ -66,13 +61,16 @@
 	defer node.peers.close()
 	query := dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}
 	began := time.Now()
-	assert.Equal(t, node.peers.spread(t.Context(), query), shedkeel.InstanceID(""))
+	_, known := node.peers.spread(t.Context(), query, dispatch.Running{})
+	assert.Assert(t, !known)
 	assert.Assert(t, time.Since(began) < 50*spreadTimeout, "the request was held")
 
 	// It spreads itself now, until the pause is over.
 	node.table.Replace([]dispatch.Server{{Service: "s", Model: "m", Instance: "i"}})
-	assert.Equal(t, node.peers.spread(t.Context(), query), shedkeel.InstanceID("i"))
-	_, own := node.peers.spreader(timers.Now() + spreadPause)
+	advice, known := node.peers.spread(t.Context(), query, dispatch.Running{OnTime: 2})
+	assert.Assert(t, known)
+	assert.DeepEqual(t, advice, dispatch.Advice{Head: "i", Running: dispatch.Running{OnTime: 2}})
+	_, own := node.peers.spreader(0, timers.Now()+spreadPause)
 	assert.Assert(t, !own, "it is asked again after a while")
 }
 
@@ -92,7 +90,9 @@
 	node.Settings.Wire.Key = "k"
 	node.Settings.Node = "a"
 	node.peers.update([]nodeRecord{{ID: "a"}, {ID: "b"}, {ID: "c", Control: listener.Addr().String()}})
-	assert.Equal(t, node.peers.spread(t.Context(), dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}), shedkeel.InstanceID("head"))
+	advice, known := node.peers.spread(t.Context(), dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}, dispatch.Running{OnTime: 3, Late: 1})
+	assert.Assert(t, known)
+	assert.DeepEqual(t, advice, dispatch.Advice{Head: "head", Running: dispatch.Running{OnTime: 3, Late: 1}})
 	node.peers.close()
 	_ = listener.Close()
 	<-ended
--- a/node/testnode_test.go
+++ b/node/testnode_test.go
@@ -36,3 +36,21 @@
 	timers.Advance(time.Minute)
 	return node, timers
 }
+
+// newListedNode returns a node of that name among the listed ones, with what it
+// has told of itself there.
+func newListedNode(t *testing.T, own shedkeel.NodeID, listed []nodeRecord) (*Node, *timer.Manual) {
+	t.Helper()
+	node, timers := newTestNode(t)
+	node.Settings.Node = own
+	for _, record := range listed {
+		if record.ID == own {
+			node.Settings.Capacity = record.Capacity
+		}
+	}
+	node.peers.update(listed)
+	return node, timers
+}
+
+// fourNodes are in the order in which nodes do what is done for all.
+var fourNodes = []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "b", Capacity: 0.8}, {ID: "c", Capacity: 0.2}, {ID: "d", Capacity: 0.2}}
--- a/serve/front.go
+++ b/serve/front.go
@@ -53,9 +53,9 @@
 	Nodes func() int
 	// Serving returns how many processes share the requests.
 	Serving func() int
-	// Spread returns the group to which a request of a model is best sent, by
-	// what all processes send, or "" when that is not known. nil: it never is.
-	Spread func(context.Context, dispatch.Query) shedkeel.InstanceID
+	// Spread returns what the process that spreads the requests of all says of
+	// this one, or false when it says nothing. nil: there is none.
+	Spread func(context.Context, dispatch.Query, dispatch.Running) (dispatch.Advice, bool)
 	// KeyAge is how old the proof of a configuration may be for keys to be
 	// accepted by it.
 	KeyAge time.Duration
--- a/serve/send.go
+++ b/serve/send.go
@@ -37,15 +37,13 @@
 	if service := life.view.Service(life.service); service == nil || service.Engine == nil {
 		model = ""
 	}
-	if model != "" && life.sendings == 0 {
-		if err := life.admit(model, now); err != nil {
+	query := dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Now: now}
+	if model != "" && !repeat {
+		if err := life.admit(&query); err != nil {
 			return nil, err
 		}
 	}
-	query := dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Late: life.late, Now: now}
-	if model != "" && !repeat && life.front.Spread != nil {
-		query.Wish = life.front.Spread(life.request.Context(), query)
-	}
+	query.Late = life.late
 	choice := life.front.Table.Choose(query)
 	if choice == nil {
 		if repeat {
@@ -59,8 +57,7 @@
 	return choice, nil
 }
 
-// The parts of a model's places that this process may fill, when it takes an
-// even part of all requests.
+// The parts of a model's places that requests may fill.
 const (
 	// onTimeFill is up to where requests get in at once: beyond it they would
 	// wait for a place and be late.
@@ -73,22 +70,36 @@
 	lateUrgency = 9
 )
 
-// admit finds out whether the groups of a model have a place for the request.
-// When there are more requests than places, some are served on time and some
-// wait behind them: if all waited in one line, all would be late.
-func (life *life) admit(model shedkeel.ModelID, now time.Duration) error {
-	load := life.front.Table.Load(life.service, model, now)
+// admit finds out whether the groups of a model have a place for the request,
+// and which is best. When there are more requests than places, some are served
+// on time and some wait behind them: if all waited in one line, all would be
+// late.
+func (life *life) admit(query *dispatch.Query) error {
+	load := life.front.Table.Load(query.Service, query.Model, query.Now)
 	if load.Usable == 0 {
 		return errNoServer
 	}
-	part := float64(load.Slots) / float64(max(life.front.Serving(), 1))
-	life.late = float64(load.OnTime) >= max(onTimeFill*part, 1)
-	if life.late && float64(load.Late) >= max(lateFill*part, 1) {
+	running, places := life.places(query, load)
+	life.late = float64(running.OnTime) >= max(onTimeFill*places, 1)
+	if life.late && float64(running.Late) >= max(lateFill*places, 1) {
 		return errFull
 	}
 	return nil
 }
 
+// places returns what runs on a model and how many requests may run there: of
+// all processes if one of them knows, else of this one, which has an even part
+// of the places.
+func (life *life) places(query *dispatch.Query, load dispatch.Load) (dispatch.Running, float64) {
+	if life.front.Spread != nil {
+		if advice, known := life.front.Spread(life.request.Context(), *query, load.Running); known {
+			query.Wish = advice.Head
+			return advice.Running, float64(load.Slots)
+		}
+	}
+	return load.Running, float64(load.Slots) / float64(max(life.front.Serving(), 1))
+}
+
 // urgency is how urgent the request is to an engine; 0 is most urgent.
 func (life *life) urgency() int {
 	if life.late {
