--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -45,7 +45,7 @@
 	startPause = 150 * time.Millisecond
 	startTime  = 4 * time.Second
 	// retryPause is the pause after a failed question; it doubles up to
-	// maxRetryPause while they fail.
+	// maxRetryPause while they fail, once something is known.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 400 * time.Millisecond
 )
@@ -103,7 +103,9 @@
 		follower.note(ctx, err)
 		if err != nil {
 			timer.Sleep(ctx, failPause)
-			failPause = min(2*failPause, maxRetryPause)
+			if state.Known { // a process that knows nothing can serve nobody
+				failPause = min(2*failPause, maxRetryPause)
+			}
 			continue
 		}
 		failPause = retryPause
