Requests that no node spread are counted; moved streams are not spread

Cause: the streams of a lost group all move at once, each by its own node's choice; a trial had them ask the node that spreads, with the servers they had been sent to before.

--- a/serve/meter.go
+++ b/serve/meter.go
@@ -16,6 +16,7 @@
 	sendingFailed tally.Counter
 	noBudget      tally.Counter
 	noServer      tally.Counter
+	notSpread     tally.Counter
 	first         tally.Histogram
 	pause         tally.Histogram
 	took          tally.Histogram
@@ -32,7 +33,8 @@
 		answered: scope.Counter("requests_answered"), refused: scope.Counter("requests_refused"), failed: scope.Counter("requests_failed"),
 		broken: scope.Counter("answers_broken_off"), moves: scope.Counter("streams_moved"), sendingFailed: scope.Counter("sendings_failed"),
 		noBudget: scope.Counter("repeats_not_allowed"), noServer: scope.Counter("no_server_found"),
-		first: scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
+		notSpread: scope.Counter("requests_not_spread"),
+		first:     scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
 	}
 }
 
--- a/serve/send.go
+++ b/serve/send.go
@@ -93,6 +93,7 @@
 			query.Wish = advice.Head
 			return advice.Running, float64(load.Slots)
 		}
+		count(life.front.meter().notSpread)
 	}
 	return load.Running, float64(load.Slots) / float64(max(life.front.Serving(), 1))
 }
