--- /dev/null
+++ b/node/nodes.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// nodePrefix is below where nodes write that they live.
+const nodePrefix = "shedkeel/nodes/"
+
+// nodeRecord is how a node describes itself to others.
+type nodeRecord struct {
+	ID          shedkeel.NodeID `json:"id"`
+	Incarnation string          `json:"incarnation"`
+	Zone        shedkeel.ZoneID `json:"zone"`
+	Callers     string          `json:"callers"`
+	Control     string          `json:"control"`
+	Capacity    float64         `json:"capacity"` // part of a processor core
+	Stopping    bool            `json:"stopping"`
+}
+
+func (fleet *fleet) takeNode(record shedkeel.Record, now time.Duration) bool {
+	if record.Gone {
+		return fleet.takeGone(record.Key, now, func() { delete(fleet.nodes, record.Key) })
+	}
+	var node nodeRecord
+	if err := json.Unmarshal(record.Value, &node); err != nil {
+		fleet.skipped(record, err)
+		return false
+	}
+	delete(fleet.lapsed, record.Key)
+	fleet.nodes[record.Key] = node
+	return true
+}
+
+func (fleet *fleet) sortedNodes() []nodeRecord {
+	var found []nodeRecord
+	for _, node := range fleet.nodes {
+		found = append(found, node)
+	}
+	slices.SortFunc(found, compareNodes)
+	return found
+}
+
+// compareNodes orders nodes by what they may do for all: those with the most
+// capacity come first.
+func compareNodes(a, b nodeRecord) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
+}
+
+func (fleet *fleet) nodeCount() int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if len(fleet.nodes) == 0 {
+		return assumedNodes
+	}
+	return len(fleet.nodes)
+}
+
+// serving returns how many nodes callers are sent to.
+func (fleet *fleet) serving() int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	count := 0
+	for _, node := range fleet.nodes {
+		if !node.Stopping {
+			count++
+		}
+	}
+	if count == 0 {
+		return assumedNodes
+	}
+	return count
+}
+
+// Addresses returns the callers' addresses of the nodes that serve, those of
+// the availability zone first, or none while too little is known.
+func (node *Node) Addresses(zone string) []string {
+	fleet := &node.fleet
+	fleet.mutex.Lock()
+	nodes := fleet.sortedNodes()
+	fleet.mutex.Unlock()
+	var near, far []string
+	self := false
+	for _, other := range nodes {
+		if other.ID == node.Settings.Node {
+			self = true
+		}
+		if other.Stopping || other.ID == node.Settings.Node && !node.Ready() {
+			continue
+		}
+		if string(other.Zone) == zone {
+			near = append(near, other.Callers)
+		} else {
+			far = append(far, other.Callers)
+		}
+	}
+	if !self && node.Ready() {
+		near = append(near, node.Settings.Listen.Callers)
+	}
+	return append(near, far...)
+}
