The test of calls knows when the machine let its sessions starve

The error, by runs beside load of 28: a session ended (EOF, session shutdown), since its keepalive of 2 s was not answered by a process that got no processor. Change: an error ends that caller's part of the test; it is passed over, and the call made again, only if the machine let the test itself wait for over 0.3 s. Answers must belong to their calls, and all 200 must come, as before.

--- a/wire/session_test.go
+++ b/wire/session_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,21 +49,63 @@
 	return &Call{Kind: &Call_Exchange{Exchange: &ExchangeCall{Self: &Node{Id: id}}}}
 }
 
+// longPause is from how long a pause of the machine on a session may end
+// because its keepalive, of two seconds, was not answered in time: each side
+// has to run several times meanwhile.
+const longPause = 300 * time.Millisecond
+
+// pauses are how long the machine let the test wait for its turn.
+type pauses struct {
+	most  atomic.Int64
+	stop  context.CancelFunc
+	ended sync.WaitGroup
+}
+
+func watchPauses(ctx context.Context) *pauses {
+	ctx, cancel := context.WithCancel(ctx)
+	pauses := &pauses{}
+	pauses.ended.Go(func() { pauses.run(ctx) })
+	pauses.stop = func() {
+		cancel()
+		pauses.ended.Wait()
+	}
+	return pauses
+}
+
+func (pauses *pauses) run(ctx context.Context) {
+	const turn = 10 * time.Millisecond
+	for ctx.Err() == nil {
+		began := time.Now()
+		time.Sleep(turn)
+		pauses.most.Store(max(pauses.most.Load(), int64(time.Since(began)-turn)))
+	}
+}
+
+func (pauses *pauses) longest() time.Duration { return time.Duration(pauses.most.Load()) }
+
 func TestCalls(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	address, stop := serve(t, &echo{})
 	peer := &Peer{Address: address, Key: "key"}
+	watched := watchPauses(t.Context())
 	var callers sync.WaitGroup
 	for _, id := range []string{"a", "b", "c", "d"} {
 		callers.Go(func() {
-			for range 50 {
+			for answered := 0; answered < 50; {
 				reply, err := peer.Do(t.Context(), ask(id))
-				assert.Check(t, err)
+				if err != nil && watched.longest() > longPause {
+					continue // the machine kept a session waiting for so long that it ended
+				}
+				if !assert.Check(t, err) {
+					return
+				}
 				assert.Check(t, reply.GetExchange().GetNodes()[0].GetId() == id, "the answer of another call")
+				answered++
 			}
 		})
 	}
 	callers.Wait()
+	watched.stop()
 	wrong := &Peer{Address: address, Key: "other"}
 	_, err := wrong.Do(t.Context(), ask("a"))
 	assert.ErrorContains(t, err, "wrong wire key")
