A head that is out of reach is taken for gone after 20 s, not 5.5

A fifth of the servers was cut off from the store and from us for 5 and 10 s, though not from each other or from callers. The head of a group was among them and served on; there were no substitutes for all, and 5.5 s after it had been found dead, or was first missed by a new planner, its other members were used for another group. The 5 s after which an engine gives a group up run only if a member is out of the head's reach. Change: the members are used elsewhere only 20 s after the head was last in reach, unless it tells that it left, is broken or has gone on. Its own group is formed anew at once where there are substitutes, as before. A cut of more than 18 s without substitutes may still break it: nothing in reach tells such a head from one that is lost.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -36,6 +36,18 @@
 	stalled time.Duration // as a head: a member is missing since
 	mute    time.Duration // until then the planner can't reach it, though it serves
 	list    []shedkeel.InstanceID
+	cutAt   time.Duration // since then it is cut off from the planner and the list, though it serves
+	cutTill time.Duration
+}
+
+// cutOff reports whether the planner can't reach the server.
+func (server *fakeServer) cutOff(now time.Duration) bool { return now < server.cutTill }
+
+// unlisted reports whether a server that was cut off is not listed: its entry
+// goes after three heartbeats and is back some time after the cut.
+func (server *fakeServer) unlisted(now time.Duration) bool {
+	const gone, back = 3600 * time.Millisecond, 1400 * time.Millisecond
+	return server.cutTill-server.cutAt > gone && now > server.cutAt+gone && now < server.cutTill+back
 }
 
 // fakeFleet plays engines in virtual time and notes broken rules.
@@ -85,7 +97,7 @@
 func (fleet *fakeFleet) listed() []shedkeel.Instance {
 	var listed []shedkeel.Instance
 	for _, server := range fleet.servers {
-		if server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond {
+		if server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond || server.unlisted(fleet.now) {
 			continue
 		}
 		instance := server.Instance
@@ -113,7 +125,7 @@
 func (fleet *fakeFleet) dead() map[shedkeel.InstanceID]bool {
 	found := map[shedkeel.InstanceID]bool{}
 	for id, server := range fleet.servers {
-		if server.diedAt != 0 && fleet.now-server.diedAt > 500*time.Millisecond || fleet.now < server.mute {
+		if server.diedAt != 0 && fleet.now-server.diedAt > 500*time.Millisecond || fleet.now < server.mute || server.cutOff(fleet.now) {
 			found[id] = true
 		}
 	}
@@ -261,7 +273,7 @@
 	for _, action := range actions {
 		server := fleet.servers[action.Order.To]
 		switch {
-		case server.diedAt != 0, fleet.now < server.mute:
+		case server.diedAt != 0, fleet.now < server.mute, server.cutOff(fleet.now):
 			planner.Unanswered(action.Order, fleet.now)
 		case fleet.random.Float64() < fleet.loses:
 			planner.Unanswered(action.Order, fleet.now)
@@ -388,6 +400,37 @@
 	}
 }
 
+// TestRulesHoldWhileServersAreCutOff cuts a third of all servers off from the
+// planner and from the list for up to ten seconds, while they go on serving:
+// there are no substitutes for so many, and the members of their groups that
+// are left must not be used for others.
+func TestRulesHoldWhileServersAreCutOff(t *testing.T) {
+	for seed := range 40 {
+		fleet := newFakeFleet(uint64(seed), 6, 8)
+		term := uint64(1)
+		planner := newPlanner(term)
+		fleet.play(planner, 30*time.Second, false)
+		for range 6 {
+			length := 2*time.Second + time.Duration(fleet.random.Int64N(int64(8*time.Second)))
+			for _, id := range slices.Sorted(maps.Keys(fleet.servers)) {
+				if fleet.random.IntN(3) == 0 {
+					fleet.servers[id].cutAt, fleet.servers[id].cutTill = fleet.now, fleet.now+length
+				}
+			}
+			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
+			if fleet.random.IntN(2) == 0 {
+				term++
+				planner = newPlanner(term)
+			}
+			fleet.play(planner, 15*time.Second, true)
+		}
+		fleet.play(planner, time.Minute, true)
+		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
+		serving := fleet.serving()
+		assert.Assert(t, serving["large"] >= 5 && serving["small"] >= 5, "seed %d: %v", seed, serving)
+	}
+}
+
 // TestWarmSparesJoinFast has a member of each group die in turn: with a spare
 // that waits as a standby the group stands again before a cold one had even
 // warmed up.
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -237,7 +237,7 @@
 	if round.usable(group.head()) {
 		return group.headState() != shedkeel.MemberBroken
 	}
-	return round.input.Now-round.headlessSince(group.assignment()) < stallTime
+	return round.input.Now-round.headlessSince(group.assignment()) < goneTime
 }
 
 // formerHeadMayServe reports the same of a formation that has been replaced by
@@ -254,7 +254,7 @@
 	case round.usable(head):
 		return head.Member.State != shedkeel.MemberBroken
 	}
-	return round.input.Now-round.headlessSince(former) < stallTime
+	return round.input.Now-round.headlessSince(former) < goneTime
 }
 
 // dismissFormerHeads has heads leave formations that were replaced without
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -10,8 +10,8 @@
 //   - a head is ordered to open only when every member says that it is ready
 //     in that very formation;
 //   - a member is used elsewhere only when its head can't be serving: the head
-//     has confirmed a higher epoch or that it left, or has been silent for so
-//     long that its engine has given the group up.
+//     has confirmed a higher epoch or that it left, or has been out of reach
+//     for longer than cuts last.
 package formation
 
 import (
@@ -30,9 +30,12 @@
 	// settleTime is how long no backend server may have entered a domain
 	// before new groups are planned there, so that a domain is planned whole.
 	settleTime = 800 * time.Millisecond
-	// stallTime is how long an engine whose group lost a member stalls before it
-	// gives the group up (stall_ms of the platform, 5 s), and a margin.
-	stallTime = 5500 * time.Millisecond
+	// goneTime is how long a head must have been out of reach for the members
+	// of its group to be used in others. Only time tells one that is lost from
+	// one that is cut off from the planner and the list and serves on; on the
+	// users' days that takes up to ten seconds, and two more until it is listed
+	// again. Its own group can be formed anew at once.
+	goneTime = 20 * time.Second
 	// loadWindow is the span over which load orders are counted.
 	loadWindow = 5 * time.Second
 	// spareShare is the part of a domain that is kept free as substitutes.
