A node that can't renew its lease waits for the service to answer anybody

Change: after a failed renewal a node tries again only when its copy of the records shows that the service has answered some node since, 0.5 s after the failure at the earliest, or after 4 s. Tests: TestRenewalsInAnOutage.

--- a/node/election_test.go
+++ b/node/election_test.go
@@ -18,6 +18,8 @@
 	granted shedkeel.LeaseID
 	renewed map[shedkeel.LeaseID]int
 	ended   []shedkeel.LeaseID
+	away    bool // renewals fail
+	calls   int  // renewals asked for
 	commit  func(shedkeel.Change) (int64, error)
 }
 
@@ -27,6 +29,10 @@
 }
 
 func (store *leaseStore) Renew(_ context.Context, lease shedkeel.LeaseID) error {
+	store.calls++
+	if store.away {
+		return &shedkeel.UnavailableError{What: "key-value service"}
+	}
 	store.renewed[lease]++
 	return nil
 }
--- a/node/member.go
+++ b/node/member.go
@@ -24,8 +24,12 @@
 	smallFleet = 12
 	// renewals is how often a lease is renewed in its time.
 	renewals = 3
-	// listedRetry is how long after a failed renewal the next one comes.
-	listedRetry = 500 * time.Millisecond
+	// listedRetry is how long after a failed renewal the next one comes, if the
+	// service has answered any node since; maxListedRetry is the same if it has
+	// not. A call that fails costs ten times what a renewal does, and while the
+	// service is away nothing is gained by it.
+	listedRetry    = 500 * time.Millisecond
+	maxListedRetry = 4 * time.Second
 	// memberTick is how often a node looks whether its record has changed.
 	memberTick = 20 * time.Millisecond
 )
@@ -35,26 +39,47 @@
 	node    *Node
 	lease   lease
 	changed atomic.Bool // the record must be written again
+
+	// Only the loop uses these.
+	tried  time.Duration // when the service was called last; 0: never
+	listed bool          // it answered, and the node is listed as it should be
 }
 
 // update has the record written again.
 func (membership *membership) update() { membership.changed.Store(true) }
 
 func (membership *membership) run(ctx context.Context) {
-	next := time.Duration(0)
 	for ctx.Err() == nil {
-		now := membership.node.Timers.Now()
-		if now >= next || membership.changed.Load() {
-			next = now + listedRetry
-			if membership.step(ctx) {
-				next = now + membership.lease.ttl/renewals
-			}
-		}
+		membership.tick(ctx)
 		timer.Sleep(ctx, memberTick)
 	}
 	membership.lease.end()
 }
 
+// tick renews what is due.
+func (membership *membership) tick(ctx context.Context) {
+	now := membership.node.Timers.Now()
+	if !membership.due(now) {
+		return
+	}
+	membership.tried = now
+	membership.listed = membership.step(ctx)
+}
+
+// due reports whether it is time to call the service.
+func (membership *membership) due(now time.Duration) bool {
+	since := now - membership.tried
+	switch {
+	case membership.tried == 0:
+		return true
+	case membership.listed:
+		return membership.changed.Load() || since >= membership.lease.ttl/renewals
+	case membership.node.mirror.State().AsOf > membership.tried:
+		return since >= listedRetry
+	}
+	return since >= maxListedRetry
+}
+
 // step renews the lease, or gets a new one, and writes the record if needed.
 // It reports whether the node is listed as it should be.
 func (membership *membership) step(ctx context.Context) bool {
--- a/node/member_test.go
+++ b/node/member_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/mirror"
 )
 
 // TestListedByFleetSize has a node find out how large its fleet is: in a small
@@ -46,3 +47,39 @@
 		})
 	}
 }
+
+// TestRenewalsInAnOutage has renewals fail: while the service answers nobody a
+// node tries seldom, and soon after it has answered anybody.
+func TestRenewalsInAnOutage(t *testing.T) {
+	cases := map[string]struct {
+		answers time.Duration // after the failure, when another node had an answer; 0: never
+		tries   time.Duration // when the node tries again
+	}{
+		"the service is away":              {0, maxListedRetry},
+		"it is away for this node only":    {10 * time.Millisecond, listedRetry},
+		"it is back after a second":        {time.Second, time.Second},
+		"it is back before the next trial": {200 * time.Millisecond, listedRetry},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newTestNode(t)
+			store := &leaseStore{renewed: map[shedkeel.LeaseID]int{}, commit: func(shedkeel.Change) (int64, error) { return 2, nil }}
+			node.Store = store
+			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+			node.member.tick(t.Context())
+			timers.Advance(longTTL / renewals)
+			store.away = true
+			node.member.tick(t.Context())
+			failed := timers.Now()
+			calls := store.calls
+			for store.calls == calls && timers.Now() < failed+time.Minute {
+				timers.Advance(memberTick)
+				if answered := failed + test.answers; test.answers > 0 && timers.Now() >= answered {
+					node.mirror.Apply(mirror.Update{At: 1, AsOf: answered})
+				}
+				node.member.tick(t.Context())
+			}
+			assert.Equal(t, timers.Now()-failed, test.tries)
+		})
+	}
+}
