--- a/mutants_test.go
+++ b/mutants_test.go
@@ -93,6 +93,39 @@
 	"8 configuration: a lost reply is taken for a failure": {
 		"platform/cas.go", "if mine(record.Value) {", "if false {", "TestLostReply", "./platform",
 	},
+	"nodes: a write to lead that is done late is passed over": {
+		"node/election.go", "\t\tcontroller.vacant = 0\n\t\tcontroller.adopt()\n", "\t\tcontroller.vacant = 0\n", "TestLeadOfUnknownOutcome", "./node",
+	},
+	"nodes: the leader's record may name a former lease": {
+		"node/election.go", " && lead.Lease == controller.lease.ID()", "", "TestLateWriteOfFormerLease", "./node",
+	},
+	"nodes: a source that failed is followed on": {
+		"node/peers.go", "if !followed.failed.within(failTime, peers.node.Timers.Now()) {", "if true {", "TestChoose", "./node",
+	},
+	"nodes: renewals go on in an outage": {
+		"node/member.go", "return since >= maxListedRetry", "return since >= listedRetry", "TestRenewalsInAnOutage", "./node",
+	},
+	"nodes: the word of the node that spreads is not taken": {
+		"dispatch/table.go", "if wish != nil && wishCost <= wishTrust*lowest {", "if wish != nil && wishCost < 0 {", "TestSpreadKeepsPromptsApart", "./dispatch",
+	},
+	"nodes: the word is taken whatever this node sees": {
+		"dispatch/table.go", "wishCost <= wishTrust*lowest", "wishCost >= 0", "TestWish", "./dispatch",
+	},
+	"nodes: prompts that wait are not counted": {
+		"dispatch/spread.go", "best.given.reading += best.reading(query.Prompt)", "best.given.reading += 0", "TestSpread$|TestSpreadKeepsPromptsApart", "./dispatch",
+	},
+	"nodes: a head out of reach is soon taken for gone": {
+		"formation/planner.go", "goneTime = 20 * time.Second", "goneTime = 5500 * time.Millisecond", "TestRulesHoldWhileServersAreCutOff", "./formation",
+	},
+	"nodes: former formations are remembered": {
+		"formation/planner.go", "if now-at <= forgetTime {", "if now-at <= 1000*forgetTime {", "TestFormerFormationsAreForgotten", "./formation",
+	},
+	"nodes: requests do not wait for the start": {
+		"serve/start.go", "for !ready() && life.mayWait() {", "for false {", "TestRequestsWaitForTheStart", "./serve",
+	},
+	"nodes: a request waits past its own limit": {
+		"serve/start.go", "\t\tuntil = min(until, life.limit)\n", "", "TestRequestsWaitForTheStart", "./serve",
+	},
 }
 
 // TestMutants builds the project without one mechanism after another, in a
