Scenarios: callers keep addresses as long as they may; a server is awaited

Change: a caller of the scenarios that gets no which-entry-box answer asks again, where it went on with addresses whose time was over, and counts that time from its question; a stopping entry need not serve those. No bound is changed.

--- a/scenario_load_test.go
+++ b/scenario_load_test.go
@@ -27,6 +27,7 @@
 	notRun   int
 	unknown  int
 	cut      int
+	cuts     []string // the errors, or the last of what came
 	foreign  []string
 }
 
@@ -62,10 +63,13 @@
 			return
 		default:
 		}
-		if time.Now().After(until) {
-			if named, kept := askEntries(client, urls); len(named) > 0 {
-				addresses, until = named, time.Now().Add(kept)
+		if asked := time.Now(); asked.After(until) {
+			named, kept := askEntries(client, urls)
+			if len(named) == 0 {
+				time.Sleep(50 * time.Millisecond)
+				continue // the addresses that it has may not be used any longer
 			}
+			addresses, until = named, asked.Add(kept)
 		}
 		load.one(client, addresses[try%len(addresses)], try%2 == 0)
 	}
@@ -142,6 +146,7 @@
 		load.unknown++
 	default:
 		load.cut++
+		load.cuts = append(load.cuts, text[max(0, len(text)-200):])
 	}
 }
 
@@ -153,6 +158,9 @@
 	world.loads.end()
 	load := world.loads
 	script.Logf("answered %d, not run %d, unknown %d, cut %d, foreign %d", load.answered, load.notRun, load.unknown, load.cut, len(load.foreign))
+	for _, text := range load.cuts {
+		script.Logf("cut: %s", text)
+	}
 	limits := make([]int, len(args))
 	for index, arg := range args {
 		limit, err := strconv.Atoi(arg)
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -492,6 +492,7 @@
 //	without NODE BOX       no group of the node's placement has the box
 //	generation NODE COUNT  the node has that configuration in force
 //	status URL CODE        a model call there gets that status
+//	listens NAME           the process takes connections
 //	apply FILE             the document is accepted
 //	reserved NODE COUNT    so many groups have a box agreed ahead
 //	obeyed NODE            each member of the node's placement is in its group
@@ -504,6 +505,12 @@
 	case "status":
 		code := callModel(ctx, condition[1], "probe", false)
 		return strconv.Itoa(code), strconv.Itoa(code) == condition[2]
+	case "listens":
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", world.addresses[condition[1]])
+		if err != nil {
+			return err.Error(), false
+		}
+		return "it listens", connection.Close() == nil
 	case "planner", "notplanner":
 		holder := world.holder(ctx)
 		return holder, holder != "" && (holder == "node-"+condition[1]) == (condition[0] == "planner")
