Revert: requests do not wait while a process has just started

Change: what held requests goes, with its tests and mutants. The first reading of the store is still tried again each 0.1 s.

--- a/node/node.go
+++ b/node/node.go
@@ -119,7 +119,7 @@
 	node.table.Random = node.Random
 	bounds := node.Settings.Bounds
 	node.front = serve.Front{
-		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log, Began: node.Timers.Now(),
+		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
 		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving, KeyAge: time.Duration(float64(bounds.Revoke) * keyShare),
 	}
--- a/serve/front.go
+++ b/serve/front.go
@@ -47,8 +47,6 @@
 	Timers   shedkeel.Timers
 	Log      *event.Log
 	Meter    *Meter // nil: nothing is counted
-	// Began is when the process started.
-	Began time.Duration
 	// Believe returns what is in force.
 	Believe func() Belief
 	// Nodes returns how many processes share the bound on repeats.
@@ -131,7 +129,6 @@
 	if life.front.refusing.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "this node is stopping", back: comeBackSoon}
 	}
-	life.await(life.hasView)
 	belief := life.front.Believe()
 	if belief.View == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", back: comeBackSoon}
@@ -200,7 +197,6 @@
 }
 
 func (life *life) serve() error {
-	life.await(life.hasServer)
 	life.front.Budget.First(life.service, life.began)
 	ctx, cancel := context.WithTimeout(life.request.Context(), life.limit-life.front.Timers.Now())
 	defer cancel()
--- a/serve/send.go
+++ b/serve/send.go
@@ -33,7 +33,10 @@
 		count(life.front.meter().noBudget)
 		return nil, errNoBudget
 	}
-	model := life.model()
+	model := life.call.Model
+	if service := life.view.Service(life.service); service == nil || service.Engine == nil {
+		model = ""
+	}
 	query := dispatch.Query{Service: life.service, Model: model, Avoid: life.tried, Prompt: life.call.PromptTokens, Now: now}
 	if model != "" && !repeat {
 		if err := life.admit(&query); err != nil {
