Operators choose whether keys are refused while the store is away

Cause: a node refused every request with a key once its proof of the configuration was older than 0.76 of the revocation bound, also for operators who state that removed keys may work on in an outage.

Change: bounds.refuse_stale_keys, true by default, filled from what the operators state. Without it requests are served by the newest configuration that is known, and the node stays ready. Where the configuration is out of date, an unknown key or path gets 503 in place of 401 or 404, either way: it may have been added since.

--- a/config/node.go
+++ b/config/node.go
@@ -38,19 +38,24 @@
 
 // NodeBounds are what the platform's operators promise their callers.
 type NodeBounds struct {
-	Grace       shedkeel.Duration `toml:"grace"`        // from SIGTERM to the kill
-	Revoke      shedkeel.Duration `toml:"revoke"`       // from the removal of a key until no request runs with it
-	Directory   shedkeel.Duration `toml:"directory"`    // longest that a directory answer counts
-	RetryRatio  float64           `toml:"retry_ratio"`  // repeats for each request, over all nodes
-	RetryWindow shedkeel.Duration `toml:"retry_window"` // in which they are counted
-	RetrySlack  float64           `toml:"retry_slack"`  // repeats allowed besides
+	Grace  shedkeel.Duration `toml:"grace"`  // from SIGTERM to the kill
+	Revoke shedkeel.Duration `toml:"revoke"` // from the removal of a key until no request runs with it
+	// RefuseStaleKeys has requests with keys refused before Revoke is over
+	// since the node last had proof of its configuration. Without it they are
+	// served by the newest configuration that the node knows, and a removed key
+	// may work for as long as the key-value service is out of reach.
+	RefuseStaleKeys bool              `toml:"refuse_stale_keys"`
+	Directory       shedkeel.Duration `toml:"directory"`    // longest that a directory answer counts
+	RetryRatio      float64           `toml:"retry_ratio"`  // repeats for each request, over all nodes
+	RetryWindow     shedkeel.Duration `toml:"retry_window"` // in which they are counted
+	RetrySlack      float64           `toml:"retry_slack"`  // repeats allowed besides
 }
 
 // DefaultNodeSettings returns what holds for keys that a file leaves out.
 func DefaultNodeSettings() NodeSettings {
 	return NodeSettings{
 		Bounds: NodeBounds{
-			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), Directory: shedkeel.Duration(5 * time.Second),
+			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), RefuseStaleKeys: true, Directory: shedkeel.Duration(5 * time.Second),
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 		},
 		Log: LogSettings{Level: "info"},
--- a/node/node.go
+++ b/node/node.go
@@ -37,11 +37,11 @@
 	// budgetCare is the part of the bound on repeats that is used: windows
 	// slide, and requests of a second ago count less than fully.
 	budgetCare = 0.7
-	// keyShare is the part of the revocation bound for which a proof of the
+	// proofShare is the part of the revocation bound for which a proof of the
 	// configuration is good. A watch may miss changes for a second, which with
 	// it stays within a bound of five. A proof is up to 1.3 s old at rest, so a
 	// smaller part refuses what the platform still counts as in touch.
-	keyShare = 0.76
+	proofShare = 0.76
 	// silenceTick is how often running requests are checked for silence.
 	silenceTick = 20 * time.Millisecond
 	// callerIdle is how long a caller's connection may rest; longer than what
@@ -121,7 +121,8 @@
 	node.front = serve.Front{
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
-		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving, KeyAge: time.Duration(float64(bounds.Revoke) * keyShare),
+		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving,
+		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys,
 	}
 	if node.Metrics != nil {
 		node.front.Meter = serve.NewMeter(node.Metrics.Scope)
@@ -215,8 +216,11 @@
 
 // Ready reports whether callers should be sent here.
 func (node *Node) Ready() bool {
+	if node.stopping.Load() || node.fleet.view.Load() == nil {
+		return false
+	}
 	age := node.Timers.Now() - node.mirror.State().AsOf
-	return !node.stopping.Load() && node.fleet.view.Load() != nil && age < node.front.KeyAge
+	return !node.front.RefuseStaleKeys || age < node.front.ProofAge
 }
 
 // watchSilence finds servers that have gone silent and tells the node that
@@ -237,6 +241,7 @@
 func (node *Node) Reload(settings config.NodeSettings) {
 	bounds := settings.Bounds
 	node.front.Budget.Set(bounds.RetryRatio, time.Duration(bounds.RetryWindow), bounds.RetrySlack)
-	needsRestart := settings.Listen != node.Settings.Listen || settings.Store != node.Settings.Store || settings.Node != node.Settings.Node
+	needsRestart := settings.Listen != node.Settings.Listen || settings.Store != node.Settings.Store || settings.Node != node.Settings.Node ||
+		bounds.Revoke != node.Settings.Bounds.Revoke || bounds.RefuseStaleKeys != node.Settings.Bounds.RefuseStaleKeys
 	node.Log.Write(event.Reloaded, slog.Bool("needs_restart", needsRestart))
 }
--- a/serve/front.go
+++ b/serve/front.go
@@ -56,9 +56,12 @@
 	// Spread returns what the process that spreads the requests of all says of
 	// this one, or false when it says nothing. nil: there is none.
 	Spread func(context.Context, dispatch.Query, dispatch.Running) (dispatch.Advice, bool)
-	// KeyAge is how old the proof of a configuration may be for keys to be
-	// accepted by it.
-	KeyAge time.Duration
+	// ProofAge is from how old a proof on the configuration counts as out of
+	// date: keys may have been removed since, and keys and routes added.
+	ProofAge time.Duration
+	// RefuseStaleKeys has requests with keys refused while the configuration is
+	// out of date. Without it they are served by the newest one that is known.
+	RefuseStaleKeys bool
 
 	stopping atomic.Bool // callers are asked to leave
 	refusing atomic.Bool // nothing new is taken
@@ -94,6 +97,7 @@
 	account  *shedkeel.KeyedAccount
 	service  shedkeel.ServiceID
 	body     []byte
+	age      time.Duration // of the configuration's proof
 	began    time.Duration
 	limit    time.Duration // until when it is held
 	untilOwn time.Duration // until when the caller waits, as it said
@@ -134,9 +138,10 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", back: comeBackSoon}
 	}
 	life.view = belief.View
+	life.age = life.began - belief.AsOf
 	life.route = belief.View.route(call.Host, call.Path)
 	if life.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: "no route matches"}
+		return life.unknown(http.StatusNotFound, "no route matches")
 	}
 	if err := life.admitKey(belief); err != nil {
 		return err
@@ -154,18 +159,33 @@
 	return life.readBody()
 }
 
+// outOfDate reports whether the configuration may have been replaced by one
+// that this process has not heard of.
+func (life *life) outOfDate() bool { return life.age > life.front.ProofAge }
+
+// unknown refuses a request that the configuration does not know. One that is
+// out of date proves nothing: a route or key may have been added since.
+func (life *life) unknown(status int, reason string) error {
+	if life.outOfDate() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason + " in a configuration last proved " + life.age.String() + " ago", back: comeBackSoon}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
 // admitKey finds the client account of the request's key.
 func (life *life) admitKey(belief Belief) error {
 	if !belief.View.keyed(life.route) {
 		return nil
 	}
-	age := life.began - belief.AsOf
-	if age > life.front.KeyAge {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "the configuration is too old to accept keys by: " + age.String(), back: comeBackSoon}
+	if life.front.RefuseStaleKeys && life.outOfDate() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "the configuration is too old to accept keys by: " + life.age.String(), back: comeBackSoon}
+	}
+	if life.call.KeyCount != 1 {
+		return &refusal{status: http.StatusUnauthorized, reason: "the request must carry one key"}
 	}
 	life.account = belief.View.accounts[life.call.Key]
-	if life.account == nil || life.call.KeyCount != 1 {
-		return &refusal{status: http.StatusUnauthorized, reason: "the key belongs to no client account"}
+	if life.account == nil {
+		return life.unknown(http.StatusUnauthorized, "the key belongs to no client account")
 	}
 	return nil
 }
