Spares that stand by for one model load another onto their hosts

Cause: a domain keeps two spares, each with the weights of one model. The second member of a model that was lost there waited 12 to 16 s for a load, while the spare of the other model stood beside it. A server joins the model that it has loaded in 0.2 s without a copy on its host, so the host's place was spent twice on the same weights.

Change: a spare whose host holds only what the server itself has loaded loads the model with the fewest spares onto its host, while at most half of the loads allowed are under way. It no longer changes what it stands by for. TestSparesReplaceMembersOfEitherModel failed before (5 of 6 groups after the second loss of a model); TestHostsKeepWhatTheyLoaded bounds the loads. The fleet of the tests no longer puts a joined model back onto the host without a load. TestWarmSparesJoinFast now takes the groups to be restored anew before each loss, since a spare of either model may have formed one more.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -32,6 +32,7 @@
 	readyAt time.Duration
 	loadsTo shedkeel.ModelID
 	loadAt  time.Duration
+	cold    bool          // the join under way loads from the weight store, which leaves the model on the host
 	diedAt  time.Duration // 0: lives
 	stalled time.Duration // as a head: a member is missing since
 	mute    time.Duration // until then the planner can't reach it, though it serves
@@ -192,6 +193,7 @@
 	server.list = order.Members
 	server.Member = &shedkeel.Membership{Group: order.Group, Epoch: order.Epoch, Rank: slices.Index(order.Members, server.ID), State: shedkeel.MemberJoining}
 	model := fleet.engine.Model(order.Model)
+	server.cold = server.last != order.Model && !server.HasStaged(order.Model)
 	switch {
 	case server.last == order.Model:
 		server.readyAt = fleet.now + 200*time.Millisecond
@@ -241,7 +243,9 @@
 		}
 		if server.Member.State == shedkeel.MemberJoining && fleet.now >= server.readyAt {
 			server.Member.State = shedkeel.MemberReady
-			server.Staged = []shedkeel.ModelID{server.last}
+			if server.cold {
+				server.Staged = []shedkeel.ModelID{server.last}
+			}
 		}
 		fleet.stall(server)
 	}
@@ -438,8 +442,10 @@
 	fleet := newFakeFleet(3, 6, 8)
 	planner := newPlanner(1)
 	fleet.play(planner, 30*time.Second, false)
-	whole := fleet.serving()
+	formed := fleet.serving()
 	for range 4 {
+		whole := fleet.serving() // a spare of either model may have formed one more
+		assert.Assert(t, whole["large"] >= formed["large"] && whole["small"] >= formed["small"], "%v", whole)
 		fleet.kill()
 		fleet.play(planner, 600*time.Millisecond, true) // until probes have found it
 		fleet.play(planner, time.Second, true)
@@ -450,6 +456,54 @@
 	assert.Equal(t, len(fleet.broken), 0, "%v", fleet.broken)
 }
 
+// TestSparesReplaceMembersOfEitherModel has two members of one model die in a
+// domain, which has a spare of each: with a spare that has only one model's
+// weights, the second group waited 16 s for a load while the other model's
+// spare stood beside it.
+func TestSparesReplaceMembersOfEitherModel(t *testing.T) {
+	for _, model := range []shedkeel.ModelID{"large", "small"} {
+		t.Run(string(model), func(t *testing.T) {
+			fleet := newFakeFleet(3, 6, 8)
+			planner := newPlanner(1)
+			fleet.play(planner, time.Minute, false)
+			whole := fleet.serving()
+			for range 2 {
+				fleet.killMember("d0", model)
+				fleet.play(planner, 600*time.Millisecond, true) // until probes have found it
+				fleet.play(planner, fleet.engine.Model(model).Warmup+time.Second, true)
+				assert.DeepEqual(t, fleet.serving(), whole)
+			}
+			assert.Equal(t, len(fleet.broken), 0, "%v", fleet.broken)
+		})
+	}
+}
+
+// killMember ends a server that is a member, not the head, of a group of the
+// model in the domain.
+func (fleet *fakeFleet) killMember(domain shedkeel.DomainID, model shedkeel.ModelID) {
+	for _, id := range slices.Sorted(maps.Keys(fleet.servers)) {
+		server := fleet.servers[id]
+		if server.diedAt == 0 && server.Domain == domain && server.Member != nil && server.Member.Rank > 0 && ModelOf(server.Member.Group) == model {
+			server.diedAt = fleet.now
+			return
+		}
+	}
+}
+
+// TestHostsKeepWhatTheyLoaded covers hosts that keep the weights of one model
+// only, with three models: a spare must not load one after the other for ever.
+func TestHostsKeepWhatTheyLoaded(t *testing.T) {
+	fleet := newFakeFleet(3, 6, 8)
+	fleet.engine.Models = append(fleet.engine.Models, shedkeel.Model{ID: "third", Size: 2, Share: 0.2, Load: 12 * time.Second, Warmup: time.Second})
+	planner := newPlanner(1)
+	fleet.play(planner, 2*time.Minute, false)
+	for end := fleet.now + time.Minute; fleet.now < end; {
+		actions := planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Traffic: true})
+		assert.Equal(t, len(actions), 0, "%v", actions)
+		fleet.tick()
+	}
+}
+
 // TestRepairWithoutAnotherFormation covers a head that was once taken for its
 // own substitute: the group was then ordered anew each quarter of a second and
 // never stood.
--- a/formation/form.go
+++ b/formation/form.go
@@ -303,6 +303,51 @@
 		staged[model]++
 		round.stage(instance, model, "a spare loads ahead of need")
 	}
+	for _, instance := range round.free(domain) {
+		if !round.hostIsSpent(instance) || !round.mayLoadAhead() {
+			continue
+		}
+		others := slices.DeleteFunc(round.modelIDs(), func(model shedkeel.ModelID) bool { return slices.Contains(instance.Models, model) })
+		if len(others) > 0 {
+			round.stage(instance, round.neediest(others, domain, staged), "a spare that stands by loads another model onto its host")
+		}
+	}
+}
+
+// hostIsSpent reports whether the host of a server holds only what the server
+// itself has loaded. A server joins the model that it has loaded in a fraction
+// of a second, with or without a copy on its host, so the host can hold
+// another model: such a spare replaces a member of either within a warm-up.
+func (round *round) hostIsSpent(instance *shedkeel.Instance) bool {
+	if len(instance.Models) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(instance.Staged, func(model shedkeel.ModelID) bool { return !slices.Contains(instance.Models, model) })
+}
+
+// aheadShare is the part of the loads that may begin at once, or in a window,
+// that loads without need may take: the rest is left for groups that wait.
+const aheadShare = 0.5
+
+// mayLoadAhead reports whether a load may begin that nothing waits for.
+func (round *round) mayLoadAhead() bool {
+	if !round.input.Traffic {
+		return true
+	}
+	engine := round.input.Engine
+	if engine.LoadsAtOnce > 0 && float64(len(round.planner.loading)) >= aheadShare*float64(engine.LoadsAtOnce) {
+		return false
+	}
+	return float64(len(round.planner.loads)) < aheadShare*engine.LoadsPerSecond*loadWindow.Seconds()
+}
+
+// modelIDs returns the names of the engine's models.
+func (round *round) modelIDs() []shedkeel.ModelID {
+	var found []shedkeel.ModelID
+	for index := range round.input.Engine.Models {
+		found = append(found, round.input.Engine.Models[index].ID)
+	}
+	return found
 }
 
 // stage orders a load onto the host, unless one is under way or loads are
@@ -335,16 +380,21 @@
 	return members
 }
 
-// leastStaged returns the model that a spare of the domain should load: the
-// one whose members there have the fewest spares for each.
+// leastStaged returns the model that a spare of the domain should load.
 func (round *round) leastStaged(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
+	return round.neediest(round.modelIDs(), domain, staged)
+}
+
+// neediest returns the one of the models whose members in the domain have the
+// fewest spares for each.
+func (round *round) neediest(models []shedkeel.ModelID, domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
 	members := round.members(domain)
-	best := round.input.Engine.Models[0].ID
+	best := models[0]
 	most := -1.0
-	for _, model := range round.input.Engine.Models {
-		need := float64(members[model.ID]) / float64(staged[model.ID]+1)
-		if need > most || need == most && staged[model.ID] < staged[best] {
-			best, most = model.ID, need
+	for _, model := range models {
+		need := float64(members[model]) / float64(staged[model]+1)
+		if need > most || need == most && staged[model] < staged[best] {
+			best, most = model, need
 		}
 	}
 	return best
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"slices"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -26,11 +25,11 @@
 }
 
 func (round *round) warm(spare *shedkeel.Instance) {
-	if _, loads := round.planner.loading[spare.ID]; loads || len(spare.Staged) == 0 {
-		return
+	if _, loads := round.planner.loading[spare.ID]; loads || len(spare.Staged) == 0 || len(spare.Models) > 0 {
+		return // one that has a model loaded stands by for it
 	}
 	model := spare.Staged[0]
-	if slices.Contains(spare.Models, model) || round.input.Engine.Model(model) == nil {
+	if round.input.Engine.Model(model) == nil {
 		return
 	}
 	if at, ordered := round.planner.warmed[spare.ID]; ordered && round.input.Now-at < warmAgain {
