A node that starts in an outage of the store learns from its seeds

Cause: a process that knew nothing asked only the key-value service.

Change: the setting seeds names control addresses of other nodes. All are asked at once, with pauses that double, until anything is known. What they tell is as old as they say. TestStartInAnOutage and TestStartsWhileTheStoreIsAway failed before (nothing learned in 5 and 15 s); they learn in under 0.2 s and 1 s.

--- a/config/node.go
+++ b/config/node.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -14,6 +15,9 @@
 	Zone   shedkeel.ZoneID `toml:"zone"` // its availability zone
 	Listen NodeListen      `toml:"listen"`
 	Store  string          `toml:"store"` // host:port of the key-value service
+	// Seeds are control addresses of other nodes, IP:PORT. A node that knows
+	// nothing yet asks them, beside the key-value service. Some may be down.
+	Seeds []string `toml:"seeds"`
 	// Capacity is how much of a processor core the box has for the node. Those
 	// with most follow the service and plan, for all.
 	Capacity float64     `toml:"capacity"`
@@ -89,6 +93,9 @@
 	if settings.Listen.Metrics != "" {
 		addresses["listen.metrics"] = settings.Listen.Metrics
 	}
+	for index, seed := range settings.Seeds {
+		addresses[fmt.Sprintf("seeds[%d]", index)] = seed
+	}
 	for key, address := range addresses {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return &shedkeel.InvalidError{Where: name, What: key + " is no address: " + err.Error(), Remedy: "write it as IP:PORT"}
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -42,6 +42,8 @@
 		"a whole core":                  {func(text string) string { return "capacity = 1\n" + text }, ""},
 		"keys of an old configuration":  {func(text string) string { return text + "refuse_stale_keys = false\n" }, ""},
 		"no word on old configurations": {func(text string) string { return text + "refuse_stale_keys = \"no\"\n" }, "refuse_stale_keys"},
+		"seeds":                         {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2:5\"]\n" + text }, ""},
+		"a seed without a port":         {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2\"]\n" + text }, "seeds[1] is no address"},
 		"half a file":                   {func(text string) string { return text[:40] }, "mend that line"},
 	}
 	for name, test := range cases {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -48,6 +48,11 @@
 	// maxRetryPause while they fail, once something is known.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 400 * time.Millisecond
+	// startRetry is the first pause after a peer was asked in vain by a process
+	// that knows nothing; it doubles up to maxRetryPause. After a loss of power
+	// the others know nothing either, and 380 processes that ask three of them
+	// each 0.4 s are 320 questions a second to each.
+	startRetry = 50 * time.Millisecond
 )
 
 // Peer is the mirror of another process.
@@ -69,7 +74,8 @@
 	// Choose returns the peer to follow, or nil to follow the service.
 	Choose func() Peer
 	// Others returns all peers. While the copy is stale any of them is asked,
-	// whoever is to be followed.
+	// whoever is to be followed; those that are known at the start are all
+	// asked until anything is known.
 	Others func() []Peer
 	// Processes returns how many processes follow the service or each other.
 	Processes func() int
@@ -83,6 +89,9 @@
 
 // Run follows until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
+	for _, peer := range follower.Others() {
+		follower.running.Go(func() { follower.runStart(ctx, peer) })
+	}
 	follower.running.Go(func() { follower.runPeers(ctx) })
 	follower.runSource(ctx)
 	follower.running.Wait()
@@ -200,6 +209,19 @@
 	follower.Log.Write(event.StoreBack, fields...)
 }
 
+// runStart asks a peer until anything is known: the service may be away, and
+// the peer's copy is what others serve by. It is as old as the peer says.
+func (follower *Follower) runStart(ctx context.Context, peer Peer) {
+	pause := startRetry
+	for ctx.Err() == nil && !follower.Mirror.State().Known {
+		if follower.relay(ctx, peer, State{}, 0) {
+			return
+		}
+		timer.Sleep(ctx, pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
 // runPeers follows another mirror while there is one to follow, and asks any
 // other while the copy is stale.
 func (follower *Follower) runPeers(ctx context.Context) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -172,6 +172,9 @@
 
 func (peer *peer) Relay(_ context.Context, since int64, wait time.Duration) (Update, error) {
 	time.Sleep(min(wait, 5*time.Millisecond))
+	if peer.mirror == nil {
+		return Update{}, errors.New("it knows nothing yet")
+	}
 	update := peer.mirror.Since(since)
 	update.AsOf -= peer.now()
 	return update, nil
@@ -189,6 +192,42 @@
 
 // TestFollower covers an outage of the service, a history that is gone, and a
 // peer that takes the service's place.
+// TestStartInAnOutage has a process start while the service is away: it learns
+// what another process knows within some tens of milliseconds, as old as that
+// one says, though another peer knows nothing and a third does not answer.
+func TestStartInAnOutage(t *testing.T) {
+	from := &source{Store: standin.NewStore()}
+	from.set(errors.New("away"))
+	clock := &timer.System{}
+	informed, own := &Mirror{}, &Mirror{}
+	proved := clock.Now() - 3*time.Second
+	informed.Apply(Update{Whole: true, At: 7, AsOf: proved, Records: []shedkeel.Record{record("a", 7)}})
+	others := []Peer{&peer{now: clock.Now}, &peer{mirror: informed, now: clock.Now}, silentPeer{}}
+	follower := &Follower{
+		Mirror: own, Source: from, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return others },
+		Processes: func() int { return 3 }, Random: rand.NewPCG(1, 2),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	began := clock.Now()
+	running.Go(func() { follower.Run(ctx) })
+	eventually(t, "what the peer knows", func() bool { return own.Get("a").Revision == 7 })
+	assert.Assert(t, clock.Now()-began < 200*time.Millisecond, "it took %s", clock.Now()-began)
+	assert.Assert(t, own.State().AsOf <= proved, "it looks younger than the peer's copy")
+	cancel()
+	running.Wait()
+}
+
+// silentPeer never answers.
+type silentPeer struct{}
+
+func (silentPeer) Name() string { return "silent" }
+
+func (silentPeer) Relay(ctx context.Context, _ int64, _ time.Duration) (Update, error) {
+	<-ctx.Done()
+	return Update{}, ctx.Err()
+}
+
 // TestStaleFollowers has many processes whose copies grow old while the
 // service is away: together they ask it only so often, and the first that
 // learns something new tells the others though nobody follows it.
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,7 @@
 	}
 	node.fleet.node = node
 	node.peers.node = node
+	node.peers.prepare()
 	node.peers.random = rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())
 	node.member.node = node
 	node.member.lease = lease{node: node, ttl: longTTL}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -42,6 +42,7 @@
 type runningNode struct {
 	*node.Node
 	callers   string
+	control   string
 	directory string
 	readiness string
 	admin     string
@@ -104,13 +105,15 @@
 	return listener
 }
 
-func (world *world) start(index int) {
+// start starts a node. It asks those at the seeds while it knows nothing.
+func (world *world) start(index int, seeds ...string) {
 	t := world.t
 	listeners := node.Listeners{Callers: listen(t), Directory: listen(t), Readiness: listen(t), Control: listen(t), Metrics: listen(t)}
 	settings := config.DefaultNodeSettings()
 	settings.Node = shedkeel.NodeID(fmt.Sprint("node-", index))
 	settings.Zone = "z"
 	settings.Wire.Key = "k"
+	settings.Seeds = seeds
 	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second)
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String()}
 	transport := &engine.Transport{DialTimeout: 250 * time.Millisecond, IdleTimeout: time.Second}
@@ -129,7 +132,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	running := &runningNode{
 		Node: process, stop: stop, callers: listeners.Callers.Addr().String(),
-		directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(), admin: listeners.Metrics.Addr().String(),
+		control: listeners.Control.Addr().String(), directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(), admin: listeners.Metrics.Addr().String(),
 	}
 	faces := node.Faces{
 		Directory: &platform.Directory{Addresses: process.Addresses, Keep: node.DirectoryKeep},
@@ -227,6 +230,25 @@
 	world.stopNode()
 }
 
+// TestStartsWhileTheStoreIsAway has a node restart in an outage of the store: it
+// must serve by what the nodes at its seeds know, one of which is down.
+func TestStartsWhileTheStoreIsAway(t *testing.T) {
+	world := newWorld(t, 2)
+	serves := func(node *runningNode) bool {
+		status, _ := world.send(node.callers, shedkeel.NewNonce(), "/look/x", "key-1", 0)
+		return status == 200
+	}
+	world.eventually("both nodes serve", func() bool { return serves(world.nodes[0]) && serves(world.nodes[1]) })
+	world.data.SetFaults(standin.Faults{Outage: true})
+	down := listen(t)
+	assert.NilError(t, down.Close())
+	began := time.Now()
+	world.start(2, down.Addr().String(), world.nodes[1].control)
+	world.eventually("the third serves", func() bool { return serves(world.nodes[2]) })
+	assert.Assert(t, time.Since(began) < time.Second, "it took %s", time.Since(began))
+	assert.Assert(t, world.nodes[2].Ready())
+}
+
 // loseMember kills a member of each group but one while streams run.
 func (world *world) loseMember() {
 	heads := world.fleet.Serving()["m0"]
--- a/node/peers.go
+++ b/node/peers.go
@@ -43,6 +43,7 @@
 	mutex sync.Mutex
 	nodes []nodeRecord // as compareNodes orders them, this node among them
 	known map[shedkeel.NodeID]*peer
+	seeds []*peer // from the settings: asked while no nodes are known
 	// random is not used elsewhere, and only with the mutex held.
 	random shedkeel.Random
 
@@ -59,6 +60,23 @@
 	mute   failure    // as the node that spreads requests
 }
 
+// prepare makes peers of the seeds. A seed's name is its address until its
+// record tells another.
+func (peers *peers) prepare() {
+	settings := &peers.node.Settings
+	for _, address := range settings.Seeds {
+		if address != settings.Listen.Control {
+			peers.seeds = append(peers.seeds, peers.dial(shedkeel.NodeID(address), address))
+		}
+	}
+}
+
+// dial returns a new peer at the address. It connects when it is first asked.
+func (peers *peers) dial(id shedkeel.NodeID, address string) *peer {
+	key := peers.node.Settings.Wire.Key
+	return &peer{id: id, node: peers.node, wire: &wire.Peer{Address: address, Key: key}, asked: &wire.Peer{Address: address, Key: key}}
+}
+
 // update makes these the nodes that are known.
 func (peers *peers) update(nodes []nodeRecord) {
 	peers.mutex.Lock()
@@ -72,8 +90,7 @@
 		}
 		same := before[other.ID]
 		if same == nil || same.wire.Address != other.Control {
-			key := peers.node.Settings.Wire.Key
-			same = &peer{id: other.ID, node: peers.node, wire: &wire.Peer{Address: other.Control, Key: key}, asked: &wire.Peer{Address: other.Control, Key: key}}
+			same = peers.dial(other.ID, other.Control)
 		}
 		peers.known[other.ID] = same
 	}
@@ -123,8 +140,12 @@
 
 // others returns the other nodes as mirrors that may be asked.
 func (peers *peers) others() []mirror.Peer {
+	asked := peers.all()
+	if len(asked) == 0 {
+		asked = peers.seeds
+	}
 	var found []mirror.Peer
-	for _, peer := range peers.all() {
+	for _, peer := range asked {
 		found = append(found, peer)
 	}
 	return found
@@ -175,7 +196,7 @@
 }
 
 func (peers *peers) close() {
-	for _, peer := range peers.all() {
+	for _, peer := range append(peers.all(), peers.seeds...) {
 		peer.close()
 	}
 }
