One place decides when callers come back, by what is known of the outage

Cause: callers of a process that had started in an outage of the key-value service were told to come back in 50 ms, where nobody could serve them.

Change: serve/comeback.go decides by cause. Where nothing is known or it is out of date, mirror.Follower.Outage tells an outage for all (no answer of the service, and peers answer without news) from a process that is cut off alone; in an outage callers are told 1.2 s, or as long as it has lasted, never more than 0.3 of their time, and spread by a quarter. Refusals are logged and counted by cause.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -81,6 +81,7 @@
 	Processes func() int
 	Random    shedkeel.Random // is not used elsewhere
 
+	outage  outage
 	drawing sync.Mutex // held while Random is used
 	running sync.WaitGroup
 	away    bool          // the service did not answer the last question
@@ -109,6 +110,7 @@
 			continue
 		}
 		err := follower.askSource(ctx, state)
+		follower.outage.take(err)
 		follower.note(ctx, err)
 		if err != nil {
 			timer.Sleep(ctx, failPause)
@@ -167,12 +169,14 @@
 func (follower *Follower) askSource(ctx context.Context, state State) error {
 	sent := follower.Timers.Now()
 	if !state.Known {
+		follower.outage.ask(sent, 0)
 		return follower.list(ctx, sent)
 	}
 	wait := watchWait
 	if sent-state.AsOf > staleAge {
 		wait = proofWait // prove the age first, then wait for changes
 	}
+	follower.outage.ask(sent, wait)
 	records, at, err := follower.Source.Changes(ctx, "", state.At, wait)
 	var gone *shedkeel.HistoryGoneError
 	if errors.As(err, &gone) {
@@ -262,6 +266,9 @@
 func (follower *Follower) relay(ctx context.Context, peer Peer, state State, wait time.Duration) bool {
 	sent := follower.Timers.Now()
 	update, err := peer.Relay(ctx, state.At, wait)
+	if err == nil || errors.Is(err, ErrNothingKnown) {
+		follower.outage.hear(follower.Timers.Now())
+	}
 	if err != nil {
 		return false // the copy's age shows it, and the service or another peer is asked
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -122,7 +122,7 @@
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
 		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving,
-		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys,
+		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys, Outage: node.follower.Outage,
 	}
 	if node.Metrics != nil {
 		node.front.Meter = serve.NewMeter(node.Metrics.Scope)
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -227,7 +226,7 @@
 	}
 	relay := reply.GetRelay()
 	if relay == nil || !relay.GetKnown() {
-		return mirror.Update{}, errNothingKnown
+		return mirror.Update{}, mirror.ErrNothingKnown
 	}
 	update := mirror.Update{Whole: relay.GetWhole(), At: relay.GetAt(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
 	for _, record := range relay.GetRecords() {
@@ -240,8 +239,6 @@
 	return update, nil
 }
 
-var errNothingKnown = errors.New("the other node knows nothing yet")
-
 // Handle answers other nodes.
 func (peers *peers) Handle(ctx context.Context, call *wire.Call) *wire.Reply {
 	switch kind := call.GetKind().(type) {
--- /dev/null
+++ b/serve/comeback_test.go
@@ -0,0 +1,63 @@
+package serve
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// TestComeBack tells callers when to come back by what is known.
+func TestComeBack(t *testing.T) {
+	const since = 30 * time.Second // an outage's begin, half a minute ago
+	cases := map[string]struct {
+		cause    cause
+		deadline time.Duration
+		outage   time.Duration // lasts for so long; 0: there is none
+		least    time.Duration
+		most     time.Duration
+	}{
+		"others serve":                            {causeElsewhere, 8 * time.Second, 0, soonBack, soonBack},
+		"others serve, in an outage":              {causeElsewhere, 8 * time.Second, time.Second, soonBack, soonBack},
+		"it alone knows nothing":                  {causeNoProof, 8 * time.Second, 0, soonBack, soonBack},
+		"an outage has begun":                     {causeNoProof, 8 * time.Second, 10 * time.Millisecond, outageBack * 3 / 4, outageBack},
+		"an outage lasts":                         {causeNoProof, 8 * time.Second, 2 * time.Second, 1500 * time.Millisecond, 2 * time.Second},
+		"an outage lasts long":                    {causeNoProof, 8 * time.Second, since, 1800 * time.Millisecond, 2400 * time.Millisecond},
+		"an outage, and the caller can't wait":    {causeNoProof, time.Second, time.Second, 225 * time.Millisecond, 300 * time.Millisecond},
+		"an outage, and the caller states no end": {causeNoProof, 0, since, 6750 * time.Millisecond, 9 * time.Second},
+		"all places are taken":                    {causeNoPlace, 8 * time.Second, 0, repairBack * 3 / 4, repairBack},
+		"servers refused it":                      {causeNotRun, 8 * time.Second, since, repairBack * 3 / 4, repairBack},
+		"its time is nearly over":                 {causeNoPlace, 20 * time.Millisecond, 0, soonBack, soonBack},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			timers := &timer.Manual{}
+			timers.Advance(time.Minute)
+			front := &Front{Timers: timers, Outage: func() (time.Duration, bool) { return timers.Now() - test.outage, test.outage > 0 }}
+			got := map[time.Duration]bool{}
+			for index := range 100 {
+				life := &life{front: front, began: timers.Now(), call: shedkeel.Call{ID: fmt.Sprint("r", index), Deadline: test.deadline}}
+				back := life.comeBack(test.cause)
+				assert.Assert(t, back >= test.least && back <= test.most, "%s", back)
+				got[back] = true
+			}
+			assert.Equal(t, len(got) > 50, test.most-test.least > 50*time.Millisecond, "they come back as one crowd: %d times", len(got))
+		})
+	}
+}
+
+// TestRefusedWhileAllAreInAnOutage covers a process that started in an outage:
+// it sent every caller back after 50 ms, to be refused once more.
+func TestRefusedWhileAllAreInAnOutage(t *testing.T) {
+	harness := newHarness(t)
+	harness.Believe = func() Belief { return Belief{} }
+	assert.Equal(t, harness.post("/safe/x", "", "Deadline", "8s").Header().Get("Retry-After"), "0.050")
+	harness.Outage = func() (time.Duration, bool) { return harness.clock.Now(), true }
+	back, err := time.ParseDuration(harness.post("/safe/x", "", "Deadline", "8s").Header().Get("Retry-After") + "s")
+	assert.NilError(t, err)
+	assert.Assert(t, back >= outageBack*3/4 && back <= outageBack, "%s", back)
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -21,11 +21,6 @@
 )
 
 const (
-	// comeBack is what callers are told when nothing can serve them now: about
-	// the time in which a group is repaired with a staged substitute.
-	comeBack = 700 * time.Millisecond
-	// comeBackSoon is the same where another process can serve at once.
-	comeBackSoon = 50 * time.Millisecond
 	// bodyTimeout bounds how long a caller may take to send its body; the
 	// platform's callers need milliseconds.
 	bodyTimeout = 10 * time.Second
@@ -62,6 +57,9 @@
 	// RefuseStaleKeys has requests with keys refused while the configuration is
 	// out of date. Without it they are served by the newest one that is known.
 	RefuseStaleKeys bool
+	// Outage returns since when the key-value service is away for all
+	// processes, as far as this one can tell. nil: it is not known.
+	Outage func() (since time.Duration, away bool)
 
 	stopping atomic.Bool // callers are asked to leave
 	refusing atomic.Bool // nothing new is taken
@@ -82,6 +80,7 @@
 	status int
 	reason string
 	back   time.Duration // when to come back; 0: not stated
+	cause  cause         // where back is stated
 }
 
 func (refusal *refusal) Error() string { return refusal.reason }
@@ -131,11 +130,11 @@
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	if life.front.refusing.Load() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "this node is stopping", back: comeBackSoon}
+		return life.refuse(causeElsewhere, "this node is stopping")
 	}
 	belief := life.front.Believe()
 	if belief.View == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", back: comeBackSoon}
+		return life.refuse(causeNoProof, "no configuration is known yet")
 	}
 	life.view = belief.View
 	life.age = life.began - belief.AsOf
@@ -167,7 +166,7 @@
 // out of date proves nothing: a route or key may have been added since.
 func (life *life) unknown(status int, reason string) error {
 	if life.outOfDate() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reason + " in a configuration last proved " + life.age.String() + " ago", back: comeBackSoon}
+		return life.refuse(causeNoProof, reason+" in a configuration last proved "+life.age.String()+" ago")
 	}
 	return &refusal{status: status, reason: reason}
 }
@@ -178,7 +177,7 @@
 		return nil
 	}
 	if life.front.RefuseStaleKeys && life.outOfDate() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "the configuration is too old to accept keys by: " + life.age.String(), back: comeBackSoon}
+		return life.refuse(causeNoProof, "the configuration is too old to accept keys by: "+life.age.String())
 	}
 	if life.call.KeyCount != 1 {
 		return &refusal{status: http.StatusUnauthorized, reason: "the request must carry one key"}
@@ -246,15 +245,17 @@
 		refused = &refusal{status: http.StatusBadGateway, reason: err.Error()}
 	}
 	if refused.status == http.StatusServiceUnavailable {
-		count(meter.refused)
+		count(meter.refused[refused.cause])
 	} else {
 		count(meter.failed)
 	}
 	header := life.writer.Header()
+	fields := []slog.Attr{slog.Int("status", refused.status), slog.String("reason", refused.reason), slog.Duration("took", took), slog.Int("sendings", life.sendings)}
 	if refused.back > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.back.Seconds(), 'f', 3, 64))
+		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.back))
 	}
-	life.log(event.Refused, slog.Int("status", refused.status), slog.String("reason", refused.reason), slog.Duration("took", took), slog.Int("sendings", life.sendings))
+	life.log(event.Refused, fields...)
 	http.Error(life.writer, refused.reason, refused.status)
 }
 
@@ -284,14 +285,16 @@
 	case life.mayRun:
 		return &refusal{status: http.StatusBadGateway, reason: "the request may have run: " + reason.Error()}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "the request did not run: " + reason.Error(), back: life.comeBack()}
+	cause := causeNotRun
+	if errors.Is(reason, errNoServer) || errors.Is(reason, errFull) {
+		cause = causeNoPlace
+	}
+	return life.refuse(cause, "the request did not run: "+reason.Error())
 }
 
-// comeBack is when the caller should come back after a refusal: in time to be
-// answered still.
-func (life *life) comeBack() time.Duration {
-	left := life.untilOwn - life.front.Timers.Now()
-	return max(min(comeBack, left/4), comeBackSoon)
+// refuse is the refusal of a request that has not run and never will.
+func (life *life) refuse(cause cause, reason string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, back: life.comeBack(cause), cause: cause}
 }
 
 // errBroken says that an answer that had begun can't be completed, or that its
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -9,7 +9,7 @@
 // Meter counts what becomes of requests. The zero value counts nothing.
 type Meter struct {
 	answered      tally.Counter
-	refused       tally.Counter
+	refused       [len(causeNames)]tally.Counter // by cause
 	failed        tally.Counter
 	broken        tally.Counter
 	moves         tally.Counter
@@ -29,13 +29,17 @@
 	for _, millis := range []int{20, 50, 100, 150, 200, 250, 300, 400, 500, 700, 1000, 1500, 2500, 4000, 8000} {
 		buckets = append(buckets, time.Duration(millis)*time.Millisecond)
 	}
-	return &Meter{
-		answered: scope.Counter("requests_answered"), refused: scope.Counter("requests_refused"), failed: scope.Counter("requests_failed"),
+	meter := &Meter{
+		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed"),
 		broken: scope.Counter("answers_broken_off"), moves: scope.Counter("streams_moved"), sendingFailed: scope.Counter("sendings_failed"),
 		noBudget: scope.Counter("repeats_not_allowed"), noServer: scope.Counter("no_server_found"),
 		notSpread: scope.Counter("requests_not_spread"),
 		first:     scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
 	}
+	for cause, name := range causeNames {
+		meter.refused[cause] = scope.Tagged(map[string]string{"cause": name}).Counter("requests_refused")
+	}
+	return meter
 }
 
 func count(counter tally.Counter) {
