Requests are spread by what runs on each group, as the nodes tell it

Cause: the node that spreads requests judged how full a group is by what it had given it, taken to last a second.

Change: each question tells how many requests the asker has running on each group of the model. What a process told replaces what it told before and was given since; in between both fade with the time that streams last. Requests beyond a group's places count as waiting for one. TestSpreadByWhatRuns failed before (10 of 30 requests to a full group).

--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -35,19 +35,25 @@
 	farTime = 3 * time.Millisecond
 )
 
-// given is the work that was given to a group by Spread, as of a moment.
+// given is the work that a group has of all processes, as of a moment: what
+// Spread gave it, put right by what they tell.
 type given struct {
 	at      time.Duration
 	reading time.Duration // prompts that still wait to be read
 	running float64       // requests that are likely to run still
 }
 
+// lasting is the part of requests that still run after a time.
+func lasting(passed time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / recentTime.Seconds())
+}
+
 // fade takes off what has been done since.
 func (given *given) fade(now time.Duration) {
 	passed := max(now-given.at, 0)
 	given.at = now
 	given.reading = max(given.reading-time.Duration(readingShare*float64(passed)), 0)
-	given.running *= math.Exp(-passed.Seconds() / recentTime.Seconds())
+	given.running *= lasting(passed)
 }
 
 // Running is how many requests run on a model.
@@ -61,6 +67,8 @@
 	Process string
 	Zone    shedkeel.ZoneID
 	Running Running // what it has running on the model, without this request
+	// Groups is how much of it runs on each group, by its head.
+	Groups map[shedkeel.InstanceID]int
 }
 
 // Advice is what the process that spreads the requests of all says of one.
@@ -72,6 +80,7 @@
 // told is what a process told last of the requests it has running.
 type told struct {
 	running Running
+	groups  map[shedkeel.InstanceID]float64 // by head, with what it was given just then
 	at      time.Duration
 }
 
@@ -85,10 +94,12 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	members := pool{query.Service, query.Model}
-	advice := Advice{Running: table.total(members, asker, query.Now)}
+	asked := table.take(members, asker, query.Now)
+	advice := Advice{Running: table.total(members, query.Now)}
 	if best := table.soonest(query, asker.Zone); best != nil {
 		best.given.reading += best.reading(query.Prompt)
 		best.given.running++
+		asked.groups[best.Instance]++
 		advice.Head = best.Instance
 	}
 	return advice
@@ -109,16 +120,38 @@
 	return hash.Sum32()
 }
 
-// total notes what the asker has running and returns what all have. The mutex
-// is held.
-func (table *Table) total(members pool, asker Asker, now time.Duration) Running {
+// take takes in what a process tells of the requests that it has running, in
+// the place of what it told before and was given since. The mutex is held.
+//
+// What was given says little of what runs: streams last the longer the fuller
+// a group is. By it alone two of six groups had all of their 26 places taken
+// and the others 3 to 6 for 12 s after a crowd had gone.
+func (table *Table) take(members pool, asker Asker, now time.Duration) told {
 	if table.told == nil {
 		table.told = map[pool]map[string]told{}
 	}
 	if table.told[members] == nil {
 		table.told[members] = map[string]told{}
 	}
-	table.told[members][asker.Process] = told{running: asker.Running, at: now}
+	before := table.told[members][asker.Process]
+	still := lasting(now - before.at)
+	for _, known := range table.pools[members] {
+		known.given.fade(now)
+		change := float64(asker.Groups[known.Instance]) - before.groups[known.Instance]*still
+		known.given.running = max(known.given.running+change, 0)
+	}
+	groups := map[shedkeel.InstanceID]float64{}
+	for head, running := range asker.Groups {
+		groups[head] = float64(running)
+	}
+	asked := told{running: asker.Running, groups: groups, at: now}
+	table.told[members][asker.Process] = asked
+	return asked
+}
+
+// total returns what all processes have running on a model, and forgets those
+// that tell nothing any more. The mutex is held.
+func (table *Table) total(members pool, now time.Duration) Running {
 	var total Running
 	for process, told := range table.told[members] {
 		if now-told.at > toldTime {
@@ -156,6 +189,9 @@
 		each = eachTime
 	}
 	wait := idleFirst + state.given.reading + time.Duration(state.given.running*float64(each))
+	if queued := state.given.running + 1 - float64(state.Slots); state.Slots > 0 && queued > 0 {
+		wait += time.Duration(queued / float64(state.Slots) * float64(recentTime))
+	}
 	if state.Zone != zone {
 		wait += farTime
 	}
--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -35,6 +35,11 @@
 		tables[number] = &Table{Zone: "z", Random: rand.NewPCG(seed, uint64(number))}
 		tables[number].Replace(servers)
 	}
+	askers := make([]map[shedkeel.InstanceID]int, crowd.processes)
+	for number := range askers {
+		askers[number] = map[shedkeel.InstanceID]int{}
+	}
+	owner := map[time.Duration]int{}
 	sent := map[shedkeel.InstanceID][]time.Duration{}
 	running := map[time.Duration]*Choice{}
 	count := 0
@@ -46,14 +51,18 @@
 			if now-began > time.Second {
 				choice.End(false, now)
 				delete(running, began)
+				askers[owner[began]][choice.Instance]--
 			}
 		}
 		query := Query{Service: "s", Model: "m", Prompt: 1400, Now: now}
+		process := random.IntN(len(tables))
 		if crowd.spread {
-			query.Wish = tables[0].Spread(query, Asker{Zone: "z"}).Head
+			query.Wish = tables[0].Spread(query, Asker{Process: fmt.Sprint(process), Zone: "z", Groups: askers[process]}).Head
 		}
-		choice := tables[random.IntN(len(tables))].Choose(query)
+		choice := tables[process].Choose(query)
 		running[now] = choice
+		owner[now] = process
+		askers[process][choice.Instance]++
 		near := 0
 		for _, before := range sent[choice.Instance] {
 			if now-before < readTogether {
@@ -80,6 +89,43 @@
 	}
 }
 
+// TestSpreadByWhatRuns has three processes ask one that has spread nothing yet
+// and hears what they have running: a group whose places are taken must get
+// nothing while others have room, and what ended must not count for long.
+func TestSpreadByWhatRuns(t *testing.T) {
+	table := &Table{Zone: "z", Random: rand.NewPCG(1, 1)}
+	var servers []Server
+	for _, name := range []shedkeel.InstanceID{"full", "half", "empty"} {
+		servers = append(servers, Server{Service: "s", Model: "m", Instance: name, Zone: "z", Slots: 26, Rate: 46_000})
+	}
+	table.Replace(servers)
+	running := []map[shedkeel.InstanceID]int{{"full": 9, "half": 4}, {"full": 9, "half": 5}, {"full": 8, "half": 4}}
+	now := time.Minute
+	ask := func(process int) shedkeel.InstanceID {
+		now += 50 * time.Millisecond
+		asker := Asker{Process: fmt.Sprint(process), Zone: "z", Groups: running[process]}
+		return table.Spread(Query{Service: "s", Model: "m", Prompt: 100, Now: now}, asker).Head
+	}
+	for process := range running {
+		ask(process) // all have told what they have running
+	}
+	got := map[shedkeel.InstanceID]int{}
+	for number := range 30 {
+		process := number % len(running)
+		head := ask(process)
+		running[process][head]++
+		got[head]++
+	}
+	assert.Equal(t, got["full"], 0, "%v", got)
+	assert.Assert(t, got["half"] > 0 && got["empty"] > got["half"], "%v", got)
+
+	for process := range running {
+		running[process] = map[shedkeel.InstanceID]int{"half": 4, "empty": 4}
+		ask(process)
+	}
+	assert.Equal(t, ask(0), shedkeel.InstanceID("full"), "its requests have ended")
+}
+
 // TestSpread gives one request after the other to groups of which some should
 // get fewer.
 func TestSpread(t *testing.T) {
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -262,16 +262,20 @@
 // Load is what this process has running on the servers of a model.
 type Load struct {
 	Running
-	Slots  int // requests that the servers run at once
-	Usable int // servers that may be sent to
+	Groups map[shedkeel.InstanceID]int // how much of it runs on each server that has any
+	Slots  int                         // requests that the servers run at once
+	Usable int                         // servers that may be sent to
 }
 
 // Load returns what runs on the servers that serve a model of a service.
 func (table *Table) Load(service shedkeel.ServiceID, model shedkeel.ModelID, now time.Duration) Load {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	var load Load
+	load := Load{Groups: map[shedkeel.InstanceID]int{}}
 	for _, known := range table.pools[pool{service, model}] {
+		if len(known.running) > 0 {
+			load.Groups[known.Instance] = len(known.running)
+		}
 		if known.avoidTill > now {
 			continue
 		}
--- a/dispatch/table_test.go
+++ b/dispatch/table_test.go
@@ -177,5 +177,5 @@
 	late.Late = true
 	table.Choose(late)
 	table.Choose(late)
-	assert.DeepEqual(t, table.Load("llm", "m", 0), Load{Running: Running{OnTime: 1, Late: 2}, Slots: 4, Usable: 1})
+	assert.DeepEqual(t, table.Load("llm", "m", 0), Load{Running: Running{OnTime: 1, Late: 2}, Groups: map[shedkeel.InstanceID]int{"a": 3}, Slots: 4, Usable: 1})
 }
--- a/node/spread.go
+++ b/node/spread.go
@@ -37,8 +37,8 @@
 
 // spread returns what the node that spreads the requests of all says of one,
 // or false when it says nothing. This node has so many others running on the
-// model.
-func (peers *peers) spread(ctx context.Context, query dispatch.Query, running dispatch.Running) (dispatch.Advice, bool) {
+// model's groups.
+func (peers *peers) spread(ctx context.Context, query dispatch.Query, load dispatch.Load) (dispatch.Advice, bool) {
 	query.Parts = peers.node.table.Parts(query.Service, query.Model)
 	if query.Parts > 1 {
 		query.Part = peers.pick(query.Parts)
@@ -46,7 +46,7 @@
 	peer, own := peers.spreader(query.Part, query.Now)
 	settings := &peers.node.Settings
 	if own {
-		return peers.node.table.Spread(query, dispatch.Asker{Process: string(settings.Node), Zone: settings.Zone, Running: running}), true
+		return peers.node.table.Spread(query, dispatch.Asker{Process: string(settings.Node), Zone: settings.Zone, Running: load.Running, Groups: load.Groups}), true
 	}
 	if peer == nil {
 		return dispatch.Advice{}, false
@@ -55,9 +55,12 @@
 	defer cancel()
 	call := &wire.SpreadCall{
 		Node: string(settings.Node), Zone: string(settings.Zone), Service: string(query.Service), Model: string(query.Model), Prompt: uint32(max(query.Prompt, 0)),
-		Running: &wire.Running{OnTime: uint32(running.OnTime), Late: uint32(running.Late)},
+		Running: &wire.Running{OnTime: uint32(load.OnTime), Late: uint32(load.Late)},
 		Part:    uint32(query.Part), Parts: uint32(query.Parts),
 	}
+	for head, running := range load.Groups {
+		call.Groups = append(call.Groups, &wire.GroupLoad{Instance: string(head), Running: uint32(running)})
+	}
 	reply, err := peer.asked.Do(asking, &wire.Call{Kind: &wire.Call_Spread{Spread: call}})
 	answer := reply.GetSpread()
 	if err != nil || answer == nil {
@@ -110,7 +113,10 @@
 		Service: shedkeel.ServiceID(call.GetService()), Model: shedkeel.ModelID(call.GetModel()), Prompt: int(call.GetPrompt()), Now: peers.node.Timers.Now(),
 		Part: int(call.GetPart()), Parts: int(call.GetParts()),
 	}
-	asker := dispatch.Asker{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: runningOf(call.GetRunning())}
+	asker := dispatch.Asker{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: runningOf(call.GetRunning()), Groups: map[shedkeel.InstanceID]int{}}
+	for _, group := range call.GetGroups() {
+		asker.Groups[shedkeel.InstanceID(group.GetInstance())] = int(group.GetRunning())
+	}
 	advice := peers.node.table.Spread(query, asker)
 	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{
 		Instance: string(advice.Head), Running: &wire.Running{OnTime: uint32(advice.Running.OnTime), Late: uint32(advice.Running.Late)},
--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -61,13 +61,13 @@
 	defer node.peers.close()
 	query := dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}
 	began := time.Now()
-	_, known := node.peers.spread(t.Context(), query, dispatch.Running{})
+	_, known := node.peers.spread(t.Context(), query, dispatch.Load{})
 	assert.Assert(t, !known)
 	assert.Assert(t, time.Since(began) < 50*spreadTimeout, "the request was held")
 
 	// It spreads itself now, until the pause is over.
 	node.table.Replace([]dispatch.Server{{Service: "s", Model: "m", Instance: "i"}})
-	advice, known := node.peers.spread(t.Context(), query, dispatch.Running{OnTime: 2})
+	advice, known := node.peers.spread(t.Context(), query, dispatch.Load{Running: dispatch.Running{OnTime: 2}})
 	assert.Assert(t, known)
 	assert.DeepEqual(t, advice, dispatch.Advice{Head: "i", Running: dispatch.Running{OnTime: 2}})
 	_, own := node.peers.spreader(0, timers.Now()+spreadPause)
@@ -79,7 +79,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	spreading, _ := newTestNode(t)
-	spreading.table.Replace([]dispatch.Server{{Service: "s", Model: "m", Instance: "head"}})
+	spreading.table.Replace([]dispatch.Server{{Service: "s", Model: "m", Instance: "busy"}, {Service: "s", Model: "m", Instance: "idle"}})
 	server := &wire.Server{Key: "k", Handler: &spreading.peers}
 	ended := make(chan struct{})
 	go func() {
@@ -90,9 +90,10 @@
 	node.Settings.Wire.Key = "k"
 	node.Settings.Node = "a"
 	node.peers.update([]nodeRecord{{ID: "a"}, {ID: "b"}, {ID: "c", Control: listener.Addr().String()}})
-	advice, known := node.peers.spread(t.Context(), dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}, dispatch.Running{OnTime: 3, Late: 1})
+	load := dispatch.Load{Running: dispatch.Running{OnTime: 3, Late: 1}, Groups: map[shedkeel.InstanceID]int{"busy": 4}}
+	advice, known := node.peers.spread(t.Context(), dispatch.Query{Service: "s", Model: "m", Now: timers.Now()}, load)
 	assert.Assert(t, known)
-	assert.DeepEqual(t, advice, dispatch.Advice{Head: "head", Running: dispatch.Running{OnTime: 3, Late: 1}})
+	assert.DeepEqual(t, advice, dispatch.Advice{Head: "idle", Running: dispatch.Running{OnTime: 3, Late: 1}})
 	node.peers.close()
 	_ = listener.Close()
 	<-ended
--- a/serve/front.go
+++ b/serve/front.go
@@ -50,7 +50,7 @@
 	Serving func() int
 	// Spread returns what the process that spreads the requests of all says of
 	// this one, or false when it says nothing. nil: there is none.
-	Spread func(context.Context, dispatch.Query, dispatch.Running) (dispatch.Advice, bool)
+	Spread func(context.Context, dispatch.Query, dispatch.Load) (dispatch.Advice, bool)
 	// ProofAge is from how old a proof on the configuration counts as out of
 	// date: keys may have been removed since, and keys and routes added.
 	ProofAge time.Duration
--- a/serve/send.go
+++ b/serve/send.go
@@ -92,7 +92,7 @@
 // of the places.
 func (life *life) places(query *dispatch.Query, load dispatch.Load) (dispatch.Running, float64) {
 	if life.front.Spread != nil {
-		if advice, known := life.front.Spread(life.request.Context(), *query, load.Running); known {
+		if advice, known := life.front.Spread(life.request.Context(), *query, load); known {
 			query.Wish = advice.Head
 			return advice.Running, float64(load.Slots)
 		}
