--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -361,7 +361,7 @@
 		fleet.play(planner, 30*time.Second, false)
 		for round := range 12 {
 			fleet.loses = []float64{0, 0.3}[round%2]
-				fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
+			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
 			fleet.kill()
 			fleet.add(shedkeel.DomainID(fmt.Sprintf("d%d", fleet.random.IntN(6))))
 			if fleet.random.IntN(3) == 0 {
