Several domains make room for another model at once

Change: a planner begins as many as bring the models into balance, each in a domain of its own, within half of the loads that may be under way.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -94,8 +94,8 @@
 	passed   map[shedkeel.InstanceID]time.Duration       // passed over until then
 	warmed   map[shedkeel.InstanceID]time.Duration       // spares ordered to wait as standbys, and when
 	indexes  int
-	// A model that has too many groups gives up one at a time.
-	yielding   *yielding
+	// A model that has too many groups gives some up, a domain at a time.
+	yieldings  map[shedkeel.DomainID]*yielding
 	givenUp    map[shedkeel.Assignment]bool // their members are free
 	unbalanced time.Duration                // since when one has too many; 0: none has
 	yielded    time.Duration                // when the last one was given up; 0: never
@@ -139,7 +139,7 @@
 	round.observe()
 	round.continueForming()
 	round.mendGroups()
-	round.yieldGroup()
+	round.yieldGroups()
 	round.formNew()
 	round.stageSpares()
 	round.warmSpares()
@@ -154,8 +154,10 @@
 	if order.Kind == shedkeel.OrderLeave {
 		assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
 		planner.left[assignment] = true
-		if planner.yielding != nil && planner.yielding.group == assignment {
-			planner.givenUp[assignment] = true
+		for _, yielding := range planner.yieldings {
+			if yielding.group == assignment {
+				planner.givenUp[assignment] = true
+			}
 		}
 	}
 	forming := planner.forming[order.Group]
@@ -232,6 +234,7 @@
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
+		planner.yieldings = map[shedkeel.DomainID]*yielding{}
 		planner.givenUp = map[shedkeel.Assignment]bool{}
 		planner.warmed = map[shedkeel.InstanceID]time.Duration{}
 	}
--- a/formation/yield.go
+++ b/formation/yield.go
@@ -38,30 +38,37 @@
 	since  time.Duration
 }
 
-// yieldGroup has a model that has more groups than its work needs give some up
-// for a model that lacks them: the hosts load the other model while the group
-// serves on, then it closes and its members are free.
-func (round *round) yieldGroup() {
+// yieldGroups has a model that has more groups than its work needs give some up
+// for a model that lacks them: the hosts load the other model while the groups
+// serve on, then they close and their members are free. A domain does so once
+// at a time.
+func (round *round) yieldGroups() {
 	planner := round.planner
-	from, to := round.unbalanced(round.counts())
-	if planner.yielding == nil {
-		round.beginYield(from, to)
-	}
-	if planner.yielding == nil {
-		return
-	}
-	if to == nil && !planner.yielding.begun {
-		round.endYield() // what was lost is back
-		return
+	counts := round.counts()
+	_, to := round.unbalanced(counts)
+	for domain, yielding := range planner.yieldings {
+		if to == nil && !yielding.begun {
+			delete(planner.yieldings, domain) // what was lost is back
+			continue
+		}
+		round.giver = yielding.from
+		if !round.continueYield(yielding) {
+			delete(planner.yieldings, domain)
+			planner.yielded = round.input.Now
+		}
 	}
-	round.giver = planner.yielding.from
-	round.continueYield()
+	round.beginYields(counts)
 }
 
-// beginYield chooses the groups to be given up once the models have been out of
-// balance for long enough.
-func (round *round) beginYield(from, to *shedkeel.Model) {
+// beginYields chooses groups to be given up once the models have been out of
+// balance for long enough, as many as bring it about.
+func (round *round) beginYields(counts map[shedkeel.ModelID]int) {
 	planner := round.planner
+	for _, yielding := range planner.yieldings {
+		counts[yielding.from] -= yielding.left
+		counts[yielding.to]++
+	}
+	from, to := round.unbalanced(counts)
 	if to == nil || !round.input.Traffic || len(planner.forming) > 0 {
 		planner.unbalanced = 0
 		return
@@ -72,8 +79,17 @@
 	if round.input.Now-planner.unbalanced < yieldAfter || planner.yielded > 0 && round.input.Now-planner.yielded < yieldPause {
 		return
 	}
-	if group, groups := round.dispensable(from, to); group != nil {
-		planner.yielding = &yielding{from: from.ID, to: to.ID, domain: group.domain, group: group.assignment(), left: groups, since: round.input.Now}
+	for to != nil && round.mayLoadAhead() {
+		group, groups := round.dispensable(from, to)
+		if group == nil {
+			return
+		}
+		yielding := &yielding{from: from.ID, to: to.ID, domain: group.domain, group: group.assignment(), left: groups, since: round.input.Now}
+		planner.yieldings[group.domain] = yielding
+		counts[from.ID] -= groups
+		counts[to.ID]++
+		round.continueYield(yielding)
+		from, to = round.unbalanced(counts)
 	}
 }
 
@@ -121,7 +137,7 @@
 	var best *observed
 	var fewest, least int
 	for _, group := range round.groups {
-		if group.model != from || group.headState() != shedkeel.MemberOpen || slices.Contains(group.members, nil) {
+		if group.model != from || group.headState() != shedkeel.MemberOpen || slices.Contains(group.members, nil) || round.planner.yieldings[group.domain] != nil {
 			continue
 		}
 		missing := to.Size + round.sparesOf(group.domain) - len(round.free(group.domain))
@@ -156,18 +172,15 @@
 	})
 }
 
-// continueYield loads, closes and leaves.
-func (round *round) continueYield() {
-	planner := round.planner
-	yielding := planner.yielding
-	if planner.left[yielding.group] && !round.nextYield() {
-		round.endYield()
-		return
+// continueYield loads, closes and leaves. It reports whether there is more to
+// do.
+func (round *round) continueYield(yielding *yielding) bool {
+	if round.planner.left[yielding.group] && !round.nextYield(yielding) {
+		return false
 	}
 	group := round.byName[yielding.group.Group]
-	if !round.mayYield(group) || round.input.Now-yielding.since > yieldTimeout {
-		round.endYield()
-		return
+	if !round.mayYield(group, yielding) || round.input.Now-yielding.since > yieldTimeout {
+		return false
 	}
 	lacking := round.lackingHosts(group, yielding.to)
 	switch state := group.headState(); {
@@ -179,11 +192,11 @@
 	case state == shedkeel.MemberReady:
 		round.giveHead(group, shedkeel.OrderLeave, "its model has more groups than its work needs")
 	}
+	return true
 }
 
 // nextYield goes on to the next group that is to be given up, if there is one.
-func (round *round) nextYield() bool {
-	yielding := round.planner.yielding
+func (round *round) nextYield(yielding *yielding) bool {
 	yielding.left--
 	if yielding.left <= 0 {
 		return false
@@ -200,8 +213,7 @@
 
 // mayYield reports whether a group is still as it was when it was to be given
 // up.
-func (round *round) mayYield(group *observed) bool {
-	yielding := round.planner.yielding
+func (round *round) mayYield(group *observed, yielding *yielding) bool {
 	return group != nil && group.assignment() == yielding.group && round.input.Engine.Model(yielding.to) != nil &&
 		!slices.Contains(group.members, nil) && round.usable(group.head())
 }
@@ -214,13 +226,8 @@
 	}
 }
 
-func (round *round) endYield() {
-	round.planner.yielding = nil
-	round.planner.yielded = round.input.Now
-}
-
 // yields reports whether the group is being given up.
 func (round *round) yields(group *observed) bool {
-	yielding := round.planner.yielding
+	yielding := round.planner.yieldings[group.domain]
 	return yielding != nil && yielding.group == group.assignment()
 }
