--- a/formation/yield.go
+++ b/formation/yield.go
@@ -13,8 +13,9 @@
 	// up a group, a model must need one for it to be given up: a group is out
 	// for some seconds, and less than that is made good by the next loss.
 	yieldNeed = 1.3
-	// overDue is how many groups more than due a model must have to give one
-	// up. Another model that lost groups is no reason: its servers come back.
+	// overDue is how many groups more than due a model must have to give one up
+	// for a model that is not asked for more than was stated. That the other has
+	// lost groups is no reason: its servers come back.
 	overDue = 1.5
 	// yieldAfter is for how long that must have lasted.
 	yieldAfter = 3 * time.Second
@@ -69,7 +70,7 @@
 		counts[yielding.to]++
 	}
 	from, to := round.unbalanced(counts)
-	if to == nil || !round.input.Traffic || len(planner.forming) > 0 {
+	if to == nil || !round.input.Traffic {
 		planner.unbalanced = 0
 		return
 	}
@@ -99,15 +100,20 @@
 	models := round.input.Engine.Models
 	for index := range models {
 		giver := &models[index]
-		if counts[giver.ID] <= minGroups || float64(counts[giver.ID]) < round.due(giver)+overDue {
+		if counts[giver.ID] <= minGroups {
 			continue
 		}
+		excess := float64(counts[giver.ID]) >= round.due(giver)+overDue
 		counts[giver.ID]--
 		after := round.need(giver, counts)
 		counts[giver.ID]++
 		for other := range models {
 			taker := &models[other]
-			if taker.ID != giver.ID && round.need(taker, counts) >= yieldNeed*after && (to == nil || round.need(taker, counts) > round.need(to, counts)) {
+			need := round.need(taker, counts)
+			if taker.ID == giver.ID || need < yieldNeed*after || !excess && !round.wanted(taker) {
+				continue
+			}
+			if to == nil || need > round.need(to, counts) {
 				from, to = giver, taker
 			}
 		}
@@ -115,6 +121,11 @@
 	return from, to
 }
 
+// wanted reports whether callers ask for more of a model than was stated.
+func (round *round) wanted(model *shedkeel.Model) bool {
+	return round.shares[model.ID] >= sameDemand*model.Share
+}
+
 // due returns how many groups a model would have if all servers but the spares
 // were in groups by the models' work.
 func (round *round) due(model *shedkeel.Model) float64 {
