--- a/formation/form.go
+++ b/formation/form.go
@@ -329,27 +329,33 @@
 }
 
 // cheapMembers returns the members of a domain's open groups of the smallest
-// model, of which one is given up for least. Before callers come, loads take a
-// tenth of the time: what their hosts load then spares 12 to 16 s when callers
-// ask for more of another model than was stated. With the stated shares of two
-// models exchanged, 0.73 of the worth is earned in place of 0.59.
+// model but one. A group of it is given up for least, and one keeps its own
+// weights on its hosts, so that a domain that restarts can form it: without
+// that 0.010 of the worth was lost on days when a domain goes dark. Before
+// callers come, loads take a tenth of the time: what these hosts load then
+// spares 12 to 16 s when callers ask for more of another model than was stated.
+// With the stated shares of two models exchanged, 0.73 of the worth is earned in
+// place of 0.59.
 func (round *round) cheapMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
+	kept := false
 	for _, group := range round.groups {
-		if group.domain != domain || group.model == nil || group.headState() != shedkeel.MemberOpen || slices.Contains(group.members, nil) {
+		if group.domain != domain || group.headState() != shedkeel.MemberOpen || slices.Contains(group.members, nil) || !round.isSmallest(group.model) {
 			continue
 		}
-		smallest := true
-		for index := range round.input.Engine.Models {
-			smallest = smallest && round.input.Engine.Models[index].Size >= group.model.Size
-		}
-		if smallest {
+		if kept {
 			found = append(found, group.members...)
 		}
+		kept = true
 	}
 	return found
 }
 
+// isSmallest reports whether no model has smaller groups.
+func (round *round) isSmallest(model *shedkeel.Model) bool {
+	return model != nil && !slices.ContainsFunc(round.input.Engine.Models, func(other shedkeel.Model) bool { return other.Size < model.Size })
+}
+
 // hostIsSpent reports whether the host of a server holds only what the server
 // itself has loaded. A server joins the model that it has loaded in a fraction
 // of a second, with or without a copy on its host, so the host can hold
