--- a/formation/form.go
+++ b/formation/form.go
@@ -334,7 +334,7 @@
 // that 0.010 of the worth was lost on days when a domain goes dark. Before
 // callers come, loads take a tenth of the time: what these hosts load then
 // spares 12 to 16 s when callers ask for more of another model than was stated.
-// With the stated shares of two models exchanged, 0.73 of the worth is earned in
+// With the stated shares of two models exchanged, 0.72 of the worth is earned in
 // place of 0.59.
 func (round *round) cheapMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
