--- a/node/fleet.go
+++ b/node/fleet.go
@@ -87,9 +87,7 @@
 		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "its version is not newer than the one in force", Remedy: "raise it"})
 		return false
 	}
-	view := serve.NewView(config)
-	fleet.view.Store(view)
-	fleet.node.front.Forget(view)
+	fleet.view.Store(serve.NewView(config))
 	fleet.node.Log.Write(event.ViewChanged, slog.Int64("version", config.Version), slog.Int64("revision", record.Revision), slog.Int("routes", len(config.Routes)))
 	return true
 }
--- a/serve/front.go
+++ b/serve/front.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// leastObjective is assumed where a route states a shorter objective or none.
-	leastObjective = 100 * time.Millisecond
 	// bodyTimeout bounds how long a caller may take to send its body; the
 	// platform's callers need milliseconds.
 	bodyTimeout = 10 * time.Second
@@ -63,7 +61,6 @@
 	// processes, as far as this one can tell. nil: it is not known.
 	Outage func() (since time.Duration, away bool)
 
-	patience patience
 	stopping atomic.Bool // callers are asked to leave
 	refusing atomic.Bool // nothing new is taken
 	served   atomic.Int64
@@ -75,9 +72,6 @@
 // Refuse has requests that come from now on go elsewhere.
 func (front *Front) Refuse() { front.refusing.Store(true) }
 
-// Forget forgets what is remembered of routes that the view lacks.
-func (front *Front) Forget(view *View) { front.patience.forget(view) }
-
 // Served returns how many requests have come.
 func (front *Front) Served() int64 { return front.served.Load() }
 
@@ -111,7 +105,6 @@
 	mayRun   bool        // one of them may have run
 	sendings int         // that may have arrived
 	late     bool        // there is no place for it to be on time
-	overdue  bool        // its caller has waited for too long already for it to be on time
 	outcome  []slog.Attr // of an answer, for the log
 }
 
@@ -153,7 +146,6 @@
 		return err
 	}
 	life.service = target(life.route, call.ID)
-	life.overdue = life.front.patience.waited(life.route.ID, call.Deadline) >= max(life.route.Objective, leastObjective)
 	timeout := life.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/serve/send.go
+++ b/serve/send.go
@@ -43,7 +43,7 @@
 			return nil, err
 		}
 	}
-	query.Late = life.late || life.overdue
+	query.Late = life.late
 	choice := life.front.Table.Choose(query)
 	if choice == nil {
 		if repeat {
@@ -68,29 +68,18 @@
 	lateFill = 0.5
 	// lateUrgency is how urgent requests are that can only be late.
 	lateUrgency = 9
-	// overdueUrgency is how urgent requests are whose callers have waited for
-	// longer than the objective already: before those that wait for a place,
-	// behind all that can be on time.
-	overdueUrgency = 8
 )
 
 // admit finds out whether the groups of a model have a place for the request,
 // and which is best. When there are more requests than places, some are served
 // on time and some wait behind them: if all waited in one line, all would be
-// late. Requests that are overdue take none of the places of those that can be
-// on time.
+// late.
 func (life *life) admit(query *dispatch.Query) error {
 	load := life.front.Table.Load(query.Service, query.Model, query.Now)
 	running, places := life.places(query, load) // a model without groups is asked for too
 	if load.Usable == 0 {
 		return errNoServer
 	}
-	if life.overdue {
-		if float64(running.OnTime+running.Late) >= max((onTimeFill+lateFill)*places, 1) {
-			return errFull
-		}
-		return nil
-	}
 	life.late = float64(running.OnTime) >= max(onTimeFill*places, 1)
 	if life.late && float64(running.Late) >= max(lateFill*places, 1) {
 		return errFull
@@ -114,11 +103,8 @@
 
 // urgency is how urgent the request is to an engine; 0 is most urgent.
 func (life *life) urgency() int {
-	switch {
-	case life.late:
+	if life.late {
 		return lateUrgency
-	case life.overdue:
-		return overdueUrgency
 	}
 	return priorityOf(life.route, life.account)
 }
