--- a/formation/demand_test.go
+++ b/formation/demand_test.go
@@ -85,6 +85,7 @@
 // TestGroupsFollowDemand changes what callers ask for while they are served.
 // Groups follow a change that lasts, without swinging, and loads are few.
 func TestGroupsFollowDemand(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		demand     func(since time.Duration) map[shedkeel.ModelID]shedkeel.ModelDemand
 		large      int // groups at the end, at least
@@ -171,6 +172,7 @@
 // more of the other, while members are lost, out of reach or slow to answer,
 // orders are lost or carried out late, and planners change.
 func TestRulesHoldWhileGroupsAreGivenUp(t *testing.T) {
+	t.Parallel()
 	closed := 0
 	for seed := range *histories {
 		fleet := newFakeFleet(uint64(seed), 6, 8)
--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -349,6 +349,7 @@
 // carried out late, and checks that no rule of the engines is ever broken and
 // that the groups stand again afterwards.
 func TestRulesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	seeds := 40
 	if testing.Short() {
 		seeds = 5
@@ -381,6 +382,7 @@
 // the planner for a while: their groups are formed anew without them, and what
 // they come back to is no longer theirs.
 func TestRulesHoldWhileServersAreOutOfReach(t *testing.T) {
+	t.Parallel()
 	for seed := range 40 {
 		fleet := newFakeFleet(uint64(seed), 6, 8)
 		term := uint64(1)
@@ -412,6 +414,7 @@
 // there are no substitutes for so many, and the members of their groups that
 // are left must not be used for others.
 func TestRulesHoldWhileServersAreCutOff(t *testing.T) {
+	t.Parallel()
 	for seed := range 40 {
 		fleet := newFakeFleet(uint64(seed), 6, 8)
 		term := uint64(1)
@@ -442,6 +445,7 @@
 // that waits as a standby the group stands again before a cold one had even
 // warmed up.
 func TestWarmSparesJoinFast(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet(3, 6, 8)
 	planner := newPlanner(1)
 	fleet.play(planner, 30*time.Second, false)
@@ -464,6 +468,7 @@
 // weights, the second group waited 16 s for a load while the other model's
 // spare stood beside it.
 func TestSparesReplaceMembersOfEitherModel(t *testing.T) {
+	t.Parallel()
 	for _, model := range []shedkeel.ModelID{"large", "small"} {
 		t.Run(string(model), func(t *testing.T) {
 			fleet := newFakeFleet(3, 6, 8)
@@ -496,6 +501,7 @@
 // TestHostsKeepWhatTheyLoaded covers hosts that keep the weights of one model
 // only, with three models: a spare must not load one after the other for ever.
 func TestHostsKeepWhatTheyLoaded(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet(3, 6, 8)
 	fleet.engine.Models = append(fleet.engine.Models, shedkeel.Model{ID: "third", Size: 2, Share: 0.2, Load: 12 * time.Second, Warmup: time.Second})
 	planner := newPlanner(1)
@@ -653,6 +659,7 @@
 }
 
 func TestLoadsAreBoundedUnderTraffic(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet(5, 10, 8)
 	planner := newPlanner(1)
 	loads := []time.Duration{}
--- /dev/null
+++ b/formation/stage.go
@@ -0,0 +1,171 @@
+package formation
+
+import (
+	"slices"
+
+	"shedkeel.org/shedkeel"
+)
+
+// stageSpares has free backend servers load weights ahead of need: each domain
+// gets spares for the models that its groups serve, in turn.
+func (round *round) stageSpares() {
+	for id, loading := range round.planner.loading {
+		if !loading.confirmed && round.usable(round.byID[id]) {
+			round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderStage, To: id, Model: loading.model}, "the answer to this order was lost")
+		}
+	}
+	for _, domain := range round.domains {
+		if round.input.Now-round.planner.newest[domain] >= settleTime {
+			round.stageDomain(domain)
+		}
+	}
+}
+
+func (round *round) stageDomain(domain shedkeel.DomainID) {
+	staged := map[shedkeel.ModelID]int{}
+	var empty []*shedkeel.Instance
+	for _, instance := range round.free(domain) {
+		if loading, busy := round.planner.loading[instance.ID]; busy {
+			staged[loading.model]++
+			continue
+		}
+		if len(instance.Staged) == 0 {
+			empty = append(empty, instance)
+		}
+		for _, model := range instance.Staged {
+			staged[model]++
+		}
+	}
+	for _, instance := range empty {
+		model := round.leastStaged(domain, staged)
+		staged[model]++
+		round.stage(instance, model, "a spare loads ahead of need")
+	}
+	spent := round.free(domain)
+	if !round.input.Traffic {
+		spent = append(spent, round.cheapMembers(domain)...)
+	}
+	for _, instance := range spent {
+		if !round.hostIsSpent(instance) || !round.mayLoadAhead() {
+			continue
+		}
+		others := slices.DeleteFunc(round.modelIDs(), func(model shedkeel.ModelID) bool { return slices.Contains(instance.Models, model) })
+		if len(others) > 0 {
+			round.stage(instance, round.neediest(others, domain, staged), "a spare that stands by loads another model onto its host")
+		}
+	}
+}
+
+// cheapMembers returns the members of a domain's open groups of the smallest
+// model but one. A group of it is given up for least, and one keeps its own
+// weights on its hosts, so that a domain that restarts can form it: without
+// that 0.010 of the worth was lost on days when a domain goes dark. Before
+// callers come, loads take a tenth of the time: what these hosts load then
+// spares 12 to 16 s when callers ask for more of another model than was stated.
+// With the stated shares of two models exchanged, 0.72 of the worth is earned in
+// place of 0.59.
+func (round *round) cheapMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
+	var found []*shedkeel.Instance
+	kept := false
+	for _, group := range round.groups {
+		if group.domain != domain || group.headState() != shedkeel.MemberOpen || slices.Contains(group.members, nil) || !round.isSmallest(group.model) {
+			continue
+		}
+		if kept {
+			found = append(found, group.members...)
+		}
+		kept = true
+	}
+	return found
+}
+
+// isSmallest reports whether no model has smaller groups.
+func (round *round) isSmallest(model *shedkeel.Model) bool {
+	return model != nil && !slices.ContainsFunc(round.input.Engine.Models, func(other shedkeel.Model) bool { return other.Size < model.Size })
+}
+
+// hostIsSpent reports whether the host of a server holds only what the server
+// itself has loaded. A server joins the model that it has loaded in a fraction
+// of a second, with or without a copy on its host, so the host can hold
+// another model: such a spare replaces a member of either within a warm-up.
+func (round *round) hostIsSpent(instance *shedkeel.Instance) bool {
+	if len(instance.Models) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(instance.Staged, func(model shedkeel.ModelID) bool { return !slices.Contains(instance.Models, model) })
+}
+
+// aheadShare is the part of the loads that may begin at once, or in a window,
+// that loads without need may take: the rest is left for groups that wait.
+const aheadShare = 0.5
+
+// mayLoadAhead reports whether a load may begin that nothing waits for.
+func (round *round) mayLoadAhead() bool {
+	if !round.input.Traffic {
+		return true
+	}
+	engine := round.input.Engine
+	if engine.LoadsAtOnce > 0 && float64(len(round.planner.loading)) >= aheadShare*float64(engine.LoadsAtOnce) {
+		return false
+	}
+	return float64(len(round.planner.loads)) < aheadShare*engine.LoadsPerSecond*loadWindow.Seconds()
+}
+
+// modelIDs returns the names of the engine's models.
+func (round *round) modelIDs() []shedkeel.ModelID {
+	var found []shedkeel.ModelID
+	for index := range round.input.Engine.Models {
+		found = append(found, round.input.Engine.Models[index].ID)
+	}
+	return found
+}
+
+// stage orders a load onto the host, unless one is under way or loads are
+// bounded now.
+func (round *round) stage(instance *shedkeel.Instance, model shedkeel.ModelID, reason string) {
+	if _, busy := round.planner.loading[instance.ID]; busy {
+		return
+	}
+	if !round.planner.mayLoad(round.input) {
+		return
+	}
+	round.planner.loads = append(round.planner.loads, round.input.Now)
+	round.planner.loading[instance.ID] = loading{model: model, until: round.input.Now + 2*round.input.Engine.Model(model).Load}
+	round.give(shedkeel.GroupOrder{Kind: shedkeel.OrderStage, To: instance.ID, Model: model}, reason)
+}
+
+// members returns how many members the groups of each model have in a domain.
+func (round *round) members(domain shedkeel.DomainID) map[shedkeel.ModelID]int {
+	members := map[shedkeel.ModelID]int{}
+	for _, group := range round.groups {
+		if group.model != nil && group.domain == domain && group.headState() != "" && round.used[group.head().ID] {
+			members[group.model.ID] += group.model.Size
+		}
+	}
+	for id, forming := range round.planner.forming {
+		if _, place := parseGroup(id); place == domain {
+			members[forming.model] += len(forming.members)
+		}
+	}
+	return members
+}
+
+// leastStaged returns the model that a spare of the domain should load.
+func (round *round) leastStaged(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
+	return round.neediest(round.modelIDs(), domain, staged)
+}
+
+// neediest returns the one of the models whose members in the domain have the
+// fewest spares for each.
+func (round *round) neediest(models []shedkeel.ModelID, domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) shedkeel.ModelID {
+	members := round.members(domain)
+	best := models[0]
+	most := -1.0
+	for _, model := range models {
+		need := float64(members[model]) / float64(staged[model]+1)
+		if need > most || need == most && staged[model] < staged[best] {
+			best, most = model, need
+		}
+	}
+	return best
+}
