--- a/formation/stage.go
+++ b/formation/stage.go
@@ -41,17 +41,27 @@
 		staged[model]++
 		round.stage(instance, model, "a spare loads ahead of need")
 	}
-	spent := round.free(domain)
+	round.stageOthers(domain, staged)
+}
+
+// stageOthers has hosts that hold only what their servers have loaded load
+// another model: those of spares, and before callers come some of members.
+//
+// A spare so replaces a member of either of two models. Without it the second
+// loss of a model in a domain waits 12 to 16 s for a load: 0.013 of the worth of
+// days on which a member is lost each three seconds (20 pairs of plays).
+func (round *round) stageOthers(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) {
+	candidates := round.free(domain)
 	if !round.input.Traffic {
-		spent = append(spent, round.cheapMembers(domain)...)
+		candidates = append(candidates, round.cheapMembers(domain)...)
 	}
-	for _, instance := range spent {
+	for _, instance := range candidates {
 		if !round.hostIsSpent(instance) || !round.mayLoadAhead() {
 			continue
 		}
 		others := slices.DeleteFunc(round.modelIDs(), func(model shedkeel.ModelID) bool { return slices.Contains(instance.Models, model) })
 		if len(others) > 0 {
-			round.stage(instance, round.neediest(others, domain, staged), "a spare that stands by loads another model onto its host")
+			round.stage(instance, round.neediest(others, domain, staged), "its host holds only what it has loaded")
 		}
 	}
 }
--- a/serve/comeback.go
+++ b/serve/comeback.go
@@ -15,8 +15,9 @@
 	// outageBack is the least that callers are told in an outage of the
 	// key-value service in which no process can serve them. An outage that has
 	// lasted for longer is taken to last on for as long again. Callers come
-	// back once or a few times: of those who came back after 50 ms to
-	// processes that had just started, each was refused again.
+	// back once or a few times: of 503 refusals after a loss of all processes
+	// 480 were told 50 ms, and came back to be refused again; 0.032 of the worth
+	// of such a day (paired plays).
 	outageBack = 1200 * time.Millisecond
 	// waitShare is the part of the time that a caller has left that it may be
 	// asked to wait: callers heed no more than a third, and need the rest to be
