--- a/formation/demand_test.go
+++ b/formation/demand_test.go
@@ -69,7 +69,7 @@
 			fleet.killMember(domain, "large")
 		}
 	}
-	fleet.play(planner, 5*time.Second, true)
+	fleet.play(planner, 20*time.Second, true)
 	for _, domain := range domains {
 		for range 3 {
 			fleet.add(domain)
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -117,6 +117,39 @@
 	"nodes: a head out of reach is soon taken for gone": {
 		"formation/planner.go", "goneTime = 20 * time.Second", "goneTime = 5500 * time.Millisecond", "TestRulesHoldWhileServersAreCutOff", "./formation",
 	},
+	"nodes: what runs on groups is not told": {
+		"dispatch/spread.go", "max(known.given.running+change, 0)", "max(known.given.running+0*change, 0)", "TestSpreadByWhatRuns", "./dispatch",
+	},
+	"nodes: keys are taken whatever the configuration's age": {
+		"serve/front.go", "if life.front.RefuseStaleKeys && life.outOfDate() {", "if false {", "TestKeysOfAnOldConfiguration", "./serve",
+	},
+	"nodes: what an old configuration does not know is wrong": {
+		"serve/front.go", "if life.outOfDate() {\n\t\treturn life.refuse(causeNoProof, reason+", "if false {\n\t\treturn life.refuse(causeNoProof, reason+", "TestKeysOfAnOldConfiguration", "./serve",
+	},
+	"nodes: callers come back at once in an outage": {
+		"serve/comeback.go", "return max(outageBack, now-since)", "return min(soonBack, now-since)", "TestComeBack|TestRefusedWhileAll", "./serve",
+	},
+	"nodes: a node that is cut off takes it for an outage of all": {
+		"mirror/outage.go", "if !alone && (", "if !alone && false && (", "TestOutage", "./mirror",
+	},
+	"nodes: seeds are not asked": {
+		"mirror/follower.go", "follower.running.Go(func() { follower.runStart(ctx, peer) })", "_ = peer", "TestStartInAnOutage", "./mirror",
+	},
+	"nodes: a spare's host holds what its server has loaded": {
+		"formation/stage.go", "if !round.hostIsSpent(instance) ||", "if true ||", "TestSparesReplaceMembersOfEitherModel", "./formation",
+	},
+	"nodes: demand is not heeded": {
+		"formation/planner.go", "shares(input.Engine, input.Demand)", "shares(input.Engine, nil)", "TestGroupsFollowDemand", "./formation",
+	},
+	"nodes: losses move groups": {
+		"formation/yield.go", "!excess && !round.wanted(taker)", "!excess && false && !round.wanted(taker)", "TestLossesMoveNoGroups", "./formation",
+	},
+	"nodes: a group that was given up is formed anew": {
+		"formation/mend.go", "case round.planner.givenUp[assignment]:", "case false:", "TestGroupsFollowDemand", "./formation",
+	},
+	"nodes: a difference is taken of any value": {
+		"node/difference.go", "if known.Revision != sent.GetBase() ||", "if false ||", "TestDiffer|TestRelayByDifferences", "./node",
+	},
 	"nodes: former formations are remembered": {
 		"formation/planner.go", "if now-at <= forgetTime {", "if now-at <= 1000*forgetTime {", "TestFormerFormationsAreForgotten", "./formation",
 	},
