--- a/mutants_test.go
+++ b/mutants_test.go
@@ -135,6 +135,9 @@
 	"nodes: seeds are not asked": {
 		"mirror/follower.go", "follower.running.Go(func() { follower.runStart(ctx, peer) })", "_ = peer", "TestStartInAnOutage", "./mirror",
 	},
+	"nodes: a group opens before all members are ready": {
+		"formation/mend.go", "state == shedkeel.MemberReady && allReady(group):", "state == shedkeel.MemberReady:", "TestRulesHoldUnderFaults", "./formation",
+	},
 	"nodes: a spare's host holds what its server has loaded": {
 		"formation/stage.go", "if !round.hostIsSpent(instance) ||", "if true ||", "TestSparesReplaceMembersOfEitherModel", "./formation",
 	},
