Shares are weighed in one pass; a model states its slowdown in one place

Cause: formation.shares and measuredShares weighed the same measure one after the other, "pace, or 1 where none is stated" stood in three places, and staging asked for a domain's free servers a second time in a round.

Change: one pass gives stated and measured shares and whether they are about the same; Model.Slowdown serves boxWork, Engine.LongestPass and groupOf; stageOthers takes the list that stageDomain has. No behaviour is meant to change.

Measured: go test ./formation ./node passes before and after.

--- a/formation/demand.go
+++ b/formation/demand.go
@@ -22,40 +22,32 @@
 // stated where little was measured or it is about the same, else as measured.
 // The stated shares are only what is expected before any work comes.
 func shares(engine *shedkeel.Engine, demand map[shedkeel.ModelID]shedkeel.ModelDemand) map[shedkeel.ModelID]float64 {
-	found := map[shedkeel.ModelID]float64{}
-	stated, work, requests := 0.0, 0.0, 0.0
+	stated := map[shedkeel.ModelID]float64{}
+	total, work, requests := 0.0, 0.0, 0.0
 	for index := range engine.Models {
 		model := &engine.Models[index]
-		found[model.ID] = model.Share
-		stated += model.Share
+		stated[model.ID] = model.Share
+		total += model.Share
 		work += boxWork(engine, model, demand[model.ID])
 		requests += demand[model.ID].Requests
 	}
 	usable := work > 0 && requests > 0 && !math.IsInf(work, 0) && !math.IsInf(requests, 0) // false if one is not a number
-	if !usable || stated <= 0 {
-		return found
+	if !usable || total <= 0 {
+		return stated
 	}
 	weight := requests / (requests + statedWeight)
+	measured := map[shedkeel.ModelID]float64{}
+	same := true
 	for index := range engine.Models {
 		model := &engine.Models[index]
-		expected := model.Share / stated
-		measured := weight*boxWork(engine, model, demand[model.ID])/work + (1-weight)*expected
-		if measured > sameDemand*expected || expected > sameDemand*measured {
-			return measuredShares(engine, demand, work, weight, stated)
-		}
+		share := weight*total*boxWork(engine, model, demand[model.ID])/work + (1-weight)*model.Share
+		measured[model.ID] = share
+		same = same && share <= sameDemand*model.Share && model.Share <= sameDemand*share
 	}
-	return found
-}
-
-// measuredShares weighs measured shares with the stated ones, in the scale of
-// the latter.
-func measuredShares(engine *shedkeel.Engine, demand map[shedkeel.ModelID]shedkeel.ModelDemand, work, weight, stated float64) map[shedkeel.ModelID]float64 {
-	found := map[shedkeel.ModelID]float64{}
-	for index := range engine.Models {
-		model := &engine.Models[index]
-		found[model.ID] = weight*stated*boxWork(engine, model, demand[model.ID])/work + (1-weight)*model.Share
+	if same {
+		return stated
 	}
-	return found
+	return measured
 }
 
 // boxWork is the time that boxes spend on what was asked of a model, in
@@ -65,10 +57,6 @@
 	if engine.ReadPerSecond <= 0 {
 		return 0
 	}
-	pace := model.Pace
-	if pace <= 0 {
-		pace = 1
-	}
 	group := asked.PromptTokens/engine.ReadPerSecond + asked.AnswerTokens*engine.StepEach.Seconds()
-	return group * pace * float64(model.Size)
+	return group * model.Slowdown() * float64(model.Size)
 }
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -24,7 +24,8 @@
 func (round *round) stageDomain(domain shedkeel.DomainID) {
 	staged := map[shedkeel.ModelID]int{}
 	var empty []*shedkeel.Instance
-	for _, instance := range round.free(domain) {
+	free := round.free(domain)
+	for _, instance := range free {
 		if loading, busy := round.planner.loading[instance.ID]; busy {
 			staged[loading.model]++
 			continue
@@ -41,17 +42,17 @@
 		staged[model]++
 		round.stage(instance, model, "a spare loads ahead of need")
 	}
-	round.stageOthers(domain, staged)
+	round.stageOthers(domain, free, staged)
 }
 
 // stageOthers has hosts that hold only what their servers have loaded load
-// another model: those of spares, and before callers come some of members.
+// another model: those of the candidates, which are spares, and before callers
+// come some of members.
 //
 // A spare so replaces a member of either of two models. Without it the second
 // loss of a model in a domain waits 12 to 16 s for a load: 0.013 of the worth of
 // days on which a member is lost each three seconds (20 pairs of plays).
-func (round *round) stageOthers(domain shedkeel.DomainID, staged map[shedkeel.ModelID]int) {
-	candidates := round.free(domain)
+func (round *round) stageOthers(domain shedkeel.DomainID, candidates []*shedkeel.Instance, staged map[shedkeel.ModelID]int) {
 	if !round.input.Traffic {
 		candidates = append(candidates, round.cheapMembers(domain)...)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -200,10 +200,8 @@
 	}
 	server.Pass = engine.LongestPass(model)
 	server.Each = time.Duration(engine.Stride) * engine.StepEach
-	if model.Pace > 0 {
-		server.Rate /= model.Pace
-		server.Each = time.Duration(float64(server.Each) * model.Pace)
-	}
+	server.Rate /= model.Slowdown()
+	server.Each = time.Duration(float64(server.Each) * model.Slowdown())
 	return server
 }
 
--- a/serving.go
+++ b/serving.go
@@ -71,6 +71,14 @@
 	Warmup time.Duration // from the box's own host memory
 }
 
+// Slowdown is the factor on the engine's times, 1 where none is stated.
+func (model *Model) Slowdown() float64 {
+	if model.Pace <= 0 {
+		return 1
+	}
+	return model.Pace
+}
+
 // ModelDemand is what callers ask of a model, weighed over some seconds.
 type ModelDemand struct {
 	Requests     float64
@@ -115,11 +123,7 @@
 	}
 	reading := time.Duration(float64(engine.Chunk) / engine.ReadPerSecond * float64(time.Second))
 	step := reading + engine.Step + time.Duration(engine.Slots)*engine.StepEach
-	pass := time.Duration(engine.Stride) * step
-	if model.Pace > 0 {
-		pass = time.Duration(float64(pass) * model.Pace)
-	}
-	return pass
+	return time.Duration(float64(engine.Stride) * float64(step) * model.Slowdown())
 }
 
 // Model returns the model of that name, or nil.
