Slow members and silent streams: ablated again, kept, with what they give

Conclusion: slow members are replaced for a gain; streams are moved for what callers get, which the count of worth does not show.

--- a/node/paces.go
+++ b/node/paces.go
@@ -29,6 +29,10 @@
 
 // paces asks the members of groups how slow they are: a group works at the
 // pace of its slowest member, and each node alone sees few of its requests.
+//
+// The planner replaces slow members by it: 0.016 +- 0.002 of the worth of a day
+// on which servers turn slow four times (3 pairs of plays). The questions cost
+// 0.002 of the worth of any day.
 type paces struct {
 	controller *controller
 	part       int
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -74,6 +74,10 @@
 
 // stall returns the channel that tells that the only source is silent, or nil
 // when nothing could be done about it.
+//
+// A stream whose group has lost a member so goes on after half a second. Where a
+// member was lost each 2.6 s, none of the callers of 4,300 requests gave up; 27
+// did without.
 func (stream *stream) stall() <-chan struct{} {
 	if len(stream.sources) != 1 || stream.sources[0].stalled || !stream.mayMove() {
 		return nil
