A silent stream asks again for another server while the silence lasts

Ruled out: the cost of failing groups (none had failed).

Change: a stream whose move found no server still waits for the next word of the silence; FindSilent tells the requests again each time that it reports a silence that lasts (0.5 s), and a sign of life takes back what was told. Moves are counted where one was begun. The test keeps the nodes' logs and prints them when it fails.

Tests that fail without: dispatch TestSilenceIsToldAgain, serve TestSilentStreamAsksAgain (the stream broke off after its two seconds).

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -13,8 +13,9 @@
 	// defaultPass is the longest time between two events of a group whose
 	// engine's times are not stated.
 	defaultPass = 120 * time.Millisecond
-	// reportAgain is how often a silence that lasts is reported: the process
-	// that is to look into it may be a new one by then.
+	// reportAgain is how often a silence that lasts is reported and its requests
+	// are told: the process that is to look into it may be a new one by then, and
+	// groups that no request could be sent to may be back.
 	reportAgain = 500 * time.Millisecond
 	// firstTime is the longest usual time to the first event of a short
 	// prompt. Under load requests wait in the engine: on a day with a burst
@@ -106,10 +107,12 @@
 		if silent < known.usual()+silenceMargin {
 			continue
 		}
+		again := known.reported == 0 || now-known.reported >= reportAgain
 		for choice := range known.running {
+			choice.told = choice.told && !again
 			choice.tell()
 		}
-		if known.reported == 0 || now-known.reported >= reportAgain {
+		if again {
 			known.reported = now
 			found = append(found, Silence{Server: known.Server, For: silent, Running: len(known.running)})
 		}
@@ -118,7 +121,8 @@
 	return found
 }
 
-// tell tells the request once of each silence. The table's mutex is held.
+// tell tells the request of a silence, once until it is reported again. The
+// table's mutex is held.
 func (choice *Choice) tell() {
 	if choice.told {
 		return
@@ -130,6 +134,16 @@
 	}
 }
 
+// forgetSilence takes back what the request has been told of a silence that is
+// over. The table's mutex is held.
+func (choice *Choice) forgetSilence() {
+	choice.told = false
+	select {
+	case <-choice.stalled:
+	default: // it has taken it, or was told nothing
+	}
+}
+
 // Avoid keeps requests from a group, in that epoch, for the time, and tells
 // those that run there. A group that gives signs of life here is not avoided.
 func (table *Table) Avoid(group shedkeel.Assignment, now, time time.Duration) {
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -243,7 +243,7 @@
 	state.avoidTill = 0
 	state.reported = 0
 	for running := range state.running {
-		running.told = false
+		running.forgetSilence()
 	}
 	if !choice.begun {
 		choice.begun = true
--- a/dispatch/table_test.go
+++ b/dispatch/table_test.go
@@ -120,6 +120,31 @@
 	}
 }
 
+// TestSilenceIsToldAgain has a silence last: the request is told each time that
+// it is reported, and nothing of it once the group has given a sign.
+func TestSilenceIsToldAgain(t *testing.T) {
+	table := testTable("a")
+	choice := table.Choose(query)
+	told := func() bool {
+		select {
+		case <-choice.Stalled:
+			return true
+		default:
+			return false
+		}
+	}
+	const began = time.Minute
+	table.FindSilent(began)
+	assert.Assert(t, told())
+	table.FindSilent(began + reportAgain - 1)
+	assert.Assert(t, !told())
+	table.FindSilent(began + reportAgain)
+	assert.Assert(t, told())
+	table.FindSilent(began + 2*reportAgain)
+	choice.Sign(began + 2*reportAgain)
+	assert.Assert(t, !told(), "the silence is over")
+}
+
 // TestLongPassIsNoSilence covers groups that read the prompts of other
 // processes for a whole pass: taking them for silent had two of three streams
 // of a large model begun twice.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -117,7 +118,8 @@
 	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second)
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String()}
 	transport := &engine.Transport{DialTimeout: 250 * time.Millisecond, IdleTimeout: time.Second}
-	log, err := event.NewBoundedLog(io.Discard, "info")
+	lines := &bytes.Buffer{}
+	log, err := event.NewBoundedLog(lines, "info")
 	assert.NilError(t, err)
 	values := metrics.New("test")
 	process := &node.Node{
@@ -146,6 +148,9 @@
 		transport.Close()
 		values.Close()
 		log.Close()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", settings.Node, lines)
+		}
 	})
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -396,6 +396,20 @@
 	}
 }
 
+// TestSilentStreamAsksAgain has a stream go silent while nothing may be sent to
+// any other group, for half a second: it was never begun elsewhere then, and
+// ended with its caller's time.
+func TestSilentStreamAsksAgain(t *testing.T) {
+	harness := newHarness(t, step{events: 5, hangs: 2}, step{events: 5})
+	for _, other := range []shedkeel.GroupID{"g1", "g2"} {
+		harness.Table.Avoid(shedkeel.Assignment{Group: other, Epoch: 1}, harness.clock.Now(), 500*time.Millisecond)
+	}
+	got := harness.post("/s/x", "prompt", "Model", "m")
+	assert.Assert(t, !got.broken)
+	assert.Equal(t, got.Body.String(), events(1, 5))
+	assert.Equal(t, len(harness.backend.requests), 2)
+}
+
 // TestStreamKeepsFirstHead checks that a stream which goes on elsewhere keeps
 // the head, and so the signature, of its first server.
 func TestStreamKeepsFirstHead(t *testing.T) {
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -92,16 +92,19 @@
 	return stream.route.Repeatable() && stream.runs < stream.route.MaxRuns
 }
 
-// hedge begins another source beside one that went silent.
+// hedge begins another source beside one that went silent. Where none can be
+// begun now, it is tried again when the silence is told again: a process that
+// got no processor for a second took all groups for silent, and its streams on a
+// group that had lost a member then ended with their callers' time.
 func (stream *stream) hedge(ctx context.Context) {
 	silent := stream.sources[0]
-	silent.stalled = true
-	stream.timing.moves++
-	count(stream.front.meter().moves)
-	err := stream.start(ctx)
 	outcome := "begun at another server"
-	if err != nil {
+	if err := stream.start(ctx); err != nil {
 		outcome = err.Error()
+	} else {
+		silent.stalled = true
+		stream.timing.moves++
+		count(stream.front.meter().moves)
 	}
 	stream.log(event.StreamMoved, slog.String("from", string(silent.choice.Instance)), slog.Int64("after", stream.last), slog.String("outcome", outcome))
 }
