--- a/mutants_test.go
+++ b/mutants_test.go
@@ -135,6 +135,15 @@
 	"nodes: seeds are not asked": {
 		"mirror/follower.go", "follower.running.Go(func() { follower.runStart(ctx, peer) })", "_ = peer", "TestStartInAnOutage", "./mirror",
 	},
+	"nodes: a failure outweighs any wait": {
+		"dispatch/spread.go", "return 1 / max(1-failing, 1.0/mostSendings)", "return 1 + mostSendings*failing", "TestSpread$|TestWish", "./dispatch",
+	},
+	"nodes: a lasting silence is told once": {
+		"dispatch/silence.go", "choice.told = choice.told && !again", "_ = again", "TestSilenceIsToldAgain", "./dispatch",
+	},
+	"nodes: a silent stream asks for another server once": {
+		"serve/stream.go", "if err := stream.start(ctx); err != nil {\n\t\toutcome", "silent.stalled = true\n\tif err := stream.start(ctx); err != nil {\n\t\toutcome", "TestSilentStreamAsksAgain", "./serve",
+	},
 	"nodes: a group opens before all members are ready": {
 		"formation/mend.go", "state == shedkeel.MemberReady && allReady(group):", "state == shedkeel.MemberReady:", "TestRulesHoldUnderFaults", "./formation",
 	},
