Loads of lost servers block no others: a planner no longer stops

A dump of what the planner knows at 40.9 s: four empty servers in each of two domains, nobody loading, nothing ordered. Loads that were ordered are remembered until the server has the weights or their time is over, and both were looked at only for servers that are listed. Each load of a server that was lost so held one of the places for loads at once (six there) for ever, in the record for the next planner too; after six such losses no load was ever ordered.

Change: a load counts only while its server is listed and answers probes, and is forgotten when its time is over.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -247,10 +247,11 @@
 			planner.seen[instance.ID] = input.Now
 			planner.newest[instance.Domain] = input.Now
 		}
-		if loading, busy := planner.loading[instance.ID]; busy && (instance.HasStaged(loading.model) || input.Now >= loading.until) {
+		if loading, busy := planner.loading[instance.ID]; busy && instance.HasStaged(loading.model) {
 			delete(planner.loading, instance.ID)
 		}
 	}
+	maps.DeleteFunc(planner.loading, func(_ shedkeel.InstanceID, loading loading) bool { return input.Now >= loading.until })
 	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Duration) bool { return input.Now-at > loadWindow })
 	planner.forget(input.Now)
 }
@@ -271,17 +272,3 @@
 		delete(planner.absent, assignment)
 	}
 }
-
-// mayLoad reports whether another load from the weight store may begin: neither
-// too many in a span, nor more at once than the store serves at full speed.
-// Twelve loads of 16 s at once where six run at full speed are all done after 32
-// s; six by six, the first six servers are of use after 16 s.
-func (planner *Planner) mayLoad(input Input) bool {
-	if !input.Traffic {
-		return true
-	}
-	if input.Engine.LoadsAtOnce > 0 && len(planner.loading) >= input.Engine.LoadsAtOnce {
-		return false
-	}
-	return float64(len(planner.loads)) < input.Engine.LoadsPerSecond*loadWindow.Seconds()
-}
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -116,12 +116,42 @@
 		return true
 	}
 	engine := round.input.Engine
-	if engine.LoadsAtOnce > 0 && float64(len(round.planner.loading)) >= aheadShare*float64(engine.LoadsAtOnce) {
+	if engine.LoadsAtOnce > 0 && float64(round.loadsUnderWay()) >= aheadShare*float64(engine.LoadsAtOnce) {
 		return false
 	}
 	return float64(len(round.planner.loads)) < aheadShare*engine.LoadsPerSecond*loadWindow.Seconds()
 }
 
+// mayLoad reports whether another load from the weight store may begin: neither
+// too many in a span, nor more at once than the store serves at full speed.
+// Twelve loads of 16 s at once where six run at full speed are all done after 32
+// s; six by six, the first six servers are of use after 16 s.
+func (round *round) mayLoad() bool {
+	if !round.input.Traffic {
+		return true
+	}
+	engine := round.input.Engine
+	if engine.LoadsAtOnce > 0 && round.loadsUnderWay() >= engine.LoadsAtOnce {
+		return false
+	}
+	return float64(len(round.planner.loads)) < engine.LoadsPerSecond*loadWindow.Seconds()
+}
+
+// loadsUnderWay returns how many of the loads that were ordered may be running.
+// A server that is lost loads nothing: where its order counted for ever, a
+// planner that had ordered as many loads as may run at once from servers that
+// then were lost never ordered another, and no group stood again though eight
+// servers of a domain were up.
+func (round *round) loadsUnderWay() int {
+	count := 0
+	for id := range round.planner.loading {
+		if round.byID[id] != nil && !round.input.Dead[id] {
+			count++
+		}
+	}
+	return count
+}
+
 // modelIDs returns the names of the engine's models.
 func (round *round) modelIDs() []shedkeel.ModelID {
 	var found []shedkeel.ModelID
@@ -137,7 +167,7 @@
 	if _, busy := round.planner.loading[instance.ID]; busy {
 		return
 	}
-	if !round.planner.mayLoad(round.input) {
+	if !round.mayLoad() {
 		return
 	}
 	round.planner.loads = append(round.planner.loads, round.input.Now)
