Records of another writer name no server, and an instance is one start of a server

A record that could not be read left the old one in force for ever. A server that starts again under its id looked the same. Of our own records, a spoilt lead or term stopped planning for good, and a node without addresses was told to callers.

A server whose record became unreadable gets no requests and keeps its place in its group for 3 s, two of its heartbeats. The identifier of an instance carries the time of its start (born), so that all that is believed by identifier ends with the start; a former start's record never replaces a later one's. Records of nodes are checked; a lead that names no listed node for 5 s may be replaced; a term that was lowered or spoilt is found again from the epochs that servers tell of.

--- a/node/controller.go
+++ b/node/controller.go
@@ -43,6 +43,7 @@
 	probing  map[shedkeel.InstanceID]bool
 	dead     map[shedkeel.InstanceID]time.Duration // probed again then
 	vacant   time.Duration                         // since when no one leads
+	stray    time.Duration                         // since when the one that leads is not listed; 0: it is
 	told     time.Duration                         // when the use of servers was logged last
 	sized    time.Duration                         // when the size of the fleet was looked at last
 	// kept are the loads as written last. Only the planning loop uses it.
--- a/node/election.go
+++ b/node/election.go
@@ -24,6 +24,12 @@
 	leadRenew = leadTTL / 3
 	// termEpochs is how many epochs one term of a leader has.
 	termEpochs = 1 << 20
+	// mostTerm is the highest term that is believed. A higher one is another
+	// writer's: its epochs would run over.
+	mostTerm = 1 << 40
+	// strayLeadTime is how long a record of who plans may name no listed node until
+	// another node plans: far longer than a node that lives is ever missing.
+	strayLeadTime = 5 * time.Second
 
 	leadKey = "shedkeel/lead"
 	termKey = "shedkeel/term"
@@ -116,7 +122,8 @@
 		controller.vacant = 0
 		return
 	}
-	if node.mirror.Get(leadKey).Revision != 0 {
+	lead := node.mirror.Get(leadKey)
+	if lead.Revision != 0 && !controller.isStray(now) {
 		controller.vacant = 0
 		controller.adopt()
 		return
@@ -127,17 +134,47 @@
 	if now-controller.vacant < time.Duration(node.peers.place())*electionStep {
 		return
 	}
+	term := node.mirror.Get(termKey)
+	if controller.lease.valid(now) || controller.lease.grant(ctx) {
+		controller.tryLead(ctx, lead.Revision, term.Revision, controller.nextTerm(term))
+	}
+}
+
+// isStray reports whether the record of who plans has for so long named no
+// listed node, or this one though it does not plan, that another may. Another
+// writer may have spoilt it, and it goes with no lease then: nobody planned any
+// more.
+func (controller *controller) isStray(now time.Duration) bool {
+	lead := controller.lead()
+	plans := controller.node.peers.peer(lead.Node) != nil
+	if lead.Node == controller.node.Settings.Node {
+		plans = controller.leadsBy(lead)
+	}
+	if plans {
+		controller.stray = 0
+		return false
+	}
+	if controller.stray == 0 {
+		controller.stray = now
+	}
+	return now-controller.stray >= strayLeadTime
+}
+
+// nextTerm returns a term above all that were. What stands of it may be another
+// writer's, so the epochs that backend servers tell of count too.
+func (controller *controller) nextTerm(record shedkeel.Record) uint64 {
 	var term termRecord
-	record := node.mirror.Get(termKey)
-	if record.Revision != 0 && node.fleet.read(record, &term) != nil {
-		return
+	if record.Revision != 0 {
+		_ = controller.node.fleet.read(record, &term) // 0 where it can't be read
 	}
-	if controller.lease.valid(now) || controller.lease.grant(ctx) {
-		controller.tryLead(ctx, record.Revision, term.Term+1)
+	if term.Term > mostTerm {
+		term.Term = 0
 	}
+	return max(term.Term, controller.node.fleet.highestEpoch()/termEpochs) + 1
 }
 
-func (controller *controller) tryLead(ctx context.Context, revision int64, term uint64) {
+// tryLead writes that this node plans, unless another has at these revisions.
+func (controller *controller) tryLead(ctx context.Context, leadRevision, termRevision int64, term uint64) {
 	node := controller.node
 	lead, err := json.Marshal(leadRecord{Node: node.Settings.Node, Incarnation: node.Incarnation, Term: term, Lease: controller.lease.ID()})
 	if err != nil {
@@ -148,7 +185,7 @@
 		return
 	}
 	written, err := node.Store.Commit(ctx, shedkeel.Change{
-		If:  []shedkeel.Condition{{Key: leadKey, Revision: 0}, {Key: termKey, Revision: revision}},
+		If:  []shedkeel.Condition{{Key: leadKey, Revision: leadRevision}, {Key: termKey, Revision: termRevision}},
 		Put: []shedkeel.Put{{Key: leadKey, Value: lead, Lease: controller.lease.ID()}, {Key: termKey, Value: next}},
 	})
 	if err != nil {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -29,6 +29,11 @@
 	// still believed after its return: living servers have written theirs
 	// again about two seconds after it, by the platform's pages.
 	lapseHold = 2300 * time.Millisecond
+	// doubtHold is how long a backend server whose record can't be read any more
+	// keeps its place in its group. It gets no requests by itself meanwhile. One odd
+	// write by another writer is gone with the server's next heartbeat, by the
+	// platform's pages 1.2 s later at most; two of them and the way here fit in.
+	doubtHold = 3 * time.Second
 )
 
 // fleet is what a node makes of the records: the configuration, the servers
@@ -41,6 +46,8 @@
 	instances map[string]shedkeel.Instance // by key
 	nodes     map[string]nodeRecord        // by key
 	lapsed    map[string]time.Duration     // gone while the service was away, believed until then
+	doubted   map[string]time.Duration     // servers whose records can't be read, and until when they keep their places
+	unread    atomic.Int64                 // records that were not used
 	troubled  time.Duration                // the service was away until then, or is
 	counts    map[string]int               // servers and groups that may be sent to, as logged last
 }
@@ -53,6 +60,7 @@
 		fleet.instances = map[string]shedkeel.Instance{}
 		fleet.nodes = map[string]nodeRecord{}
 		fleet.lapsed = map[string]time.Duration{}
+		fleet.doubted = map[string]time.Duration{}
 	}
 	now := fleet.node.Timers.Now()
 	servers, nodes := false, false
@@ -69,7 +77,9 @@
 	fleet.refresh(servers, nodes)
 }
 
+// skipped notes a record that is not used. The mutex may be held.
 func (fleet *fleet) skipped(record shedkeel.Record, err error) {
+	fleet.unread.Add(1)
 	fleet.node.Log.Write(event.RecordSkipped, slog.String("key", record.Key), slog.Int64("revision", record.Revision), slog.String("error", err.Error()))
 }
 
@@ -106,18 +116,43 @@
 // while where the service was away, and never in a state they had left.
 func (fleet *fleet) takeInstance(record shedkeel.Record, now time.Duration) bool {
 	if record.Gone {
-		return fleet.takeGone(record.Key, now, func() { delete(fleet.instances, record.Key) })
+		return fleet.takeGone(record.Key, now, func() { fleet.drop(record.Key) })
 	}
 	instance, err := fleet.node.Decoder.Instance(record.Key, record.Value)
 	if err != nil {
 		fleet.skipped(record, err)
+		return fleet.doubt(record.Key, now)
+	}
+	known, listed := fleet.instances[record.Key]
+	if listed && known.ID.Born() > instance.ID.Born() && instance.ID.Born() != 0 {
+		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "a former start of the server wrote it", Remedy: "none is needed: the present one goes on"})
 		return false
 	}
 	delete(fleet.lapsed, record.Key)
+	delete(fleet.doubted, record.Key)
 	fleet.instances[record.Key] = instance
 	return true
 }
 
+// doubt has a server that was good get no requests, now that its record can't be
+// read, and keep its place in its group for a while. It reports whether that is
+// news.
+func (fleet *fleet) doubt(key string, now time.Duration) bool {
+	_, listed := fleet.instances[key]
+	_, doubted := fleet.doubted[key]
+	if !listed || doubted {
+		return false
+	}
+	fleet.doubted[key] = now + doubtHold
+	return true
+}
+
+// drop forgets a server.
+func (fleet *fleet) drop(key string) {
+	delete(fleet.instances, key)
+	delete(fleet.doubted, key)
+}
+
 func (fleet *fleet) takeGone(key string, now time.Duration, remove func()) bool {
 	if now < fleet.troubled {
 		fleet.lapsed[key] = fleet.troubled
@@ -146,7 +181,13 @@
 			delete(fleet.nodes, key)
 			nodes = true
 		} else {
-			delete(fleet.instances, key)
+			fleet.drop(key)
+			servers = true
+		}
+	}
+	for key, until := range fleet.doubted {
+		if now >= until {
+			fleet.drop(key)
 			servers = true
 		}
 	}
@@ -172,10 +213,11 @@
 	}
 	epochs := formation.LatestEpochs(maps.Values(fleet.instances))
 	var servers []dispatch.Server
-	for _, instance := range fleet.instances {
+	for key, instance := range fleet.instances {
 		service := view.Service(instance.Service)
+		_, doubted := fleet.doubted[key]
 		switch {
-		case service == nil || instance.Draining:
+		case service == nil || instance.Draining || doubted:
 		case service.Engine == nil:
 			servers = append(servers, serverOf(&instance))
 		case headServes(instance.Member, epochs):
@@ -252,6 +294,19 @@
 	return found
 }
 
+// highestEpoch returns the highest epoch that a backend server tells of.
+func (fleet *fleet) highestEpoch() uint64 {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	highest := uint64(0)
+	for _, instance := range fleet.instances {
+		if instance.Member != nil && instance.Member.Epoch/termEpochs <= mostTerm {
+			highest = max(highest, instance.Member.Epoch)
+		}
+	}
+	return highest
+}
+
 // sortedInstances returns the backend servers by name. The mutex is held.
 func (fleet *fleet) sortedInstances() []shedkeel.Instance {
 	var found []shedkeel.Instance
--- a/node/nodes.go
+++ b/node/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"time"
 
@@ -36,15 +37,54 @@
 	if record.Gone {
 		return fleet.takeGone(record.Key, now, func() { delete(fleet.nodes, record.Key) })
 	}
-	var node nodeRecord
-	if fleet.read(record, &node) != nil {
-		return false
+	node, err := fleet.readNode(record)
+	if err != nil {
+		if record.Key == fleet.node.member.key() {
+			fleet.node.member.changed.Store(true) // another writer spoilt it
+		}
+		return false // what was known of the node stays
 	}
 	delete(fleet.lapsed, record.Key)
 	fleet.nodes[record.Key] = node
 	return true
 }
 
+// readNode reads what a node tells of itself, and logs what can't be used.
+func (fleet *fleet) readNode(record shedkeel.Record) (nodeRecord, error) {
+	var node nodeRecord
+	if err := fleet.read(record, &node); err != nil {
+		return node, err
+	}
+	if err := node.check(record.Key); err != nil {
+		fleet.skipped(record, err)
+		return node, err
+	}
+	return node, nil
+}
+
+// check returns why nothing may be sent to the node by this record, or nil.
+func (record nodeRecord) check(key string) error {
+	invalid := &shedkeel.InvalidError{Where: key, Remedy: "none is needed: the node writes it again if it lives"}
+	switch {
+	case record.ID == "" || key != nodePrefix+string(record.ID):
+		invalid.What = "it is not the record of the node that its key names"
+	case !isAddress(record.Callers) || !isAddress(record.Control):
+		invalid.What = "callers or control is no host:port"
+	case record.Zone == "":
+		invalid.What = "zone is missing"
+	case record.Capacity < 0:
+		invalid.What = "capacity is below 0"
+	default:
+		return nil
+	}
+	return invalid
+}
+
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && host != "" && port != ""
+}
+
 func (fleet *fleet) sortedNodes() []nodeRecord {
 	var found []nodeRecord
 	for _, node := range fleet.nodes {
--- /dev/null
+++ b/node/spoilt_test.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/serve"
+)
+
+// serverRecord is the record of a head that serves, or of a member, as the
+// platform's servers write it.
+func serverRecord(revision, born int64, rank int, state shedkeel.MemberState) shedkeel.Record {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.%d:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1,"born":%d,"domain":"d",`+
+		`"group":{"name":"m/d/1","epoch":5,"rank":%d,"state":%q}}`, rank+1, born, rank, state)
+	return shedkeel.Record{Key: fmt.Sprintf("servers/i-%d", rank), Value: []byte(value), Revision: revision}
+}
+
+// spoiltNode returns a node that knows a group of two, with requests to its
+// head.
+func spoiltNode(t *testing.T) (*Node, func(time.Duration, ...shedkeel.Record)) {
+	t.Helper()
+	node, timers := newTestNode(t)
+	node.Decoder = platform.Decoder{}
+	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s", Engine: &shedkeel.Engine{Slots: 8, Models: []shedkeel.Model{{ID: "m", Size: 2}}}}}}))
+	apply := func(after time.Duration, records ...shedkeel.Record) {
+		timers.Advance(after)
+		node.mirror.Apply(mirror.Update{At: 1, AsOf: timers.Now(), Records: records})
+		node.fleet.tick(timers.Now())
+	}
+	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	apply(0, serverRecord(2, 7, 0, shedkeel.MemberOpen), serverRecord(3, 7, 1, shedkeel.MemberReady))
+	return node, apply
+}
+
+func (node *Node) usable() int { return node.table.Load("s", "m", node.Timers.Now()).Usable }
+
+// TestRecordThatBecomesUnreadable has another writer spoil the record of a
+// server: it gets no requests, and keeps its place in its group until its own
+// next heartbeat or, if none comes, for doubtHold.
+func TestRecordThatBecomesUnreadable(t *testing.T) {
+	spoil := shedkeel.Record{Key: "servers/i-0", Value: []byte(`{"service":7}`), Revision: 4}
+	t.Run("its next heartbeat comes", func(t *testing.T) {
+		node, apply := spoiltNode(t)
+		assert.Equal(t, node.usable(), 1)
+		apply(0, spoil)
+		assert.Equal(t, node.usable(), 0, "it was sent to though its record can't be read")
+		assert.Equal(t, len(node.fleet.instances), 2, "its group lost a member by one odd write")
+		apply(1200*time.Millisecond, serverRecord(5, 7, 0, shedkeel.MemberOpen))
+		assert.Equal(t, node.usable(), 1)
+		apply(2 * doubtHold)
+		assert.Equal(t, len(node.fleet.instances), 2)
+	})
+	t.Run("none comes", func(t *testing.T) {
+		node, apply := spoiltNode(t)
+		apply(0, spoil)
+		apply(doubtHold/2, shedkeel.Record{Key: "servers/i-0", Value: []byte(`[]`), Revision: 5})
+		assert.Equal(t, len(node.fleet.instances), 2)
+		apply(doubtHold / 2)
+		assert.Equal(t, len(node.fleet.instances), 1, "odd writes kept it for longer")
+	})
+	t.Run("a member's", func(t *testing.T) {
+		node, apply := spoiltNode(t)
+		apply(0, shedkeel.Record{Key: "servers/i-1", Value: []byte("\x00"), Revision: 4})
+		assert.Equal(t, node.usable(), 1, "the head's record is sound")
+	})
+	t.Run("in one reading with sound ones", func(t *testing.T) {
+		node, apply := spoiltNode(t)
+		apply(0, shedkeel.Record{Key: "servers/odd", Value: []byte(`null`), Revision: 4}, serverRecord(5, 7, 0, shedkeel.MemberClosing))
+		assert.Equal(t, len(node.fleet.instances), 2)
+		assert.Equal(t, node.usable(), 0, "the sound one was not taken in")
+	})
+}
+
+// TestServerThatStartsAgain has a head start again under its name: what a
+// record of its former start says, late, is not believed.
+func TestServerThatStartsAgain(t *testing.T) {
+	node, apply := spoiltNode(t)
+	apply(0, serverRecord(4, 9, 0, shedkeel.MemberJoining))
+	assert.Equal(t, node.usable(), 0)
+	apply(0, serverRecord(5, 7, 0, shedkeel.MemberOpen))
+	assert.Equal(t, node.usable(), 0, "the former start's record was believed")
+	apply(0, serverRecord(6, 9, 0, shedkeel.MemberOpen))
+	assert.Equal(t, node.usable(), 1)
+}
+
+// TestSpoiltRecordsOfNodes covers records of nodes that another writer made:
+// callers were told an address that is none.
+func TestSpoiltRecordsOfNodes(t *testing.T) {
+	sound := nodeRecord{ID: "b", Zone: "z", Callers: "10.0.0.2:1", Control: "10.0.0.2:2", Capacity: 0.5}
+	for name, spoil := range map[string]func(*nodeRecord){
+		"no id":               func(record *nodeRecord) { record.ID = "" },
+		"another's id":        func(record *nodeRecord) { record.ID = "c" },
+		"no zone":             func(record *nodeRecord) { record.Zone = "" },
+		"no callers' address": func(record *nodeRecord) { record.Callers = "" },
+		"no port":             func(record *nodeRecord) { record.Control = "10.0.0.2" },
+		"negative capacity":   func(record *nodeRecord) { record.Capacity = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newTestNode(t)
+			record := sound
+			spoil(&record)
+			value, err := json.Marshal(record)
+			assert.NilError(t, err)
+			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: 1}}})
+			assert.Equal(t, len(node.fleet.nodes), 0)
+			value, err = json.Marshal(sound)
+			assert.NilError(t, err)
+			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: 2}}})
+			assert.Equal(t, len(node.fleet.nodes), 1)
+		})
+	}
+}
+
+// TestSpoiltLead has another writer spoil the records of who plans and of the
+// terms: nobody planned any more, or a planner began with epochs that engines
+// refuse.
+func TestSpoiltLead(t *testing.T) {
+	member := serverRecord(2, 7, 0, shedkeel.MemberOpen)
+	member.Value = []byte(fmt.Sprintf(`{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1,"group":{"name":"m/d/1","epoch":%d,"rank":0,"state":"open"}}`, 3*termEpochs+8))
+	for name, test := range map[string]struct {
+		lead, term string
+		next       uint64
+	}{
+		"nothing is spoilt":                        {"", `{"term":3}`, 4},
+		"lead can't be read":                       {`[]`, `{"term":3}`, 4},
+		"lead names nobody":                        {`{"node":"nobody","term":3}`, `{"term":3}`, 4},
+		"lead names this node, by another's lease": {`{"node":"node-1","incarnation":"x","lease":99}`, `{"term":3}`, 4},
+		"term can't be read":                       {"", `7`, 4},
+		"term is too low":                          {"", `{"term":0}`, 4},
+		"term is higher than epochs go":            {"", `{"term":4611686018427387904}`, 4},
+		"term is higher":                           {"", `{"term":9}`, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node, timers, store := electedNode(t)
+			node.Decoder = platform.Decoder{}
+			records := []shedkeel.Record{member, {Key: termKey, Value: []byte(test.term), Revision: 3}}
+			if test.lead != "" {
+				records = append(records, shedkeel.Record{Key: leadKey, Value: []byte(test.lead), Revision: 4})
+			}
+			node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now(), Records: records})
+			store.commit = func(change shedkeel.Change) (int64, error) {
+				for _, condition := range change.If {
+					assert.Equal(t, condition.Revision, node.mirror.Get(condition.Key).Revision, condition.Key)
+				}
+				return 5, nil
+			}
+			for range 3 { // the copy stays fresh
+				node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now()})
+				elect(t, node, timers)
+				timers.Advance(strayLeadTime / 2)
+			}
+			node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now()})
+			elect(t, node, timers)
+			lead := node.controller.lead()
+			assert.Equal(t, lead.Node, node.Settings.Node, "nobody plans")
+			assert.Equal(t, lead.Term, test.next)
+		})
+	}
+}
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -78,7 +78,7 @@
 				removed = append(removed, change.Remove...)
 				return 9, nil
 			}}
-			record := nodeRecord{ID: "b", Control: listener.Addr().String(), Watched: true}
+			record := nodeRecord{ID: "b", Zone: "z", Callers: "127.0.0.1:1", Control: listener.Addr().String(), Watched: true}
 			value, err := json.Marshal(record)
 			assert.NilError(t, err)
 			node.mirror.Apply(mirror.Update{Whole: true, At: 5, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: 5}}})
--- a/serving.go
+++ b/serving.go
@@ -8,9 +8,6 @@
 // ModelID names a model that replica groups of a service serve.
 type ModelID string
 
-// InstanceID names one start of a backend server; a restart gets a new one.
-type InstanceID string
-
 // RequestKind says how often a request of a route may run.
 type RequestKind string
 
@@ -231,4 +228,11 @@
 	Queued int
 	Active int
 	Pace   float64 // factor on its times now; over 1 is slow
+	Born   int64   // when the server started, in Unix milliseconds; 0: it does not say
+}
+
+// From reports whether the report may come from this start of the server, and
+// not from another one under the same name.
+func (report EngineReport) From(id InstanceID) bool {
+	return report.Born == 0 || id.Born() == 0 || report.Born == id.Born()
 }
