Nothing is believed of a server beyond its start

Cause: a server that started again under its name was taken for the one before: probes found it alive, its group was left alone for 6 s as one with a member that is only not listed, and members of a head that started again were held for 20 s.

Change: a probe that is answered by another start of the server finds the former one lost; paces of another start are not taken; the planner knows that what has started again serves no more, as head or member.

Tests: TestRulesHoldWhileServersStartAgain (60 histories with lost and late orders that reach the next start, planners that change), TestHeadThatStartsAgain (the member's case failed before), TestProbe, TestWholePath (startAgain, spoilRecords). Left: an engine that has started again has forgotten its fences. A late join of a former formation makes it a member there; the planner sees that and has it leave.

--- a/formation/fake_test.go
+++ b/formation/fake_test.go
@@ -36,6 +36,7 @@
 	readied map[shedkeel.Assignment]bool // the formations in which it has been ready
 	cutAt   time.Duration                // since then it is cut off from the planner and the list, though it serves
 	cutTill time.Duration
+	again   bool // its server has started again since; diedAt is set too
 }
 
 // cutOff reports whether the planner can't reach the server.
@@ -87,6 +88,37 @@
 	fleet.servers[id] = server
 }
 
+// restart has a server start again under its name. It knows nothing of before;
+// what is on its host stays.
+func (fleet *fakeFleet) restart(id shedkeel.InstanceID) {
+	former := fleet.servers[id]
+	former.diedAt, former.again, former.Member = fleet.now, true, nil
+	next := &fakeServer{Instance: shedkeel.Instance{
+		ID: shedkeel.NewInstanceID(id.Server(), id.Born()+1), Service: former.Service, Address: former.Address, Domain: former.Domain, Staged: former.Staged,
+	}, readied: map[shedkeel.Assignment]bool{}}
+	fleet.servers[next.ID] = next
+}
+
+// reached returns the start of a server that an order to it reaches: engines
+// know themselves by the server's name alone.
+func (fleet *fakeFleet) reached(id shedkeel.InstanceID) *fakeServer {
+	server := fleet.servers[id]
+	for server.again {
+		server = fleet.servers[shedkeel.NewInstanceID(id.Server(), server.ID.Born()+1)]
+	}
+	return server
+}
+
+// wasReady reports whether any start of a server was ready in the formation.
+func (fleet *fakeFleet) wasReady(id shedkeel.InstanceID, in shedkeel.Assignment) bool {
+	for _, server := range fleet.servers {
+		if server.ID.Server() == id.Server() && server.readied[in] {
+			return true
+		}
+	}
+	return false
+}
+
 // instances returns the list of servers as a planner sees it, late.
 func (fleet *fakeFleet) instances() []shedkeel.Instance {
 	fleet.past = append(fleet.past, fleet.listed())
@@ -98,7 +130,7 @@
 func (fleet *fakeFleet) listed() []shedkeel.Instance {
 	var listed []shedkeel.Instance
 	for _, server := range fleet.servers {
-		if server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond || server.unlisted(fleet.now) {
+		if server.again || server.diedAt != 0 && fleet.now-server.diedAt > 3600*time.Millisecond || server.unlisted(fleet.now) {
 			continue
 		}
 		instance := server.Instance
@@ -145,7 +177,7 @@
 
 // carryOut has a server follow an order. It returns false if it refuses.
 func (fleet *fakeFleet) carryOut(order shedkeel.GroupOrder) bool {
-	server := fleet.servers[order.To]
+	server := fleet.reached(order.To)
 	matches := server.Member != nil && server.Member.Group == order.Group && server.Member.Epoch == order.Epoch
 	switch order.Kind {
 	case shedkeel.OrderJoin:
@@ -191,7 +223,7 @@
 	}
 	server.seen = order.Epoch
 	server.list = order.Members
-	server.Member = &shedkeel.Membership{Group: order.Group, Epoch: order.Epoch, Rank: slices.Index(order.Members, server.ID), State: shedkeel.MemberJoining}
+	server.Member = &shedkeel.Membership{Group: order.Group, Epoch: order.Epoch, Rank: rankOf(order.Members, server.ID), State: shedkeel.MemberJoining}
 	model := fleet.engine.Model(order.Model)
 	server.cold = server.last != order.Model && !server.HasStaged(order.Model)
 	switch {
@@ -207,6 +239,11 @@
 	return true
 }
 
+// rankOf returns the place of a server among members, by its name.
+func rankOf(members []shedkeel.InstanceID, id shedkeel.InstanceID) int {
+	return slices.IndexFunc(members, func(member shedkeel.InstanceID) bool { return member.Server() == id.Server() })
+}
+
 // checkOpen notes a head that opens while a member was never ready in its
 // formation. One that was ready and has gone on is excused: an order to open may
 // be carried out after the group was formed anew. Such a head stands still.
@@ -216,7 +253,7 @@
 		fleet.broken = append(fleet.broken, fmt.Sprintf("%s: %s opens with %d members", fleet.now, head.Member.Group, len(head.list)))
 	}
 	for _, id := range head.list {
-		if member := fleet.servers[id]; !member.readied[head.Member.Assignment()] && member.diedAt == 0 {
+		if member := fleet.reached(id); !fleet.wasReady(id, head.Member.Assignment()) && member.diedAt == 0 {
 			fleet.broken = append(fleet.broken, fmt.Sprintf("%s: %s opens while %s has never been ready", fleet.now, head.Member.Group, id))
 		}
 	}
@@ -244,7 +281,7 @@
 func (fleet *fakeFleet) tick() {
 	fleet.now += testStep
 	for _, late := range fleet.late {
-		if late.at <= fleet.now && fleet.servers[late.order.To].diedAt == 0 {
+		if late.at <= fleet.now && fleet.reached(late.order.To).diedAt == 0 {
 			fleet.carryOut(late.order)
 		}
 	}
@@ -277,7 +314,7 @@
 		return
 	}
 	whole := !slices.ContainsFunc(head.list, func(id shedkeel.InstanceID) bool {
-		member := fleet.servers[id]
+		member := fleet.reached(id)
 		return member.diedAt != 0 || member.Member == nil || member.Member.Epoch != head.Member.Epoch
 	})
 	switch {
@@ -296,7 +333,7 @@
 	for _, action := range actions {
 		fleet.orders[action.Order.Kind]++
 		fleet.checkOrder(action.Order)
-		server := fleet.servers[action.Order.To]
+		server := fleet.reached(action.Order.To)
 		switch {
 		case server.diedAt != 0, fleet.now < server.mute, server.cutOff(fleet.now):
 			planner.Unanswered(action.Order, fleet.now)
--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -102,6 +102,66 @@
 	}
 }
 
+// TestRulesHoldWhileServersStartAgain has servers start again under their names
+// while orders are lost or carried out late, some by the next start of the server
+// that they were meant for, and planners change.
+func TestRulesHoldWhileServersStartAgain(t *testing.T) {
+	t.Parallel()
+	for seed := range 60 {
+		fleet := newFakeFleet(uint64(seed), 6, 8)
+		planner := newPlanner(1)
+		fleet.lag = seed % 4
+		fleet.play(planner, 30*time.Second, false)
+		for round := range 12 {
+			fleet.loses = []float64{0, 0.3}[round%2]
+			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
+			for range 3 {
+				if living := fleet.living(); len(living) > 0 {
+					fleet.restart(living[fleet.random.IntN(len(living))])
+				}
+			}
+			if round%4 == 3 {
+				planner = fleet.mishap(planner, 3)
+			}
+		}
+		fleet.loses = 0
+		fleet.play(planner, time.Minute, true)
+		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
+		serving := fleet.serving()
+		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+	}
+}
+
+// living returns the servers that live, by name.
+func (fleet *fakeFleet) living() []shedkeel.InstanceID {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(fleet.servers)), func(id shedkeel.InstanceID) bool { return fleet.servers[id].diedAt != 0 })
+}
+
+// TestHeadThatStartsAgain covers the head of an open group that starts again
+// under its name. Taken for the same server, its group was left alone for six
+// seconds as one whose member is only not listed, and the members were held for
+// twenty: a head that is out of reach may serve. One that has started again
+// can't.
+func TestHeadThatStartsAgain(t *testing.T) {
+	t.Parallel()
+	for name, rank := range map[string]int{"head": 0, "member": 1} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFakeFleet(3, 1, 8)
+			planner := newPlanner(1)
+			fleet.play(planner, time.Minute, false)
+			whole := fleet.serving()
+			for _, id := range fleet.living() {
+				if member := fleet.servers[id].Member; member != nil && member.Rank == rank && ModelOf(member.Group) == "large" {
+					fleet.restart(id)
+				}
+			}
+			fleet.play(planner, 3*time.Second, true)
+			assert.DeepEqual(t, fleet.serving(), whole)
+			assert.Equal(t, len(fleet.broken), 0, "%v", fleet.broken)
+		})
+	}
+}
+
 // TestWarmSparesJoinFast has a member of each group die in turn: with a spare
 // that waits as a standby the group stands again before a cold one had even
 // warmed up.
--- a/formation/forget_test.go
+++ b/formation/forget_test.go
@@ -31,7 +31,7 @@
 	}
 	const most = 10 // formations in forgetTime, and those that end it
 	sizes := map[string]int{
-		"heads": len(planner.heads), "headless": len(planner.headless), "left": len(planner.left),
+		"placed": len(planner.placed), "headless": len(planner.headless), "left": len(planner.left),
 		"absent": len(planner.absent), "told": len(planner.told), "sent": len(planner.sent), "warmed": len(planner.warmed),
 	}
 	for name, size := range sizes {
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -153,8 +153,8 @@
 	if intact || round.input.Stalled[assignment] || !round.usable(group.head()) || group.headState() != shedkeel.MemberOpen {
 		return false
 	}
-	for _, member := range group.members {
-		if member != nil && !round.usable(member) {
+	for rank, member := range group.members {
+		if member != nil && !round.usable(member) || member == nil && round.startedAgain(round.planner.placed[assignment][rank]) {
 			return false
 		}
 	}
@@ -258,6 +258,9 @@
 	if round.usable(group.head()) {
 		return group.headState() != shedkeel.MemberBroken
 	}
+	if round.startedAgain(round.planner.placed[group.assignment()][0]) {
+		return false
+	}
 	return round.input.Now-round.headlessSince(group.assignment()) < goneTime
 }
 
@@ -268,8 +271,11 @@
 	if round.planner.left[former] {
 		return false
 	}
-	head := round.byID[round.planner.heads[former]]
+	last := round.planner.placed[former][0]
+	head := round.byID[last]
 	switch {
+	case head == nil && round.startedAgain(last):
+		return false // it knows nothing of the formation
 	case head != nil && (head.Member == nil || head.Member.Assignment() != former):
 		return false // it has gone on to something else
 	case round.usable(head):
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -84,16 +84,16 @@
 	newest   map[shedkeel.DomainID]time.Duration   // when the last one entered
 	sent     map[orderKey]time.Duration
 	forming  map[shedkeel.GroupID]*formingGroup
-	told     map[shedkeel.Assignment]time.Duration       // when a listed server told of it last
-	headless map[shedkeel.Assignment]time.Duration       // head missing since
-	heads    map[shedkeel.Assignment]shedkeel.InstanceID // who the head was when last seen
-	left     map[shedkeel.Assignment]bool                // their heads have confirmed that they left
-	absent   map[shedkeel.Assignment]time.Duration       // a member missing since
-	loads    []time.Duration                             // when load orders were given
-	loading  map[shedkeel.InstanceID]loading             // ordered to load onto the host
-	silent   map[shedkeel.InstanceID]int                 // orders in a row without an answer
-	passed   map[shedkeel.InstanceID]time.Duration       // passed over until then
-	warmed   map[shedkeel.InstanceID]time.Duration       // spares ordered to wait as standbys, and when
+	told     map[shedkeel.Assignment]time.Duration               // when a listed server told of it last
+	headless map[shedkeel.Assignment]time.Duration               // head missing since
+	placed   map[shedkeel.Assignment]map[int]shedkeel.InstanceID // who the members were when last seen, by rank
+	left     map[shedkeel.Assignment]bool                        // their heads have confirmed that they left
+	absent   map[shedkeel.Assignment]time.Duration               // a member missing since
+	loads    []time.Duration                                     // when load orders were given
+	loading  map[shedkeel.InstanceID]loading                     // ordered to load onto the host
+	silent   map[shedkeel.InstanceID]int                         // orders in a row without an answer
+	passed   map[shedkeel.InstanceID]time.Duration               // passed over until then
+	warmed   map[shedkeel.InstanceID]time.Duration               // spares ordered to wait as standbys, and when
 	indexes  int
 	// A model that has too many groups gives some up, a domain at a time.
 	yieldings  map[shedkeel.DomainID]*yielding
@@ -230,7 +230,7 @@
 		planner.forming = map[shedkeel.GroupID]*formingGroup{}
 		planner.told = map[shedkeel.Assignment]time.Duration{}
 		planner.headless = map[shedkeel.Assignment]time.Duration{}
-		planner.heads = map[shedkeel.Assignment]shedkeel.InstanceID{}
+		planner.placed = map[shedkeel.Assignment]map[int]shedkeel.InstanceID{}
 		planner.left = map[shedkeel.Assignment]bool{}
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.silent = map[shedkeel.InstanceID]int{}
@@ -265,7 +265,7 @@
 			continue
 		}
 		delete(planner.told, assignment)
-		delete(planner.heads, assignment)
+		delete(planner.placed, assignment)
 		delete(planner.headless, assignment)
 		delete(planner.left, assignment)
 		delete(planner.givenUp, assignment)
--- a/formation/round.go
+++ b/formation/round.go
@@ -15,6 +15,7 @@
 	shares   map[shedkeel.ModelID]float64 // of the work, as boxes do it
 	giver    shedkeel.ModelID             // has more groups than its work needs, and gets no new ones; "": none
 	byID     map[shedkeel.InstanceID]*shedkeel.Instance
+	starts   map[shedkeel.ServerID]shedkeel.InstanceID // the listed start of each server
 	byDomain map[shedkeel.DomainID][]*shedkeel.Instance
 	domains  []shedkeel.DomainID // by name
 	groups   []*observed
@@ -27,9 +28,11 @@
 // index sorts the backend servers by name and by domain.
 func (round *round) index() {
 	round.byDomain = map[shedkeel.DomainID][]*shedkeel.Instance{}
+	round.starts = map[shedkeel.ServerID]shedkeel.InstanceID{}
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
 		round.byID[instance.ID] = instance
+		round.starts[instance.ID.Server()] = instance.ID
 		round.byDomain[instance.Domain] = append(round.byDomain[instance.Domain], instance)
 	}
 	round.domains = slices.Sorted(maps.Keys(round.byDomain))
@@ -86,9 +89,7 @@
 		}
 		round.planner.told[instance.Member.Assignment()] = round.input.Now
 		group.epoch = epochs[group.id]
-		if instance.Member.Rank == 0 {
-			round.planner.heads[instance.Member.Assignment()] = instance.ID
-		}
+		round.place(instance)
 	}
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
@@ -107,6 +108,22 @@
 	slices.SortFunc(round.groups, func(a, b *observed) int { return cmp.Compare(a.id, b.id) })
 }
 
+// place remembers who holds a rank of a formation.
+func (round *round) place(instance *shedkeel.Instance) {
+	assignment := instance.Member.Assignment()
+	if round.planner.placed[assignment] == nil {
+		round.planner.placed[assignment] = map[int]shedkeel.InstanceID{}
+	}
+	round.planner.placed[assignment][instance.Member.Rank] = instance.ID
+}
+
+// startedAgain reports whether the server of an instance is listed with a later
+// start: the instance itself is gone for good, whatever it last said.
+func (round *round) startedAgain(id shedkeel.InstanceID) bool {
+	now, listed := round.starts[id.Server()]
+	return listed && now.Born() > id.Born()
+}
+
 // modelOf returns the model that a group's name tells, or nil.
 func (round *round) modelOf(id shedkeel.GroupID) *shedkeel.Model {
 	name, _ := parseGroup(id)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -72,7 +72,7 @@
 	}
 	world.configure(1, `"key-1","key-2"`)
 	for index := range 8 {
-		world.serve(&platformstandin.Server{ID: fmt.Sprint("engine-", index), Service: "llm", Domain: fmt.Sprint("rack-", index/4)})
+		world.serve(&platformstandin.Server{ID: fmt.Sprint("engine-", index), Service: "llm", Domain: fmt.Sprint("rack-", index/4), Born: 1000})
 	}
 	for index := range 2 {
 		world.serve(&platformstandin.Server{ID: fmt.Sprint("plain-", index), Service: "plain"})
@@ -230,6 +230,8 @@
 	assert.Equal(t, status, 404)
 
 	world.loseMember()
+	world.startAgain()
+	world.spoilRecords()
 	world.removeKey()
 	world.loseStore()
 	world.stopNode()
@@ -284,6 +286,43 @@
 	world.eventually("the groups are whole again", func() bool { return len(world.fleet.Serving()["m0"]) >= len(heads) })
 }
 
+// startAgain has a member of each group start again under its name while streams
+// run: it is in no group any more, and no stream may be taken for whole by it.
+func (world *world) startAgain() {
+	heads := world.fleet.Serving()["m0"]
+	var calls sync.WaitGroup
+	results := make([]string, 12)
+	for index := range results {
+		calls.Go(func() {
+			status, body := world.send(world.nodes[index%3].callers, fmt.Sprint("again-", index), "/copy/a", "key-1", 200)
+			results[index] = fmt.Sprint(status, " ", body)
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	for _, head := range heads[1:] {
+		world.fleet.Restart(head.Members()[1])
+	}
+	calls.Wait()
+	for index, result := range results {
+		assert.Equal(world.t, result, "200 "+wholeStream(40), "stream %d", index)
+	}
+	world.eventually("the groups are whole again", func() bool { return len(world.fleet.Serving()["m0"]) >= len(heads) })
+	assert.Equal(world.t, len(world.fleet.Broken()), 0, "%v", world.fleet.Broken())
+}
+
+// spoilRecords has another writer add records that name no server: the others
+// serve on.
+func (world *world) spoilRecords() {
+	for index, value := range []string{"", "\x00\x01", "null", "[]", `{"service":"plain"}`, `{"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"resting","cold_remaining_ms":0,"seq":1}`} {
+		_, err := world.data.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: fmt.Sprint("servers/odd-", index), Value: []byte(value)}}})
+		assert.NilError(world.t, err)
+	}
+	for index := range 30 {
+		status, body := world.send(world.nodes[index%3].callers, fmt.Sprint("odd-", index), "/look/x", "key-2", 0)
+		assert.Equal(world.t, status, 200, "%s", body)
+	}
+}
+
 // removeKey removes a key: no node may accept it any more.
 func (world *world) removeKey() {
 	world.configure(2, `"key-2"`)
--- a/node/paces.go
+++ b/node/paces.go
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), paceTimeout)
 	defer cancel()
 	report, err := paces.controller.node.Engines.Report(ctx, instance.Address)
-	if err != nil {
+	if err != nil || !report.From(instance.ID) {
 		return // probes find out whether it lives, once its group is silent
 	}
 	paces.take(instance.ID, report.Pace)
--- a/node/prober.go
+++ b/node/prober.go
@@ -32,6 +32,10 @@
 // or too slow.
 var errUnsure = errors.New("the probe proves nothing")
 
+// errStartedAgain says that the server that answers is not the start of it that
+// was asked for, which is gone.
+var errStartedAgain = errors.New("the server has started again and knows nothing of before")
+
 // prober finds out whether servers live. Its exported fields are set before
 // its first use.
 type prober struct {
@@ -45,12 +49,15 @@
 // probe returns nil if the server answers, errUnsure if nothing can be said,
 // or why it counts as dead. Others are addresses of servers that may be asked
 // whether this node reaches any.
-func (prober *prober) probe(ctx context.Context, address string, others []string) error {
+func (prober *prober) probe(ctx context.Context, instance shedkeel.Instance, others []string) error {
 	prober.once.Do(func() { prober.slots = make(chan struct{}, probesAtOnce) })
 	prober.slots <- struct{}{}
 	defer func() { <-prober.slots }()
 	began := prober.Timers.Now()
-	err := prober.ask(ctx, address)
+	report, err := prober.ask(ctx, instance.Address)
+	if err == nil && !report.From(instance.ID) {
+		return errStartedAgain
+	}
 	if err == nil {
 		return nil
 	}
@@ -60,13 +67,19 @@
 	return err
 }
 
+// probeAnswer is what became of one question of a probe.
+type probeAnswer struct {
+	report shedkeel.EngineReport
+	err    error
+}
+
 // ask probes twice, the second time beside a first one that is not answered at
 // once.
-func (prober *prober) ask(ctx context.Context, address string) error {
+func (prober *prober) ask(ctx context.Context, address string) (shedkeel.EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	const tries = 2
-	answers := make(chan error, tries)
+	answers := make(chan probeAnswer, tries)
 	go prober.runAsk(ctx, address, answers)
 	var second <-chan time.Time
 	timer := time.NewTimer(probeSecond)
@@ -79,19 +92,20 @@
 			second = nil
 			waiting++
 			go prober.runAsk(ctx, address, answers)
-		case err = <-answers:
+		case answer := <-answers:
 			waiting--
+			err = answer.err
 			if err == nil {
-				return nil
+				return answer.report, nil
 			}
 		}
 	}
-	return err
+	return shedkeel.EngineReport{}, err
 }
 
-func (prober *prober) runAsk(ctx context.Context, address string, answers chan<- error) {
-	_, err := prober.Engines.Report(ctx, address)
-	answers <- err
+func (prober *prober) runAsk(ctx context.Context, address string, answers chan<- probeAnswer) {
+	report, err := prober.Engines.Report(ctx, address)
+	answers <- probeAnswer{report: report, err: err}
 }
 
 // reachesAny reports whether one of some of the other servers answers.
@@ -99,12 +113,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	asked := min(witnesses, len(others))
-	answers := make(chan error, asked)
+	answers := make(chan probeAnswer, asked)
 	for _, index := range rand.Perm(len(others))[:asked] {
 		go prober.runAsk(ctx, others[index], answers)
 	}
 	for range asked {
-		if err := <-answers; err == nil {
+		if answer := <-answers; answer.err == nil {
 			return true
 		}
 	}
--- a/node/prober_test.go
+++ b/node/prober_test.go
@@ -17,7 +17,8 @@
 type answering struct {
 	shedkeel.GroupEngines
 	up    map[string]bool
-	slow  time.Duration // that this node takes for each answer
+	born  map[string]int64 // what a server tells of its start
+	slow  time.Duration    // that this node takes for each answer
 	asked atomic.Int64
 }
 
@@ -28,12 +29,14 @@
 		time.Sleep(answering.slow)
 		return shedkeel.EngineReport{}, ctx.Err()
 	}
-	return shedkeel.EngineReport{}, nil
+	return shedkeel.EngineReport{Born: answering.born[address]}, nil
 }
 
 func TestProbe(t *testing.T) {
 	cases := map[string]struct {
 		up     []string
+		id     shedkeel.InstanceID
+		born   int64
 		slow   time.Duration
 		dead   bool
 		unsure bool
@@ -41,16 +44,20 @@
 		"it answers":                           {up: []string{"a", "b"}},
 		"it is silent and another answers":     {up: []string{"b"}, dead: true},
 		"nobody answers: this node is cut off": {dead: true, unsure: true},
+		"it answers, from the same start":      {up: []string{"a", "b"}, id: shedkeel.NewInstanceID("s", 7), born: 7},
+		"it has started again":                 {up: []string{"a"}, id: shedkeel.NewInstanceID("s", 7), born: 8, dead: true},
+		"only its record tells of a start":     {up: []string{"a"}, id: shedkeel.NewInstanceID("s", 7)},
+		"only its answer tells of a start":     {up: []string{"a"}, id: "s", born: 8},
 		"this node is slow itself":             {up: []string{"b"}, slow: 2 * probeLate, dead: true, unsure: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			engines := &answering{up: map[string]bool{}, slow: test.slow}
+			engines := &answering{up: map[string]bool{}, born: map[string]int64{"a": test.born}, slow: test.slow}
 			for _, address := range test.up {
 				engines.up[address] = true
 			}
 			prober := &prober{Engines: engines, Timers: &timer.System{}}
-			err := prober.probe(t.Context(), "a", []string{"b", "c"})
+			err := prober.probe(t.Context(), shedkeel.Instance{ID: test.id, Address: "a"}, []string{"b", "c"})
 			assert.Equal(t, err != nil, test.dead)
 			assert.Equal(t, errors.Is(err, errUnsure), test.unsure)
 			if !test.dead {
--- a/node/probes.go
+++ b/node/probes.go
@@ -93,7 +93,7 @@
 
 // runProbe finds out whether a member answers.
 func (controller *controller) runProbe(ctx context.Context, instance shedkeel.Instance, others []string) {
-	err := controller.prober.probe(ctx, instance.Address, others)
+	err := controller.prober.probe(ctx, instance, others)
 	controller.probed(instance, err)
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
