--- a/interfaces.go
+++ b/interfaces.go
@@ -38,6 +38,15 @@
 	Remove []string
 }
 
+// Changes are what changed below a prefix after a revision.
+type Changes struct {
+	Records []Record
+	At      int64 // the revision to go on from
+	// More says that the answer was full: later changes may stand at the service
+	// already, so the answer does not prove that At is the newest revision.
+	More bool
+}
+
 // RecordSource is where records are followed: the key-value service itself.
 type RecordSource interface {
 	// List returns all records below the prefix and the revision from which
@@ -45,7 +54,7 @@
 	List(ctx context.Context, prefix string) ([]Record, int64, error)
 	// Changes waits for changes after a revision. It returns a
 	// HistoryGoneError when they can no longer be told.
-	Changes(ctx context.Context, prefix string, since int64, wait time.Duration) ([]Record, int64, error)
+	Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (Changes, error)
 	// GetStale reads one key, as it was up to some seconds ago. It costs the
 	// service a tenth of another read.
 	GetStale(ctx context.Context, key string) (Record, error)
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -29,11 +29,14 @@
 	// proofWait is how long a watch waits that is to prove the age of a copy
 	// that has become stale.
 	proofWait = 50 * time.Millisecond
-	// gatherEach and minGather are how long changes are let gather after some
-	// have come: each answer costs a call, and the more records there are, the
-	// more often one changes. 260 records let them gather for 0.1 s.
+	// gatherEach, minGather and maxGather are how long changes are let gather after
+	// some have come: each answer costs a call, and the more records there are, the
+	// more often one changes. 260 records let them gather for 0.1 s. Among 3,300
+	// records of 300 boxes a change of the configuration would wait 1.3 s by that,
+	// of the 3 s in which it must be in force.
 	gatherEach = 400 * time.Microsecond
 	minGather  = 25 * time.Millisecond
+	maxGather  = 250 * time.Millisecond
 	// askEach is how long after the question of one process to the service
 	// the next one's may come on average, when many have nobody to follow:
 	// without a bound, 79 of them cost 200 calls a second in an outage.
@@ -114,7 +117,7 @@
 			timer.Sleep(ctx, follower.askPause(state))
 			continue
 		}
-		err := follower.askSource(ctx, state)
+		more, err := follower.askSource(ctx, state)
 		follower.outage.take(err)
 		follower.note(ctx, err)
 		if err != nil {
@@ -128,10 +131,10 @@
 			continue
 		}
 		failPause = retryPause
-		if follower.Mirror.State().At == state.At {
+		if more || follower.Mirror.State().At == state.At {
 			continue
 		}
-		pause := max(minGather, time.Duration(follower.Mirror.Len())*gatherEach)
+		pause := gatherPause(follower.Mirror.Len())
 		if follower.Timers.Now()-started < startTime {
 			pause = startPause
 		}
@@ -139,6 +142,11 @@
 	}
 }
 
+// gatherPause is how long the changes of so many records are let gather.
+func gatherPause(records int) time.Duration {
+	return min(max(minGather, time.Duration(records)*gatherEach), maxGather)
+}
+
 func (follower *Follower) fresh(state State) bool {
 	return state.Known && follower.Timers.Now()-state.AsOf < follower.staleAge()
 }
@@ -194,27 +202,37 @@
 	return time.Duration(follower.draw(uint64(2 * askEach * time.Duration(processes))))
 }
 
-func (follower *Follower) askSource(ctx context.Context, state State) error {
+// askSource asks the service once. It reports whether the answer was full, so
+// that the next question must come at once: an answer holds some hundred
+// changes, and 3,000 servers of 300 boxes make more of them in a second.
+func (follower *Follower) askSource(ctx context.Context, state State) (more bool, err error) {
 	sent := follower.Timers.Now()
 	if !state.Known {
 		follower.outage.ask(sent, 0)
-		return follower.list(ctx, sent)
+		return false, follower.list(ctx, sent)
 	}
 	wait := watchWait
 	if sent-state.AsOf > follower.staleAge() {
 		wait = proofWait // prove the age first, then wait for changes
 	}
 	follower.outage.ask(sent, wait)
-	records, at, err := follower.Source.Changes(ctx, "", state.At, wait)
+	changes, err := follower.Source.Changes(ctx, "", state.At, wait)
 	var gone *shedkeel.HistoryGoneError
 	if errors.As(err, &gone) {
-		return follower.list(ctx, sent)
+		return false, follower.list(ctx, sent)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
-	follower.Mirror.Apply(Update{Records: records, At: at, AsOf: sent})
-	return nil
+	update := Update{Records: changes.Records, At: changes.At, AsOf: sent}
+	if changes.More {
+		// What the service held when it was asked may not all be here. Taken for a
+		// proof, a copy that was 8 s behind counted as fresh, and routes that had
+		// been added were refused by it.
+		update.AsOf = 0
+	}
+	follower.Mirror.Apply(update)
+	return changes.More, nil
 }
 
 func (follower *Follower) list(ctx context.Context, sent time.Duration) error {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -126,6 +126,7 @@
 	mutex sync.Mutex
 	fails error
 	calls int
+	most  int // records of an answer; 0: all
 }
 
 func (source *source) enter() error {
@@ -155,11 +156,15 @@
 	return records, at, nil
 }
 
-func (source *source) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) ([]shedkeel.Record, int64, error) {
+func (source *source) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (shedkeel.Changes, error) {
 	if err := source.enter(); err != nil {
-		return nil, 0, err
+		return shedkeel.Changes{}, err
+	}
+	records, at, err := source.Store.Changes(ctx, prefix, since, wait)
+	if most := source.most; most > 0 && len(records) > most {
+		return shedkeel.Changes{Records: records[:most], At: records[most-1].Revision, More: true}, err
 	}
-	return source.Store.Changes(ctx, prefix, since, wait)
+	return shedkeel.Changes{Records: records, At: at}, err
 }
 
 func (source *source) GetStale(_ context.Context, key string) (shedkeel.Record, error) {
@@ -357,3 +362,53 @@
 	cancel()
 	running.Wait()
 }
+
+// TestCopyKeepsUpWithManyChanges has the records of 3,000 servers change while
+// an answer holds 50: the copy must be whole within the time that one round of
+// changes may gather, and never count as fresh before it is. With a pause after
+// each answer, a change of the configuration came 8 s late, and the copy counted
+// as fresh all the while.
+func TestCopyKeepsUpWithManyChanges(t *testing.T) {
+	store := standin.NewStore()
+	from := &source{Store: store, most: 50}
+	clock := &timer.System{}
+	own := &Mirror{}
+	follower := &Follower{Mirror: own, Source: from, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return nil }, Processes: func() int { return 1 }, Random: rand.NewPCG(1, 2)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	eventually(t, "the first copy", func() bool { return own.State().Known })
+	const servers = 3000
+	began := clock.Now()
+	for index := range servers {
+		_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: fmt.Sprint("servers/", index), Value: []byte("v")}}})
+		assert.NilError(t, err)
+	}
+	last, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "config", Value: []byte("v")}}})
+	assert.NilError(t, err)
+	written := clock.Now()
+	for own.State().At < last {
+		state := own.State()
+		assert.Assert(t, state.At >= last || state.AsOf <= written, "a copy %d changes behind counts as fresh", last-state.At)
+		assert.Assert(t, clock.Now()-began < 5*time.Second, "the copy is %d changes behind", last-state.At)
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, clock.Now()-written < startPause+maxGather+250*time.Millisecond, "it took %s", clock.Now()-written)
+	cancel()
+	running.Wait()
+}
+
+func TestGatherPause(t *testing.T) {
+	for name, test := range map[string]struct {
+		records int
+		pause   time.Duration
+	}{
+		"few records":   {10, minGather},
+		"260 records":   {260, 104 * time.Millisecond},
+		"3,300 records": {3300, maxGather},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, gatherPause(test.records), test.pause)
+		})
+	}
+}
--- a/mirror/start_test.go
+++ b/mirror/start_test.go
@@ -42,9 +42,9 @@
 	return []shedkeel.Record{record("a", 7)}, 7, nil
 }
 
-func (link *link) Changes(ctx context.Context, _ string, since int64, wait time.Duration) ([]shedkeel.Record, int64, error) {
+func (link *link) Changes(ctx context.Context, _ string, since int64, wait time.Duration) (shedkeel.Changes, error) {
 	timer.Sleep(ctx, wait)
-	return nil, since, nil
+	return shedkeel.Changes{At: since}, nil
 }
 
 func (link *link) GetStale(ctx context.Context, key string) (shedkeel.Record, error) {
