Spares are rounded down: no room is lost between groups and spares

Cause: an eighth of 27 servers, rounded up, is four; groups of 12 and 6 need 24, so each domain of the shifted deployment had nine idle servers, 54 of 162, before any loss.

Change: an eighth, rounded down, one at least; what makes no whole group stays free besides. Domains of 8, 19 and 37 in groups of 4 and 2, 8 and 4, 16 and 8 form the same groups as before.

Tests: TestNoRoomIsLostBetweenGroupsAndSpares (failed before: 18 of 27 used), TestLeastSpares.

--- a/formation/form.go
+++ b/formation/form.go
@@ -230,9 +230,17 @@
 	return place, least < math.MaxInt
 }
 
+// leastSpares returns how many of the servers of a domain are kept free at least.
+// More stay free where they make no whole group: rounded up, an eighth of 27
+// servers in groups of 12 and 6 left nine of them free, and nothing for the fourth
+// group.
+func leastSpares(servers int) int {
+	return max(int(float64(servers)*spareShare), min(servers, 1))
+}
+
 // sparesOf returns how many servers of a domain are kept free.
 func (round *round) sparesOf(domain shedkeel.DomainID) int {
-	return int(math.Ceil(float64(len(round.byDomain[domain])) * spareShare))
+	return leastSpares(len(round.byDomain[domain]))
 }
 
 // shortNeed is how many times more than another model a model must need a
--- /dev/null
+++ b/formation/spares_test.go
@@ -0,0 +1,37 @@
+package formation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+func TestLeastSpares(t *testing.T) {
+	for name, test := range map[string]struct{ servers, spares int }{
+		"nobody":           {0, 0},
+		"one":              {1, 1},
+		"fewer than eight": {6, 1},
+		"eight":            {8, 1},
+		"19":               {19, 2},
+		"27":               {27, 3},
+		"37":               {37, 4},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, leastSpares(test.servers), test.spares) })
+	}
+}
+
+// TestNoRoomIsLostBetweenGroupsAndSpares covers domains of 27 servers with groups
+// of 12 and 6: with an eighth rounded up nine of each stayed free, a third.
+func TestNoRoomIsLostBetweenGroupsAndSpares(t *testing.T) {
+	t.Parallel()
+	fleet := newFakeFleet(1, 3, 27)
+	fleet.engine.Models[0].Size, fleet.engine.Models[1].Size = 12, 6
+	fleet.engine.Models[0].Share, fleet.engine.Models[1].Share = 0.5, 0.5
+	fleet.play(newPlanner(1), 30*time.Second, false)
+	serving := fleet.serving()
+	assert.Equal(t, 12*serving["large"]+6*serving["small"], 3*24, "%v", serving)
+	assert.DeepEqual(t, serving, map[shedkeel.ModelID]int{"large": 3, "small": 6})
+}
