A server is ordered into one group a planning

Its own group's head had started again, so it was free, and a group whose turn came first took it as a substitute; then its own was formed anew with it as a survivor. The same could happen to members of a group that was broken or had left.

Change: what a planning gives to a formation is no survivor for another one in it.

--- a/formation/mend.go
+++ b/formation/mend.go
@@ -198,8 +198,10 @@
 	round.give(shedkeel.GroupOrder{Kind: kind, To: group.head().ID, Group: group.id, Epoch: group.epoch}, reason)
 }
 
-// survivors returns the usable members, the head first if it is one of them. A
-// list that lags still tells of members that have been ordered into another
+// survivors returns the usable members, the head first if it is one of them, but
+// for those that another formation has got, by this planning too: a member whose
+// head had started again was free, became a substitute of one group, and was
+// ordered into its own, formed anew, in the same moment. A list that lags still tells of members that have been ordered into another
 // formation: taken for free, they were ordered into a third one, and an order of
 // it that was carried out late took a server out of the second while it served.
 func (round *round) survivors(group *observed) []*shedkeel.Instance {
@@ -318,6 +320,7 @@
 	for _, member := range members {
 		forming.members = append(forming.members, member.ID)
 		round.used[member.ID] = true
+		round.promised[member.ID] = true
 		if !member.HasStaged(model.ID) && !slices.Contains(member.Models, model.ID) {
 			round.planner.loads = append(round.planner.loads, round.input.Now)
 		}
