A domain without any group may have one of a model that others need more

Change: where no group stands in a domain, what is left is not kept for a model that needs it more. Elsewhere it stays so: forming small groups of what a large one will need when its servers are back moved groups for losses (TestLossesMoveNoGroups failed in a first try).

--- a/formation/form.go
+++ b/formation/form.go
@@ -192,11 +192,11 @@
 	for index := range round.input.Engine.Models {
 		model := &round.input.Engine.Models[index]
 		need := round.need(model, counts)
-		domain, found := round.roomFor(model, pick, round.lacksGroups(model, counts))
 		if model.ID == round.giver && counts[model.ID] >= minGroups {
 			continue
 		}
-		if !found || counts[model.ID] >= minGroups && need < enough*neediest {
+		domain, found := round.roomFor(model, pick, round.lacksGroups(model, counts), counts[model.ID] >= minGroups && need < enough*neediest)
+		if !found {
 			continue
 		}
 		if need > most {
@@ -224,7 +224,11 @@
 // roomFor returns the settled domain with the fewest free backend servers that
 // still keeps its spares after a new group of the model. Small groups so leave
 // the room that larger ones need.
-func (round *round) roomFor(model *shedkeel.Model, pick picker, useSpares bool) (shedkeel.DomainID, bool) {
+//
+// What a model that others need more may have are the domains where no group
+// stands: kept for a model that had lost its groups everywhere, and had no room
+// there, three servers of a domain served nobody for as long as none came.
+func (round *round) roomFor(model *shedkeel.Model, pick picker, useSpares, onlyEmpty bool) (shedkeel.DomainID, bool) {
 	least := math.MaxInt
 	var place shedkeel.DomainID
 	for _, domain := range round.domains {
@@ -232,7 +236,11 @@
 			continue
 		}
 		spares := round.sparesOf(domain)
-		if useSpares || !round.hasGroups(domain) {
+		empty := !round.hasGroups(domain)
+		if onlyEmpty && !empty {
+			continue
+		}
+		if useSpares || empty {
 			spares = 0 // better one group than none
 		}
 		room := len(round.free(domain)) - model.Size - spares
