What the planner waits for: each reason with a bound, a count and a line

Cause: a planner that stopped said nothing of why; it was found by a dump made for it.

Change: each reason for which the planner waits (joins, probes, members that are not listed, heads out of reach, groups that finish, unanswered orders, loads, places for loads) is noted with when it began and how long it may last; shedkeel explain tells those of a group, a gauge counts them, and event 653 tells those that last for too long.

--- a/formation/mend.go
+++ b/formation/mend.go
@@ -18,6 +18,9 @@
 			round.used[member] = true
 			round.promised[member] = true
 		}
+		if model := round.input.Engine.Model(forming.model); model != nil {
+			round.wait(Wait{Group: id, Domain: DomainOf(id), Reason: WaitJoin, Bound: joinTime(model)})
+		}
 		for place, member := range forming.members {
 			if place > 0 && !forming.headDone {
 				break
@@ -121,15 +124,19 @@
 		}
 	case intact && state == shedkeel.MemberClosing:
 		round.hold(group)
+		round.waitFor(group, WaitDrained, drainTime)
 	case intact && !draining && state == shedkeel.MemberReady && allReady(group):
 		round.hold(group)
 		round.giveHead(group, shedkeel.OrderOpen, "all members are ready")
 	case intact && !draining && someJoining(group):
 		round.hold(group)
+		round.waitFor(group, WaitJoin, joinTime(group.model))
 	case round.isProbed(group):
 		round.hold(group) // until it is known who of them is lost
+		round.waitFor(group, WaitProbe, probeTime)
 	case round.worksOn(group, intact):
 		round.hold(group)
+		round.waitFor(group, WaitListed, absentTime+drainTime)
 	default:
 		round.repair(group)
 	}
@@ -244,11 +251,13 @@
 		// Its members are free.
 	case round.awaitsProbes(group.domain):
 		round.hold(group) // a substitute may be among them
+		round.waitFor(group, WaitProbe, probeTime)
 	case round.usable(group.head()):
 		round.hold(group)
 		round.giveHead(group, shedkeel.OrderLeave, "a member is lost and there is no substitute")
 	default:
 		round.hold(group)
+		round.waitFor(group, WaitHead, goneTime)
 	}
 }
 
--- a/formation/names.go
+++ b/formation/names.go
@@ -28,6 +28,12 @@
 	return shedkeel.ModelID(parts[0]), shedkeel.DomainID(parts[1])
 }
 
+// DomainOf returns the domain that a group's name tells, or "" if it is foreign.
+func DomainOf(id shedkeel.GroupID) shedkeel.DomainID {
+	_, domain := parseGroup(id)
+	return domain
+}
+
 // standbyPart stands in the names of standbys, which parseGroup takes for
 // foreign.
 const standbyPart = "standby"
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -101,6 +101,7 @@
 	unbalanced time.Duration                // since when one has too many; 0: none has
 	yielded    time.Duration                // when the last one was given up; 0: never
 	last       *round                       // the latest planning, for Usage
+	waits      map[waitKey]Wait             // of the latest planning
 }
 
 // loading is a load onto a host that was ordered.
@@ -134,7 +135,7 @@
 // Plan returns the orders to give now.
 func (planner *Planner) Plan(input Input) []Action {
 	planner.begin(input)
-	round := &round{planner: planner, input: input, byID: map[shedkeel.InstanceID]*shedkeel.Instance{}, used: map[shedkeel.InstanceID]bool{}, promised: map[shedkeel.InstanceID]bool{}}
+	round := &round{planner: planner, input: input, byID: map[shedkeel.InstanceID]*shedkeel.Instance{}, used: map[shedkeel.InstanceID]bool{}, promised: map[shedkeel.InstanceID]bool{}, waits: map[waitKey]Wait{}}
 	round.shares = shares(input.Engine, input.Demand)
 	round.index()
 	round.observe()
@@ -144,7 +145,8 @@
 	round.formNew()
 	round.stageSpares()
 	round.warmSpares()
-	planner.last = round
+	round.waitForServers()
+	planner.last, planner.waits = round, round.waits
 	return round.actions
 }
 
--- a/formation/round.go
+++ b/formation/round.go
@@ -23,6 +23,7 @@
 	used     map[shedkeel.InstanceID]bool   // in a group, forming or held back
 	promised map[shedkeel.InstanceID]bool   // to a formation that is not open yet
 	actions  []Action
+	waits    map[waitKey]Wait
 }
 
 // index sorts the backend servers by name and by domain.
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"shedkeel.org/shedkeel"
 )
@@ -137,6 +138,17 @@
 	return float64(len(round.planner.loads)) < engine.LoadsPerSecond*loadWindow.Seconds()
 }
 
+// loadBound is how long a domain may wait until one of its servers may load: as
+// long as all other servers take, with as many at once as may run.
+func (round *round) loadBound() time.Duration {
+	longest := time.Duration(0)
+	for index := range round.input.Engine.Models {
+		longest = max(longest, round.input.Engine.Models[index].Load)
+	}
+	rounds := 1 + len(round.input.Instances)/max(round.input.Engine.LoadsAtOnce, 1)
+	return time.Duration(slowLoads*rounds) * longest
+}
+
 // loadsUnderWay returns how many of the loads that were ordered may be running.
 // A server that is lost loads nothing: where its order counted for ever, a
 // planner that had ordered as many loads as may run at once from servers that
@@ -168,6 +180,7 @@
 		return
 	}
 	if !round.mayLoad() {
+		round.wait(Wait{Domain: instance.Domain, Reason: WaitLoadPermit, Bound: round.loadBound()})
 		return
 	}
 	round.planner.loads = append(round.planner.loads, round.input.Now)
--- a/node/controller.go
+++ b/node/controller.go
@@ -93,6 +93,7 @@
 	tellUsage := now-controller.told >= usageEvery
 	if tellUsage {
 		controller.told = now
+		controller.tellWaits(now)
 	}
 	controller.probeSuspects(ctx, slices.Concat(slices.Collect(maps.Values(services))...), now)
 	for id, instances := range services {
--- a/node/explain.go
+++ b/node/explain.go
@@ -19,6 +19,7 @@
 	Leader  shedkeel.NodeID   `json:"leader"` // plans it and has given its orders
 	Group   shedkeel.GroupID  `json:"group"`
 	Members []MemberDump      `json:"members"` // listed ones, also of former formations
+	Waits   []WaitDump        `json:"waits"`   // only the leader knows
 	Events  []json.RawMessage `json:"events"`  // lines of this node's log
 }
 
@@ -57,6 +58,7 @@
 		Process: Process, Node: node.Settings.Node, Leader: node.controller.lead().Node, Group: group, Members: node.members(group),
 		Events: []json.RawMessage{},
 	}
+	explanation.Waits = node.controller.waitsOf(group, explanation.Members, node.Timers.Now())
 	for _, line := range node.Log.Recent("group", string(group)) {
 		explanation.Events = append(explanation.Events, bytes.TrimSpace(line))
 	}
--- /dev/null
+++ b/node/waits.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/formation"
+)
+
+// WaitDump is what the planner waits for.
+type WaitDump struct {
+	Group  shedkeel.GroupID     `json:"group,omitempty"`
+	Server shedkeel.InstanceID  `json:"server,omitempty"`
+	Domain shedkeel.DomainID    `json:"domain"`
+	Reason formation.WaitReason `json:"reason"`
+	For    string               `json:"for"`
+	Bound  string               `json:"bound"` // the longest that it should last; 0s: as long as servers lack
+}
+
+// waits returns what this node waits for if it plans.
+func (controller *controller) waits() []formation.Wait {
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	if !controller.leads {
+		return nil
+	}
+	var found []formation.Wait
+	for _, planner := range controller.planners {
+		found = append(found, planner.Waits()...)
+	}
+	return found
+}
+
+// waitsOf returns what is waited for about a group: itself, its domain or its
+// members.
+func (controller *controller) waitsOf(group shedkeel.GroupID, members []MemberDump, now time.Duration) []WaitDump {
+	servers := map[shedkeel.InstanceID]bool{}
+	for _, member := range members {
+		servers[member.Server] = true
+	}
+	found := []WaitDump{}
+	for _, wait := range controller.waits() {
+		ofDomain := wait.Group == "" && wait.Server == "" && wait.Domain == formation.DomainOf(group)
+		if wait.Group == group || servers[wait.Server] || ofDomain {
+			found = append(found, dumpOf(wait, now))
+		}
+	}
+	return found
+}
+
+func dumpOf(wait formation.Wait, now time.Duration) WaitDump {
+	return WaitDump{
+		Group: wait.Group, Server: wait.Server, Domain: wait.Domain, Reason: wait.Reason,
+		For: (now - wait.Since).Round(time.Millisecond).String(), Bound: wait.Bound.String(),
+	}
+}
+
+// tellWaits logs the waits that last for longer than they should.
+func (controller *controller) tellWaits(now time.Duration) {
+	for _, wait := range controller.waits() {
+		if !wait.Overdue(now) {
+			continue
+		}
+		controller.node.Log.Write(event.WaitOverdue, slog.String("group", string(wait.Group)), slog.String("server", string(wait.Server)), slog.String("domain", string(wait.Domain)),
+			slog.String("reason", string(wait.Reason)), slog.Duration("for", now-wait.Since), slog.Duration("bound", wait.Bound))
+	}
+}
--- /dev/null
+++ b/node/waits_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/formation"
+)
+
+// TestWaitsAreTold has a planner wait for a head that can't be reached: the
+// explanation of its group says so, and only what lasts for too long is logged.
+func TestWaitsAreTold(t *testing.T) {
+	node, timers := newTestNode(t)
+	var lines bytes.Buffer
+	node.Log = &event.Log{Logger: slog.New(slog.NewJSONHandler(&lines, nil))}
+	controller := &node.controller
+	controller.leads = true
+	planner := &formation.Planner{NextEpoch: func() uint64 { return 9 }}
+	controller.planners["s"] = planner
+	member := shedkeel.Instance{ID: "b", Domain: "d", Member: &shedkeel.Membership{Group: "m/d/1", Epoch: 7, Rank: 1, State: shedkeel.MemberReady}}
+	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2, Share: 1}}}
+	plan := func() {
+		planner.Plan(formation.Input{Now: timers.Now(), Engine: engine, Instances: []shedkeel.Instance{member}, Traffic: true})
+		controller.tellWaits(timers.Now())
+	}
+	plan()
+	timers.Advance(3 * time.Second)
+	plan()
+	waits := controller.waitsOf("m/d/1", nil, timers.Now())
+	assert.Equal(t, len(waits), 1, "%+v", waits)
+	assert.Equal(t, waits[0].Reason, formation.WaitHead)
+	assert.Equal(t, waits[0].For, "3s")
+	assert.Equal(t, waits[0].Bound, "20s")
+	assert.Equal(t, len(controller.waitsOf("m/elsewhere/1", nil, timers.Now())), 0)
+	assert.Equal(t, lines.Len(), 0, lines.String())
+
+	timers.Advance(18 * time.Second) // no plan is made, so the wait stays as it was
+	controller.tellWaits(timers.Now())
+	assert.Assert(t, strings.Contains(lines.String(), string(formation.WaitHead)), lines.String())
+	controller.leads = false
+	assert.Equal(t, len(controller.waits()), 0, "another node plans")
+}
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -54,6 +54,7 @@
 		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\n", member.Server, member.Rank, member.Epoch, member.State, findings(member))
 	}
 	_ = table.Flush()
+	printWaits(writer, explanation.Waits)
 	_, _ = fmt.Fprintln(writer)
 	trace := &Trace{Group: string(explanation.Group)}
 	for _, line := range explanation.Events {
@@ -67,6 +68,20 @@
 	_ = PrintTrace(writer, lines)
 }
 
+// printWaits writes what the planner waits for, and for how long it may.
+func printWaits(writer io.Writer, waits []node.WaitDump) {
+	if len(waits) == 0 {
+		return
+	}
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nTHE PLANNER WAITS\tABOUT\tFOR\tAT MOST")
+	for _, wait := range waits {
+		about := cmp.Or(string(wait.Server), string(wait.Group), "domain "+string(wait.Domain))
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", wait.Reason, about, wait.For, wait.Bound)
+	}
+	_ = table.Flush()
+}
+
 // findings names what is wrong with a member.
 func findings(member node.MemberDump) string {
 	var found []string
