Review: one check of addresses, names with a mark in them, a clock of stray leads that starts anew

An identifier is parted only where a time of start follows the mark (TestInstanceID); host:port is checked in one place. A node whose copy was too old to judge who plans counts the time anew afterwards: counted on, a leader that lived could have been replaced in the first moment after an outage. Comments wrapped.

--- a/formation/mend.go
+++ b/formation/mend.go
@@ -208,7 +208,9 @@
 // survivors returns the usable members, the head first if it is one of them, but
 // for those that another formation has got, by this planning too: a member whose
 // head had started again was free, became a substitute of one group, and was
-// ordered into its own, formed anew, in the same moment. A list that lags still tells of members that have been ordered into another
+// ordered into its own, formed anew, in the same moment.
+//
+// A list that lags still tells of members that have been ordered into another
 // formation: taken for free, they were ordered into a third one, and an order of
 // it that was carried out late took a server out of the second while it served.
 func (round *round) survivors(group *observed) []*shedkeel.Instance {
--- a/formation/wait.go
+++ b/formation/wait.go
@@ -42,7 +42,7 @@
 	Domain shedkeel.DomainID
 	Reason WaitReason
 	Since  time.Duration
-	Bound  time.Duration // the longest that it may last; 0: as long as servers lack
+	Bound  time.Duration // the longest that it may last; 0: none is stated
 }
 
 // Overdue reports whether the wait lasts for longer than it may.
--- a/instance.go
+++ b/instance.go
@@ -28,22 +28,27 @@
 
 // Server returns the name that the server keeps when it starts again.
 func (id InstanceID) Server() ServerID {
-	if at := strings.LastIndex(string(id), bornMark); at >= 0 {
-		return ServerID(id[:at])
-	}
-	return ServerID(id)
+	server, _ := id.parts()
+	return server
 }
 
 // Born returns when the server started, in Unix milliseconds, or 0 where it
 // does not tell.
 func (id InstanceID) Born() int64 {
+	_, born := id.parts()
+	return born
+}
+
+// parts returns the server and the time of its start. A name may have the mark
+// in it, of a server that does not tell when it started.
+func (id InstanceID) parts() (server ServerID, born int64) {
 	at := strings.LastIndex(string(id), bornMark)
 	if at < 0 {
-		return 0
+		return ServerID(id), 0
 	}
 	born, err := strconv.ParseInt(string(id[at+len(bornMark):]), 10, 64)
-	if err != nil {
-		return 0 // a name with the mark in it, of a server that does not tell
+	if err != nil || born <= 0 {
+		return ServerID(id), 0
 	}
-	return born
+	return ServerID(id[:at]), born
 }
--- a/names.go
+++ b/names.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"strconv"
 	"time"
 )
@@ -28,3 +29,9 @@
 func HolderOf(node NodeID, incarnation string) string {
 	return string(node) + "/" + incarnation
 }
+
+// IsAddress reports whether the text is host:port, both stated.
+func IsAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && host != "" && port != ""
+}
--- a/node/election.go
+++ b/node/election.go
@@ -119,7 +119,7 @@
 	resigned := controller.resigned
 	controller.mutex.Unlock()
 	if resigned || !state.Known || now-state.AsOf > planAge || !node.member.listed.Load() {
-		controller.vacant = 0
+		controller.vacant, controller.stray = 0, 0
 		return
 	}
 	lead := node.mirror.Get(leadKey)
--- a/node/nodes.go
+++ b/node/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"time"
 
@@ -68,7 +67,7 @@
 	switch {
 	case record.ID == "" || key != nodePrefix+string(record.ID):
 		invalid.What = "it is not the record of the node that its key names"
-	case !isAddress(record.Callers) || !isAddress(record.Control):
+	case !shedkeel.IsAddress(record.Callers) || !shedkeel.IsAddress(record.Control):
 		invalid.What = "callers or control is no host:port"
 	case record.Zone == "":
 		invalid.What = "zone is missing"
@@ -80,11 +79,6 @@
 	return invalid
 }
 
-func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	return err == nil && host != "" && port != ""
-}
-
 func (fleet *fleet) sortedNodes() []nodeRecord {
 	var found []nodeRecord
 	for _, node := range fleet.nodes {
--- a/node/waits.go
+++ b/node/waits.go
@@ -16,7 +16,7 @@
 	Domain shedkeel.DomainID    `json:"domain"`
 	Reason formation.WaitReason `json:"reason"`
 	For    string               `json:"for"`
-	Bound  string               `json:"bound"` // the longest that it should last; 0s: as long as servers lack
+	Bound  string               `json:"bound"` // the longest that it should last
 }
 
 // waits returns what this node waits for if it plans.
