What was ordered of a formation that was given up is not forgotten at once; a head that joined again has not left

Change: that a head left is forgotten when it is listed in that formation 1 s later; the members of a formation that was given up are used elsewhere 1 s later at the earliest.

--- a/formation/demand_test.go
+++ b/formation/demand_test.go
@@ -193,6 +193,7 @@
 	t.Parallel()
 	seeds := map[string]int{
 		"a list that lags tells of members that were ordered elsewhere":    227,
+		"a head joins again by a late order after it has left":             388,
 		"a head opens late, after its group was formed anew without a few": 296,
 	}
 	for name, seed := range seeds {
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -11,7 +11,7 @@
 func (round *round) continueForming() {
 	for id, forming := range round.planner.forming {
 		if !round.stillForming(id, forming) {
-			delete(round.planner.forming, id)
+			round.planner.giveUp(id)
 			continue
 		}
 		for _, member := range forming.members {
@@ -64,6 +64,9 @@
 // mendGroups opens groups that are ready and repairs or gives up those that
 // lost a member.
 func (round *round) mendGroups() {
+	for id := range round.planner.reserved {
+		round.used[id] = true
+	}
 	for _, group := range round.groups {
 		if _, forming := round.planner.forming[group.id]; forming || group.model == nil || group.members == nil {
 			continue
@@ -267,7 +270,7 @@
 // still, as far as its engine is concerned. One that is listed as ready may be
 // opening by an order that is still under way, of a former planner too.
 func (round *round) headMayServe(group *observed) bool {
-	if round.planner.left[group.assignment()] {
+	if round.hasLeft(group.assignment()) {
 		return false
 	}
 	if round.usable(group.head()) {
@@ -279,11 +282,19 @@
 	return round.input.Now-round.headlessSince(group.assignment()) < goneTime
 }
 
+// hasLeft reports whether the head of a formation has confirmed that it left, and
+// is not listed in it again: an order to join of before may be carried out after
+// the head has left.
+func (round *round) hasLeft(assignment shedkeel.Assignment) bool {
+	_, left := round.planner.left[assignment]
+	return left
+}
+
 // formerHeadMayServe reports the same of a formation that has been replaced by
 // a later one of the same name. Its head may be outside of the later one, and
 // serve still: it was taken for lost.
 func (round *round) formerHeadMayServe(former shedkeel.Assignment) bool {
-	if round.planner.left[former] {
+	if round.hasLeft(former) {
 		return false
 	}
 	last := round.planner.placed[former][0]
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -36,6 +36,9 @@
 	// ten seconds were seen, and it takes two more until the head is listed
 	// again. Its own group can be formed anew at once.
 	goneTime = 20 * time.Second
+	// listedTime is within what time the list tells what became of an order that was
+	// answered.
+	listedTime = time.Second
 	// loadWindow is the span over which load orders are counted.
 	loadWindow = 5 * time.Second
 	// spareShare is the part of a domain that is kept free as substitutes.
@@ -89,7 +92,8 @@
 	told     map[shedkeel.Assignment]time.Duration               // when a listed server told of it last
 	headless map[shedkeel.Assignment]time.Duration               // head missing since
 	placed   map[shedkeel.Assignment]map[int]shedkeel.InstanceID // who the members were when last seen, by rank
-	left     map[shedkeel.Assignment]bool                        // their heads have confirmed that they left
+	left     map[shedkeel.Assignment]time.Duration               // when their heads confirmed that they left
+	reserved map[shedkeel.InstanceID]time.Duration               // of formations that were given up; not used elsewhere until then
 	absent   map[shedkeel.Assignment]time.Duration               // a member missing since
 	loads    []time.Duration                                     // when load orders were given
 	loading  map[shedkeel.InstanceID]loading                     // ordered to load onto the host
@@ -158,7 +162,7 @@
 	planner.confirmLoad(order)
 	if order.Kind == shedkeel.OrderLeave {
 		assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
-		planner.left[assignment] = true
+		planner.left[assignment] = planner.now()
 		for _, yielding := range planner.yieldings {
 			if yielding.group == assignment {
 				planner.givenUp[assignment] = true
@@ -222,10 +226,29 @@
 	forming := planner.forming[order.Group]
 	if forming != nil && order.Kind == shedkeel.OrderJoin && forming.epoch == order.Epoch {
 		// The engine has seen a higher epoch; the next formation gets one.
-		delete(planner.forming, order.Group)
+		planner.giveUp(order.Group)
 	}
 }
 
+// now is when the planner planned last.
+func (planner *Planner) now() time.Duration {
+	if planner.last == nil {
+		return 0
+	}
+	return planner.last.input.Now
+}
+
+// giveUp gives up a formation that was ordered. The list is late, so it may not
+// tell yet which of its members have joined: ordered elsewhere at once, a member
+// was taken out of its group, which had come about after all, by that order's
+// late execution.
+func (planner *Planner) giveUp(group shedkeel.GroupID) {
+	for _, member := range planner.forming[group].members {
+		planner.reserved[member] = planner.now() + listedTime
+	}
+	delete(planner.forming, group)
+}
+
 func (planner *Planner) begin(input Input) {
 	if planner.seen == nil {
 		planner.seen = map[shedkeel.InstanceID]time.Duration{}
@@ -235,7 +258,8 @@
 		planner.told = map[shedkeel.Assignment]time.Duration{}
 		planner.headless = map[shedkeel.Assignment]time.Duration{}
 		planner.placed = map[shedkeel.Assignment]map[int]shedkeel.InstanceID{}
-		planner.left = map[shedkeel.Assignment]bool{}
+		planner.left = map[shedkeel.Assignment]time.Duration{}
+		planner.reserved = map[shedkeel.InstanceID]time.Duration{}
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
@@ -256,6 +280,7 @@
 		}
 	}
 	maps.DeleteFunc(planner.loading, func(_ shedkeel.InstanceID, loading loading) bool { return input.Now >= loading.until })
+	maps.DeleteFunc(planner.reserved, func(_ shedkeel.InstanceID, until time.Duration) bool { return input.Now >= until })
 	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Duration) bool { return input.Now-at > loadWindow })
 	planner.forget(input.Now)
 }
--- a/formation/round.go
+++ b/formation/round.go
@@ -91,6 +91,9 @@
 		round.planner.told[instance.Member.Assignment()] = round.input.Now
 		group.epoch = epochs[group.id]
 		round.place(instance)
+		if at, left := round.planner.left[instance.Member.Assignment()]; left && instance.Member.Rank == 0 && round.input.Now-at > listedTime {
+			delete(round.planner.left, instance.Member.Assignment()) // it has joined again
+		}
 	}
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
--- a/formation/wait_test.go
+++ b/formation/wait_test.go
@@ -63,9 +63,11 @@
 func TestWaitsThatFailed(t *testing.T) {
 	t.Parallel()
 	for name, seed := range map[string]int{
-		"three servers are kept for a model that has no room anywhere":             66,
-		"a member whose head started again is ordered into two groups in one plan": 174,
-		"a domain's only group makes room for one of another model at the end":     210,
+		"three servers are kept for a model that has no room anywhere":              66,
+		"a member whose head started again is ordered into two groups in one plan":  174,
+		"a member of a formation that was given up is ordered to wait as a standby": 87,
+		"the same, of a server that started again":                                  298,
+		"a domain's only group makes room for one of another model at the end":      210,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/formation/yield.go
+++ b/formation/yield.go
@@ -186,7 +186,7 @@
 // continueYield loads, closes and leaves. It reports whether there is more to
 // do.
 func (round *round) continueYield(yielding *yielding) bool {
-	if round.planner.left[yielding.group] && !round.nextYield(yielding) {
+	if round.hasLeft(yielding.group) && !round.nextYield(yielding) {
 		return false
 	}
 	group := round.byName[yielding.group.Group]
