--- a/formation/fake_test.go
+++ b/formation/fake_test.go
@@ -381,15 +381,9 @@
 
 // kill ends a random server that lives, one of a group if there is any.
 func (fleet *fakeFleet) kill() {
-	var living []*fakeServer
-	for _, server := range fleet.servers {
-		if server.diedAt == 0 && server.Member != nil {
-			living = append(living, server)
-		}
-	}
-	slices.SortFunc(living, func(a, b *fakeServer) int { return cmpStrings(string(a.ID), string(b.ID)) })
-	if len(living) > 0 {
-		living[fleet.random.IntN(len(living))].diedAt = fleet.now
+	members := slices.DeleteFunc(fleet.living(), func(id shedkeel.InstanceID) bool { return fleet.servers[id].Member == nil })
+	if len(members) > 0 {
+		fleet.servers[members[fleet.random.IntN(len(members))]].diedAt = fleet.now
 	}
 }
 
--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -38,13 +38,20 @@
 			planner = fleet.mishap(planner, 3)
 		}
 		fleet.loses = 0
-		fleet.play(planner, time.Minute, true)
-		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
-		serving := fleet.serving()
-		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+		fleet.standAgain(t, planner, seed, 4)
 	}
 }
 
+// standAgain lets a minute of calm pass, after which no rule may have been broken
+// and so many groups of each model must stand at least.
+func (fleet *fakeFleet) standAgain(t *testing.T, planner *Planner, seed, least int) {
+	t.Helper()
+	fleet.play(planner, time.Minute, true)
+	assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
+	serving := fleet.serving()
+	assert.Assert(t, serving["large"] >= least && serving["small"] >= least, "seed %d: %v", seed, serving)
+}
+
 // TestRulesHoldWhileServersAreOutOfReach has servers that serve look dead to
 // the planner for a while: their groups are formed anew without them, and what
 // they come back to is no longer theirs.
@@ -63,10 +70,7 @@
 			fleet.play(planner, time.Duration(fleet.random.Int64N(int64(4*time.Second))), true)
 			planner = fleet.mishap(planner, 4)
 		}
-		fleet.play(planner, time.Minute, true)
-		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
-		serving := fleet.serving()
-		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+		fleet.standAgain(t, planner, seed, 4)
 	}
 }
 
@@ -95,10 +99,7 @@
 			}
 			fleet.play(planner, 15*time.Second, true)
 		}
-		fleet.play(planner, time.Minute, true)
-		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
-		serving := fleet.serving()
-		assert.Assert(t, serving["large"] >= 5 && serving["small"] >= 5, "seed %d: %v", seed, serving)
+		fleet.standAgain(t, planner, seed, 5)
 	}
 }
 
@@ -125,10 +126,7 @@
 			}
 		}
 		fleet.loses = 0
-		fleet.play(planner, time.Minute, true)
-		assert.Equal(t, len(fleet.broken), 0, "seed %d: %v", seed, fleet.broken)
-		serving := fleet.serving()
-		assert.Assert(t, serving["large"] >= 4 && serving["small"] >= 4, "seed %d: %v", seed, serving)
+		fleet.standAgain(t, planner, seed, 4)
 	}
 }
 
--- a/formation/form.go
+++ b/formation/form.go
@@ -38,7 +38,7 @@
 // inStandingGroup reports whether the instance is in a group that this round
 // has not judged yet or that may be serving.
 func (round *round) inStandingGroup(instance *shedkeel.Instance) bool {
-	if instance.Member == nil || isStandby(instance.Member.Group) {
+	if IsFree(instance) {
 		return false
 	}
 	group := round.byName[instance.Member.Group]
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -270,18 +270,21 @@
 // still, as far as its engine is concerned. One that is listed as ready may be
 // opening by an order that is still under way, of a former planner too.
 func (round *round) headMayServe(group *observed) bool {
-	if round.hasLeft(group.assignment()) {
+	if round.headIsGone(group.assignment()) {
 		return false
 	}
 	if round.usable(group.head()) {
 		return group.headState() != shedkeel.MemberBroken
 	}
-	if round.startedAgain(round.planner.placed[group.assignment()][0]) {
-		return false
-	}
 	return round.input.Now-round.headlessSince(group.assignment()) < goneTime
 }
 
+// headIsGone reports whether the head of a formation knows nothing of it any
+// more: it has left, or its server has started again.
+func (round *round) headIsGone(assignment shedkeel.Assignment) bool {
+	return round.hasLeft(assignment) || round.startedAgain(round.planner.placed[assignment][0])
+}
+
 // hasLeft reports whether the head of a formation has confirmed that it left, and
 // is not listed in it again: an order to join of before may be carried out after
 // the head has left.
@@ -294,14 +297,11 @@
 // a later one of the same name. Its head may be outside of the later one, and
 // serve still: it was taken for lost.
 func (round *round) formerHeadMayServe(former shedkeel.Assignment) bool {
-	if round.hasLeft(former) {
+	if round.headIsGone(former) {
 		return false
 	}
-	last := round.planner.placed[former][0]
-	head := round.byID[last]
+	head := round.byID[round.planner.placed[former][0]]
 	switch {
-	case head == nil && round.startedAgain(last):
-		return false // it knows nothing of the formation
 	case head != nil && (head.Member == nil || head.Member.Assignment() != former):
 		return false // it has gone on to something else
 	case round.usable(head):
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -106,8 +106,7 @@
 	givenUp    map[shedkeel.Assignment]bool // their members are free
 	unbalanced time.Duration                // since when one has too many; 0: none has
 	yielded    time.Duration                // when the last one was given up; 0: never
-	last       *round                       // the latest planning, for Usage
-	waits      map[waitKey]Wait             // of the latest planning
+	last       *round                       // the latest planning, for Usage and Waits
 }
 
 // loading is a load onto a host that was ordered.
@@ -152,7 +151,7 @@
 	round.stageSpares()
 	round.warmSpares()
 	round.waitForServers()
-	planner.last, planner.waits = round, round.waits
+	planner.last = round
 	return round.actions
 }
 
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -112,30 +112,25 @@
 const aheadShare = 0.5
 
 // mayLoadAhead reports whether a load may begin that nothing waits for.
-func (round *round) mayLoadAhead() bool {
-	if !round.input.Traffic {
-		return true
-	}
-	engine := round.input.Engine
-	if engine.LoadsAtOnce > 0 && float64(round.loadsUnderWay()) >= aheadShare*float64(engine.LoadsAtOnce) {
-		return false
-	}
-	return float64(len(round.planner.loads)) < aheadShare*engine.LoadsPerSecond*loadWindow.Seconds()
-}
+func (round *round) mayLoadAhead() bool { return round.mayLoadWithin(aheadShare) }
 
 // mayLoad reports whether another load from the weight store may begin: neither
 // too many in a span, nor more at once than the store serves at full speed.
 // Twelve loads of 16 s at once where six run at full speed are all done after 32
 // s; six by six, the first six servers are of use after 16 s.
-func (round *round) mayLoad() bool {
+func (round *round) mayLoad() bool { return round.mayLoadWithin(1) }
+
+// mayLoadWithin reports whether another load may begin within a part of the
+// bounds. Before callers come there are none.
+func (round *round) mayLoadWithin(part float64) bool {
 	if !round.input.Traffic {
 		return true
 	}
 	engine := round.input.Engine
-	if engine.LoadsAtOnce > 0 && round.loadsUnderWay() >= engine.LoadsAtOnce {
+	if engine.LoadsAtOnce > 0 && float64(round.loadsUnderWay()) >= part*float64(engine.LoadsAtOnce) {
 		return false
 	}
-	return float64(len(round.planner.loads)) < engine.LoadsPerSecond*loadWindow.Seconds()
+	return float64(len(round.planner.loads)) < part*engine.LoadsPerSecond*loadWindow.Seconds()
 }
 
 // loadBound is how long a domain may wait until one of its servers may load: as
--- a/formation/usage.go
+++ b/formation/usage.go
@@ -39,7 +39,7 @@
 	switch {
 	case !round.usable(instance):
 		domain.Lost++
-	case instance.Member != nil && !isStandby(instance.Member.Group) && (round.used[instance.ID] || round.inStandingGroup(instance)):
+	case !IsFree(instance) && (round.used[instance.ID] || round.inStandingGroup(instance)):
 		domain.Serving[ModelOf(instance.Member.Group)]++
 	case loads:
 		domain.Loading++
--- a/formation/wait.go
+++ b/formation/wait.go
@@ -61,7 +61,10 @@
 // Waits returns what the planner waited for in the last plan, the longest wait
 // first.
 func (planner *Planner) Waits() []Wait {
-	return slices.SortedFunc(maps.Values(planner.waits), func(a, b Wait) int {
+	if planner.last == nil {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(planner.last.waits), func(a, b Wait) int {
 		return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.Group, b.Group), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Reason, b.Reason))
 	})
 }
@@ -70,8 +73,10 @@
 func (round *round) wait(wait Wait) {
 	key := waitKey{wait.Group, wait.Server, wait.Domain, wait.Reason}
 	wait.Since = round.input.Now
-	if before, lasts := round.planner.waits[key]; lasts {
-		wait.Since = before.Since
+	if last := round.planner.last; last != nil {
+		if before, lasts := last.waits[key]; lasts {
+			wait.Since = before.Since
+		}
 	}
 	round.waits[key] = wait
 }
--- a/node/election.go
+++ b/node/election.go
@@ -122,11 +122,13 @@
 		controller.vacant, controller.stray = 0, 0
 		return
 	}
-	lead := node.mirror.Get(leadKey)
-	if lead.Revision != 0 && !controller.isStray(now) {
-		controller.vacant = 0
-		controller.adopt()
-		return
+	record := node.mirror.Get(leadKey)
+	if record.Revision != 0 {
+		if lead := controller.lead(); !controller.isStray(lead, now) {
+			controller.vacant = 0
+			controller.adopt(lead)
+			return
+		}
 	}
 	if controller.vacant == 0 {
 		controller.vacant = now
@@ -136,7 +138,7 @@
 	}
 	term := node.mirror.Get(termKey)
 	if controller.lease.valid(now) || controller.lease.grant(ctx) {
-		controller.tryLead(ctx, lead.Revision, term.Revision, controller.nextTerm(term))
+		controller.tryLead(ctx, record.Revision, term.Revision, controller.nextTerm(term))
 	}
 }
 
@@ -144,8 +146,7 @@
 // listed node, or this one though it does not plan, that another may. Another
 // writer may have spoilt it, and it goes with no lease then: nobody planned any
 // more.
-func (controller *controller) isStray(now time.Duration) bool {
-	lead := controller.lead()
+func (controller *controller) isStray(lead leadRecord, now time.Duration) bool {
 	plans := controller.node.peers.peer(lead.Node) != nil
 	if lead.Node == controller.node.Settings.Node {
 		plans = controller.leadsBy(lead)
@@ -196,12 +197,11 @@
 	}
 	node.mirror.Apply(mirrorUpdate(
 		shedkeel.Record{Key: leadKey, Value: lead, Revision: written}, shedkeel.Record{Key: termKey, Value: next, Revision: written}))
-	controller.adopt()
+	controller.adopt(controller.lead())
 }
 
 // adopt begins to lead if the record says that this node does.
-func (controller *controller) adopt() {
-	lead := controller.lead()
+func (controller *controller) adopt(lead leadRecord) {
 	if !controller.leadsBy(lead) || !controller.lease.valid(controller.node.Timers.Now()) {
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -263,21 +263,12 @@
 	for _, head := range heads[1:] {
 		victims[head.Members()[1]] = true
 	}
-	var calls sync.WaitGroup
-	results := make([]string, 12)
-	for index := range results {
-		calls.Go(func() {
-			status, body := world.send(world.nodes[index%3].callers, fmt.Sprint("lost-", index), "/copy/a", "key-1", 200)
-			results[index] = fmt.Sprint(status, " ", body)
-		})
-	}
-	time.Sleep(150 * time.Millisecond)
-	for victim := range victims {
-		world.fleet.Kill(victim)
-	}
-	calls.Wait()
-	for index, result := range results {
-		assert.Equal(world.t, result, "200 "+wholeStream(40), "stream %d", index)
+	world.disturb("lost-", func() {
+		for victim := range victims {
+			world.fleet.Kill(victim)
+		}
+	})
+	for index := range disturbed {
 		assert.Assert(world.t, world.fleet.Ran(fmt.Sprint("lost-", index)) <= 2)
 	}
 	for victim := range victims {
@@ -286,26 +277,36 @@
 	world.eventually("the groups are whole again", func() bool { return len(world.fleet.Serving()["m0"]) >= len(heads) })
 }
 
-// startAgain has a member of each group start again under its name while streams
-// run: it is in no group any more, and no stream may be taken for whole by it.
-func (world *world) startAgain() {
-	heads := world.fleet.Serving()["m0"]
+// disturbed is how many streams run while something happens to their groups.
+const disturbed = 12
+
+// disturb has something happen while streams run, all of which must come whole.
+func (world *world) disturb(prefix string, happen func()) {
 	var calls sync.WaitGroup
-	results := make([]string, 12)
+	results := make([]string, disturbed)
 	for index := range results {
 		calls.Go(func() {
-			status, body := world.send(world.nodes[index%3].callers, fmt.Sprint("again-", index), "/copy/a", "key-1", 200)
+			status, body := world.send(world.nodes[index%3].callers, fmt.Sprint(prefix, index), "/copy/a", "key-1", 200)
 			results[index] = fmt.Sprint(status, " ", body)
 		})
 	}
 	time.Sleep(150 * time.Millisecond)
-	for _, head := range heads[1:] {
-		world.fleet.Restart(head.Members()[1])
-	}
+	happen()
 	calls.Wait()
 	for index, result := range results {
 		assert.Equal(world.t, result, "200 "+wholeStream(40), "stream %d", index)
 	}
+}
+
+// startAgain has a member of each group start again under its name while streams
+// run: it is in no group any more, and no stream may be taken for whole by it.
+func (world *world) startAgain() {
+	heads := world.fleet.Serving()["m0"]
+	world.disturb("again-", func() {
+		for _, head := range heads[1:] {
+			world.fleet.Restart(head.Members()[1])
+		}
+	})
 	world.eventually("the groups are whole again", func() bool { return len(world.fleet.Serving()["m0"]) >= len(heads) })
 	assert.Equal(world.t, len(world.fleet.Broken()), 0, "%v", world.fleet.Broken())
 }
