--- a/node/fleet.go
+++ b/node/fleet.go
@@ -49,6 +49,7 @@
 	doubted   map[string]time.Duration     // servers whose records can't be read, and until when they keep their places
 	unread    atomic.Int64                 // records that were not used
 	troubled  time.Duration                // the service was away until then, or is
+	proven    atomic.Int64                 // when the copy was proven last, as a time.Duration
 	counts    map[string]int               // servers and groups that may be sent to, as logged last
 }
 
@@ -156,6 +157,9 @@
 func (fleet *fleet) takeGone(key string, now time.Duration, remove func()) bool {
 	if now < fleet.troubled {
 		fleet.lapsed[key] = fleet.troubled
+		if id, isNode := strings.CutPrefix(key, nodePrefix); isNode {
+			fleet.node.Log.Write(event.NodeHeld, slog.String("of", id), slog.Duration("until", fleet.troubled-now), slog.Duration("age", fleet.copyAge()))
+		}
 		return false
 	}
 	remove()
@@ -166,6 +170,7 @@
 // long enough.
 func (fleet *fleet) tick(now time.Duration) {
 	state := fleet.node.mirror.State()
+	fleet.proven.Store(int64(state.AsOf))
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	if state.Known && now-state.AsOf > troubleAge {
@@ -194,6 +199,12 @@
 	fleet.refresh(servers, nodes)
 }
 
+// copyAge returns how old the copy of the records was at the last tick. Unlike
+// the mirror's state it can be asked while the mirror tells of a change.
+func (fleet *fleet) copyAge() time.Duration {
+	return fleet.node.Timers.Now() - time.Duration(fleet.proven.Load())
+}
+
 // refresh passes on what has changed. The mutex is held.
 func (fleet *fleet) refresh(servers, nodes bool) {
 	if servers {
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,6 +12,9 @@
 	"shedkeel.org/shedkeel/wire"
 )
 
+// mostLogged is how many nodes that came or went are named in a line.
+const mostLogged = 8
+
 // peers are the other nodes, as far as they are known.
 type peers struct {
 	node *Node
@@ -77,7 +80,24 @@
 			peer.close()
 		}
 	}
-	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)))
+	came, went := changedNames(before, peers.known)
+	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)), slog.Any("came", came), slog.Any("went", went), slog.Duration("age", peers.node.fleet.copyAge()))
+}
+
+// changedNames returns which nodes came and which went, as far as they are
+// logged.
+func changedNames(before, after map[shedkeel.NodeID]*peer) (came, went []shedkeel.NodeID) {
+	for id := range after {
+		if before[id] == nil && len(came) < mostLogged {
+			came = append(came, id)
+		}
+	}
+	for id := range before {
+		if after[id] == nil && len(went) < mostLogged {
+			went = append(went, id)
+		}
+	}
+	return came, went
 }
 
 // withOwn returns the nodes in order and this one's place among them, though it
