--- a/names.go
+++ b/names.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"hash/fnv"
 	"net"
 	"strconv"
 	"time"
@@ -35,3 +36,10 @@
 	host, port, err := net.SplitHostPort(text)
 	return err == nil && host != "" && port != ""
 }
+
+// HashNode shortens a node's name for messages that speak of many nodes.
+func HashNode(node NodeID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(node)) // it never fails
+	return hash.Sum64()
+}
