What one node does for all passes on as soon as it is suspected

Cause: with 66 boxes both nodes that others follow went within a second (one lost power, one stood still).

Change: whom nodes follow, who spreads requests and whom a stale copy is asked of are chosen among the nodes that the failure detector hears. TestDutiesPassOn fails without it.

--- a/liveness.go
+++ b/liveness.go
@@ -85,6 +85,8 @@
 	Leave(now time.Duration) []GossipDatagram
 	// Liveness returns how a node stands. One that is not judged is alive.
 	Liveness(peer NodeID) Liveness
+	// Changes returns how often how a node stands has changed. It only grows.
+	Changes() uint64
 	// Isolated reports whether this node can judge nobody, because it hears nobody
 	// itself.
 	Isolated(now time.Duration) bool
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -131,3 +131,37 @@
 		})
 	}
 }
+
+// TestDutiesPassOn checks that what one node does for all passes to the next that
+// answers as soon as it is suspected: whom others follow, and who spreads requests.
+func TestDutiesPassOn(t *testing.T) {
+	cases := map[string]struct {
+		silent   []int // places
+		follows  int
+		spreader int
+	}{
+		"all answer":            {nil, 1, 2},
+		"the source does not":   {[]int{1}, 2, 3},
+		"the first two do not":  {[]int{0, 1}, 3, 4},
+		"the first four do not": {[]int{0, 1, 2, 3}, 5, 6},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			nodes := fleetOf(20, 0)
+			node, timers := newListedNode(t, nodes[12].ID, nodes)
+			found := &judged{liveness: map[shedkeel.NodeID]shedkeel.Liveness{}}
+			for _, place := range test.silent {
+				found.liveness[nodes[place].ID] = shedkeel.Suspected
+			}
+			node.gossip.detector = found
+			node.peers.judge()
+			assert.Equal(t, node.peers.choose().Name(), string(nodes[test.follows].ID))
+			asked, own := node.peers.spreader(0, timers.Now())
+			assert.Assert(t, !own)
+			assert.Equal(t, asked.Name(), string(nodes[test.spreader].ID))
+			for _, other := range node.peers.others() {
+				assert.Equal(t, found.liveness[shedkeel.NodeID(other.Name())], shedkeel.Alive, "a stale copy is asked of %s", other.Name())
+			}
+		})
+	}
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	mutex     sync.Mutex
 	detector  shedkeel.FailureDetector
 	addresses map[shedkeel.NodeID]netip.AddrPort
+	changes   uint64                                // of the detector, as the node's peers know them
 	reported  map[shedkeel.NodeID]shedkeel.Liveness // those that do not serve, as logged last
 }
 
@@ -85,7 +87,11 @@
 	}
 	gossip.mutex.Lock()
 	sent := gossip.detector.Receive(gossip.node.Timers.Now(), message)
+	changed := gossip.changed()
 	gossip.mutex.Unlock()
+	if changed {
+		gossip.node.peers.judge()
+	}
 	for _, datagram := range sent {
 		if datagram.To == message.From {
 			gossip.send(datagram.Message, from) // which need not be listed here yet
@@ -104,10 +110,23 @@
 	gossip.mutex.Lock()
 	gossip.detector.Connect(answered)
 	sent := gossip.detector.Tick(now)
+	changed := gossip.changed()
 	gossip.mutex.Unlock()
+	if changed {
+		gossip.node.peers.judge()
+	}
 	gossip.sendAll(sent)
 }
 
+// changed reports whether a node stands otherwise than it did when this was last
+// asked. The mutex is held.
+func (gossip *gossip) changed() bool {
+	now := gossip.detector.Changes()
+	changed := now != gossip.changes
+	gossip.changes = now
+	return changed
+}
+
 // leave tells others that this node stops.
 func (gossip *gossip) leave() {
 	if gossip.conn == nil {
@@ -152,6 +171,13 @@
 	return gossip.detector.Liveness(id)
 }
 
+// alive returns those of the nodes that are neither suspected nor gone.
+func (gossip *gossip) alive(nodes []nodeRecord) []nodeRecord {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(nodes), func(record nodeRecord) bool { return gossip.detector.Liveness(record.ID) != shedkeel.Alive })
+}
+
 // serves reports whether callers may be sent to a node: it has neither left nor
 // died. A suspected one serves, since it may only stand still for a moment.
 func (gossip *gossip) serves(id shedkeel.NodeID) bool {
--- a/node/peers.go
+++ b/node/peers.go
@@ -21,6 +21,7 @@
 
 	mutex   sync.Mutex
 	nodes   []nodeRecord // as compareNodes orders them, this node among them
+	alive   []nodeRecord // those of them that answer
 	known   map[shedkeel.NodeID]*peer
 	seeds   []*peer // from the settings: asked while no nodes are known
 	started []*peer // relays that were asked at the start
@@ -81,6 +82,7 @@
 		}
 	}
 	peers.node.gossip.setPeers(nodes)
+	peers.alive = peers.node.gossip.alive(nodes)
 	came, went := changedKeys(before, peers.known)
 	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)), slog.Any("came", came), slog.Any("went", went), slog.Duration("age", peers.node.fleet.copyAge()))
 }
@@ -101,21 +103,36 @@
 	return found
 }
 
-// withOwn returns the nodes in order and this one's place among them, though it
-// may not be listed yet: it follows others too, once there are any. The mutex is
-// held.
+// judge takes in that other nodes answer than did.
+func (peers *peers) judge() {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.alive = peers.node.gossip.alive(peers.nodes)
+}
+
+// withOwn returns the nodes that answer in order and this one's place among them,
+// though it may not be listed yet: it follows others too, once there are any. The
+// mutex is held.
+//
+// What one node does for all passes to the next as soon as it is suspected. Where
+// followers found out for themselves, 0.7 s for each that they had asked before,
+// copies of the store fell 2.6 s behind after the loss of two.
 func (peers *peers) withOwn() (nodes []nodeRecord, own int, listed bool) {
 	record := peers.node.record()
-	place, listed := slices.BinarySearchFunc(peers.nodes, record, compareNodes)
+	place, listed := slices.BinarySearchFunc(peers.alive, record, compareNodes)
 	if listed {
-		return peers.nodes, place, true
+		return peers.alive, place, true
 	}
-	return slices.Insert(slices.Clone(peers.nodes), place, record), place, false
+	return slices.Insert(slices.Clone(peers.alive), place, record), place, false
 }
 
-// others returns the other nodes as mirrors that may be asked.
+// others returns the other nodes as mirrors that may be asked: those that answer,
+// if there are any.
 func (peers *peers) others() []mirror.Peer {
-	asked := peers.all()
+	asked := peers.answering()
+	if len(asked) == 0 {
+		asked = peers.all()
+	}
 	if len(asked) == 0 {
 		asked = peers.seeds
 	}
@@ -150,6 +167,19 @@
 	return found
 }
 
+// answering returns the other nodes that answer.
+func (peers *peers) answering() []*peer {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	var found []*peer
+	for _, record := range peers.alive {
+		if peer := peers.known[record.ID]; peer != nil {
+			found = append(found, peer)
+		}
+	}
+	return found
+}
+
 func (peers *peers) close() {
 	for _, peer := range slices.Concat(peers.all(), peers.seeds, peers.started) {
 		peer.close()
--- a/swim/detector.go
+++ b/swim/detector.go
@@ -84,6 +84,7 @@
 	more        int           // pings of this period beside the one that is due
 	heard       time.Duration // when a datagram came last
 	connected   time.Duration // when something else answered last
+	changes     uint64
 }
 
 // peer is what is known of another node.
@@ -154,6 +155,17 @@
 	return shedkeel.Alive
 }
 
+// Changes returns how often how a node stands has changed.
+func (detector *Detector) Changes() uint64 { return detector.changes }
+
+// stand notes how a node stands.
+func (detector *Detector) stand(peer *peer, liveness shedkeel.Liveness) {
+	if peer.liveness != liveness {
+		peer.liveness = liveness
+		detector.changes++
+	}
+}
+
 // Isolated reports whether this node hears nobody.
 func (detector *Detector) Isolated(now time.Duration) bool {
 	return now-max(detector.heard, detector.connected) > isolatedTime
@@ -266,7 +278,8 @@
 }
 
 func (detector *Detector) takeSuspicion(now time.Duration, peer *peer, since time.Duration) {
-	peer.liveness, peer.since, peer.learned, peer.accused = shedkeel.Suspected, since, now, true
+	detector.stand(peer, shedkeel.Suspected)
+	peer.since, peer.learned, peer.accused = since, now, true
 	peer.news.left = detector.tellings()
 }
 
@@ -281,7 +294,7 @@
 			peer.learned = now // a refutation could not come
 		}
 		if now-peer.since >= suspectTime && now-peer.learned >= refuteTime {
-			peer.liveness = shedkeel.Dead
+			detector.stand(peer, shedkeel.Dead)
 		}
 	}
 }
--- a/swim/receive.go
+++ b/swim/receive.go
@@ -40,7 +40,7 @@
 	case incarnation > peer.incarnation:
 		detector.revive(now, peer, incarnation)
 	case peer.liveness == shedkeel.Suspected || peer.liveness == shedkeel.Dead:
-		peer.liveness = shedkeel.Alive // and it is told that it was suspected
+		detector.stand(peer, shedkeel.Alive) // and it is told that it was suspected
 	}
 }
 
@@ -49,7 +49,8 @@
 	if peer.accused {
 		peer.news.left = detector.tellings()
 	}
-	peer.liveness, peer.incarnation, peer.accused, peer.proven = shedkeel.Alive, incarnation, false, now
+	detector.stand(peer, shedkeel.Alive)
+	peer.incarnation, peer.accused, peer.proven = incarnation, false, now
 }
 
 // pingFor pings a node in the sender's place.
@@ -123,7 +124,8 @@
 		detector.hearSuspicion(now, peer, update)
 	case shedkeel.Left:
 		if update.Incarnation >= peer.incarnation && peer.liveness != shedkeel.Left {
-			peer.liveness, peer.incarnation, peer.accused = shedkeel.Left, update.Incarnation, true
+			detector.stand(peer, shedkeel.Left)
+			peer.incarnation, peer.accused = update.Incarnation, true
 			peer.news.left = detector.tellings()
 		}
 	}
