Operators see which listed nodes callers are not sent to, and why

shedkeel status names them with the reason, says when a node judges nobody because it hears nobody, and nodes_unnamed counts them. Held by the end of TestDirectoryLeavesOutDeadNodes.

--- a/node/admin.go
+++ b/node/admin.go
@@ -23,10 +23,25 @@
 	Age         string            `json:"age"`      // of the proof that nothing is newer
 	Served      int64             `json:"served"`
 	Nodes       []shedkeel.NodeID `json:"nodes"`
+	Unnamed     []NodeDump        `json:"unnamed"`  // listed nodes to which callers are not sent
+	Isolated    bool              `json:"isolated"` // this node hears nobody, so it judges nobody
 	Groups      []GroupDump       `json:"groups"`
 	Servers     []ServerDump      `json:"servers"`
 }
 
+// NodeDump is a listed node to which callers are not sent, and why.
+type NodeDump struct {
+	Node   shedkeel.NodeID `json:"node"`
+	Reason string          `json:"reason"`
+}
+
+// Why callers are not sent to a node that is listed.
+const (
+	reasonStopping = "it stops, as its record says"
+	reasonLeft     = "it stops, as it told other nodes"
+	reasonDead     = "no node hears it; look at its box and its way to the others"
+)
+
 // GroupDump is what a node believes of a replica group.
 type GroupDump struct {
 	Group   shedkeel.GroupID      `json:"group"`
@@ -58,9 +73,28 @@
 		dump.Config = view.Config.Version
 	}
 	node.fleet.describe(&dump)
+	dump.Isolated = node.gossip.isolated()
+	dump.Unnamed = node.unnamed()
 	return dump
 }
 
+// unnamed returns the listed nodes to which callers are not sent.
+func (node *Node) unnamed() []NodeDump {
+	found := []NodeDump{}
+	for _, record := range node.peers.listed() {
+		liveness := node.gossip.liveness(record.ID)
+		switch {
+		case liveness == shedkeel.Dead:
+			found = append(found, NodeDump{record.ID, reasonDead})
+		case liveness == shedkeel.Left:
+			found = append(found, NodeDump{record.ID, reasonLeft})
+		case record.Stopping:
+			found = append(found, NodeDump{record.ID, reasonStopping})
+		}
+	}
+	return found
+}
+
 // describe adds what the fleet is made of.
 func (fleet *fleet) describe(dump *Dump) {
 	fleet.mutex.Lock()
--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,8 +13,12 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/node"
 )
 
+// offPrefix begins the names of the nodes that lose power.
+const offPrefix = "off-"
+
 // unnamedWithin is how long after a node went the directory may still name it.
 const unnamedWithin = 5 * time.Second
 
@@ -63,6 +68,7 @@
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
+			world.expectUnnamed()
 		})
 	}
 }
@@ -72,7 +78,7 @@
 func (world *world) listDeadNodes(count int) (keys, callers []string) {
 	var change shedkeel.Change
 	for index := range count {
-		id := fmt.Sprint("off-", index)
+		id := fmt.Sprint(offPrefix, index)
 		address := closedAddress(world.t)
 		record := map[string]any{"id": id, "incarnation": "i", "zone": "z", "callers": address, "control": address, "gossip": address, "capacity": 0, "stopping": false, "watched": true}
 		value, err := json.Marshal(record)
@@ -89,6 +95,27 @@
 	return keys, callers
 }
 
+// expectUnnamed checks that operators are told why callers are not sent to those of
+// the dead nodes that are listed still, and of no others.
+func (world *world) expectUnnamed() {
+	response, err := world.client.Get("http://" + world.nodes[0].admin + "/v1/status")
+	assert.NilError(world.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var status node.Dump
+	assert.NilError(world.t, json.NewDecoder(response.Body).Decode(&status))
+	var listed, unnamed []shedkeel.NodeID
+	for _, id := range status.Nodes {
+		if strings.HasPrefix(string(id), offPrefix) {
+			listed = append(listed, id)
+		}
+	}
+	for _, dump := range status.Unnamed {
+		unnamed = append(unnamed, dump.Node)
+		assert.Assert(world.t, dump.Reason != "")
+	}
+	assert.DeepEqual(world.t, unnamed, listed)
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
--- a/node/report.go
+++ b/node/report.go
@@ -18,6 +18,7 @@
 	scope.Gauge("mirror_age_seconds").Update((now - node.mirror.State().AsOf).Seconds())
 	scope.Gauge("records_skipped").Update(float64(node.fleet.unread.Load()))
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
+	scope.Gauge("nodes_unnamed").Update(float64(len(node.unnamed())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
 	for state, count := range node.fleet.groupStates() {
 		scope.Tagged(map[string]string{"state": state}).Gauge("groups").Update(float64(count))
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -21,6 +21,12 @@
 	_, _ = fmt.Fprintf(writer, "groups: %d open, %d forming, %d closing or broken, %d without a listed head\n", states[shedkeel.MemberOpen],
 		states[shedkeel.MemberJoining]+states[shedkeel.MemberReady], states[shedkeel.MemberClosing]+states[shedkeel.MemberBroken], states[""])
 	_, _ = fmt.Fprintf(writer, "%d nodes, planned by %s\n", len(status.Nodes), cmp.Or(string(status.Leader), "nobody"))
+	if status.Isolated {
+		_, _ = fmt.Fprintf(writer, "node %s hears no other node and no answer of the store: it judges nobody\n", status.Node)
+	}
+	for _, unnamed := range status.Unnamed {
+		_, _ = fmt.Fprintf(writer, "callers are not sent to %s: %s\n", unnamed.Node, unnamed.Reason)
+	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "\nGROUP\tMODEL\tEPOCH\tHEAD\tMEMBERS")
 	for _, group := range status.Groups {
