A node that is listed late is named once somebody hears it

Cause: a record names a dead node also when it is written late (the store does a write whose answer it lost up to 6 s later) or read from an old copy: its node was taken for alive and named until found dead, 2.3 s. Change: who comes to be listed after a node's first 3 s is unheard until some node hears it; operators see that as the reason.

--- a/liveness.go
+++ b/liveness.go
@@ -6,7 +6,7 @@
 type Liveness int
 
 const (
-	// Alive is also what holds for a node that was just listed.
+	// Alive is also what a node counts as that is not judged.
 	Alive Liveness = iota
 	// Suspected nodes did not answer. They are dead unless they refute it soon.
 	Suspected
@@ -14,6 +14,8 @@
 	Dead
 	// Left nodes said themselves that they stop.
 	Left
+	// Unheard nodes are listed, and nobody has told of a sign of life of theirs.
+	Unheard
 )
 
 // String returns the word for logs and operators. Another version of the program
@@ -28,6 +30,8 @@
 		return "dead"
 	case Left:
 		return "left"
+	case Unheard:
+		return "unheard"
 	}
 	return "unknown"
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -39,6 +39,7 @@
 const (
 	reasonStopping = "it stops, as its record says"
 	reasonLeft     = "it stops, as it told other nodes"
+	reasonUnheard  = "it was listed a while ago at most, and no node has heard it since"
 	reasonDead     = "no node hears it; look at its box and its way to the others"
 )
 
@@ -88,6 +89,8 @@
 			found = append(found, NodeDump{record.ID, reasonDead})
 		case liveness == shedkeel.Left:
 			found = append(found, NodeDump{record.ID, reasonLeft})
+		case liveness == shedkeel.Unheard:
+			found = append(found, NodeDump{record.ID, reasonUnheard})
 		case record.Stopping:
 			found = append(found, NodeDump{record.ID, reasonStopping})
 		}
--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -90,7 +90,7 @@
 	_, err := world.data.Commit(change)
 	assert.NilError(world.t, err)
 	for index := range world.nodes {
-		world.eventually("they are known", func() bool { return slices.Contains(world.addresses(index), callers[0]) })
+		world.eventually("they are known", func() bool { return slices.Contains(world.status(index).Nodes, shedkeel.NodeID(offPrefix+"0")) })
 	}
 	return keys, callers
 }
@@ -98,11 +98,7 @@
 // expectUnnamed checks that operators are told why callers are not sent to those of
 // the dead nodes that are listed still, and of no others.
 func (world *world) expectUnnamed() {
-	response, err := world.client.Get("http://" + world.nodes[0].admin + "/v1/status")
-	assert.NilError(world.t, err)
-	defer func() { _ = response.Body.Close() }()
-	var status node.Dump
-	assert.NilError(world.t, json.NewDecoder(response.Body).Decode(&status))
+	status := world.status(0)
 	var listed, unnamed []shedkeel.NodeID
 	for _, id := range status.Nodes {
 		if strings.HasPrefix(string(id), offPrefix) {
@@ -116,6 +112,16 @@
 	assert.DeepEqual(world.t, unnamed, listed)
 }
 
+// status returns what operators are told by a node.
+func (world *world) status(index int) node.Dump {
+	response, err := world.client.Get("http://" + world.nodes[index].admin + "/v1/status")
+	assert.NilError(world.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var status node.Dump
+	assert.NilError(world.t, json.NewDecoder(response.Body).Decode(&status))
+	return status
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -178,11 +178,12 @@
 	return slices.DeleteFunc(slices.Clone(nodes), func(record nodeRecord) bool { return gossip.detector.Liveness(record.ID) != shedkeel.Alive })
 }
 
-// serves reports whether callers may be sent to a node: it has neither left nor
-// died. A suspected one serves, since it may only stand still for a moment.
-func (gossip *gossip) serves(id shedkeel.NodeID) bool {
-	liveness := gossip.liveness(id)
-	return liveness != shedkeel.Dead && liveness != shedkeel.Left
+// serves reports whether callers may be sent to a node: one that is alive, or
+// suspected, since it may only stand still for a moment.
+func (gossip *gossip) serves(id shedkeel.NodeID) bool { return servesAs(gossip.liveness(id)) }
+
+func servesAs(liveness shedkeel.Liveness) bool {
+	return liveness == shedkeel.Alive || liveness == shedkeel.Suspected
 }
 
 // isolated reports whether this node can judge nobody.
@@ -197,7 +198,7 @@
 	gossip.mutex.Lock()
 	now := map[shedkeel.NodeID]shedkeel.Liveness{}
 	for _, record := range nodes {
-		if liveness := gossip.detector.Liveness(record.ID); liveness == shedkeel.Dead || liveness == shedkeel.Left {
+		if liveness := gossip.detector.Liveness(record.ID); !servesAs(liveness) {
 			now[record.ID] = liveness
 		}
 	}
--- a/swim/detector.go
+++ b/swim/detector.go
@@ -46,6 +46,11 @@
 	// stillTime is the pause between two ticks from which on a node has itself
 	// stood still: it was suspected meanwhile, and what it waits for came to nothing.
 	stillTime = 600 * time.Millisecond
+	// trustTime is for how long after its own start a node takes for alive who comes to
+	// be listed: all of a fleet may start together. Who is listed later is alive once
+	// somebody hears it: a record that was written late, or read from an old copy, is
+	// that of a dead node, which was named for another 2.3 s.
+	trustTime = 3 * time.Second
 	// announced is to how many nodes a node sends at once what it says of itself.
 	announced = 5
 	// mostMore is how many more pings a node sends in a period when there are some
@@ -78,6 +83,7 @@
 	probes      map[uint64]*probe
 	relayed     map[uint64]relayed
 	sequence    uint64
+	began       time.Duration // when Tick was called first
 	ticked      time.Duration // when Tick was called last; 0: never
 	due         time.Duration // when the next ping is
 	pings       int
@@ -98,6 +104,7 @@
 	learned     time.Duration // when this node heard of it
 	heard       time.Duration // when a datagram came from it last
 	proven      time.Duration // when this node learned last that it lived
+	trusted     bool          // it counts as alive though nothing proves it
 	news        news
 }
 
@@ -133,7 +140,7 @@
 		}
 		known := before[id]
 		if known == nil {
-			known = &peer{id: id, hash: shedkeel.HashNode(id), heard: never, proven: never}
+			known = &peer{id: id, hash: shedkeel.HashNode(id), heard: never, proven: never, trusted: detector.trusting()}
 		}
 		detector.peers[id] = known
 		detector.names[known.hash] = known
@@ -149,10 +156,19 @@
 
 // Liveness returns how a node stands.
 func (detector *Detector) Liveness(id shedkeel.NodeID) shedkeel.Liveness {
-	if peer := detector.peers[id]; peer != nil {
-		return peer.liveness
+	peer := detector.peers[id]
+	switch {
+	case peer == nil:
+		return shedkeel.Alive
+	case peer.proven == never && !peer.trusted && !gone(peer):
+		return shedkeel.Unheard
 	}
-	return shedkeel.Alive
+	return peer.liveness
+}
+
+// trusting reports whether this node has just started.
+func (detector *Detector) trusting() bool {
+	return detector.ticked == 0 || detector.ticked-detector.began < trustTime
 }
 
 // Changes returns how often how a node stands has changed.
@@ -184,6 +200,9 @@
 	if detector.ticked == 0 || now-detector.ticked > stillTime {
 		sent = detector.wake(now)
 	}
+	if detector.ticked == 0 {
+		detector.began = now
+	}
 	detector.ticked = now
 	sent = append(sent, detector.checkProbes(now)...)
 	detector.checkSuspects(now)
--- a/swim/detector_test.go
+++ b/swim/detector_test.go
@@ -114,3 +114,32 @@
 		}
 	}
 }
+
+// TestListedLater lists nodes in a fleet that has run for a while: one that is dead,
+// as by a record that was written late, is alive in no view at any moment, and one
+// that lives in all views within 1.5 s.
+func TestListedLater(t *testing.T) {
+	for _, size := range []int{9, 66, 300} {
+		for name, lives := range map[string]bool{"it lives": true, "it is dead": false} {
+			t.Run(fmt.Sprint(size, " nodes, ", name), func(t *testing.T) {
+				for seed := range seeds(size) {
+					fleet := settled(t, seed, size)
+					fleet.run(time.Second) // who is listed at the start is trusted
+					late := fleet.add("late", newDetector)
+					late.dead = !lives
+					served := 0
+					took := fleet.until(6*time.Second, func() bool {
+						served = fleet.views([]*node{late}, shedkeel.Alive) + fleet.views([]*node{late}, shedkeel.Suspected)
+						return served > 0 && !lives || served == size
+					})
+					if !lives {
+						assert.Equal(t, served, 0, "seed %d: after %s", seed, took)
+						continue
+					}
+					assert.Equal(t, served, size, "seed %d", seed)
+					assert.Assert(t, took <= 1500*time.Millisecond, "seed %d: %s", seed, took)
+				}
+			})
+		}
+	}
+}
--- a/swim/fleet_test.go
+++ b/swim/fleet_test.go
@@ -172,3 +172,19 @@
 	}
 	return count
 }
+
+// add adds a node that all come to know now.
+func (fleet *fleet) add(name shedkeel.NodeID, build func(id shedkeel.NodeID, random shedkeel.Random) shedkeel.FailureDetector) *node {
+	one := &node{id: name, detector: build(name, rand.NewPCG(uint64(fleet.serial), 9))}
+	fleet.nodes = append(fleet.nodes, one)
+	fleet.byName[name] = one
+	var names []shedkeel.NodeID
+	for _, other := range fleet.nodes {
+		names = append(names, other.id)
+	}
+	for _, other := range fleet.nodes {
+		other.detector.SetPeers(names)
+	}
+	fleet.push(event{at: fleet.now, node: one})
+	return one
+}
--- a/swim/receive.go
+++ b/swim/receive.go
@@ -38,7 +38,8 @@
 // hear notes that a node has sent something. A higher incarnation refutes what
 // others say of it. With the same one only this node knows better.
 func (detector *Detector) hear(now time.Duration, peer *peer, incarnation uint32) {
-	peer.heard, peer.proven = now, now
+	peer.heard = now
+	detector.prove(now, peer)
 	switch {
 	case incarnation > peer.incarnation:
 		detector.revive(now, peer, incarnation)
@@ -47,6 +48,16 @@
 	}
 }
 
+// prove notes that a node lived just now. Others are told of one of which nothing
+// was known.
+func (detector *Detector) prove(now time.Duration, peer *peer) {
+	if peer.proven == never && !peer.trusted {
+		peer.news.left = detector.tellings()
+		detector.changes++
+	}
+	peer.proven = now
+}
+
 // pingGone pings another dead node when one was heard: a cut may have ended. By one
 // in four pings alone it took 300 nodes 5.3 s to find each other again.
 func (detector *Detector) pingGone(now time.Duration) []shedkeel.GossipDatagram {
@@ -58,13 +69,15 @@
 	return []shedkeel.GossipDatagram{detector.ping(now, gone)}
 }
 
-// revive takes a node for alive in an incarnation, and tells others.
+// revive takes a node for alive in an incarnation, and tells others if they may
+// suspect it.
 func (detector *Detector) revive(now time.Duration, peer *peer, incarnation uint32) {
 	if peer.accused {
 		peer.news.left = detector.tellings()
 	}
+	detector.prove(now, peer)
 	detector.stand(peer, shedkeel.Alive)
-	peer.incarnation, peer.accused, peer.proven = incarnation, false, now
+	peer.incarnation, peer.accused = incarnation, false
 }
 
 // pingFor pings a node in the sender's place.
@@ -131,13 +144,17 @@
 func (detector *Detector) takeUpdate(now time.Duration, peer *peer, update shedkeel.GossipUpdate) {
 	switch update.Liveness {
 	case shedkeel.Alive:
-		if update.Incarnation > peer.incarnation {
+		switch {
+		case update.Incarnation > peer.incarnation:
 			detector.revive(now, peer, update.Incarnation)
+		case peer.proven == never:
+			detector.prove(now, peer)
 		}
 	case shedkeel.Suspected, shedkeel.Dead:
 		detector.hearSuspicion(now, peer, update)
 	case shedkeel.Left:
 		if update.Incarnation >= peer.incarnation && peer.liveness != shedkeel.Left {
+			detector.prove(now, peer)
 			detector.stand(peer, shedkeel.Left)
 			peer.incarnation, peer.accused = update.Incarnation, true
 			peer.news.left = detector.tellings()
