--- a/mutants_test.go
+++ b/mutants_test.go
@@ -87,8 +87,32 @@
 	"size: all follow one node": {
 		"node/follow.go", "return nodes > directFollowers }", "return nodes < 0 }", "TestFollowers", "./node",
 	},
-	"size: a watcher that is cut off takes all for dead": {
-		"node/watch.go", "if len(watched) > 1 && float64(len(found)) > mostSilent*float64(len(watched)) {", "if false {", "TestSilent", "./node",
+	"lives: the directory asks nobody who lives": {
+		"node/nodes.go", "!own && !node.gossip.serves(other.ID)", "false", "TestDirectoryLeavesOutDeadNodes", "./node",
+	},
+	"lives: nodes that do not answer keep their work for all": {
+		"node/gossip.go", "return gossip.detector.Liveness(record.ID) != shedkeel.Alive", "return false", "TestDutiesPassOn", "./node",
+	},
+	"lives: a dead node whose record went is kept": {
+		"node/fleet.go", "return !isNode || fleet.node.gossip.serves(shedkeel.NodeID(id))", "return !isNode || id != \"\"", "TestGoneNodes", "./node",
+	},
+	"lives: a node that is cut off removes records": {
+		"node/remover.go", "node.stopping.Load() || node.gossip.isolated()", "node.stopping.Load()", "TestRemoverTakes", "./node",
+	},
+	"lives: a node that hears nobody takes all for dead": {
+		"swim/detector.go", "if peer.liveness == shedkeel.Alive && !detector.Isolated(now) {", "if peer.liveness == shedkeel.Alive {", "TestCuts|TestIsolated", "./swim",
+	},
+	"lives: a suspicion is not refuted": {
+		"swim/receive.go", "detector.incarnation = update.Incarnation + 1", "_ = update", "TestCuts|TestShortStandstills|TestLeaving|TestDeadNodesAreFound", "./swim",
+	},
+	"lives: one ping in a period, however many have no answer": {
+		"swim/probe.go", "if next == nil || detector.more >= mostMore {", "if true {", "TestDeadNodesAreFound", "./swim",
+	},
+	"lives: who is listed late is alive at once": {
+		"swim/detector.go", "case peer.proven == never && !peer.trusted && !gone(peer):", "case false:", "TestListedLater", "./swim",
+	},
+	"lives: a hangup ends a node that stops": {
+		"program/node.go", "case <-ctx.Done():\n\t\t\treturn\n", "case <-ctx.Done():\n\t\t\tsignal.Reset(syscall.SIGHUP)\n\t\t\treturn\n", "TestSignalsWhileStopping", "./soak",
 	},
 	"size: a node that lives stays removed": {
 		"node/member.go", "return !membership.stands() && since >= listedRetry", "return false", "TestWatchedMembership", "./node",
--- a/swim/receive.go
+++ b/swim/receive.go
@@ -52,7 +52,7 @@
 // was known.
 func (detector *Detector) prove(now time.Duration, peer *peer) {
 	if peer.proven == never && !peer.trusted {
-		peer.news.left = detector.tellings()
+		peer.untold = detector.tellings()
 		detector.changes++
 	}
 	peer.proven = now
@@ -73,7 +73,7 @@
 // suspect it.
 func (detector *Detector) revive(now time.Duration, peer *peer, incarnation uint32) {
 	if peer.accused {
-		peer.news.left = detector.tellings()
+		peer.untold = detector.tellings()
 	}
 	detector.prove(now, peer)
 	detector.stand(peer, shedkeel.Alive)
@@ -157,7 +157,7 @@
 			detector.prove(now, peer)
 			detector.stand(peer, shedkeel.Left)
 			peer.incarnation, peer.accused = update.Incarnation, true
-			peer.news.left = detector.tellings()
+			peer.untold = detector.tellings()
 		}
 	}
 }
@@ -185,8 +185,8 @@
 // receiver, then what is news, then who is gone, for those that have started since.
 func (detector *Detector) updates(now time.Duration, to *peer) []shedkeel.GossipUpdate {
 	var told []shedkeel.GossipUpdate
-	if detector.own.left > 0 {
-		detector.own.left--
+	if detector.ownUntold > 0 {
+		detector.ownUntold--
 		told = append(told, detector.ownUpdate())
 	}
 	if to.accused {
@@ -196,15 +196,15 @@
 	for _, peer := range detector.listed {
 		switch {
 		case peer == to:
-		case peer.news.left > 0:
+		case peer.untold > 0:
 			fresh = append(fresh, peer)
 		case gone(peer):
 			stale = append(stale, peer)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *peer) int { return cmp.Compare(b.news.left, a.news.left) })
+	slices.SortStableFunc(fresh, func(a, b *peer) int { return cmp.Compare(b.untold, a.untold) })
 	for _, peer := range fresh[:min(len(fresh), mostUpdates)] {
-		peer.news.left--
+		peer.untold--
 		told = append(told, detector.update(now, peer))
 	}
 	return append(told, detector.sample(now, stale, mostUpdates-len(fresh))...)
--- a/wire/datagram_test.go
+++ b/wire/datagram_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// FuzzGossip takes in whatever has a valid tag: it is read, or refused.
+func FuzzGossip(f *testing.F) {
+	sealed, err := SealGossip("k", shedkeel.GossipMessage{Kind: shedkeel.GossipAck, From: "a", Updates: []shedkeel.GossipUpdate{{Node: 1, Age: time.Second}}})
+	assert.NilError(f, err)
+	f.Add(sealed[:len(sealed)-tagBytes])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		message, err := OpenGossip("k", append(text, tag("k", text)...))
+		if err == nil {
+			_, err = SealGossip("k", message)
+			assert.NilError(t, err)
+		}
+	})
+}
