--- a/node/admin.go
+++ b/node/admin.go
@@ -23,14 +23,14 @@
 	Age         string            `json:"age"`      // of the proof that nothing is newer
 	Served      int64             `json:"served"`
 	Nodes       []shedkeel.NodeID `json:"nodes"`
-	Unnamed     []NodeDump        `json:"unnamed"`  // listed nodes to which callers are not sent
+	Unnamed     []UnnamedDump     `json:"unnamed"`  // listed nodes to which callers are not sent
 	Isolated    bool              `json:"isolated"` // this node hears nobody, so it judges nobody
 	Groups      []GroupDump       `json:"groups"`
 	Servers     []ServerDump      `json:"servers"`
 }
 
-// NodeDump is a listed node to which callers are not sent, and why.
-type NodeDump struct {
+// UnnamedDump is a listed node to which callers are not sent, and why.
+type UnnamedDump struct {
 	Node   shedkeel.NodeID `json:"node"`
 	Reason string          `json:"reason"`
 }
@@ -80,19 +80,19 @@
 }
 
 // unnamed returns the listed nodes to which callers are not sent.
-func (node *Node) unnamed() []NodeDump {
-	found := []NodeDump{}
+func (node *Node) unnamed() []UnnamedDump {
+	found := []UnnamedDump{}
 	for _, record := range node.peers.listed() {
 		liveness := node.gossip.liveness(record.ID)
 		switch {
 		case liveness == shedkeel.Dead:
-			found = append(found, NodeDump{record.ID, reasonDead})
+			found = append(found, UnnamedDump{record.ID, reasonDead})
 		case liveness == shedkeel.Left:
-			found = append(found, NodeDump{record.ID, reasonLeft})
+			found = append(found, UnnamedDump{record.ID, reasonLeft})
 		case liveness == shedkeel.Unheard:
-			found = append(found, NodeDump{record.ID, reasonUnheard})
+			found = append(found, UnnamedDump{record.ID, reasonUnheard})
 		case record.Stopping:
-			found = append(found, NodeDump{record.ID, reasonStopping})
+			found = append(found, UnnamedDump{record.ID, reasonStopping})
 		}
 	}
 	return found
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// signalled is a signal that a process gets, and how long after the one before.
-type signalled struct {
+// sentSignal is a signal that a process gets, and how long after the one before.
+type sentSignal struct {
 	after  time.Duration
 	signal syscall.Signal
 }
@@ -22,7 +22,7 @@
 // it: SIGTERM at 12.80 s, gone at 15.52 s with a hangup, in the middle of answers
 // that it had grace to finish.
 func TestSignalsWhileStopping(t *testing.T) {
-	cases := map[string][]signalled{
+	cases := map[string][]sentSignal{
 		"a hangup":               {{300 * time.Millisecond, syscall.SIGHUP}},
 		"hangups in series":      {{0, syscall.SIGHUP}, {time.Millisecond, syscall.SIGHUP}, {50 * time.Millisecond, syscall.SIGHUP}, {time.Second, syscall.SIGHUP}},
 		"a second SIGTERM":       {{300 * time.Millisecond, syscall.SIGTERM}},
@@ -51,12 +51,12 @@
 // a hangup must not end it, and settings that can't be read leave it as it is.
 func TestSignalsWhileStarting(t *testing.T) {
 	cases := map[string]struct {
-		early  []signalled // before it has its settings
-		broken bool        // the settings are spoilt then, and it gets a hangup
+		early  []sentSignal // before it has its settings
+		broken bool         // the settings are spoilt then, and it gets a hangup
 	}{
-		"a hangup":                    {[]signalled{{0, syscall.SIGHUP}}, false},
-		"hangups in series":           {[]signalled{{0, syscall.SIGHUP}, {0, syscall.SIGHUP}, {20 * time.Millisecond, syscall.SIGHUP}}, false},
-		"hangup, and broken settings": {[]signalled{{0, syscall.SIGHUP}}, true},
+		"a hangup":                    {[]sentSignal{{0, syscall.SIGHUP}}, false},
+		"hangups in series":           {[]sentSignal{{0, syscall.SIGHUP}, {0, syscall.SIGHUP}, {20 * time.Millisecond, syscall.SIGHUP}}, false},
+		"hangup, and broken settings": {[]sentSignal{{0, syscall.SIGHUP}}, true},
 	}
 	binary := build(t)
 	for name, test := range cases {
