--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -165,3 +165,25 @@
 		})
 	}
 }
+
+// TestRelayPassesOn suspects one relay after the other in a fleet that has some: a
+// node follows another relay each time, and the source when none is left.
+func TestRelayPassesOn(t *testing.T) {
+	nodes := fleetOf(300, 9)
+	relays := relaysOf(nodes)
+	assert.Assert(t, len(relays) > 3)
+	own := nodes[250]
+	node, _ := newListedNode(t, own.ID, nodes)
+	found := &judged{liveness: map[shedkeel.NodeID]shedkeel.Liveness{}}
+	node.gossip.detector = found
+	followed := map[string]bool{}
+	for range len(relays) {
+		node.peers.judge()
+		name := node.peers.choose().Name()
+		assert.Assert(t, !followed[name], "%s is suspected", name)
+		followed[name] = true
+		found.liveness[shedkeel.NodeID(name)] = shedkeel.Suspected
+	}
+	node.peers.judge()
+	assert.Assert(t, !followed[node.peers.choose().Name()])
+}
--- a/swim/detector.go
+++ b/swim/detector.go
@@ -29,8 +29,8 @@
 	// helpTime is how much longer it may take by way of others.
 	helpTime = 250 * time.Millisecond
 	// helpers is how many others are asked to ping a node that does not answer:
-	// with three datagrams in a hundred lost, one suspicion in 10^5 pings is raised
-	// without cause.
+	// with three datagrams in a hundred lost, one ping in 11,000 has no answer by any
+	// way.
 	helpers = 3
 	// suspectTime is for how long a node may refute a suspicion. With the times
 	// above no node is dead that stood still for less than 2 s.
