A test that fails where a node that is cut off suspects others

The mutant without that guard passed: another guard, that suspicions do not age meanwhile, hid it. TestCuts counts the suspicions now and fails on it.

--- a/node/gossip.go
+++ b/node/gossip.go
@@ -24,7 +24,7 @@
 )
 
 // gossip is the shell around a node's failure detector: its socket, its clock and
-// the names of its peers. Its own nodes' records tell where datagrams go.
+// the names of its peers. The nodes' records tell where datagrams go.
 type gossip struct {
 	node *Node
 	conn net.PacketConn // nil: none, and nobody is judged
--- a/swim/cuts_test.go
+++ b/swim/cuts_test.go
@@ -39,6 +39,13 @@
 					if !test.otherHurt {
 						cutOff := fleet.byName["node-0"]
 						assert.Equal(t, fleet.views([]*node{cutOff}, shedkeel.Dead), size-1, "seed %d", seed)
+						suspected := 0
+						for _, seen := range fleet.nodes[1:] {
+							if cutOff.detector.Liveness(seen.id) == shedkeel.Suspected {
+								suspected++
+							}
+						}
+						assert.Assert(t, suspected <= 8, "seed %d: the one that is cut off suspects %d others", seed, suspected)
 						for _, viewer := range fleet.nodes[1:] {
 							for _, seen := range fleet.nodes[1:] {
 								assert.Assert(t, viewer.detector.Liveness(seen.id) != shedkeel.Dead, "seed %d", seed)
