A mutant that fails by assertion, not by a time-out

Cause: without a higher incarnation an accused node announced itself without end, so that the mutant ended in TestCuts after 150 s by a panic of the test's time-out, and was counted as failing as it must. No product code changes.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -103,7 +103,7 @@
 		"swim/detector.go", "if peer.liveness == shedkeel.Alive && !detector.Isolated(now) {", "if peer.liveness == shedkeel.Alive {", "TestCuts|TestIsolated", "./swim",
 	},
 	"lives: a suspicion is not refuted": {
-		"swim/receive.go", "detector.incarnation = update.Incarnation + 1", "_ = update", "TestCuts|TestShortStandstills|TestLeaving|TestDeadNodesAreFound", "./swim",
+		"swim/receive.go", "if detector.leaving || update.Liveness", "if true || detector.leaving || update.Liveness", "TestShortStandstills|TestLeaving", "./swim",
 	},
 	"lives: one ping in a period, however many have no answer": {
 		"swim/probe.go", "if next == nil || detector.more >= mostMore {", "if true {", "TestDeadNodesAreFound", "./swim",
