Logs tell which request a backend server ended under

Cause: 28 to 79 requests break off when one server ends, each under a name of its own, and nothing in the logs tells two tries of one request from two requests, nor a server that ended from a connection that was reset.

Change: a request has a digest (method, host, path and query, client account, body; keyed, so that nobody outside can make two look alike). When a sending breaks off, the server's address is dialed once for all requests that ran there: one that refuses has ended. Line 615 names server and digest. Nothing is decided by it yet, and nothing is hashed before a server has ended.

Measured: TestDigest, TestEnded; tests of serve, engine, event, dispatch and node with the race detector pass.

--- a/call.go
+++ b/call.go
@@ -37,6 +37,10 @@
 	NotRun bool   // the server says that it did not run the request
 }
 
+// RequestDigest names what a request asks for. All tries of one and the same
+// request, under whichever name and at whichever process, have the same one.
+type RequestDigest string
+
 // CallerProtocol is how callers and backend servers name things in headers.
 type CallerProtocol interface {
 	// Read reads the head of a caller's request. Its error is an InvalidError.
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -270,6 +270,14 @@
 	state.judged = now
 }
 
+// Listed reports whether requests may still be sent to the server, as far as the
+// list of servers tells: it has not said that it leaves.
+func (choice *Choice) Listed() bool {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	return choice.state.listed
+}
+
 // Load is what this process has running on the servers of a model.
 type Load struct {
 	Running
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -100,6 +101,18 @@
 	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err}
 }
 
+// Ended reports whether the address refuses connections: no process listens
+// there any more.
+func (transport *Transport) Ended(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close closes idle connections.
 func (transport *Transport) Close() {
 	transport.once.Do(transport.init)
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -257,3 +258,16 @@
 	assert.ErrorIs(t, err, errSealed)
 	assert.Equal(t, conn.count(), int64(0))
 }
+
+// TestEnded checks that only a refused connection proves that a server has ended.
+func TestEnded(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := server.Listener.Addr().String()
+	transport := &Transport{}
+	assert.Assert(t, !transport.Ended(t.Context(), address), "it lives")
+	server.Close()
+	assert.Assert(t, transport.Ended(t.Context(), address))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !transport.Ended(ctx, address), "no answer proves nothing")
+}
--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,7 @@
 	BrokenOff       = Event{612, slog.LevelWarn, "answer broken off, or its caller left"}
 	SendingFailed   = Event{613, slog.LevelWarn, "server did not answer a request as it should"}
 	StreamMoved     = Event{614, slog.LevelWarn, "stream begun at another server because its own is silent"}
+	ServerEnded     = Event{615, slog.LevelWarn, "backend server ended under a request"}
 	ServerSilent    = Event{620, slog.LevelWarn, "server or group has gone silent"}
 	NoticeTaken     = Event{621, slog.LevelInfo, "another process reports a group silent or lost"}
 	ServersChanged  = Event{630, slog.LevelInfo, "list of servers and groups changed"}
@@ -89,7 +90,7 @@
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
-		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
+		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
 		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed,
 	}
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -115,6 +115,13 @@
 	Send(request *http.Request) (*http.Response, error)
 }
 
+// ServerCheck finds out what became of a backend server that broke off.
+type ServerCheck interface {
+	// Ended reports whether it is proven that nothing serves at the address any
+	// more. Silence proves nothing.
+	Ended(ctx context.Context, address string) bool
+}
+
 // Timers is the timer service that parts subscribe to. Times are durations on
 // a clock that never steps and that also runs while the machine is suspended.
 type Timers interface {
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 	Decoder     Decoder
 	Protocol    shedkeel.CallerProtocol
 	Backend     shedkeel.Backend
+	Check       shedkeel.ServerCheck // nil: servers that end are not noticed as such
 	Engines     shedkeel.GroupEngines
 	Timers      shedkeel.Timers
 	Random      shedkeel.Random
@@ -126,6 +127,7 @@
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
 		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving,
+		Check: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys, Outage: node.follower.Outage,
 	}
 	if node.Metrics != nil {
--- a/program/node.go
+++ b/program/node.go
@@ -83,6 +83,7 @@
 		Decoder:  platform.Decoder{},
 		Protocol: platform.Callers{},
 		Backend:  transport,
+		Check:    transport,
 		Engines:  &platform.Engines{Timeout: orderTimeout, Client: plainClient(1)},
 		Timers:   &timer.System{},
 		Random:   rand.NewPCG(seed, seed),
--- /dev/null
+++ b/serve/digest_test.go
@@ -0,0 +1,47 @@
+package serve
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestDigest checks which requests count as one and the same.
+func TestDigest(t *testing.T) {
+	base := life{
+		front:   &Front{DigestKey: []byte("k")},
+		request: httptest.NewRequest(http.MethodPost, "/s/x", nil),
+		call:    shedkeel.Call{ID: "r1", Host: "h", Target: "/s/x?a=1", Key: "k1"},
+		account: &shedkeel.KeyedAccount{ID: "clerk"},
+		body:    []byte("body"),
+	}
+	cases := map[string]struct {
+		change func(life *life)
+		same   bool
+	}{
+		"another try":          {func(life *life) { life.call.ID = "r2" }, true},
+		"resumed":              {func(life *life) { life.call.LastEvent = "7" }, true},
+		"another key":          {func(life *life) { life.call.Key = "k2" }, true},
+		"another account":      {func(life *life) { life.account = &shedkeel.KeyedAccount{ID: "office"} }, false},
+		"no account":           {func(life *life) { life.account = nil }, false},
+		"another path":         {func(life *life) { life.call.Target = "/s/y?a=1" }, false},
+		"another query":        {func(life *life) { life.call.Target = "/s/x?a=2" }, false},
+		"another host":         {func(life *life) { life.call.Host = "g" }, false},
+		"another body":         {func(life *life) { life.body = []byte("bodz") }, false},
+		"another method":       {func(life *life) { life.request = httptest.NewRequest(http.MethodPut, "/s/x", nil) }, false},
+		"parts put otherwise":  {func(life *life) { life.call.Target, life.account = "/s/x?a=1clerk", nil }, false},
+		"a fleet with its key": {func(life *life) { life.front = &Front{DigestKey: []byte("other")} }, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			changed := base
+			test.change(&changed)
+			assert.Equal(t, changed.makeDigest() == base.makeDigest(), test.same)
+			assert.Equal(t, len(changed.makeDigest()), 2*digestBytes)
+		})
+	}
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,12 @@
 	// RefuseStaleKeys has requests with keys refused while the configuration is
 	// out of date. Without it they are served by the newest one that is known.
 	RefuseStaleKeys bool
+	// Check finds out whether a server that broke off has ended. nil: it is not
+	// asked.
+	Check shedkeel.ServerCheck
+	// DigestKey is mixed into what names requests, so that nobody outside can
+	// make two that look alike. It is the same at all processes.
+	DigestKey []byte
 	// Outage returns since when the key-value service is away for all
 	// processes, as far as this one can tell. nil: it is not known.
 	Outage func() (since time.Duration, away bool)
@@ -64,6 +71,7 @@
 	stopping atomic.Bool // callers are asked to leave
 	refusing atomic.Bool // nothing new is taken
 	served   atomic.Int64
+	endings  endings
 }
 
 // Stop has every answer from now on ask its caller to close the connection.
@@ -106,12 +114,14 @@
 	sendings int         // that may have arrived
 	late     bool        // there is no place for it to be on time
 	outcome  []slog.Attr // of an answer, for the log
+	digest   func() shedkeel.RequestDigest
 }
 
 // ServeHTTP serves one request.
 func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	front.served.Add(1)
 	life := &life{front: front, writer: writer, request: request, began: front.Timers.Now()}
+	life.digest = sync.OnceValue(life.makeDigest)
 	if front.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -68,12 +68,18 @@
 	response, err := life.send(ctx, choice, "") //nolint:bodyclose // readWhole closes it
 	if err != nil {
 		choice.End(true, life.front.Timers.Now())
+		if ctx.Err() == nil {
+			life.noteEnd(choice, err)
+		}
 		return kept{}, err
 	}
 	choice.Sign(life.front.Timers.Now())
 	body, err := readWhole(response)
 	failed := err != nil || response.StatusCode >= http.StatusInternalServerError
 	choice.End(failed, life.front.Timers.Now())
+	if err != nil && ctx.Err() == nil {
+		life.noteEnd(choice, err)
+	}
 	return kept{response, body}, err
 }
 
--- a/serve/source.go
+++ b/serve/source.go
@@ -33,6 +33,9 @@
 	err := source.read()
 	failed := !errors.Is(err, errStreamEnd) && source.context.Err() == nil
 	source.choice.End(failed, source.stream.front.Timers.Now())
+	if failed {
+		source.stream.noteEnd(source.choice, err)
+	}
 	source.tell(news{source: source, err: err})
 }
 
