Stand-in: a server that a deadly request ends breaks off

Cause: the handler returned after it had ended the server, and the HTTP library could still send an empty answer, which is wrong and no end.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -99,7 +99,7 @@
 	world.fleet.Add(server)
 	running := world.runServer(server, listener)
 	server.End = func() {
-		go func() { _ = running.Close() }() // the request that ends it is among those that are cut
+		_ = running.Close()
 		time.AfterFunc(backTime, func() {
 			again, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", server.Address)
 			if err != nil {
