Operators see which requests are kept from servers, and let them go

Cause: a caller whose request is contained, or an operator who looks for why servers end, had no way from one to the other. Change: status lists contained and quarantined requests with the servers that ended under them, the log line of a refusal has the digest, a gauge counts them; removing the record lets a request go. While the store does not keep what is known, nodes tell each other again each second, for those that start. Measured: TestRequestThatEndsServersIsContained walks from the refusal to the record and lets it go (-race).

--- a/node/admin.go
+++ b/node/admin.go
@@ -25,10 +25,18 @@
 	Nodes       []shedkeel.NodeID `json:"nodes"`
 	Unnamed     []UnnamedDump     `json:"unnamed"`  // listed nodes to which callers are not sent
 	Isolated    bool              `json:"isolated"` // this node hears nobody, so it judges nobody
+	Judged      []BlameDump       `json:"judged"`   // requests that are kept from servers, since servers ended under them
 	Groups      []GroupDump       `json:"groups"`
 	Servers     []ServerDump      `json:"servers"`
 }
 
+// BlameDump is a request that is kept from servers.
+type BlameDump struct {
+	Request  shedkeel.RequestDigest `json:"request"`
+	Judgment string                 `json:"judgment"`
+	Servers  []shedkeel.InstanceID  `json:"servers"` // the starts of servers that ended under it
+}
+
 // UnnamedDump is a listed node to which callers are not sent, and why.
 type UnnamedDump struct {
 	Node   shedkeel.NodeID `json:"node"`
@@ -76,6 +84,7 @@
 	node.fleet.describe(&dump)
 	dump.Isolated = node.gossip.isolated()
 	dump.Unnamed = node.unnamed()
+	dump.Judged = node.guard.judged()
 	return dump
 }
 
--- a/node/contain_test.go
+++ b/node/contain_test.go
@@ -1,13 +1,18 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/operator"
 )
 
 // A request that ended each server which began to run it came again and again,
@@ -57,6 +62,36 @@
 	}
 	assert.Assert(t, world.fleet.Ended() <= mostEnded, "%d servers ended", world.fleet.Ended())
 	world.serves(1)
+	world.tellsOperators()
+}
+
+// tellsOperators has operators find the request from what its caller was told to
+// what is held against it, and let it go by removing its record.
+func (world *world) tellsOperators() {
+	t := world.t
+	id := shedkeel.NewNonce()
+	status, body := world.sendBody(world.nodes[0].callers, id, "/copy/a", "key-1", "deadly", 50)
+	assert.Equal(t, status, http.StatusServiceUnavailable, body)
+	client := &operator.Client{Keeper: world.nodes[0].admin}
+	story, err := client.Request(t.Context(), id)
+	assert.NilError(t, err)
+	var printed bytes.Buffer
+	operator.PrintRequest(&printed, story)
+	digest := regexp.MustCompile(`digest=([0-9a-f]+)`).FindStringSubmatch(printed.String())
+	assert.Equal(t, len(digest), 2, printed.String())
+
+	answer, err := client.Status(t.Context())
+	assert.NilError(t, err)
+	printed.Reset()
+	operator.PrintStatus(&printed, answer)
+	assert.Assert(t, strings.Contains(printed.String(), "request "+digest[1]+" is contained"), printed.String())
+
+	_, err = world.data.Commit(shedkeel.Change{Remove: []string{"shedkeel/blames/" + digest[1]}})
+	assert.NilError(t, err)
+	world.eventually("it is let go", func() bool {
+		answer, err := client.Status(t.Context())
+		return err == nil && len(answer.Node.Judged) == 0
+	})
 }
 
 // TestContainedAfterLossOfAllNodes has all nodes go and new ones start after the
--- a/node/guard.go
+++ b/node/guard.go
@@ -29,6 +29,9 @@
 	tryTime = 10 * time.Second
 	// askedNodes is how many nodes are asked in turn to decide about a request.
 	askedNodes = 3
+	// tellAgain is how often all nodes are told again of what the key-value service
+	// does not keep yet: those that started or were cut off meanwhile don't know.
+	tellAgain = time.Second
 	// keepTick is how often is looked whether something is to be written.
 	keepTick = 100 * time.Millisecond
 	// keepTurn is how much later than the one before it a node writes what the
@@ -47,6 +50,8 @@
 	mutex  sync.Mutex
 	tries  map[shedkeel.RequestDigest]time.Duration // this node has allowed one until then
 	unkept map[shedkeel.RequestDigest]time.Duration // not written yet as it stands, since when
+
+	told time.Duration // when all were last told again. Only the loop uses it
 }
 
 func (guard *guard) prepare() {
@@ -246,6 +251,7 @@
 
 // keep writes what the key-value service lacks, in this node's turn.
 func (guard *guard) keep(ctx context.Context, now time.Duration) {
+	guard.tellUnkept(now)
 	state := guard.node.mirror.State()
 	if !state.Known || now-state.AsOf > troubleAge {
 		return
@@ -266,6 +272,20 @@
 	}
 }
 
+// tellUnkept tells all nodes again of requests that the key-value service should
+// keep and does not.
+func (guard *guard) tellUnkept(now time.Duration) {
+	if now-guard.told < tellAgain {
+		return
+	}
+	guard.told = now
+	for request, since := range guard.unkeptNow() {
+		if now-since >= tellAgain {
+			guard.spread(guard.ledger.Blame(request), true)
+		}
+	}
+}
+
 func (guard *guard) unkeptNow() map[shedkeel.RequestDigest]time.Duration {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
@@ -324,6 +344,18 @@
 	guard.node.mirror.Apply(mirrorUpdate(record))
 }
 
+// judged returns the requests that are not sent as all are.
+func (guard *guard) judged() []BlameDump {
+	found := []BlameDump{}
+	for _, blame := range guard.ledger.All() {
+		if judgment := contain.Judge(blame); judgment != shedkeel.Unblamed {
+			found = append(found, BlameDump{Request: blame.Request, Judgment: judgment.String(), Servers: blame.Servers})
+		}
+	}
+	slices.SortFunc(found, func(a, b BlameDump) int { return cmp.Compare(a.Request, b.Request) })
+	return found
+}
+
 // takeRecord takes in what the key-value service keeps. A record that was removed
 // clears its request: it was answered, or an operator lets it go.
 func (guard *guard) takeRecord(record shedkeel.Record) {
--- a/node/report.go
+++ b/node/report.go
@@ -20,6 +20,13 @@
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
 	scope.Gauge("nodes_unnamed").Update(float64(len(node.unnamed())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
+	judged := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
+	for _, blame := range node.guard.judged() {
+		judged[blame.Judgment]++
+	}
+	for judgment, count := range judged {
+		scope.Tagged(map[string]string{"judgment": judgment}).Gauge("requests_judged").Update(float64(count))
+	}
 	for state, count := range node.fleet.groupStates() {
 		scope.Tagged(map[string]string{"state": state}).Gauge("groups").Update(float64(count))
 	}
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -27,14 +27,13 @@
 	for _, unnamed := range status.Unnamed {
 		_, _ = fmt.Fprintf(writer, "callers are not sent to %s: %s\n", unnamed.Node, unnamed.Reason)
 	}
+	for _, blame := range status.Judged {
+		_, _ = fmt.Fprintf(writer, "request %s is %s: servers ended under it: %s\n", blame.Request, blame.Judgment, joined(blame.Servers))
+	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "\nGROUP\tMODEL\tEPOCH\tHEAD\tMEMBERS")
 	for _, group := range status.Groups {
-		members := make([]string, len(group.Members))
-		for index, member := range group.Members {
-			members[index] = string(member)
-		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", group.Group, group.Model, group.Epoch, cmp.Or(string(group.State), "not listed"), strings.Join(members, ","))
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", group.Group, group.Model, group.Epoch, cmp.Or(string(group.State), "not listed"), joined(group.Members))
 	}
 	_, _ = fmt.Fprintln(table, "\nSERVER IN NO GROUP\tSERVICE\tSTATE\tWEIGHTS ON ITS HOST")
 	for _, server := range status.Servers {
@@ -42,15 +41,20 @@
 		if server.Draining {
 			state = "draining"
 		}
-		weights := make([]string, len(server.Staged))
-		for index, model := range server.Staged {
-			weights[index] = string(model)
-		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", server.Server, server.Service, state, cmp.Or(strings.Join(weights, ","), "-"))
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", server.Server, server.Service, state, cmp.Or(joined(server.Staged), "-"))
 	}
 	_ = table.Flush()
 }
 
+// joined joins names by commas.
+func joined[Name ~string](names []Name) string {
+	texts := make([]string, len(names))
+	for index, name := range names {
+		texts[index] = string(name)
+	}
+	return strings.Join(texts, ",")
+}
+
 // printNodeExplanation writes what a node knows of a group.
 func printNodeExplanation(writer io.Writer, explanation *node.Explanation) {
 	_, _ = fmt.Fprintf(writer, "group %s, seen by node %s; planned by %s\n", explanation.Group, explanation.Node, cmp.Or(string(explanation.Leader), "nobody"))
--- a/serve/front.go
+++ b/serve/front.go
@@ -283,6 +283,9 @@
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.back))
 	}
+	if refused.cause == causeContained || refused.cause == causeQuarantined {
+		fields = append(fields, slog.String("digest", string(life.digest())))
+	}
 	if refused.back > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.back.Seconds(), 'f', 3, 64))
 	}
