No request is blamed for a server that had ended before it was sent

Cause: when several servers end at once, a stream that goes on at the next one is sent over a kept connection to a server that is gone already; what breaks off there 4 ms later counted as an end under it. Change: a sending counts if it was made before the first one broke off on that server, and, over a kept connection without a byte of answer, 10 ms before.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -140,11 +140,11 @@
 // Choice is a server that a request is sent to. End must be called once.
 type Choice struct {
 	Server
+	Began   time.Duration   // when it was chosen
 	Stalled <-chan struct{} // tells each time that the server is silent for longer than the request can bear
 
 	table   *Table
 	state   *state
-	began   time.Duration
 	prompt  int
 	late    bool
 	begun   bool // its first event or answer has come
@@ -228,7 +228,7 @@
 		state.reported = 0
 	}
 	stalled := make(chan struct{}, 1)
-	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
+	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, Began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
 	state.running[choice] = struct{}{}
 	return choice
 }
@@ -247,7 +247,7 @@
 	}
 	if !choice.begun {
 		choice.begun = true
-		state.judge(float64(now-choice.began)/float64(choice.expected()), now)
+		state.judge(float64(now-choice.Began)/float64(choice.expected()), now)
 	}
 }
 
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -98,7 +98,7 @@
 	if sent.seal() == 0 {
 		return nil, &shedkeel.NotRunError{Reason: "backend server " + request.URL.Host + " could not be reached: " + err.Error(), RetryAfter: retrySoon}
 	}
-	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err}
+	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err, Reused: sent.wasReused()}
 }
 
 // Ended reports whether the address refuses connections: no process listens
@@ -180,6 +180,7 @@
 // sentBytes finds out how much of one request was written.
 type sentBytes struct {
 	mutex  sync.Mutex
+	reused bool // the last connection had served before
 	conns  []*countedConn
 	before []int64
 }
@@ -191,10 +192,17 @@
 	}
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
+	sent.reused = info.Reused
 	sent.conns = append(sent.conns, conn)
 	sent.before = append(sent.before, conn.count())
 }
 
+func (sent *sentBytes) wasReused() bool {
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	return sent.reused
+}
+
 // seal stops all writing of the request and returns the bytes written.
 func (sent *sentBytes) seal() int64 {
 	sent.mutex.Lock()
--- a/node/contain_test.go
+++ b/node/contain_test.go
@@ -34,6 +34,9 @@
 	return world
 }
 
+// ended returns how many servers the deadly request has ended.
+func (world *world) ended() int { return world.fleet.Ended()["deadly"] }
+
 // serves waits until the node answers other requests of the kind, with two groups
 // that serve.
 func (world *world) serves(index int) {
@@ -60,7 +63,7 @@
 		status, body := world.sendDeadly(try % 3)
 		assert.Assert(t, status != 200, "%s", body)
 	}
-	assert.Assert(t, world.fleet.Ended() <= mostEnded, "%d servers ended", world.fleet.Ended())
+	assert.Assert(t, world.ended() <= mostEnded, "%d servers ended", world.ended())
 	world.serves(1)
 	world.tellsOperators()
 }
@@ -106,15 +109,15 @@
 		node.stop()
 		node.ended.Wait()
 	}
-	before := world.fleet.Ended()
+	before := world.ended()
 	for index := range 2 {
 		world.start(2 + index)
 	}
 	for try := range 4 {
 		world.sendDeadly(2 + try%2)
 	}
-	assert.Equal(t, world.fleet.Ended(), before, "more servers ended, under a request that had ended three")
-	assert.Assert(t, world.fleet.Ended() <= mostEnded, "%d servers ended", world.fleet.Ended())
+	assert.Equal(t, world.ended(), before, "more servers ended, under a request that had ended three")
+	assert.Assert(t, world.ended() <= mostEnded, "%d servers ended", world.ended())
 }
 
 // TestCrowdIsContained has the request come 20 times a second, at all nodes, so that
@@ -137,6 +140,6 @@
 	for range copies {
 		assert.Assert(t, <-statuses != 200)
 	}
-	assert.Assert(t, world.fleet.Ended() <= mostOfCrowd, "%d servers ended", world.fleet.Ended())
+	assert.Assert(t, world.ended() <= mostOfCrowd, "%d servers ended", world.ended())
 	world.serves(2)
 }
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -16,6 +16,10 @@
 	// checkTimeout bounds the question whether a server has ended: a box that
 	// lives answers or refuses within a round trip.
 	checkTimeout = 100 * time.Millisecond
+	// leastRun is the least time from the sending of a request until it ends a
+	// server. What breaks off sooner, over a connection that was kept, was sent to
+	// one that had ended.
+	leastRun = 10 * time.Millisecond
 	// maxEndings bounds how many servers are remembered as ended.
 	maxEndings = 1024
 )
@@ -28,29 +32,30 @@
 }
 
 type ending struct {
+	at    time.Duration // when the first request broke off
 	once  sync.Once
 	ended bool
 }
 
-// has reports whether the server has ended, which ask finds out. That one has not
-// is not remembered.
-func (endings *endings) has(server shedkeel.InstanceID, ask func() bool) bool {
-	ending := endings.of(server)
+// since returns when the first request broke off on a server that has ended, which
+// ask finds out. That one has not is not remembered.
+func (endings *endings) since(server shedkeel.InstanceID, now time.Duration, ask func() bool) (at time.Duration, ended bool) {
+	ending := endings.of(server, now)
 	ending.once.Do(func() { ending.ended = ask() })
 	if !ending.ended {
 		endings.forget(server, ending)
 	}
-	return ending.ended
+	return ending.at, ending.ended
 }
 
-func (endings *endings) of(server shedkeel.InstanceID) *ending {
+func (endings *endings) of(server shedkeel.InstanceID, now time.Duration) *ending {
 	endings.mutex.Lock()
 	defer endings.mutex.Unlock()
 	if endings.known == nil || len(endings.known) >= maxEndings {
 		endings.known = map[shedkeel.InstanceID]*ending{}
 	}
 	if endings.known[server] == nil {
-		endings.known[server] = &ending{}
+		endings.known[server] = &ending{at: now}
 	}
 	return endings.known[server]
 }
@@ -66,10 +71,12 @@
 // noteEnd finds out whether the server that the request was sent to ended under
 // it, and tells so. A server that said before that it would end proves nothing.
 func (life *life) noteEnd(choice *dispatch.Choice, failure error) {
-	if life.front.Check == nil || !brokeOff(failure) || !choice.Listed() {
+	now := life.front.Timers.Now()
+	if life.front.Check == nil || !brokeOff(failure) || !choice.Listed() || gotNone(failure) && now-choice.Began < leastRun {
 		return
 	}
-	if !life.front.endings.has(choice.Instance, func() bool { return life.front.ended(choice.Address) }) {
+	at, ended := life.front.endings.since(choice.Instance, now, func() bool { return life.front.ended(choice.Address) })
+	if !ended || choice.Began > at {
 		return
 	}
 	life.log(event.ServerEnded, slog.String("server", string(choice.Instance)), slog.String("digest", string(life.digest())))
@@ -78,6 +85,13 @@
 	}
 }
 
+// gotNone reports whether a request was sent over a connection that had been kept,
+// and not a byte of an answer came.
+func gotNone(failure error) bool {
+	var unknown *shedkeel.UnknownRunError
+	return errors.As(failure, &unknown) && unknown.Reused
+}
+
 func (front *Front) ended(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/timer"
 )
 
 // fixedGuard judges all requests alike and notes what it is told.
@@ -68,6 +70,9 @@
 	}, true
 }
 
+// errLostKept is a request that was lost on a connection that had been kept.
+var errLostKept = &shedkeel.UnknownRunError{Reason: "no answer", Cause: io.EOF, Reused: true}
+
 // fixedCheck says of all servers that they have ended, or that none has.
 type fixedCheck bool
 
@@ -88,20 +93,22 @@
 		ended  int
 		again  bool // the caller is told when to come back
 	}{
-		"contained":                          {"/s/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
-		"contained, plain":                   {"/once/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
-		"quarantined, tried elsewhere":       {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined, refuses: true}, true, nil, 503, false, 0, 0, true},
-		"quarantined, answered":              {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{events: 3}}, 200, false, 1, 0, false},
-		"quarantined, cut":                   {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{cut, {events: 3}}, 200, true, 1, 1, false},
-		"quarantined, plain, lost":           {"/safe/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
-		"quarantined, not run at one server": {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errRefusedConn}, {events: 3}}, 200, false, 2, 0, false},
-		"unblamed, cut once":                 {"/s/x", &fixedGuard{idle: true}, true, []step{cut, {events: 3}}, 200, false, 2, 1, false},
-		"unblamed, cut, no server ended":     {"/s/x", &fixedGuard{idle: true}, false, []step{cut, {events: 3}}, 200, false, 2, 0, false},
-		"unblamed, lost, then quarantined":   {"/s/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {events: 3}}, 502, false, 1, 1, false},
-		"plain, lost, then quarantined":      {"/safe/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
-		"refused by a server":                {"/safe/x", &fixedGuard{idle: true}, true, []step{{status: 503, notRun: true}, {body: "ok"}}, 200, false, 2, 0, false},
-		"failed by a server":                 {"/once/x", &fixedGuard{idle: true}, true, []step{{status: 500}}, 500, false, 1, 0, false},
-		"another's answer":                   {"/once/x", &fixedGuard{idle: true}, true, []step{{wrongID: true}}, 502, false, 1, 0, false},
+		"contained":                             {"/s/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
+		"contained, plain":                      {"/once/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
+		"quarantined, tried elsewhere":          {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined, refuses: true}, true, nil, 503, false, 0, 0, true},
+		"quarantined, answered":                 {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{events: 3}}, 200, false, 1, 0, false},
+		"quarantined, cut":                      {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{cut, {events: 3}}, 200, true, 1, 1, false},
+		"quarantined, plain, lost":              {"/safe/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
+		"quarantined, not run at one server":    {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errRefusedConn}, {events: 3}}, 200, false, 2, 0, false},
+		"unblamed, cut once":                    {"/s/x", &fixedGuard{idle: true}, true, []step{cut, {events: 3}}, 200, false, 2, 1, false},
+		"unblamed, cut, no server ended":        {"/s/x", &fixedGuard{idle: true}, false, []step{cut, {events: 3}}, 200, false, 2, 0, false},
+		"unblamed, lost, then quarantined":      {"/s/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {events: 3}}, 502, false, 1, 1, false},
+		"plain, lost, then quarantined":         {"/safe/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
+		"kept connection to one that had ended": {"/s/x", &fixedGuard{idle: true}, true, []step{{err: errLostKept}, {events: 3}}, 200, false, 2, 0, false},
+		"kept connection, ended later":          {"/s/x", &fixedGuard{idle: true}, true, []step{{err: errLostKept, empty: 2 * leastRun}, {events: 3}}, 200, false, 2, 1, false},
+		"refused by a server":                   {"/safe/x", &fixedGuard{idle: true}, true, []step{{status: 503, notRun: true}, {body: "ok"}}, 200, false, 2, 0, false},
+		"failed by a server":                    {"/once/x", &fixedGuard{idle: true}, true, []step{{status: 500}}, 500, false, 1, 0, false},
+		"another's answer":                      {"/once/x", &fixedGuard{idle: true}, true, []step{{wrongID: true}}, 502, false, 1, 0, false},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -125,6 +132,32 @@
 	return ""
 }
 
+// TestSentAfterTheEnd checks that a server ends only under requests that were sent
+// to it before the first one broke off there.
+func TestSentAfterTheEnd(t *testing.T) {
+	harness := newHarness(t)
+	timers := &timer.Manual{}
+	guard := &fixedGuard{idle: true}
+	harness.Timers, harness.Guard, harness.Check = timers, guard, fixedCheck(true)
+	harness.Table.Replace([]dispatch.Server{{Service: "plain", Instance: "p", Address: "plain:1", Slots: 4}})
+	choose := func() *dispatch.Choice {
+		timers.Advance(time.Second)
+		return harness.Table.Choose(dispatch.Query{Service: "plain", Now: timers.Now()})
+	}
+	asked := newLife()
+	asked.front, asked.digest = harness.Front, asked.makeDigest
+	before, another := choose(), choose()
+	asked.noteEnd(before, errLost)
+	late := choose()
+	asked.noteEnd(late, errLost)
+	assert.Equal(t, len(guard.ended), 1)
+	asked.noteEnd(another, errLost)
+	assert.Equal(t, len(guard.ended), 2, "it was there already")
+	harness.Table.Replace(nil)
+	asked.noteEnd(before, errLost)
+	assert.Equal(t, len(guard.ended), 2, "the server had said that it leaves")
+}
+
 // TestAnswerClears checks that an answer is told of where something is held against
 // a request, and not otherwise: naming requests costs time.
 func TestAnswerClears(t *testing.T) {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -86,14 +86,14 @@
 		next, backend.steps = backend.steps[0], backend.steps[1:]
 	}
 	backend.mutex.Unlock()
-	if next.err != nil {
-		return nil, next.err
-	}
 	select {
 	case <-time.After(next.empty):
 	case <-request.Context().Done():
 		return nil, &shedkeel.UnknownRunError{Reason: "no answer", Cause: request.Context().Err()}
 	}
+	if next.err != nil {
+		return nil, next.err
+	}
 	return next.response(request), nil
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
 
+	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
 )
 
@@ -14,7 +16,7 @@
 func (world *world) runFaults(random *rand.Rand, length time.Duration) {
 	kinds := []func(*rand.Rand) string{
 		world.killNode, world.stopNode, world.freezeNode, world.cutStore, world.loseServer, world.spoilServer,
-		world.drainServer, world.storeFault, world.removeKey, world.hangUp,
+		world.drainServer, world.storeFault, world.removeKey, world.hangUp, world.sendDeadly,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
@@ -157,3 +159,33 @@
 	world.configure()
 	return "a key removed, another added"
 }
+
+// deadlyPrefix is what the bodies of requests begin with that end servers.
+const deadlyPrefix = "deadly"
+
+// sendDeadly has one and the same request that ends servers come for a while, at
+// nodes at random, beside the other faults.
+func (world *world) sendDeadly(random *rand.Rand) string {
+	world.mutex.Lock()
+	world.deadly++
+	body := fmt.Sprint(deadlyPrefix, "-", world.deadly)
+	world.mutex.Unlock()
+	pause := between(random, 40, 500)
+	sendings := random.IntN(40)
+	go world.runDeadly(body, pause, sendings, random.Uint64())
+	return fmt.Sprintf("%s comes %d times, each %s", body, sendings, pause)
+}
+
+func (world *world) runDeadly(body string, pause time.Duration, sendings int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	caller := &caller{judge: &world.judge, random: random, client: &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	for range sendings {
+		node := world.node(random)
+		go caller.post(node.callers, "/copy/deadly", shedkeel.NewNonce(), "stays", body)
+		select {
+		case <-world.over:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -17,6 +17,10 @@
 // settings of the nodes, and what a request takes to arrive.
 const revokeBound = 5*time.Second + 200*time.Millisecond
 
+// mostEnded is how many servers one and the same request may end: five until all
+// know of it, and three more.
+const mostEnded = 8
+
 // streamEvents is how long the streams of callers are.
 const streamEvents = 20
 
@@ -118,29 +122,38 @@
 // answered as it should.
 func (caller *caller) send(address, kind, key string) bool {
 	id := shedkeel.NewNonce()
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+kind+id, strings.NewReader("x"))
+	sent := time.Now()
+	status, body := caller.post(address, kind+id, id, key, "x")
+	caller.judge.note(kind, id, status)
+	if status != http.StatusOK || body == "" {
+		return false
+	}
+	caller.judge.answer(kind, id, key, sent, body)
+	return true
+}
+
+// post sends one request. It returns the answer's status, 0 for none, and its
+// body, empty if it did not come whole.
+func (caller *caller) post(address, path, id, key, sent string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(sent))
 	if err != nil {
 		caller.judge.breaks("a request that can't be made: %v", err)
-		return false
+		return 0, ""
 	}
 	request.Host = "h.example"
 	for name, value := range map[string]string{"X-Shedkeel-Attempt-Id": id, "X-Shedkeel-Key": key, "X-Shedkeel-Deadline-Ms": "8000", "X-Shedkeel-Model": "m0", "X-Shedkeel-Token-Usage": fmt.Sprint("100,", 5*streamEvents)} {
 		request.Header.Set(name, value)
 	}
-	sent := time.Now()
 	response, err := caller.client.Do(request)
 	if err != nil {
-		caller.judge.note(kind, id, 0)
-		return false
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	caller.judge.note(kind, id, response.StatusCode)
-	if err != nil || response.StatusCode != http.StatusOK {
-		return false
+	if err != nil {
+		return response.StatusCode, ""
 	}
-	caller.judge.answer(kind, id, key, sent, string(body))
-	return true
+	return response.StatusCode, string(body)
 }
 
 // note remembers what a call was told.
@@ -215,6 +228,11 @@
 			t.Errorf("%s was told that it did not run, and ran", id)
 		}
 	}
+	for body, ended := range judge.world.fleet.Ended() {
+		if ended > mostEnded {
+			t.Errorf("%d servers ended under %s", ended, body)
+		}
+	}
 	for _, broken := range append(judge.broken, judge.world.fleet.Broken()...) {
 		t.Error(broken)
 	}
@@ -222,5 +240,5 @@
 	if answered == 0 {
 		t.Error("nothing was answered, so nothing was checked")
 	}
-	t.Logf("outcomes: %v", judge.outcomes)
+	t.Logf("outcomes: %v; servers ended: %v", judge.outcomes, judge.world.fleet.Ended())
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -26,9 +26,9 @@
 // proxy stands on loopback between two processes and misbehaves on demand.
 type proxy struct {
 	target   string
-	listener net.Listener
 	manner   atomic.Int32
 	mutex    sync.Mutex
+	listener net.Listener
 	conns    map[*net.TCPConn]struct{}
 }
 
@@ -39,19 +39,41 @@
 		t.Fatal(err)
 	}
 	proxy := &proxy{target: target, listener: listener, conns: map[*net.TCPConn]struct{}{}}
-	go proxy.run()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		proxy.reset()
-	})
+	go proxy.run(listener)
+	t.Cleanup(proxy.end)
 	return proxy
 }
 
-func (proxy *proxy) address() string { return proxy.listener.Addr().String() }
+func (proxy *proxy) address() string {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.listener.Addr().String()
+}
+
+// end has the address refuse connections, as that of a process that has ended.
+func (proxy *proxy) end() {
+	proxy.mutex.Lock()
+	_ = proxy.listener.Close()
+	proxy.mutex.Unlock()
+	proxy.reset()
+}
+
+// begin has the address take connections again.
+func (proxy *proxy) begin() error {
+	listener, err := net.Listen("tcp", proxy.address())
+	if err != nil {
+		return err
+	}
+	proxy.mutex.Lock()
+	proxy.listener = listener
+	proxy.mutex.Unlock()
+	go proxy.run(listener)
+	return nil
+}
 
-func (proxy *proxy) run() {
+func (proxy *proxy) run(listener net.Listener) {
 	for {
-		conn, err := proxy.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,7 +78,10 @@
 	nodes  []*process
 	judge  judge
 
+	over chan struct{} // closed at the end
+
 	mutex   sync.Mutex
+	deadly  int               // requests that end servers
 	servers map[string]*proxy // the way to each backend server
 	named   int
 	version int
@@ -112,12 +115,13 @@
 	t.Helper()
 	world := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 11)), binary: binary, dir: t.TempDir(),
-		data: standin.NewStore(), servers: map[string]*proxy{},
+		data: standin.NewStore(), servers: map[string]*proxy{}, over: make(chan struct{}),
 	}
+	t.Cleanup(func() { close(world.over) })
 	world.store = httptest.NewServer((&platformstandin.Store{Data: world.data}).Handler())
 	t.Cleanup(world.store.Close)
 	world.fleet = &platformstandin.Fleet{
-		Data: world.data, Step: 15 * time.Millisecond,
+		Data: world.data, Deadly: deadlyPrefix, Step: 15 * time.Millisecond,
 		Models: map[string]platformstandin.Timing{"m0": {Size: 2, Load: 500 * time.Millisecond, Warmup: 200 * time.Millisecond, Rejoin: 50 * time.Millisecond}},
 	}
 	world.configure()
@@ -164,6 +168,26 @@
 		http.Close()
 	})
 	world.servers[server.ID] = way
+	server.End = func() {
+		way.end()
+		time.AfterFunc(backTime, func() { world.serverBack(server.ID, way) })
+	}
+}
+
+// backTime is how long a server that a deadly request ended is away.
+const backTime = 700 * time.Millisecond
+
+func (world *world) serverBack(id string, way *proxy) {
+	select {
+	case <-world.over:
+		return
+	default:
+	}
+	if err := way.begin(); err != nil {
+		world.judge.breaks("server %s does not start again: %v", id, err)
+		return
+	}
+	world.fleet.Restart(id)
 }
 
 const settingsText = `node = %q
