Naming a request takes 1.8 us and one allocation

Cause: once a server has ended, requests are named; it took 2.5 us and 15 allocations for a body of 2 KB. Change: what names them is kept and its parts are gathered first.

--- a/serve/digest.go
+++ b/serve/digest.go
@@ -4,7 +4,8 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
+	"hash"
+	"sync"
 
 	"shedkeel.org/shedkeel"
 )
@@ -13,18 +14,41 @@
 // taken for each other.
 const digestBytes = 16
 
+// namer names requests with one key.
+type namer struct {
+	hash hash.Hash
+	head []byte
+	sum  []byte
+}
+
+// namers are kept for the next request: making one takes as long as naming a
+// request of a kilobyte.
+type namers struct{ pool sync.Pool }
+
+func (namers *namers) get(key []byte) *namer {
+	if kept, ok := namers.pool.Get().(*namer); ok {
+		kept.hash.Reset()
+		kept.head, kept.sum = kept.head[:0], kept.sum[:0]
+		return kept
+	}
+	return &namer{hash: hmac.New(sha256.New, key)}
+}
+
 // makeDigest names what the request asks for: the same in all tries of it, at all
 // processes that have the key.
 func (life *life) makeDigest() shedkeel.RequestDigest {
-	hash := hmac.New(sha256.New, life.front.DigestKey)
+	namer := life.front.namers.get(life.front.DigestKey)
+	defer life.front.namers.pool.Put(namer)
 	account := ""
 	if life.account != nil {
 		account = string(life.account.ID)
 	}
-	for _, part := range []string{life.request.Method, life.call.Host, life.call.Target, account} {
-		_, _ = io.WriteString(hash, part) // it never fails
-		_, _ = hash.Write([]byte{0})
+	for _, part := range [...]string{life.request.Method, life.call.Host, life.call.Target, account} {
+		namer.head = append(namer.head, part...)
+		namer.head = append(namer.head, 0)
 	}
-	_, _ = hash.Write(life.body)
-	return shedkeel.RequestDigest(hex.EncodeToString(hash.Sum(nil)[:digestBytes]))
+	_, _ = namer.hash.Write(namer.head) // it never fails
+	_, _ = namer.hash.Write(life.body)
+	namer.sum = namer.hash.Sum(namer.sum)
+	return shedkeel.RequestDigest(hex.EncodeToString(namer.sum[:digestBytes]))
 }
--- a/serve/digest_test.go
+++ b/serve/digest_test.go
@@ -48,3 +48,14 @@
 		})
 	}
 }
+
+// BenchmarkDigest is what it costs to name a request with a body of 2 KB, once a
+// server has ended.
+func BenchmarkDigest(b *testing.B) {
+	life := newLife()
+	life.body = make([]byte, 2<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		life.makeDigest()
+	}
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -74,6 +74,7 @@
 	refusing atomic.Bool // nothing new is taken
 	served   atomic.Int64
 	endings  endings
+	namers   namers
 
 	mutex sync.Mutex
 	lives map[*life]struct{} // under way
