At rest copies of the store are fresh: a watch of 0.35 s, an age that adds up

Cause: a watch proves a copy's age as of its beginning, so that just before the next one ends the copy is two watches old, and a follower adds its own wait: 1.7 s. It counted as stale from 1.5 s on, one watch having been reckoned. In a fleet of 66 at rest all followers left the node that they follow each 0.8 s, asked any other and, in turns, the service (657: 50 to 70 such lines each half second, from the first second of calm traffic on). A change that came then, or a service that turned some away, met a fleet that followed nobody.

Change: the watch waits for 0.35 s, and the age from which a copy is stale reckons two. Line 657 tells whose copy a node follows.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -14,18 +14,20 @@
 
 const (
 	// watchWait is how long a watch of the service waits when nothing
-	// changes. Its end proves the copy's age. A watch may hang in silence;
+	// changes. Its end proves the copy's age, as of its beginning: just before
+	// the next one ends, the copy is twice as old. A watch may hang in silence;
 	// with its time-out and a follower's patience, a change must still reach
 	// every node within the two seconds that the platform gives for a server
 	// that leaves.
-	watchWait = 700 * time.Millisecond
+	watchWait = 350 * time.Millisecond
 	// RelayWait is the same for a question to another mirror.
 	RelayWait = 300 * time.Millisecond
 	// staleAge is the age from which a follower of another mirror asks the
-	// service itself: a watch of the other and two questions to it, which come
-	// at any moment of the watch, and their answers. Where the other follows a
-	// mirror too, one more question is under way.
-	staleAge = watchWait + 2*RelayWait + 200*time.Millisecond
+	// service itself: two watches of the other and two questions to it, which
+	// come at any moment of the watch, and their answers. Where the other follows
+	// a mirror too, one more question is under way. At rest no copy is older: if
+	// it were, processes would leave whom they follow and call the service.
+	staleAge = 2*watchWait + 2*RelayWait + 200*time.Millisecond
 	// proofWait is how long a watch waits that is to prove the age of a copy
 	// that has become stale.
 	proofWait = 50 * time.Millisecond
@@ -88,12 +90,13 @@
 	Processes func() int
 	Random    shedkeel.Random // is not used elsewhere
 
-	outage  outage
-	start   start
-	drawing sync.Mutex // held while Random is used
-	running sync.WaitGroup
-	away    bool          // the service did not answer the last question
-	turn    time.Duration // when a process that is to follow a peer may ask the service; 0: not set
+	outage   outage
+	start    start
+	drawing  sync.Mutex // held while Random is used
+	running  sync.WaitGroup
+	followed string        // whose copy was followed last, for the log
+	away     bool          // the service did not answer the last question
+	turn     time.Duration // when a process that is to follow a peer may ask the service; 0: not set
 }
 
 // Run follows until the context ends.
@@ -272,6 +275,7 @@
 		if !follower.fresh(state) {
 			peer, wait = follower.other(), 0
 		}
+		follower.noteFollowed(peer, state, wait == 0)
 		sent := follower.Timers.Now()
 		if peer == nil || !follower.relay(ctx, peer, state, wait) || wait == 0 {
 			timer.Sleep(ctx, retryPause-(follower.Timers.Now()-sent))
@@ -279,6 +283,23 @@
 	}
 }
 
+// noteFollowed logs whose copy this process follows now, if it is another one than
+// before.
+func (follower *Follower) noteFollowed(peer Peer, state State, stale bool) {
+	name := "the service"
+	switch {
+	case stale:
+		name = "any process"
+	case peer != nil:
+		name = peer.Name()
+	}
+	if name == follower.followed {
+		return
+	}
+	follower.followed = name
+	follower.Log.Write(event.Followed, slog.String("of", name), slog.Duration("age", follower.Timers.Now()-state.AsOf))
+}
+
 // draw returns a random number below the bound.
 func (follower *Follower) draw(bound uint64) uint64 {
 	follower.drawing.Lock()
