Followers leave a node that the store turns away

Cause: the node that others follow answers them while the store turns it away, with nothing new; they left it by the age of their copies, 1.5 s later, and began only then to ask the store in turns and each other.

Change: a node that is to follow the store and fails twice, or whose watch is overdue, says so with its answer, at once; its followers then take their copies for stale for a second.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -28,6 +29,9 @@
 	// a mirror too, one more question is under way. At rest no copy is older: if
 	// it were, processes would leave whom they follow and call the service.
 	staleAge = 2*watchWait + 2*RelayWait + 200*time.Millisecond
+	// awayTime is for how long a process whose peer is out of the service's reach
+	// asks the service and any other process, as if its copy were stale.
+	awayTime = time.Second
 	// proofWait is how long a watch waits that is to prove the age of a copy
 	// that has become stale.
 	proofWait = 50 * time.Millisecond
@@ -92,7 +96,8 @@
 
 	outage   outage
 	start    start
-	drawing  sync.Mutex // held while Random is used
+	awayTill atomic.Int64 // until when the peer to follow counts as out of the service's reach
+	drawing  sync.Mutex   // held while Random is used
 	running  sync.WaitGroup
 	followed string        // whose copy was followed last, for the log
 	away     bool          // the service did not answer the last question
@@ -150,8 +155,11 @@
 	return min(max(minGather, time.Duration(records)*gatherEach), maxGather)
 }
 
+// fresh reports whether the copy is as new as it should be, and whom it comes from
+// within reach of the service.
 func (follower *Follower) fresh(state State) bool {
-	return state.Known && follower.Timers.Now()-state.AsOf < follower.staleAge()
+	now := follower.Timers.Now()
+	return state.Known && now-state.AsOf < follower.staleAge() && now >= time.Duration(follower.awayTill.Load())
 }
 
 // staleAge returns the age from which the copy of this process is stale.
@@ -271,13 +279,17 @@
 			timer.Sleep(ctx, retryPause)
 			continue
 		}
-		peer, wait := follower.Choose(), RelayWait
-		if !follower.fresh(state) {
+		peer, wait, stale := follower.Choose(), RelayWait, !follower.fresh(state)
+		if stale {
 			peer, wait = follower.other(), 0
 		}
-		follower.noteFollowed(peer, state, wait == 0)
+		follower.noteFollowed(peer, state, stale)
 		sent := follower.Timers.Now()
-		if peer == nil || !follower.relay(ctx, peer, state, wait) || wait == 0 {
+		answered, away := follower.relay(ctx, peer, state, wait)
+		if away && !stale {
+			follower.awayTill.Store(int64(follower.Timers.Now() + awayTime))
+		}
+		if !answered || stale {
 			timer.Sleep(ctx, retryPause-(follower.Timers.Now()-sent))
 		}
 	}
@@ -316,17 +328,21 @@
 	return others[follower.draw(uint64(len(others)))]
 }
 
-// relay asks a peer once and reports whether it answered.
-func (follower *Follower) relay(ctx context.Context, peer Peer, state State, wait time.Duration) bool {
+// relay asks a peer, if there is one, once. It reports whether it answered, and
+// whether it is out of the service's reach though it is to follow it.
+func (follower *Follower) relay(ctx context.Context, peer Peer, state State, wait time.Duration) (answered, away bool) {
+	if peer == nil {
+		return false, false
+	}
 	sent := follower.Timers.Now()
 	update, err := peer.Relay(ctx, state.At, wait)
 	if err == nil || errors.Is(err, ErrNothingKnown) {
 		follower.outage.hear(follower.Timers.Now())
 	}
 	if err != nil {
-		return false // the copy's age shows it, and the service or another peer is asked
+		return false, false // the copy's age shows it, and the service or another peer is asked
 	}
 	update.AsOf += sent
 	follower.Mirror.Apply(update)
-	return true
+	return true, update.Away
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -45,6 +45,9 @@
 	Whole   bool              // Records are all there are; others are gone
 	At      int64
 	AsOf    time.Duration // when the question was sent that this answers
+	// Away says that the peer that told it is to follow the service and gets no
+	// answer: the next change will not come from it.
+	Away bool
 }
 
 // Listen has told called with the records of each change, in order, one call
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -142,6 +142,12 @@
 	return source.calls
 }
 
+func (source *source) failing() error {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.fails
+}
+
 func (source *source) set(err error) {
 	source.mutex.Lock()
 	defer source.mutex.Unlock()
@@ -161,6 +167,9 @@
 		return shedkeel.Changes{}, err
 	}
 	records, at, err := source.Store.Changes(ctx, prefix, since, wait)
+	if failed := source.failing(); failed != nil {
+		return shedkeel.Changes{}, failed // it was cut while it waited
+	}
 	if most := source.most; most > 0 && len(records) > most {
 		return shedkeel.Changes{Records: records[:most], At: records[most-1].Revision, More: true}, err
 	}
--- a/mirror/outage.go
+++ b/mirror/outage.go
@@ -17,6 +17,9 @@
 	// heardTime is for how long a peer counts as within reach after it
 	// answered: those that know nothing are asked each 0.4 s at most.
 	heardTime = time.Second
+	// awayFails is how many questions in a row fail until the service counts as out
+	// of this process's reach: one answer is lost now and then.
+	awayFails = 2
 )
 
 // outage is what a process sees of an outage of the service. The zero value is
@@ -26,6 +29,7 @@
 	sent    time.Duration // when the question that is open was sent; 0: none is
 	due     time.Duration // when its answer is due
 	failing time.Duration // since when questions fail; 0: the last one was answered
+	fails   int           // questions that have failed in a row
 	heard   time.Duration // when a peer answered last; 0: never
 	proven  time.Duration // when the question was sent that the service answered last; 0: never
 }
@@ -43,9 +47,11 @@
 	defer outage.mutex.Unlock()
 	switch {
 	case err == nil:
-		outage.failing, outage.proven = 0, outage.sent
+		outage.failing, outage.proven, outage.fails = 0, outage.sent, 0
 	case outage.failing == 0:
-		outage.failing = outage.sent
+		outage.failing, outage.fails = outage.sent, 1
+	default:
+		outage.fails++
 	}
 	outage.sent = 0
 }
@@ -75,6 +81,18 @@
 	return 0, false
 }
 
+// Away reports whether this process is to follow the service and gets no answer.
+func (follower *Follower) Away() bool {
+	now := follower.Timers.Now()
+	if follower.Choose() != nil {
+		return false
+	}
+	outage := &follower.outage
+	outage.mutex.Lock()
+	defer outage.mutex.Unlock()
+	return outage.fails >= awayFails || outage.sent != 0 && now >= outage.due
+}
+
 // Answered returns when the question was sent that the service itself answered
 // last, not a peer; 0: it never did.
 func (follower *Follower) Answered() time.Duration {
--- a/mirror/rest_test.go
+++ b/mirror/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,7 @@
 func (followed *followed) Relay(ctx context.Context, since int64, wait time.Duration) (Update, error) {
 	followed.asked.Add(1)
 	changed := followed.Mirror.Changed()
-	if followed.Mirror.State().At <= since {
+	if away := followed.Away(); !away && followed.Mirror.State().At <= since {
 		select {
 		case <-ctx.Done():
 			return Update{}, ctx.Err()
@@ -44,6 +45,7 @@
 	}
 	update := followed.Mirror.Since(since)
 	update.AsOf -= followed.Timers.Now()
+	update.Away = followed.Away()
 	return update, nil
 }
 
@@ -111,3 +113,19 @@
 	assert.Assert(t, oldest < staleAge, "a copy was %s old", oldest)
 	assert.Equal(t, fleet.others.asked(), before, "followers ask the service")
 }
+
+// TestFollowersLeaveOneThatIsTurnedAway checks that followers learn of a change
+// soon though the one that they follow, which answers them, is turned away by the
+// service: before their copies are stale.
+func TestFollowersLeaveOneThatIsTurnedAway(t *testing.T) {
+	fleet := newRestingFleet(t, 20)
+	fleet.source.set(errors.New("turned away"))
+	began := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	_, err := fleet.source.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "a", Value: []byte("new")}}})
+	assert.NilError(t, err)
+	for _, follower := range fleet.followers {
+		eventually(t, "the change", func() bool { return string(follower.Mirror.Get("a").Value) == "new" })
+	}
+	assert.Assert(t, time.Since(began) < staleAge-200*time.Millisecond, "it took %s", time.Since(began))
+}
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -147,7 +147,11 @@
 func (follower *Follower) copyFrom(ctx context.Context, peer Peer) bool {
 	follower.start.copying.Lock()
 	defer follower.start.copying.Unlock()
-	return follower.Mirror.State().Known || follower.relay(ctx, peer, State{}, 0)
+	if follower.Mirror.State().Known {
+		return true
+	}
+	answered, _ := follower.relay(ctx, peer, State{}, 0)
+	return answered
 }
 
 // starting returns since when this process knows nothing, as others do that it
--- a/node/relay.go
+++ b/node/relay.go
@@ -27,7 +27,7 @@
 // Relay asks the node's mirror.
 func (peer *peer) Relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
 	update, err := peer.relay(ctx, since, wait)
-	if err != nil && ctx.Err() == nil || err == nil && -update.AsOf > peer.mostAge() {
+	if err != nil && ctx.Err() == nil || err == nil && (update.Away || -update.AsOf > peer.mostAge()) {
 		peer.failed.note(peer.node.Timers.Now())
 	}
 	return update, err
@@ -78,7 +78,7 @@
 	if !relay.GetKnown() {
 		return mirror.Update{}, mirror.ErrNothingKnown
 	}
-	update := mirror.Update{Whole: relay.GetWhole(), At: relay.GetAt(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
+	update := mirror.Update{Whole: relay.GetWhole(), At: relay.GetAt(), Away: relay.GetAway(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
 	records, err := recordsOf(relay)
 	if err != nil {
 		return mirror.Update{}, err
@@ -112,7 +112,8 @@
 	peers.node.askers.hear(shedkeel.NodeID(call.GetNode()), peers.node.Timers.Now())
 	changed := own.Changed()
 	state := own.State()
-	if !state.Known || !call.GetOnlyKnown() && state.At <= call.GetSince() {
+	away := own.State().Known && peers.node.follower.Away() // who asks goes on to the next node at once
+	if !away && (!state.Known || !call.GetOnlyKnown() && state.At <= call.GetSince()) {
 		timer := time.NewTimer(time.Duration(call.GetWaitMs()) * time.Millisecond)
 		select {
 		case <-ctx.Done():
@@ -130,6 +131,7 @@
 		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: peers.copies.tell(update, now)}}
 	}
 	reply := relayReply(update, now)
+	reply.Away = away
 	for _, record := range update.Records {
 		reply.Records = append(reply.Records, peers.tell(record, call))
 	}
