Requests whose time is over end when a suspended box wakes

Cause: a request's limit is kept by a timer of the runtime, which stands while the box is suspended: after 5 s away a caller whose time was long over was held for the rest. Change: ten times a second requests are given up whose limit is over by the clock that counts the time away.

--- a/contain/ways_test.go
+++ b/contain/ways_test.go
@@ -188,9 +188,15 @@
 	return history.fault == fault && history.now >= faultAt && history.now < faultAt+faultFor
 }
 
+// reaches reports whether the store answers a node.
+func (history *history) reaches(index int) bool {
+	cutOff := history.during(cutInTwo) && history.nodes[index].half == 1
+	return !cutOff && !history.during(storeAway)
+}
+
 // read has a node read what the store keeps.
 func (history *history) read(index int) {
-	if history.way.store && !history.during(storeAway) && !(history.during(cutInTwo) && history.nodes[index].half == 1) {
+	if history.way.store && history.reaches(index) {
 		history.learn(index, history.stored)
 	}
 }
@@ -201,7 +207,7 @@
 	if history.nodes[index].frozen {
 		return // its caller goes elsewhere or gives up
 	}
-	copy := &sending{node: index, again: again}
+	sent := &sending{node: index, again: again}
 	switch history.judge(index) {
 	case shedkeel.Contained:
 		return
@@ -210,11 +216,11 @@
 			if history.now < history.trying {
 				return
 			}
-			copy.alone = true
+			sent.alone = true
 			history.trying = history.now + contactTime
 		}
 	}
-	history.send(copy)
+	history.send(sent)
 }
 
 func (history *history) judge(index int) shedkeel.Judgment {
@@ -232,7 +238,7 @@
 }
 
 // send sends a copy to a head, which begins to run it some time later.
-func (history *history) send(copy *sending) {
+func (history *history) send(sent *sending) {
 	var up []*head
 	for _, head := range history.heads {
 		if !head.away {
@@ -244,14 +250,14 @@
 	}
 	head := up[history.random.IntN(len(up))]
 	life := head.life
-	copy.runs++
-	if history.third != 0 && history.now > history.third+contactTime && history.inTouch(copy.node) {
+	sent.runs++
+	if history.third != 0 && history.now > history.third+contactTime && history.inTouch(sent.node) {
 		history.more++
 	}
-	head.copies = append(head.copies, copy)
+	head.copies = append(head.copies, sent)
 	begins := history.between(150*time.Millisecond, 350*time.Millisecond)
 	history.after(begins, func() {
-		if copy.over || head.life != life || head.away {
+		if sent.over || head.life != life || head.away {
 			return
 		}
 		history.after(history.between(40*time.Millisecond, 100*time.Millisecond), func() {
@@ -280,31 +286,31 @@
 	ended.copies, ended.away = nil, true
 	ended.life++
 	history.after(backTime, func() { ended.away = false })
-	for _, copy := range copies {
-		if !copy.over {
-			history.after(linkTime, func() { history.broken(copy, server) })
+	for _, sent := range copies {
+		if !sent.over {
+			history.after(linkTime, func() { history.broken(sent, server) })
 		}
 	}
 }
 
-// broken has a node notice that a server ended under its copy.
-func (history *history) broken(copy *sending, server shedkeel.InstanceID) {
-	if copy.over {
+// broken has a node notice that a server ended under its sent.
+func (history *history) broken(sent *sending, server shedkeel.InstanceID) {
+	if sent.over {
 		return
 	}
 	if history.way.remembers {
-		blame, news := history.nodes[copy.node].ledger.Ended(request, server)
-		history.heard(copy.node, blame, news, true)
+		blame, news := history.nodes[sent.node].ledger.Ended(request, server)
+		history.heard(sent.node, blame, news, true)
 	}
-	if copy.alone {
+	if sent.alone {
 		history.trying = history.now
 	}
-	if copy.runs < 2 && !copy.alone && history.judge(copy.node) == shedkeel.Unblamed && !history.nodes[copy.node].frozen {
-		history.send(copy)
+	if sent.runs < 2 && !sent.alone && history.judge(sent.node) == shedkeel.Unblamed && !history.nodes[sent.node].frozen {
+		history.send(sent)
 		return
 	}
-	copy.over = true
-	if copy.again {
+	sent.over = true
+	if sent.again {
 		history.after(2*linkTime, func() { history.come(false) })
 	}
 }
@@ -338,9 +344,9 @@
 // callBack gives up the copies of a node that no server has begun to run.
 func (history *history) callBack(index int) {
 	for _, head := range history.heads {
-		for _, copy := range head.copies {
-			if copy.node == index && !copy.alone {
-				copy.over = true
+		for _, sent := range head.copies {
+			if sent.node == index && !sent.alone {
+				sent.over = true
 			}
 		}
 	}
@@ -364,7 +370,7 @@
 
 // write has the store keep what a node holds, once it can.
 func (history *history) write(index int, blame shedkeel.Blame) {
-	if history.during(storeAway) || history.during(cutInTwo) && history.nodes[index].half == 1 {
+	if !history.reaches(index) {
 		history.after(500*time.Millisecond, func() { history.write(index, history.nodes[index].ledger.Blame(request)) })
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,9 @@
 	proofShare = 0.76
 	// silenceTick is how often running requests are checked for silence.
 	silenceTick = 20 * time.Millisecond
+	// expiryTick is how often requests are checked whose limit is over by the clock
+	// that also runs while the box is suspended.
+	expiryTick = 100 * time.Millisecond
 	// callerIdle is how long a caller's connection may rest; longer than what
 	// the platform's configurations allow its callers.
 	callerIdle = 60 * time.Second
@@ -180,6 +183,7 @@
 	cancelPaces := node.Timers.Subscribe(paceEvery/paceParts, node.controller.paces.tick)
 	cancelDemand := node.Timers.Subscribe(demandEvery, node.controller.demand.tick)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
+	cancelExpiry := node.Timers.Subscribe(expiryTick, node.front.Expire)
 	cancelGossip := node.Timers.Subscribe(gossipTick, node.gossip.tick)
 	cancelRemover := node.Timers.Subscribe(removerTick, node.remover.tick)
 
@@ -187,6 +191,7 @@
 	err := node.stop(callers)
 	cancelRemover()
 	cancelGossip()
+	cancelExpiry()
 	cancelFleet()
 	cancelDemand()
 	cancelPaces()
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"shedkeel.org/shedkeel"
 )
@@ -78,6 +79,16 @@
 	}
 }
 
+// Expire gives up the requests whose limit is over. Their own timers stand while the
+// box is suspended, and would hold them for what was left then.
+func (front *Front) Expire(now time.Duration) {
+	for _, life := range front.underWay() {
+		if now > life.limit {
+			life.callBack(context.DeadlineExceeded)
+		}
+	}
+}
+
 func (front *Front) underWay() []*life {
 	front.mutex.Lock()
 	defer front.mutex.Unlock()
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -210,6 +210,39 @@
 	}
 }
 
+// TestSuspendedBox has the clock go on while nothing runs and no timer of the process
+// does, as when its box was suspended: callers whose time is over get their end at
+// once, and others go on.
+func TestSuspendedBox(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		away   time.Duration
+		status int
+	}{
+		"past its limit":        {"/safe/x", 5 * time.Second, 504},
+		"past it, a stream":     {"/s/x", 5 * time.Second, 504},
+		"for a moment":          {"/safe/x", 100 * time.Millisecond, 200},
+		"for a moment, streams": {"/s/x", 100 * time.Millisecond, 200},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, step{empty: 400 * time.Millisecond, events: 2})
+			timers := &timer.Manual{}
+			timers.Advance(harness.clock.Now())
+			harness.Timers = timers
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				timers.Advance(test.away)
+				harness.Expire(timers.Now())
+			}()
+			began := time.Now()
+			got := harness.post(test.path, "body", "Model", modelOf(test.path))
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Assert(t, test.status == 200 || time.Since(began) < 300*time.Millisecond)
+		})
+	}
+}
+
 // slowly is a backend whose streams take some milliseconds for each event.
 type slowly struct{ shedkeel.Backend }
 
