The server after one that ended is reached over a new connection

Only a sending that follows an end in its own try meets such servers, and it is sent over a connection of its own: one that has gone refuses it, and it truly did not run there.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -78,6 +78,13 @@
 	return context.WithValue(ctx, onceKey{}, true)
 }
 
+// IsFresh reports whether the request of the context is sent over a connection of
+// its own.
+func IsFresh(ctx context.Context) bool {
+	fresh, _ := ctx.Value(onceKey{}).(bool)
+	return fresh
+}
+
 // Send sends the request. Its error is a NotRunError when not one byte of it
 // was written or ever will be, else an UnknownRunError.
 func (transport *Transport) Send(request *http.Request) (*http.Response, error) {
@@ -88,7 +95,7 @@
 	request.Body = &plainBody{reader: request.Body}
 	request.GetBody = nil
 	through := transport.shared
-	if once, _ := request.Context().Value(onceKey{}).(bool); once {
+	if IsFresh(request.Context()) {
 		through = transport.fresh
 	}
 	response, err := through.RoundTrip(request)
@@ -98,7 +105,7 @@
 	if sent.seal() == 0 {
 		return nil, &shedkeel.NotRunError{Reason: "backend server " + request.URL.Host + " could not be reached: " + err.Error(), RetryAfter: retrySoon}
 	}
-	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err, Reused: sent.wasReused()}
+	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err}
 }
 
 // Ended reports whether the address refuses connections: no process listens
@@ -180,7 +187,6 @@
 // sentBytes finds out how much of one request was written.
 type sentBytes struct {
 	mutex  sync.Mutex
-	reused bool // the last connection had served before
 	conns  []*countedConn
 	before []int64
 }
@@ -192,17 +198,10 @@
 	}
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
-	sent.reused = info.Reused
 	sent.conns = append(sent.conns, conn)
 	sent.before = append(sent.before, conn.count())
 }
 
-func (sent *sentBytes) wasReused() bool {
-	sent.mutex.Lock()
-	defer sent.mutex.Unlock()
-	return sent.reused
-}
-
 // seal stops all writing of the request and returns the bytes written.
 func (sent *sentBytes) seal() int64 {
 	sent.mutex.Lock()
--- a/errors.go
+++ b/errors.go
@@ -74,9 +74,6 @@
 // UnknownRunError says that a request may have run and that no whole answer
 // can be given.
 type UnknownRunError struct {
-	// Reused says that it was sent over a connection that had served before: the
-	// server may have been gone already.
-	Reused bool
 	Reason string
 	Cause  error
 }
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -16,10 +16,6 @@
 	// checkTimeout bounds the question whether a server has ended: a box that
 	// lives answers or refuses within a round trip.
 	checkTimeout = 100 * time.Millisecond
-	// leastRun is the least time from the sending of a request until it ends a
-	// server. What breaks off sooner, over a connection that was kept, was sent to
-	// one that had ended.
-	leastRun = 10 * time.Millisecond
 	// maxEndings bounds how many servers are remembered as ended.
 	maxEndings = 1024
 )
@@ -72,11 +68,15 @@
 // it, and tells so. A server that said before that it would end proves nothing.
 func (life *life) noteEnd(choice *dispatch.Choice, failure error) {
 	now := life.front.Timers.Now()
-	if life.front.Check == nil || !brokeOff(failure) || !choice.Listed() || gotNone(failure) && now-choice.Began < leastRun {
+	if life.front.Check == nil || !brokeOff(failure) || !choice.Listed() {
 		return
 	}
 	at, ended := life.front.endings.since(choice.Instance, now, func() bool { return life.front.ended(choice.Address) })
-	if !ended || choice.Began > at {
+	if !ended {
+		return
+	}
+	life.fresh.Store(true)
+	if choice.Began > at {
 		return
 	}
 	life.log(event.ServerEnded, slog.String("server", string(choice.Instance)), slog.String("digest", string(life.digest())))
@@ -85,13 +85,6 @@
 	}
 }
 
-// gotNone reports whether a request was sent over a connection that had been kept,
-// and not a byte of an answer came.
-func gotNone(failure error) bool {
-	var unknown *shedkeel.UnknownRunError
-	return errors.As(failure, &unknown) && unknown.Reused
-}
-
 func (front *Front) ended(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
--- a/serve/front.go
+++ b/serve/front.go
@@ -123,6 +123,7 @@
 	digest   func() shedkeel.RequestDigest
 	alone    bool                    // it is quarantined: one server has it, and no other
 	begun    atomic.Bool             // its answer has begun
+	fresh    atomic.Bool             // a server ended under it: the next may have too, and is to be found gone
 	callBack context.CancelCauseFunc // gives it up
 }
 
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -12,6 +12,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/timer"
 )
 
@@ -70,9 +71,6 @@
 	}, true
 }
 
-// errLostKept is a request that was lost on a connection that had been kept.
-var errLostKept = &shedkeel.UnknownRunError{Reason: "no answer", Cause: io.EOF, Reused: true}
-
 // fixedCheck says of all servers that they have ended, or that none has.
 type fixedCheck bool
 
@@ -93,22 +91,20 @@
 		ended  int
 		again  bool // the caller is told when to come back
 	}{
-		"contained":                             {"/s/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
-		"contained, plain":                      {"/once/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
-		"quarantined, tried elsewhere":          {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined, refuses: true}, true, nil, 503, false, 0, 0, true},
-		"quarantined, answered":                 {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{events: 3}}, 200, false, 1, 0, false},
-		"quarantined, cut":                      {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{cut, {events: 3}}, 200, true, 1, 1, false},
-		"quarantined, plain, lost":              {"/safe/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
-		"quarantined, not run at one server":    {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errRefusedConn}, {events: 3}}, 200, false, 2, 0, false},
-		"unblamed, cut once":                    {"/s/x", &fixedGuard{idle: true}, true, []step{cut, {events: 3}}, 200, false, 2, 1, false},
-		"unblamed, cut, no server ended":        {"/s/x", &fixedGuard{idle: true}, false, []step{cut, {events: 3}}, 200, false, 2, 0, false},
-		"unblamed, lost, then quarantined":      {"/s/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {events: 3}}, 502, false, 1, 1, false},
-		"plain, lost, then quarantined":         {"/safe/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
-		"kept connection to one that had ended": {"/s/x", &fixedGuard{idle: true}, true, []step{{err: errLostKept}, {events: 3}}, 200, false, 2, 0, false},
-		"kept connection, ended later":          {"/s/x", &fixedGuard{idle: true}, true, []step{{err: errLostKept, empty: 2 * leastRun}, {events: 3}}, 200, false, 2, 1, false},
-		"refused by a server":                   {"/safe/x", &fixedGuard{idle: true}, true, []step{{status: 503, notRun: true}, {body: "ok"}}, 200, false, 2, 0, false},
-		"failed by a server":                    {"/once/x", &fixedGuard{idle: true}, true, []step{{status: 500}}, 500, false, 1, 0, false},
-		"another's answer":                      {"/once/x", &fixedGuard{idle: true}, true, []step{{wrongID: true}}, 502, false, 1, 0, false},
+		"contained":                          {"/s/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
+		"contained, plain":                   {"/once/x", &fixedGuard{judgment: shedkeel.Contained}, true, nil, 503, false, 0, 0, false},
+		"quarantined, tried elsewhere":       {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined, refuses: true}, true, nil, 503, false, 0, 0, true},
+		"quarantined, answered":              {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{events: 3}}, 200, false, 1, 0, false},
+		"quarantined, cut":                   {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{cut, {events: 3}}, 200, true, 1, 1, false},
+		"quarantined, plain, lost":           {"/safe/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
+		"quarantined, not run at one server": {"/s/x", &fixedGuard{judgment: shedkeel.Quarantined}, true, []step{{err: errRefusedConn}, {events: 3}}, 200, false, 2, 0, false},
+		"unblamed, cut once":                 {"/s/x", &fixedGuard{idle: true}, true, []step{cut, {events: 3}}, 200, false, 2, 1, false},
+		"unblamed, cut, no server ended":     {"/s/x", &fixedGuard{idle: true}, false, []step{cut, {events: 3}}, 200, false, 2, 0, false},
+		"unblamed, lost, then quarantined":   {"/s/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {events: 3}}, 502, false, 1, 1, false},
+		"plain, lost, then quarantined":      {"/safe/x", &fixedGuard{idle: true, worsens: true}, true, []step{{err: errLost}, {}}, 502, false, 1, 1, false},
+		"refused by a server":                {"/safe/x", &fixedGuard{idle: true}, true, []step{{status: 503, notRun: true}, {body: "ok"}}, 200, false, 2, 0, false},
+		"failed by a server":                 {"/once/x", &fixedGuard{idle: true}, true, []step{{status: 500}}, 500, false, 1, 0, false},
+		"another's answer":                   {"/once/x", &fixedGuard{idle: true}, true, []step{{wrongID: true}}, 502, false, 1, 0, false},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -132,6 +128,24 @@
 	return ""
 }
 
+// TestNextIsReachedAnew checks that a request under which a server ended is sent to the
+// next one over a connection of its own: servers end together, and over a kept
+// connection one that is gone already would count as having ended under it.
+func TestNextIsReachedAnew(t *testing.T) {
+	for name, gone := range map[string]bool{"it ended": true, "it broke off": false} {
+		for _, path := range []string{"/s/x", "/safe/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				harness := newHarness(t, step{err: errLost}, step{events: 3})
+				harness.Guard, harness.Check = &fixedGuard{idle: true}, fixedCheck(gone)
+				assert.Equal(t, harness.post(path, "body", "Model", modelOf(path)).Code, 200)
+				assert.Equal(t, len(harness.backend.requests), 2)
+				assert.Assert(t, !engine.IsFresh(harness.backend.requests[0].Context()))
+				assert.Equal(t, engine.IsFresh(harness.backend.requests[1].Context()), gone)
+			})
+		}
+	}
+}
+
 // TestSentAfterTheEnd checks that a server ends only under requests that were sent
 // to it before the first one broke off there.
 func TestSentAfterTheEnd(t *testing.T) {
--- a/serve/send.go
+++ b/serve/send.go
@@ -141,7 +141,7 @@
 }
 
 func (life *life) outgoing(ctx context.Context, choice *dispatch.Choice, left time.Duration, lastEvent string) (*http.Request, error) {
-	if life.route.Kind == shedkeel.RequestOnce {
+	if life.route.Kind == shedkeel.RequestOnce || life.fresh.Load() {
 		ctx = engine.WithFreshConnection(ctx)
 	}
 	request, err := http.NewRequestWithContext(ctx, life.request.Method, "http://"+choice.Address+"/", bytes.NewReader(life.body))
