An end that comes while a request's record is read is written as well

Cause: what was to be written was struck off by name; a third server that ended between the look at the record and that was never written, and the request not contained after a loss of all nodes. Change: it is struck off only as of the moment at which it was looked at. Mutants for what keeps a request from servers, and for suspended boxes. Measured: TestLateEndIsKept fails without (0 writes in place of 1).

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -21,6 +21,18 @@
 }
 
 var mutants = map[string]mutant{
+	"a request that ends servers: it is never contained": {
+		"contain/ledger.go", "case count >= containedFrom:", "case count > containedFrom:", "TestRequestThatEndsServersIsContained", "./node",
+	},
+	"a request that ends servers: nothing is kept": {
+		"node/guard.go", "if turn < 0 || now-since", "if true || now-since", "TestBlameIsKeptOnceTheStoreIsBack", "./node",
+	},
+	"a request that ends servers: the next is reached over a kept connection": {
+		"serve/send.go", "|| life.fresh.Load()", "", "TestNextIsReachedAnew", "./serve",
+	},
+	"suspended box: limits go by the runtime's timers": {
+		"serve/guard.go", "if now > life.limit {", "if false {", "TestSuspendedBox", "./serve",
+	},
 	"1 whole groups only: permits do not run out": {
 		"member/permit.go", "permit.Until = finding.whole + judge.Window", "permit.Until = finding.whole + 1000*judge.Window", "TestScenarios/whole_groups", ".",
 	},
--- a/node/guard.go
+++ b/node/guard.go
@@ -261,7 +261,7 @@
 		record := guard.node.mirror.Get(blamePrefix + string(request))
 		change, lacks := lacking(blame, record)
 		if !lacks {
-			guard.kept(request)
+			guard.kept(request, since)
 			continue
 		}
 		turn := slices.Index(guard.node.peers.deciders(request), guard.node.Settings.Node)
@@ -296,10 +296,14 @@
 	return found
 }
 
-func (guard *guard) kept(request shedkeel.RequestDigest) {
+// kept notes that the key-value service says what was held against the request
+// since then. More may be by now.
+func (guard *guard) kept(request shedkeel.RequestDigest, since time.Duration) {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	delete(guard.unkept, request)
+	if guard.unkept[request] == since {
+		delete(guard.unkept, request)
+	}
 }
 
 // lacking returns the change that makes a record say what is held against a
--- a/node/guard_test.go
+++ b/node/guard_test.go
@@ -104,6 +104,26 @@
 	assert.Equal(t, len(store.changes), 1, "it is not written again")
 }
 
+// TestLateEndIsKept has a third server end while what two ended under is found to be
+// written: that one is written as well.
+func TestLateEndIsKept(t *testing.T) {
+	node, timers := newTestNode(t)
+	store := &blameStore{}
+	node.Store = store
+	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.guard.Ended("r", "a")
+	node.guard.Ended("r", "b")
+	seen := node.guard.unkeptNow()["r"]
+	timers.Advance(time.Millisecond)
+	node.guard.Ended("r", "c")
+	node.guard.kept("r", seen)
+	node.guard.keep(t.Context(), timers.Now())
+	assert.Equal(t, len(store.changes), 1)
+	var written shedkeel.Blame
+	assert.NilError(t, json.Unmarshal(store.changes[0].Put[0].Value, &written))
+	assert.Equal(t, len(written.Servers), 3)
+}
+
 // TestBlameRecords checks which records of the key-value service are believed.
 func TestBlameRecords(t *testing.T) {
 	three := `{"request":"r","round":0,"servers":["a","b","c"]}`
