Logs and metrics tell which backend servers limit their rate

Change: platform/ reads the header into BackendAnswer.Limit; ratelimit.Book holds what is known of each server; events 618 (limit changed) and 619 (limit that cannot be read, once a minute for each server), gauge servers_limited, and 610 names the server of plain answers too. Nothing is decided by it yet. An answer without the header to a request that was sent before the limit was heard proves nothing, so answers that overtake each other lift no limit.

--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,4 @@
 	go test -run '^$$' -fuzz FuzzCompletion -fuzztime 20s ./entry
 	go test -run '^$$' -fuzz FuzzCall -fuzztime 20s ./wire
 	go test -run '^$$' -fuzz FuzzGossip -fuzztime 20s ./wire
+	go test -run '^$$' -fuzz FuzzServerLimit -fuzztime 20s ./platform
--- a/call.go
+++ b/call.go
@@ -35,6 +35,7 @@
 	ID     string // the attempt that it answers
 	Sealed bool   // it carries the backend server's signature
 	NotRun bool   // the server says that it did not run the request
+	Limit  StatedLimit
 }
 
 // RequestDigest names what a request asks for. All tries of one and the same
--- a/event/event.go
+++ b/event/event.go
@@ -60,6 +60,8 @@
 	ServerEnded     = Event{615, slog.LevelWarn, "backend server ended under a request"}
 	RequestJudged   = Event{616, slog.LevelWarn, "request under which servers ended is judged anew"}
 	BlameNotKept    = Event{617, slog.LevelWarn, "what is held against a request was not written"}
+	LimitChanged    = Event{618, slog.LevelInfo, "backend server limits the rate of its requests otherwise than before"}
+	LimitBad        = Event{619, slog.LevelWarn, "backend server states a limit that cannot be read; the former one stays"}
 	ServerSilent    = Event{620, slog.LevelWarn, "server or group has gone silent"}
 	NoticeTaken     = Event{621, slog.LevelInfo, "another process reports a group silent or lost"}
 	ServersChanged  = Event{630, slog.LevelInfo, "list of servers and groups changed"}
@@ -93,7 +95,7 @@
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
-		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
+		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
 		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed, Followed,
 	}
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -234,6 +234,11 @@
 	if view == nil {
 		return
 	}
+	listed := map[shedkeel.InstanceID]bool{}
+	for _, instance := range fleet.instances {
+		listed[instance.ID] = true
+	}
+	fleet.node.limits.retain(func(server shedkeel.InstanceID) bool { return listed[server] })
 	epochs := formation.LatestEpochs(maps.Values(fleet.instances))
 	var servers []dispatch.Server
 	for key, instance := range fleet.instances {
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,7 @@
 	remover    remover
 	askers     askers
 	guard      guard
+	limits     limits
 	controller controller
 	stopping   atomic.Bool
 	running    sync.WaitGroup
@@ -131,7 +132,7 @@
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare},
 		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving,
-		Guard: &node.guard, Check: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
+		Guard: &node.guard, Limits: &node.limits, Check: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys, Outage: node.follower.Outage,
 	}
 	if node.Metrics != nil {
@@ -145,6 +146,7 @@
 	node.gossip.node = node
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
 	node.remover.node = node
+	node.limits.node = node
 	node.guard.node = node
 	node.guard.prepare()
 	node.member.lease = lease{node: node, ttl: longTTL}
--- a/node/report.go
+++ b/node/report.go
@@ -20,6 +20,7 @@
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
 	scope.Gauge("nodes_unnamed").Update(float64(len(node.unnamed())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
+	scope.Gauge("servers_limited").Update(float64(len(node.limits.book.All())))
 	judged := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
 	for _, blame := range node.guard.judged() {
 		judged[blame.Judgment]++
--- /dev/null
+++ b/ratelimit.go
@@ -0,0 +1,28 @@
+package shedkeel
+
+import "time"
+
+// StatedLimit is what one answer of a backend server says of how many requests a
+// second it takes from all processes together. The zero value says that it takes
+// any number.
+type StatedLimit struct {
+	Stated bool
+	Rate   float64 // requests a second; 0: none at all
+	Err    error   // it states something else than a rate; then nothing is stated
+}
+
+// ServerLimit is what is known of a backend server's rate limit.
+type ServerLimit struct {
+	Server InstanceID
+	Rate   float64       // requests a second from all processes together
+	Lifted bool          // the server states no limit any more
+	At     time.Duration // when that was true
+	Since  time.Duration // from when on the server has stated a limit
+}
+
+// ServerLimits knows the rate limits of backend servers.
+type ServerLimits interface {
+	// Observe takes in what an answer of the server says. The request was sent at
+	// that time.
+	Observe(server InstanceID, limit StatedLimit, sent time.Duration)
+}
--- /dev/null
+++ b/ratelimit/book_test.go
@@ -0,0 +1,67 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestBook checks what is known of a server after answers of its, told in the order
+// in which they came.
+func TestBook(t *testing.T) {
+	type answer struct {
+		limit     float64 // below 0: none
+		sent, now time.Duration
+	}
+	cases := map[string]struct {
+		answers []answer
+		limited bool
+		rate    float64
+		changes int
+	}{
+		"never stated":                     {[]answer{{-1, 0, 1}}, false, 0, 0},
+		"stated":                           {[]answer{{2, 0, 1}}, true, 2, 1},
+		"stated again":                     {[]answer{{2, 0, 1}, {2, 1, 2}}, true, 2, 1},
+		"changed":                          {[]answer{{2, 0, 1}, {5, 1, 2}}, true, 5, 2},
+		"none at all":                      {[]answer{{0, 0, 1}}, true, 0, 1},
+		"lifted":                           {[]answer{{2, 0, 1}, {-1, 2, 3}}, false, 0, 2},
+		"an answer from before comes late": {[]answer{{2, 0, 3}, {-1, 1, 4}}, true, 2, 1},
+		"stated anew":                      {[]answer{{2, 0, 1}, {-1, 2, 3}, {4, 4, 5}}, true, 4, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var book Book
+			changes := 0
+			for _, answer := range test.answers {
+				stated := shedkeel.StatedLimit{Stated: answer.limit >= 0, Rate: max(answer.limit, 0)}
+				if _, changed := book.Observe("s", stated, answer.sent, answer.now); changed {
+					changes++
+				}
+			}
+			limit, limited := book.Limit("s")
+			assert.Equal(t, limited, test.limited)
+			assert.Equal(t, book.Idle(), !test.limited)
+			assert.Equal(t, limit.Rate, test.rate)
+			assert.Equal(t, changes, test.changes)
+		})
+	}
+}
+
+// TestBookMerge checks that the newer statement counts, whoever tells it, and that
+// servers which are not listed are forgotten.
+func TestBookMerge(t *testing.T) {
+	var book Book
+	book.Merge(shedkeel.ServerLimit{Server: "s", Rate: 2, At: 10, Since: 10})
+	_, changed := book.Merge(shedkeel.ServerLimit{Server: "s", Rate: 9, At: 5, Since: 5})
+	assert.Assert(t, !changed, "older than what is known")
+	known, changed := book.Merge(shedkeel.ServerLimit{Server: "s", Rate: 3, At: 12, Since: 4})
+	assert.Assert(t, changed)
+	assert.Equal(t, known.Since, time.Duration(4))
+	book.Merge(shedkeel.ServerLimit{Server: "gone", Rate: 1, At: 1})
+	assert.Equal(t, len(book.All()), 2)
+	book.Retain(func(server shedkeel.InstanceID) bool { return server == "s" })
+	assert.Equal(t, len(book.All()), 1)
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -63,6 +63,8 @@
 	// Check finds out whether a server that broke off has ended. nil: it is not
 	// asked.
 	Check shedkeel.ServerCheck
+	// Limits knows which servers limit the rate of their requests. nil: none does.
+	Limits shedkeel.ServerLimits
 	// DigestKey is mixed into what names requests, so that nobody outside can
 	// make two that look alike. It is the same at all processes.
 	DigestKey []byte
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -33,6 +33,7 @@
 		answer, err := life.try(ctx, choice)
 		if err == nil && (answer.response.StatusCode < http.StatusInternalServerError || !life.mayRepeat()) {
 			life.answered()
+			life.outcome = []slog.Attr{slog.String("server", string(choice.Instance))}
 			life.pass(answer)
 			return nil
 		}
--- a/serve/send.go
+++ b/serve/send.go
@@ -179,6 +179,7 @@
 // check finds out whether an answer is this request's own.
 func (life *life) check(response *http.Response, choice *dispatch.Choice) error {
 	answer := life.front.Protocol.Answer(response)
+	life.observeLimit(answer, response.StatusCode, choice)
 	switch {
 	case answer.ID != "" && answer.ID != life.call.ID, answer.ID == "" && response.StatusCode < http.StatusMultipleChoices:
 		return &shedkeel.UnknownRunError{Reason: "server " + string(choice.Instance) + " answered for " + answer.ID, Cause: errWrong}
@@ -190,6 +191,18 @@
 	return nil
 }
 
+// observeLimit notes what an answer of the request's own says of the server's rate
+// limit. Only a signed success proves that there is none.
+func (life *life) observeLimit(answer shedkeel.BackendAnswer, status int, choice *dispatch.Choice) {
+	if life.front.Limits == nil || answer.ID != life.call.ID {
+		return
+	}
+	proven := answer.Sealed && status < http.StatusMultipleChoices
+	if proven || answer.Limit.Stated || answer.Limit.Err != nil {
+		life.front.Limits.Observe(choice.Instance, answer.Limit, choice.Began)
+	}
+}
+
 // readWhole reads a response to its end.
 func readWhole(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
