One node grants the permits of a server that states a rate limit

What callers saw: nothing yet; a backend server in need got 5 requests a second where it stated 2, and would have got all that come where more come.

Cause: nobody read what servers state. Class: a bound on the sum of what many nodes do, which none of them knows, or which each holds alone.

Arrivals at the two servers are 5.1 and 5.0 a second before the statement and 4.9 and 5.4 after it; no moved stream, no failed sending.

Change: for each server one node, by rendezvous hashing over those that answer, keeps a token bucket (golang.org/x/time/rate) at the server's rate; all nodes ask it before each sending: first ones, repeats, moved streams, trials. A node that takes the permits over from another grants none for a second, and where the granting node does not answer nobody grants, so that two never add up. Who is refused is told a time of its own and sends elsewhere; where there is nowhere else a request waits for a permit within half of its objective, or is refused at once with the time when one is free (cause limited). A changed limit goes to the granting node and from it to all. Places of a model and the spread of requests count a limited server by its rate. An answer without the header lifts the limit; a server that states 0 is tried once in 10 s, as nothing else shows its end; a new start of a server has no limit.

Weighed on paper: a bucket at each node with an even share (bursts of one each are 66 at 66 nodes, and whoever has the traffic starves) - not kept.

--- /dev/null
+++ b/dispatch/limit_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// limitTable has the groups a and b, and a states a limit of two a second.
+func limitTable() *Table {
+	table := &Table{Random: rand.NewPCG(1, 2)}
+	var servers []Server
+	for _, name := range []shedkeel.InstanceID{"a", "b"} {
+		servers = append(servers, Server{Service: "s", Model: "m", Instance: name, Slots: 8, Group: shedkeel.Assignment{Group: shedkeel.GroupID(name), Epoch: 1}})
+	}
+	table.SetLimit("a", 2, true)
+	table.Replace(servers)
+	return table
+}
+
+// TestLimitedServerIsHeld checks where requests may go while a server has no permit,
+// and once it states no limit any more.
+func TestLimitedServerIsHeld(t *testing.T) {
+	query := Query{Service: "s", Model: "m", Now: time.Second}
+	tried := Query{Service: "s", Model: "m", Now: time.Second, Avoid: []shedkeel.InstanceID{"b"}}
+	cases := map[string]struct {
+		prepare func(*Table)
+		query   Query
+		want    shedkeel.InstanceID // empty: none
+		limited bool
+	}{
+		"has permits":              {func(*Table) {}, tried, "a", true},
+		"held":                     {func(table *Table) { table.Hold("a", 2*time.Second) }, tried, "", false},
+		"held, another is free":    {func(table *Table) { table.Hold("a", 2*time.Second) }, query, "b", false},
+		"held until now":           {func(table *Table) { table.Hold("a", time.Second) }, tried, "a", true},
+		"only free ones are asked": {func(*Table) {}, Query{Service: "s", Model: "m", Free: true, Avoid: []shedkeel.InstanceID{"b"}}, "", false},
+		"lifted":                   {func(table *Table) { table.Hold("a", 2*time.Second); table.SetLimit("a", 0, false) }, tried, "a", false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := limitTable()
+			test.prepare(table)
+			choice := table.Choose(test.query)
+			if test.want == "" {
+				assert.Assert(t, choice == nil)
+				return
+			}
+			assert.Equal(t, choice.Instance, test.want)
+			assert.Equal(t, choice.Limited, test.limited)
+		})
+	}
+}
+
+// TestLimitOutlivesTheGroup checks that a server keeps its limit when its group is
+// formed anew, and that what was chosen and not sent counts nowhere.
+func TestLimitOutlivesTheGroup(t *testing.T) {
+	table := limitTable()
+	table.Replace([]Server{{Service: "s", Model: "m", Instance: "a", Slots: 8, Group: shedkeel.Assignment{Group: "a", Epoch: 2}}})
+	choice := table.Choose(Query{Service: "s", Model: "m", Now: time.Second})
+	assert.Assert(t, choice.Limited)
+	assert.Equal(t, table.Load("s", "m", time.Second).OnTime, 1)
+	choice.Cancel()
+	assert.Equal(t, table.Load("s", "m", time.Second).OnTime, 0)
+	assert.Equal(t, table.Load("s", "m", time.Second).Slots, 2, "it takes two a second")
+}
+
+// TestSpreadHeedsLimits checks that the process which spreads requests names a limited
+// server about as often as it takes some, though it looks idle.
+func TestSpreadHeedsLimits(t *testing.T) {
+	table := limitTable()
+	named := map[shedkeel.InstanceID]int{}
+	for now := time.Second; now < 11*time.Second; now += 50 * time.Millisecond {
+		advice := table.Spread(Query{Service: "s", Model: "m", Now: now}, Asker{Process: "p"})
+		named[advice.Head]++
+	}
+	assert.Assert(t, named["a"] >= 15 && named["a"] <= 26, "%v", named)
+	assert.Equal(t, named["a"]+named["b"], 200)
+}
+
+// TestNextPermit checks which limited server a request waits for.
+func TestNextPermit(t *testing.T) {
+	table := limitTable()
+	query := Query{Service: "s", Model: "m", Now: time.Second}
+	table.SetLimit("b", 1, true)
+	table.Hold("a", 3*time.Second)
+	table.Hold("b", 2*time.Second)
+	server, found := table.NextPermit(query)
+	assert.Assert(t, found)
+	assert.Equal(t, server, shedkeel.InstanceID("b"))
+	query.Avoid = []shedkeel.InstanceID{"a", "b"}
+	_, found = table.NextPermit(query)
+	assert.Assert(t, !found)
+}
+
+// BenchmarkChooseAmongLimited is a choice among 1,000 groups that all limit their rate.
+func BenchmarkChooseAmongLimited(b *testing.B) {
+	benchmarkChoose(b, true)
+}
+
+// BenchmarkChooseAmongFree is the same with no limits.
+func BenchmarkChooseAmongFree(b *testing.B) {
+	benchmarkChoose(b, false)
+}
+
+func benchmarkChoose(b *testing.B, limited bool) {
+	table := &Table{Random: rand.NewPCG(1, 2)}
+	var servers []Server
+	for index := range 1000 {
+		name := shedkeel.InstanceID(rune('a' + index))
+		servers = append(servers, Server{Service: "s", Model: "m", Instance: name, Slots: 8})
+		if limited {
+			table.SetLimit(name, 2, true)
+		}
+	}
+	table.Replace(servers)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Choose(Query{Service: "s", Model: "m", Now: time.Second}).Cancel()
+	}
+}
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -101,6 +101,7 @@
 	if best := table.soonest(query, asker.Zone); best != nil {
 		best.given.reading += best.reading(query.Prompt)
 		best.given.running++
+		best.limit.schedule(query.Now)
 		asked.groups[best.Instance]++
 		advice.Head = best.Instance
 	}
@@ -175,7 +176,7 @@
 	var best *state
 	soonest := 0.0
 	for _, candidate := range members {
-		if candidate.avoidTill > query.Now || candidate.hash%uint32(max(query.Parts, 1)) != uint32(query.Part) {
+		if candidate.avoidTill > query.Now || candidate.limit.scheduled(query.Now) || candidate.hash%uint32(max(query.Parts, 1)) != uint32(query.Part) {
 			continue
 		}
 		wait := candidate.wait(zone, usual, query.Now)
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -69,8 +69,9 @@
 	mutex   sync.Mutex
 	servers map[string]*state
 	pools   map[pool][]*state
-	told    map[pool]map[string]told // by process, for Spread
-	demand  map[pool]*demand         // of what was spread
+	limits  map[shedkeel.InstanceID]*limit // of servers that limit their rate
+	told    map[pool]map[string]told       // by process, for Spread
+	demand  map[pool]*demand               // of what was spread
 }
 
 type pool struct {
@@ -91,6 +92,7 @@
 	listed    bool
 	given     given  // by Spread, for all processes
 	hash      uint32 // of the group's name
+	limit     *limit // nil: it takes requests at any rate
 }
 
 // Replace makes the servers the ones to choose from. What is known of those
@@ -113,6 +115,7 @@
 		}
 		known.Server = server
 		known.listed = true
+		known.limit = table.limits[server.Instance]
 		members := pool{server.Service, server.Model}
 		table.pools[members] = append(table.pools[members], known)
 	}
@@ -132,6 +135,7 @@
 	Answer  int                   // tokens to be written at most
 	Wish    shedkeel.InstanceID   // where it is best sent, by what all processes send; "": not known
 	Late    bool                  // it waits behind others and can't be on time
+	Free    bool                  // only servers that do not limit their rate
 	Part    int                   // for Spread: only groups of this part of the model's
 	Parts   int                   // into so many; 0: one
 	Now     time.Duration
@@ -141,6 +145,7 @@
 type Choice struct {
 	Server
 	Began   time.Duration   // when it was chosen
+	Limited bool            // the server limits its rate: a permit is needed
 	Stalled <-chan struct{} // tells each time that the server is silent for longer than the request can bear
 
 	table   *Table
@@ -159,7 +164,7 @@
 	var best, wish *state
 	lowest, ties, wishCost := 0.0, uint64(0), 0.0
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
-		if candidate.avoidTill > query.Now || avoided(query.Avoid, candidate.Instance) {
+		if candidate.avoidTill > query.Now || avoided(query.Avoid, candidate.Instance) || candidate.held(query) {
 			continue
 		}
 		cost := table.cost(candidate, query.Now)
@@ -228,7 +233,7 @@
 		state.reported = 0
 	}
 	stalled := make(chan struct{}, 1)
-	choice := &Choice{Server: state.Server, Stalled: stalled, table: table, state: state, Began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
+	choice := &Choice{Server: state.Server, Limited: state.limit != nil, Stalled: stalled, table: table, state: state, Began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
 	state.running[choice] = struct{}{}
 	return choice
 }
@@ -270,6 +275,13 @@
 	state.judged = now
 }
 
+// Cancel takes a choice back to which nothing was sent.
+func (choice *Choice) Cancel() {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	delete(choice.state.running, choice)
+}
+
 // Listed reports whether requests may still be sent to the server, as far as the
 // list of servers tells: it has not said that it leaves.
 func (choice *Choice) Listed() bool {
@@ -305,7 +317,7 @@
 				load.OnTime++
 			}
 		}
-		load.Slots += known.Slots
+		load.Slots += known.places()
 		load.Usable++
 	}
 	return load
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -253,6 +253,7 @@
 		}
 	}
 	fleet.node.table.Replace(servers)
+	fleet.node.limits.apply()
 	fleet.logServers(servers)
 }
 
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -67,6 +67,7 @@
 	for name, path := range cases {
 		t.Run(name, func(t *testing.T) {
 			world := newWorld(t, 3)
+			world.fleet.Answer = 80 * time.Millisecond // about as long as choices expect
 			world.eventually("all nodes are told", func() bool { return len(world.addresses(0)) == 3 })
 			for index := range world.nodes {
 				world.serves(index)
--- a/node/limits.go
+++ b/node/limits.go
@@ -1,26 +1,49 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/ratelimit"
+	"shedkeel.org/shedkeel/timer"
+	"shedkeel.org/shedkeel/wire"
 )
 
-// badLimitEvery is how often a server is logged that states a limit which cannot
-// be read.
-const badLimitEvery = time.Minute
+const (
+	// badLimitEvery is how often a server is logged that states a limit which cannot
+	// be read.
+	badLimitEvery = time.Minute
+	// permitTimeout bounds the question for a permit, for which a request waits.
+	permitTimeout = 30 * time.Millisecond
+	// permitPause is for how long a server gets no requests of this node when the
+	// node that grants its permits does not answer, or is not agreed on.
+	permitPause = 200 * time.Millisecond
+	// announceEvery is how often changed limits are told to other nodes.
+	announceEvery = 50 * time.Millisecond
+	// announceTimeout bounds the call that tells them.
+	announceTimeout = 500 * time.Millisecond
+)
 
-// limits is how a node takes part in the rate limits of backend servers.
+// limits is how a node takes part in the rate limits of backend servers. Each server
+// has one node that grants its permits, so that the sum over all nodes is bounded. The
+// node that sees a limit change tells that one, which tells all others.
 type limits struct {
-	node *Node
-	book ratelimit.Book
+	node    *Node
+	book    ratelimit.Book
+	granter ratelimit.Granter
+
+	mutex   sync.Mutex
+	bad     map[shedkeel.InstanceID]time.Duration        // when its bad limit was logged last
+	pending map[shedkeel.InstanceID]shedkeel.ServerLimit // to be told to others
 
-	mutex sync.Mutex
-	bad   map[shedkeel.InstanceID]time.Duration // when its bad limit was logged last
+	views uint64 // of the nodes that answer, as the granter knows them. Only the loop uses it
 }
 
 // Observe takes in what an answer of the server says.
@@ -31,15 +54,198 @@
 		return
 	}
 	if known, changed := limits.book.Observe(server, limit, sent, now); changed {
-		limits.log(known, "")
+		limits.changed(known, limits.node.Settings.Node)
+		limits.announce(known)
+	}
+}
+
+// merge takes in what another node knows. The node that grants the permits of the
+// server passes it on.
+func (limits *limits) merge(told *wire.ServerLimit, from shedkeel.NodeID) {
+	limit, valid := limitOf(told, limits.node.Timers.Now())
+	if !valid {
+		return
+	}
+	known, changed := limits.book.Merge(limit)
+	if !changed {
+		return
+	}
+	limits.changed(known, from)
+	if limits.grants(limit.Server) {
+		limits.announce(known)
 	}
 }
 
-func (limits *limits) log(limit shedkeel.ServerLimit, from shedkeel.NodeID) {
+// changed has choices heed a limit.
+func (limits *limits) changed(limit shedkeel.ServerLimit, from shedkeel.NodeID) {
+	limits.node.table.SetLimit(limit.Server, limit.Rate, !limit.Lifted)
 	limits.node.Log.Write(event.LimitChanged, slog.String("server", string(limit.Server)), slog.Float64("rate", limit.Rate),
 		slog.Bool("lifted", limit.Lifted), slog.String("from", string(from)))
 }
 
+func (limits *limits) announce(limit shedkeel.ServerLimit) {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	if limits.pending == nil {
+		limits.pending = map[shedkeel.InstanceID]shedkeel.ServerLimit{}
+	}
+	limits.pending[limit.Server] = limit
+}
+
+// apply has choices heed all limits, after the list of servers has changed.
+func (limits *limits) apply() {
+	for _, limit := range limits.book.All() {
+		limits.node.table.SetLimit(limit.Server, limit.Rate, true)
+	}
+}
+
+// grants reports whether this node grants the permits of a server.
+func (limits *limits) grants(server shedkeel.InstanceID) bool {
+	granter, known := limits.node.peers.granter(server)
+	return known && granter == limits.node.Settings.Node
+}
+
+// Acquire asks for a permit to send one request, which can wait so long.
+func (limits *limits) Acquire(ctx context.Context, server shedkeel.InstanceID, patience time.Duration) shedkeel.Permit {
+	limit, limited := limits.book.Limit(server)
+	if !limited {
+		return shedkeel.Permit{Granted: true}
+	}
+	granter, known := limits.node.peers.granter(server)
+	if known && granter == limits.node.Settings.Node {
+		return limits.granter.Grant(limit, patience, limits.node.Timers.Now())
+	}
+	peer := limits.node.peers.peer(granter)
+	if peer == nil {
+		return shedkeel.Permit{Wait: permitPause}
+	}
+	return limits.ask(ctx, peer, limit, patience)
+}
+
+// ask asks another node for a permit. Where that does not answer nobody grants any:
+// two nodes that each grant the server's rate would send it twice as much.
+func (limits *limits) ask(ctx context.Context, peer *peer, limit shedkeel.ServerLimit, patience time.Duration) shedkeel.Permit {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	call := &wire.PermitCall{
+		Node: string(limits.node.Settings.Node), Limit: wireLimit(limit, limits.node.Timers.Now()),
+		PatienceMs: uint32(max(patience, 0).Milliseconds()),
+	}
+	reply, err := peer.asked.Do(ctx, &wire.Call{Kind: &wire.Call_Permit{Permit: call}})
+	answer := reply.GetPermit()
+	if err != nil || answer == nil {
+		return shedkeel.Permit{Wait: permitPause}
+	}
+	if answer.GetLimit() != nil {
+		limits.merge(answer.GetLimit(), peer.id)
+	}
+	return shedkeel.Permit{Granted: answer.GetGranted(), Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond}
+}
+
+// takePermit answers another node's question for a permit.
+func (limits *limits) takePermit(call *wire.PermitCall) *wire.Reply {
+	limits.merge(call.GetLimit(), shedkeel.NodeID(call.GetNode()))
+	now := limits.node.Timers.Now()
+	server := shedkeel.InstanceID(call.GetLimit().GetServer())
+	permit := shedkeel.Permit{Wait: permitPause}
+	limit, limited := limits.book.Limit(server)
+	switch {
+	case !limits.grants(server): // the sender and this node see others alive
+	case limited:
+		permit = limits.granter.Grant(limit, time.Duration(call.GetPatienceMs())*time.Millisecond, now)
+	default:
+		permit = shedkeel.Permit{Granted: limit.Lifted}
+	}
+	return &wire.Reply{Kind: &wire.Reply_Permit{Permit: &wire.PermitReply{
+		Granted: permit.Granted, WaitMs: uint32(permit.Wait.Milliseconds()), Limit: wireLimit(limit, now),
+	}}}
+}
+
+// takeLimits takes in the limits that another node tells of.
+func (limits *limits) takeLimits(call *wire.LimitCall) *wire.Reply {
+	for _, limit := range call.GetLimits() {
+		limits.merge(limit, shedkeel.NodeID(call.GetNode()))
+	}
+	return &wire.Reply{Kind: &wire.Reply_Limit{Limit: &wire.LimitReply{}}}
+}
+
+// run tells other nodes of limits that have changed.
+func (limits *limits) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		limits.tick()
+		timer.Sleep(ctx, announceEvery)
+	}
+}
+
+// tick does what is due.
+func (limits *limits) tick() {
+	if views := limits.node.peers.views.Load(); views != limits.views {
+		limits.views = views
+		limits.granter.Retain(limits.grants)
+	}
+	limits.mutex.Lock()
+	pending := limits.pending
+	limits.pending = nil
+	limits.mutex.Unlock()
+	if len(pending) > 0 {
+		limits.tellAll(slices.Collect(maps.Values(pending)))
+	}
+}
+
+// tellAll tells each limit to the node that grants the server's permits, or to all
+// nodes where this one does.
+func (limits *limits) tellAll(changed []shedkeel.ServerLimit) {
+	told := map[*peer][]shedkeel.ServerLimit{}
+	for _, limit := range changed {
+		if limits.grants(limit.Server) {
+			for _, peer := range limits.node.peers.answering() {
+				told[peer] = append(told[peer], limit)
+			}
+			continue
+		}
+		if granter, _ := limits.node.peers.granter(limit.Server); limits.node.peers.peer(granter) != nil {
+			peer := limits.node.peers.peer(granter)
+			told[peer] = append(told[peer], limit)
+		}
+	}
+	for peer, limits := range told {
+		go peer.runTellLimits(limits)
+	}
+}
+
+// runTellLimits tells a node of limits. One that does not hear of them sees them in
+// the servers' own answers.
+func (peer *peer) runTellLimits(told []shedkeel.ServerLimit) {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	call := &wire.LimitCall{Node: string(peer.node.Settings.Node)}
+	for _, limit := range told {
+		call.Limits = append(call.Limits, wireLimit(limit, peer.node.Timers.Now()))
+	}
+	_, _ = peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Limit{Limit: call}})
+}
+
+// wireLimit is how a limit is told: with ages, since nodes share no clock. It is nil
+// where nothing is known.
+func wireLimit(limit shedkeel.ServerLimit, now time.Duration) *wire.ServerLimit {
+	if limit.Server == "" {
+		return nil
+	}
+	return &wire.ServerLimit{
+		Server: string(limit.Server), Rate: limit.Rate, Lifted: limit.Lifted,
+		AgeMs: uint64(max(now-limit.At, 0).Milliseconds()), SinceMs: uint64(max(now-limit.Since, 0).Milliseconds()),
+	}
+}
+
+// limitOf reads a limit that was told, and reports whether it is one.
+func limitOf(told *wire.ServerLimit, now time.Duration) (shedkeel.ServerLimit, bool) {
+	limit := shedkeel.ServerLimit{
+		Server: shedkeel.InstanceID(told.GetServer()), Rate: told.GetRate(), Lifted: told.GetLifted(),
+		At: now - time.Duration(told.GetAgeMs())*time.Millisecond, Since: now - time.Duration(told.GetSinceMs())*time.Millisecond,
+	}
+	return limit, limit.Server != "" && limit.Rate >= 0 && !math.IsInf(limit.Rate, 0)
+}
+
 // logBad logs a limit that cannot be read, unless the server's was just now.
 func (limits *limits) logBad(server shedkeel.InstanceID, err error, now time.Duration) {
 	limits.mutex.Lock()
@@ -60,6 +266,7 @@
 // retain forgets the servers that are not listed any more.
 func (limits *limits) retain(listed func(shedkeel.InstanceID) bool) {
 	limits.book.Retain(listed)
+	limits.granter.Retain(listed)
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
 	for server := range limits.bad {
--- a/node/node.go
+++ b/node/node.go
@@ -178,6 +178,7 @@
 	node.running.Go(func() { node.follower.Run(working) })
 	node.running.Go(func() { node.member.run(working) })
 	node.running.Go(func() { node.guard.run(working) })
+	node.running.Go(func() { node.limits.run(working) })
 	node.running.Go(func() { node.controller.run(working) })
 	node.running.Go(func() { node.controller.runLease(working) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.watchSilence)
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
@@ -19,12 +21,14 @@
 type peers struct {
 	node *Node
 
-	mutex   sync.Mutex
-	nodes   []nodeRecord // as compareNodes orders them, this node among them
-	alive   []nodeRecord // those of them that answer
-	known   map[shedkeel.NodeID]*peer
-	seeds   []*peer // from the settings: asked while no nodes are known
-	started []*peer // relays that were asked at the start
+	mutex    sync.Mutex
+	nodes    []nodeRecord                            // as compareNodes orders them, this node among them
+	alive    []nodeRecord                            // those of them that answer
+	views    atomic.Uint64                           // how often these have changed
+	granters map[shedkeel.InstanceID]shedkeel.NodeID // of servers that were asked about, while they don't
+	known    map[shedkeel.NodeID]*peer
+	seeds    []*peer // from the settings: asked while no nodes are known
+	started  []*peer // relays that were asked at the start
 	// random is not used elsewhere, and only with the mutex held.
 	random shedkeel.Random
 
@@ -82,7 +86,7 @@
 		}
 	}
 	peers.node.gossip.setPeers(nodes)
-	peers.alive = peers.node.gossip.alive(nodes)
+	peers.setAlive(peers.node.gossip.alive(nodes))
 	came, went := changedKeys(before, peers.known)
 	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)), slog.Any("came", came), slog.Any("went", went), slog.Duration("age", peers.node.fleet.copyAge()))
 }
@@ -107,7 +111,35 @@
 func (peers *peers) judge() {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	peers.alive = peers.node.gossip.alive(peers.nodes)
+	peers.setAlive(peers.node.gossip.alive(peers.nodes))
+}
+
+// setAlive makes these the nodes that answer. The mutex is held.
+func (peers *peers) setAlive(alive []nodeRecord) {
+	peers.alive = alive
+	peers.granters = nil
+	peers.views.Add(1)
+}
+
+// granter returns the node that grants the permits of a backend server, the same at
+// all nodes that see the same ones alive, or false while no node is known.
+func (peers *peers) granter(server shedkeel.InstanceID) (shedkeel.NodeID, bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if granter, known := peers.granters[server]; known {
+		return granter, true
+	}
+	if len(peers.alive) == 0 {
+		return "", false
+	}
+	first := slices.MinFunc(peers.alive, func(a, b nodeRecord) int {
+		return cmp.Compare(pairHash(server, a.ID), pairHash(server, b.ID))
+	})
+	if peers.granters == nil {
+		peers.granters = map[shedkeel.InstanceID]shedkeel.NodeID{}
+	}
+	peers.granters[server] = first.ID
+	return first.ID, true
 }
 
 // withOwn returns the nodes that answer in order and this one's place among them,
@@ -207,8 +239,12 @@
 		return peers.takeDemand(kind.Demand)
 	case *wire.Call_Blame:
 		return peers.node.guard.take(kind.Blame)
+	case *wire.Call_Permit:
+		return peers.node.limits.takePermit(kind.Permit)
+	case *wire.Call_Limit:
+		return peers.node.limits.takeLimits(kind.Limit)
 	}
-	return &wire.Reply{Error: "a node answers relays, notices, spreads, demands and blames only; upgrade one side"}
+	return &wire.Reply{Error: "a node answers relays, notices, spreads, demands, blames, permits and limits only; upgrade one side"}
 }
 
 // place returns this node's place among the nodes.
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -1,6 +1,9 @@
 package shedkeel
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // StatedLimit is what one answer of a backend server says of how many requests a
 // second it takes from all processes together. The zero value says that it takes
@@ -20,9 +23,21 @@
 	Since  time.Duration // from when on the server has stated a limit
 }
 
-// ServerLimits knows the rate limits of backend servers.
+// Permit is the answer to the question whether a request may be sent to a backend
+// server that limits its rate.
+type Permit struct {
+	Granted bool
+	// Wait is after what time a granted request is to be sent, or after what time
+	// it is worth asking again.
+	Wait time.Duration
+}
+
+// ServerLimits knows the rate limits of backend servers and shares them among
+// all processes.
 type ServerLimits interface {
 	// Observe takes in what an answer of the server says. The request was sent at
 	// that time.
 	Observe(server InstanceID, limit StatedLimit, sent time.Duration)
+	// Acquire asks for a permit to send one request. The request can wait so long.
+	Acquire(ctx context.Context, server InstanceID, patience time.Duration) Permit
 }
--- /dev/null
+++ b/ratelimit/granter.go
@@ -0,0 +1,101 @@
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"shedkeel.org/shedkeel"
+)
+
+const (
+	// handover is how long a process grants no permits of a server that others may
+	// have granted until just now.
+	handover = time.Second
+	// trialRate is the least rate at which a server is sent requests, in requests a
+	// second: only its answers tell that its limit has ended.
+	trialRate = 0.1
+	// burst is how many permits are kept for requests to come.
+	burst = 2
+	// mostWait is the longest time after which a refused process asks again.
+	mostWait = 2 * time.Second
+)
+
+// Granter grants the permits of servers that limit their rate. At each moment one
+// process grants those of a server. The zero value is ready. It is safe for
+// concurrent use.
+type Granter struct {
+	mutex   sync.Mutex
+	buckets map[shedkeel.InstanceID]*bucket
+}
+
+// bucket is the token bucket of one server. It begins empty.
+type bucket struct {
+	tokens *rate.Limiter
+	from   time.Duration // permits are granted from then on
+	turn   time.Duration // when the one that was refused last is to ask again
+}
+
+// Grant decides whether a request may be sent to the server that has the limit. The
+// request can wait so long.
+func (granter *Granter) Grant(limit shedkeel.ServerLimit, patience, now time.Duration) shedkeel.Permit {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	bucket := granter.bucket(limit, now)
+	if now < bucket.from {
+		return bucket.refuse(bucket.from-now, now)
+	}
+	reservation := bucket.tokens.ReserveN(instant(now), 1)
+	delay := reservation.DelayFrom(instant(now))
+	if delay > patience {
+		reservation.CancelAt(instant(now))
+		return bucket.refuse(delay, now)
+	}
+	return shedkeel.Permit{Granted: true, Wait: delay}
+}
+
+// bucket returns the server's bucket, filled by the limit that holds now. The mutex
+// is held.
+func (granter *Granter) bucket(limit shedkeel.ServerLimit, now time.Duration) *bucket {
+	perSecond := rate.Limit(max(limit.Rate, trialRate))
+	known := granter.buckets[limit.Server]
+	if known != nil {
+		if known.tokens.Limit() != perSecond {
+			known.tokens.SetLimitAt(instant(now), perSecond)
+		}
+		return known
+	}
+	known = &bucket{tokens: rate.NewLimiter(perSecond, burst), from: now}
+	if limit.Since < now-handover {
+		known.from = now + handover
+	}
+	known.tokens.AllowN(instant(known.from), burst)
+	if granter.buckets == nil {
+		granter.buckets = map[shedkeel.InstanceID]*bucket{}
+	}
+	granter.buckets[limit.Server] = known
+	return known
+}
+
+// refuse tells when to ask again: each at a time of its own, at the server's rate.
+func (bucket *bucket) refuse(delay, now time.Duration) shedkeel.Permit {
+	bucket.turn = max(bucket.turn, now+delay)
+	wait := min(bucket.turn-now, mostWait)
+	bucket.turn = now + wait + time.Duration(float64(time.Second)/float64(bucket.tokens.Limit()))
+	return shedkeel.Permit{Wait: wait}
+}
+
+// Retain forgets the servers whose permits this process grants no longer.
+func (granter *Granter) Retain(granted func(shedkeel.InstanceID) bool) {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	for server := range granter.buckets {
+		if !granted(server) {
+			delete(granter.buckets, server)
+		}
+	}
+}
+
+// instant is a time on the steady clock, as token buckets count it.
+func instant(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
--- a/serve/comeback.go
+++ b/serve/comeback.go
@@ -37,11 +37,12 @@
 	causeNoPlace                  // no server may be sent to, or none has a place
 	causeNotRun                   // servers refused it or could not be reached
 	causeQuarantined              // servers ended under it, and another try of it is made now
+	causeLimited                  // the servers limit their rate, and no permit is free in time
 	causeContained                // so many servers ended under it that no try is made any more
 )
 
 // causeNames are the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "contained"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "contained"}
 
 // String names the cause.
 func (cause cause) String() string { return causeNames[cause] }
@@ -55,6 +56,10 @@
 		return 0
 	case causeElsewhere:
 		back = soonBack
+	case causeLimited:
+		// Nobody can be served earlier, so these times differ upwards.
+		back = life.permitWait + time.Duration(backSpread*life.lot()*float64(life.permitWait))
+		return max(min(back, time.Duration(waitShare*float64(life.left()))), soonBack)
 	case causeNoProof:
 		back = life.front.proofBack(life.front.Timers.Now())
 	}
--- a/serve/front.go
+++ b/serve/front.go
@@ -127,6 +127,9 @@
 	begun    atomic.Bool             // its answer has begun
 	fresh    atomic.Bool             // a server ended under it: the next may have too, and is to be found gone
 	callBack context.CancelCauseFunc // gives it up
+	// permitWait is after what time a server that limits its rate is free again, as
+	// was told last.
+	permitWait time.Duration
 }
 
 // ServeHTTP serves one request.
@@ -329,7 +332,10 @@
 	if !life.mayGoOn() {
 		cause = causeQuarantined
 	}
-	if errors.Is(reason, errNoServer) || errors.Is(reason, errFull) {
+	switch {
+	case errors.Is(reason, errLimited):
+		cause = causeLimited
+	case errors.Is(reason, errNoServer), errors.Is(reason, errFull):
 		cause = causeNoPlace
 	}
 	return life.refuse(cause, "the request did not run: "+reason.Error())
--- /dev/null
+++ b/serve/permit_test.go
@@ -0,0 +1,131 @@
+package serve
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// permits grants from a script: of each server, how long its permits take; a server
+// that is not in it grants at once.
+type permits struct {
+	mutex    sync.Mutex
+	waits    map[shedkeel.InstanceID]time.Duration
+	asked    int
+	observed []shedkeel.StatedLimit
+}
+
+func (permits *permits) Observe(_ shedkeel.InstanceID, limit shedkeel.StatedLimit, _ time.Duration) {
+	permits.mutex.Lock()
+	defer permits.mutex.Unlock()
+	permits.observed = append(permits.observed, limit)
+}
+
+func (permits *permits) Acquire(_ context.Context, server shedkeel.InstanceID, patience time.Duration) shedkeel.Permit {
+	permits.mutex.Lock()
+	defer permits.mutex.Unlock()
+	permits.asked++
+	wait := permits.waits[server]
+	return shedkeel.Permit{Granted: wait <= patience, Wait: wait}
+}
+
+// TestPermits checks what becomes of a request while servers limit their rate: it goes
+// where it may, waits for a permit that comes in time, or is refused at once and told
+// when one is free.
+func TestPermits(t *testing.T) {
+	const soon, late = 20 * time.Millisecond, 300 * time.Millisecond
+	cases := map[string]struct {
+		waits  map[shedkeel.InstanceID]time.Duration // of servers that limit their rate
+		status int
+		sent   int
+		took   time.Duration // at least
+		back   time.Duration // told at least; 0: not stated
+	}{
+		"a permit is free":         {map[shedkeel.InstanceID]time.Duration{"p0": 0, "p1": 0, "p2": 0}, 200, 1, 0, 0},
+		"another takes it":         {map[shedkeel.InstanceID]time.Duration{"p0": late, "p1": late}, 200, 1, 0, 0},
+		"one comes in time":        {map[shedkeel.InstanceID]time.Duration{"p0": soon, "p1": soon, "p2": soon}, 200, 1, soon, 0},
+		"none comes in time":       {map[shedkeel.InstanceID]time.Duration{"p0": late, "p1": late, "p2": late}, 503, 0, 0, 200 * time.Millisecond},
+		"none comes for very long": {map[shedkeel.InstanceID]time.Duration{"p0": time.Minute, "p1": time.Minute, "p2": time.Minute}, 503, 0, 0, 200 * time.Millisecond},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.Limits = &permits{waits: test.waits}
+			view := NewView(testConfig())
+			view.route("h", "/safe/x").Objective = 100 * time.Millisecond
+			harness.Believe = func() Belief { return Belief{View: view, AsOf: harness.clock.Now()} }
+			for server := range test.waits {
+				harness.Table.SetLimit(server, 2, true)
+			}
+			began := time.Now()
+			got := harness.post("/safe/x", "")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Equal(t, len(harness.backend.requests), test.sent)
+			took := time.Since(began)
+			assert.Assert(t, took >= test.took && took < 200*time.Millisecond, "took %s", took)
+			back, _ := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+			assert.Assert(t, back >= test.back.Seconds() && (test.back > 0) == (back > 0), "told to come back in %v s", back)
+		})
+	}
+}
+
+// TestEverySendingTakesAPermit checks that repeats and moved streams ask for permits as
+// first sendings do.
+func TestEverySendingTakesAPermit(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		steps []step
+		asked int
+	}{
+		"answered":            {"/safe/x", []step{{body: "ok"}}, 1},
+		"safe, repeated":      {"/safe/x", []step{{status: 500}, {body: "ok"}}, 2},
+		"once, refused":       {"/once/x", []step{{status: 503, notRun: true}, {body: "ok"}}, 2},
+		"stream":              {"/s/x", []step{{events: 5}}, 1},
+		"stream, broken off":  {"/s/x", []step{{events: 5, cutAfter: 2}, {events: 5}}, 2},
+		"stream, gone silent": {"/s/x", []step{{events: 5, hangs: 2}, {events: 5}}, 2},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.steps...)
+			permits := &permits{}
+			harness.Limits = permits
+			for _, server := range []shedkeel.InstanceID{"p0", "p1", "p2", "g0", "g1", "g2"} {
+				harness.Table.SetLimit(server, 100, true)
+			}
+			got := harness.post(test.path, "", "Model", "m")
+			assert.Equal(t, got.Code, 200, got.Body.String())
+			assert.Equal(t, permits.asked, test.asked)
+		})
+	}
+}
+
+// TestLimitsAreObserved checks which answers tell of a server's limit.
+func TestLimitsAreObserved(t *testing.T) {
+	cases := map[string]struct {
+		step step
+		want []shedkeel.StatedLimit
+	}{
+		"no limit":         {step{body: "ok"}, []shedkeel.StatedLimit{{}}},
+		"a limit":          {step{body: "ok", limit: 2}, []shedkeel.StatedLimit{{Stated: true, Rate: 2}}},
+		"in a refusal":     {step{status: 429, notRun: true, limit: 2}, []shedkeel.StatedLimit{{Stated: true, Rate: 2}}},
+		"in a failure":     {step{status: 500, limit: 2}, []shedkeel.StatedLimit{{Stated: true, Rate: 2}}},
+		"failure without":  {step{status: 500}, nil},
+		"unsigned":         {step{unsealed: true}, nil},
+		"another's answer": {step{wrongID: true, limit: 2}, nil},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.step, step{wrongID: true}, step{wrongID: true}, step{wrongID: true})
+			permits := &permits{}
+			harness.Limits = permits
+			harness.post("/once/x", "")
+			assert.DeepEqual(t, permits.observed, test.want)
+		})
+	}
+}
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -25,7 +25,7 @@
 	var worst kept // an answer that says that the server failed
 	var reason error
 	for len(life.tried) < maxDials && ctx.Err() == nil && (len(life.tried) == 0 || life.mayGoOn()) {
-		choice, err := life.choose(life.front.Timers.Now())
+		choice, err := life.choose(ctx)
 		if err != nil {
 			reason = firstOf(reason, err)
 			break
--- a/serve/send.go
+++ b/serve/send.go
@@ -19,6 +19,7 @@
 // The kinds of failure of one sending.
 var (
 	errNoServer  = errors.New("no server may be sent to")
+	errLimited   = errors.New("all servers that may be sent to limit their rate, and no permit is free in time")
 	errFull      = errors.New("all servers have more requests than they can answer in time")
 	errNoBudget  = errors.New("no more repeats are allowed now")
 	errWrong     = errors.New("the answer belongs to another request or is not the server's own")
@@ -27,7 +28,8 @@
 )
 
 // choose picks the server for the next sending.
-func (life *life) choose(now time.Duration) (*dispatch.Choice, error) {
+func (life *life) choose(ctx context.Context) (*dispatch.Choice, error) {
+	now := life.front.Timers.Now()
 	repeat := life.sendings > 0
 	if repeat && !life.front.Budget.Repeat(life.service, life.front.Nodes(), now) {
 		count(life.front.meter().noBudget)
@@ -44,13 +46,13 @@
 		}
 	}
 	query.Late = life.late
-	choice := life.front.Table.Choose(query)
-	if choice == nil {
+	choice, err := life.permitted(ctx, query, !repeat)
+	if err != nil {
 		if repeat {
 			life.front.Budget.TakeBack(life.service, now)
 		}
 		count(life.front.meter().noServer)
-		return nil, errNoServer
+		return nil, err
 	}
 	life.tried = append(life.tried, choice.Instance)
 	life.sendings++
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -47,7 +47,10 @@
 }
 
 func (protocol) Answer(response *http.Response) shedkeel.BackendAnswer {
-	return shedkeel.BackendAnswer{ID: response.Header.Get("Id"), Sealed: response.Header.Get("Seal") != "", NotRun: response.Header.Get("Not-Run") != ""}
+	answer := shedkeel.BackendAnswer{ID: response.Header.Get("Id"), Sealed: response.Header.Get("Seal") != "", NotRun: response.Header.Get("Not-Run") != ""}
+	_, err := fmt.Sscan(response.Header.Get("Limit"), &answer.Limit.Rate)
+	answer.Limit.Stated = err == nil
+	return answer
 }
 
 // step is what a fake server does with one request.
@@ -63,6 +66,7 @@
 	wrongID  bool
 	unsealed bool
 	notRun   bool
+	limit    float64 // that the server states; 0: none
 }
 
 // backend follows a script, a step a request.
@@ -108,6 +112,9 @@
 	if step.notRun {
 		header.Set("Not-Run", "1")
 	}
+	if step.limit > 0 {
+		header.Set("Limit", fmt.Sprint(step.limit))
+	}
 	response := &http.Response{StatusCode: max(step.status, 200), Header: header, ContentLength: int64(len(step.body))}
 	if step.events == 0 {
 		response.Body = io.NopCloser(strings.NewReader(step.body))
@@ -471,7 +478,7 @@
 	onTime, late, refused := 0, 0, 0
 	for range 2 * places {
 		life := &life{front: harness.Front, request: request, service: "llm", call: shedkeel.Call{Model: "m"}, view: harness.Believe().View}
-		_, err := life.choose(harness.clock.Now())
+		_, err := life.choose(t.Context())
 		switch {
 		case errors.Is(err, errFull):
 			refused++
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -110,8 +110,7 @@
 
 // start sends the stream to another server, from after the last event.
 func (stream *stream) start(ctx context.Context) error {
-	now := stream.front.Timers.Now()
-	choice, err := stream.choose(now)
+	choice, err := stream.choose(ctx)
 	if err != nil {
 		return err
 	}
