The halves of a cut fleet share a limit, and a new granter waits only after a change

What callers saw: nothing; a backend server would get 1.2 times what it allows while a fleet is cut in two, since each half has a node that grants its rate.

Cause: the rate was granted whole by whoever is first among the nodes that it hears.

And it waits a second before it grants permits of a server that is new to it only where the nodes that answer have changed within that second, not by how long the limit is known: a node that has just started can't tell that.

--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"sync/atomic"
+	"net/http"
 	"testing"
 	"time"
 
@@ -35,56 +35,88 @@
 	return most
 }
 
-// press sends so many requests a second to all nodes in turn for a while, and
-// returns how many were answered whole and how many were sent.
-func (world *world) press(path string, rate int, length time.Duration) (served, sent int) {
-	var whole atomic.Int64
-	done := make(chan struct{})
+// press sends so many requests a second to the nodes in turn for a while, and returns
+// how many were answered whole, how many refused, and how many sent.
+func (world *world) press(nodes []*runningNode, path string, rate int, length time.Duration) (served, refused, sent int) {
+	statuses := make(chan int)
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for end := time.Now().Add(length); time.Now().Before(end); sent++ {
 		<-ticker.C
-		address := world.nodes[sent%len(world.nodes)].callers
+		address := nodes[sent%len(nodes)].callers
 		go func() {
 			status, _ := world.send(address, shedkeel.NewNonce(), path, "key-1", 50)
-			if status == 200 {
-				whole.Add(1)
-			}
-			done <- struct{}{}
+			statuses <- status
 		}()
 	}
 	for range sent {
-		<-done
+		switch <-statuses {
+		case http.StatusOK:
+			served++
+		case http.StatusServiceUnavailable:
+			refused++
+		}
 	}
-	return int(whole.Load()), sent
+	return served, refused, sent
 }
 
-// TestServerLimitHoldsOverAllNodes has one server state a limit while requests come
-// to three nodes at once.
+// TestServerLimitHoldsOverAllNodes has servers state a limit while requests come to
+// three nodes at once, also while one of these stops.
 func TestServerLimitHoldsOverAllNodes(t *testing.T) {
 	const limit, rate, length = 2, 40, 6 * time.Second
-	cases := map[string]string{"replica group": "/copy/a", "plain server": "/look/a"}
-	for name, path := range cases {
+	cases := map[string]struct {
+		path string
+		all  bool // all servers state a limit, and not only one
+		stop bool // the first node stops
+	}{
+		"replica group":                {path: "/copy/a"},
+		"plain server":                 {path: "/look/a"},
+		"replica group, a node stops":  {path: "/copy/a", stop: true},
+		"plain server, a node stops":   {path: "/look/a", stop: true},
+		"all plain servers":            {path: "/look/a", all: true},
+		"all replica groups":           {path: "/copy/a", all: true},
+		"all plain servers, one stops": {path: "/look/a", all: true, stop: true},
+	}
+	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			world := newWorld(t, 3)
 			world.fleet.Answer = 80 * time.Millisecond // about as long as choices expect
 			world.eventually("all nodes are told", func() bool { return len(world.addresses(0)) == 3 })
 			for index := range world.nodes {
 				world.serves(index)
 			}
-			limited := "plain-0"
-			if path == "/copy/a" {
-				limited = world.fleet.Serving()["m0"][0].ID
+			limited := []string{"plain-0", "plain-1"}
+			if test.path == "/copy/a" {
+				limited = nil
+				for _, head := range world.fleet.Serving()["m0"] {
+					limited = append(limited, head.ID)
+				}
+			}
+			if !test.all {
+				limited = limited[:1]
 			}
-			world.fleet.Limit(limited, fmt.Sprint(limit))
-			served, sent := world.press(path, rate, length)
-			arrivals := world.fleet.Arrivals(limited)
+			for _, server := range limited {
+				world.fleet.Limit(server, fmt.Sprint(limit))
+			}
+			pressed := world.nodes
+			if test.stop {
+				pressed = world.nodes[1:]
+				time.AfterFunc(length/3, world.nodes[0].stop)
+			}
+			served, refused, sent := world.press(pressed, test.path, rate, length)
 			allowed := limit*3/2*int(limitWindow/time.Second) + limitBurst
-			most := mostArrivals(arrivals)
-			t.Logf("%d requests, %d to the limited server, %d of them in %s, allowed %d, served %d", sent, len(arrivals), most, limitWindow, allowed, served)
-			assert.Assert(t, most <= allowed, "%d requests in %s, allowed %d", most, limitWindow, allowed)
-			assert.Assert(t, len(arrivals) >= limit*int(length/time.Second)/2, "it states a limit, and is not to be left alone: %d requests", len(arrivals))
-			assert.Assert(t, served >= sent*9/10, "%d of %d served: the other servers can take them", served, sent)
+			for _, server := range limited {
+				arrivals := world.fleet.Arrivals(server)
+				most := mostArrivals(arrivals)
+				t.Logf("%d requests, %d served, %d refused; %s had %d, %d of them in %s, allowed %d", sent, served, refused, server, len(arrivals), most, limitWindow, allowed)
+				assert.Assert(t, most <= allowed, "%d requests in %s, allowed %d", most, limitWindow, allowed)
+				assert.Assert(t, len(arrivals) >= limit*int(length/time.Second)/2, "it states a limit, and is not to be left alone: %d requests", len(arrivals))
+			}
+			if !test.all {
+				assert.Assert(t, served >= sent*9/10, "%d of %d served: the other servers can take them", served, sent)
+			}
+			assert.Equal(t, served+refused, sent, "whoever is not served is told so")
 		})
 	}
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -113,7 +113,7 @@
 	}
 	granter, known := limits.node.peers.granter(server)
 	if known && granter == limits.node.Settings.Node {
-		return limits.granter.Grant(limit, patience, limits.node.Timers.Now())
+		return limits.grant(limit, patience)
 	}
 	peer := limits.node.peers.peer(granter)
 	if peer == nil {
@@ -122,6 +122,15 @@
 	return limits.ask(ctx, peer, limit, patience)
 }
 
+// grant grants a permit of a server that is this node's to grant: of the part of its
+// rate that is the part of the nodes which this one hears, since the others may grant
+// the rest of it on the other side of a cut.
+func (limits *limits) grant(limit shedkeel.ServerLimit, patience time.Duration) shedkeel.Permit {
+	part, settled := limits.node.peers.heard()
+	ask := ratelimit.Ask{Server: limit.Server, Rate: limit.Rate * part, Patience: patience, Settled: settled}
+	return limits.granter.Grant(ask, limits.node.Timers.Now())
+}
+
 // ask asks another node for a permit. Where that does not answer nobody grants any:
 // two nodes that each grant the server's rate would send it twice as much.
 func (limits *limits) ask(ctx context.Context, peer *peer, limit shedkeel.ServerLimit, patience time.Duration) shedkeel.Permit {
@@ -152,7 +161,7 @@
 	switch {
 	case !limits.grants(server): // the sender and this node see others alive
 	case limited:
-		permit = limits.granter.Grant(limit, time.Duration(call.GetPatienceMs())*time.Millisecond, now)
+		permit = limits.grant(limit, time.Duration(call.GetPatienceMs())*time.Millisecond)
 	default:
 		permit = shedkeel.Permit{Granted: limit.Lifted}
 	}
--- /dev/null
+++ b/node/limits_test.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/wire"
+)
+
+// TestGrantersAgree checks that nodes which see the same ones alive name the same one
+// to grant the permits of a server, and that servers spread over all.
+func TestGrantersAgree(t *testing.T) {
+	counts := map[shedkeel.NodeID]int{}
+	for range 40 {
+		server := shedkeel.InstanceID(shedkeel.NewNonce())
+		var agreed shedkeel.NodeID
+		for _, record := range fourNodes {
+			node, _ := newListedNode(t, record.ID, fourNodes)
+			granter, known := node.peers.granter(server)
+			assert.Assert(t, known)
+			assert.Assert(t, agreed == "" || granter == agreed)
+			agreed = granter
+		}
+		counts[agreed]++
+	}
+	assert.Equal(t, len(counts), len(fourNodes), "%v", counts)
+}
+
+// TestHeardPart checks which part of a limit a node may grant, and since when: nodes
+// that do not answer may be on the other side of a cut, those that stop are not.
+func TestHeardPart(t *testing.T) {
+	node, timers := newListedNode(t, "a", fourNodes)
+	part, settled := node.peers.heard()
+	assert.Equal(t, part, 1.0)
+	assert.Equal(t, settled, timers.Now())
+
+	timers.Advance(time.Second)
+	node.peers.setAlive(fourNodes)
+	_, settled = node.peers.heard()
+	assert.Equal(t, settled, timers.Now()-time.Second, "nothing has changed")
+	node.peers.setAlive(fourNodes[:2])
+	part, settled = node.peers.heard()
+	assert.Equal(t, part, 0.5)
+	assert.Equal(t, settled, timers.Now())
+
+	node.peers.nodes = append([]nodeRecord{}, fourNodes...)
+	node.peers.nodes[2].Stopping, node.peers.nodes[3].Stopping = true, true
+	part, _ = node.peers.heard()
+	assert.Equal(t, part, 1.0)
+}
+
+// grantedBy returns a server whose permits the node grants, or does not.
+func grantedBy(node *Node, own bool) string {
+	for {
+		server := shedkeel.InstanceID(shedkeel.NewNonce())
+		if node.limits.grants(server) == own {
+			return string(server)
+		}
+	}
+}
+
+// TestTakePermit checks what a node answers that is asked for a permit.
+func TestTakePermit(t *testing.T) {
+	cases := map[string]struct {
+		own     bool // the node grants the server's permits
+		lifted  bool // it knows that the server states no limit any more
+		rate    float64
+		granted bool
+	}{
+		"granted here":      {true, false, 50, true},
+		"granted elsewhere": {false, false, 50, false},
+		"lifted meanwhile":  {true, true, 50, true},
+		"not a number":      {true, false, math.NaN(), false},
+		"infinite":          {true, false, math.Inf(1), false},
+		"negative":          {true, false, -1, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newListedNode(t, "a", fourNodes)
+			timers.Advance(time.Minute)
+			told := &wire.ServerLimit{Server: grantedBy(node, test.own), Rate: test.rate, AgeMs: 100, SinceMs: 100}
+			ask := func() bool {
+				call := &wire.PermitCall{Node: "b", Limit: told, PatienceMs: 20}
+				return node.limits.takePermit(call).GetPermit().GetGranted()
+			}
+			if test.lifted {
+				node.limits.merge(told, "b")
+				node.limits.merge(&wire.ServerLimit{Server: told.GetServer(), Lifted: true}, "b")
+			}
+			assert.Equal(t, ask(), test.granted)
+		})
+	}
+}
+
+// TestLimitsAreTold checks what a node passes on: what it has seen itself, and what
+// others tell of servers whose permits it grants.
+func TestLimitsAreTold(t *testing.T) {
+	node, _ := newListedNode(t, "a", fourNodes)
+	own, other := grantedBy(node, true), grantedBy(node, false)
+	node.limits.takeLimits(&wire.LimitCall{Node: "b", Limits: []*wire.ServerLimit{{Server: own, Rate: 2}, {Server: other, Rate: 2}, {Rate: 2}, nil}})
+	assert.Equal(t, len(node.limits.pending), 1)
+	assert.Assert(t, node.limits.pending[shedkeel.InstanceID(own)].Rate == 2)
+	node.limits.Observe("seen", shedkeel.StatedLimit{Stated: true, Rate: 3}, 0)
+	assert.Equal(t, len(node.limits.pending), 2)
+	node.limits.takeLimits(&wire.LimitCall{Node: "c", Limits: []*wire.ServerLimit{{Server: own, Rate: 2}}})
+	assert.Equal(t, len(node.limits.pending), 2, "it is known")
+	assert.Equal(t, len(node.limits.book.All()), 3)
+}
+
+// TestNobodyGrantsInTheGrantersPlace checks that a node does without permits while the
+// one that grants them does not answer, and how long it does.
+func TestNobodyGrantsInTheGrantersPlace(t *testing.T) {
+	node, timers := newListedNode(t, "a", fourNodes)
+	server := shedkeel.InstanceID(grantedBy(node, false))
+	assert.Assert(t, node.limits.Acquire(t.Context(), server, 0).Granted, "it states no limit")
+	node.limits.Observe(server, shedkeel.StatedLimit{Stated: true, Rate: 2}, timers.Now())
+	permit := node.limits.Acquire(t.Context(), server, time.Second)
+	assert.Equal(t, permit, shedkeel.Permit{Wait: permitPause})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
@@ -25,6 +26,7 @@
 	nodes    []nodeRecord                            // as compareNodes orders them, this node among them
 	alive    []nodeRecord                            // those of them that answer
 	views    atomic.Uint64                           // how often these have changed
+	settled  time.Duration                           // when they changed last
 	granters map[shedkeel.InstanceID]shedkeel.NodeID // of servers that were asked about, while they don't
 	known    map[shedkeel.NodeID]*peer
 	seeds    []*peer // from the settings: asked while no nodes are known
@@ -116,11 +118,31 @@
 
 // setAlive makes these the nodes that answer. The mutex is held.
 func (peers *peers) setAlive(alive []nodeRecord) {
+	if slices.Equal(peers.alive, alive) {
+		return
+	}
 	peers.alive = alive
 	peers.granters = nil
+	peers.settled = peers.node.Timers.Now()
 	peers.views.Add(1)
 }
 
+// heard returns which part of the nodes that are listed and don't stop answers, and
+// since when the same nodes answer.
+func (peers *peers) heard() (part float64, settled time.Duration) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	goesOn := func(records []nodeRecord) (count int) {
+		for _, record := range records {
+			if !record.Stopping {
+				count++
+			}
+		}
+		return count
+	}
+	return float64(goesOn(peers.alive)) / float64(max(goesOn(peers.nodes), 1)), peers.settled
+}
+
 // granter returns the node that grants the permits of a backend server, the same at
 // all nodes that see the same ones alive, or false while no node is known.
 func (peers *peers) granter(server shedkeel.InstanceID) (shedkeel.NodeID, bool) {
--- a/ratelimit/book.go
+++ b/ratelimit/book.go
@@ -59,9 +59,6 @@
 
 // Limit returns what is known of a server, and whether it limits its rate.
 func (book *Book) Limit(server shedkeel.InstanceID) (shedkeel.ServerLimit, bool) {
-	if book.Idle() {
-		return shedkeel.ServerLimit{}, false
-	}
 	book.mutex.RLock()
 	defer book.mutex.RUnlock()
 	limit, known := book.limits[server]
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// handover is how long a process grants no permits of a server that others may
-	// have granted until just now.
+	// handover is how long after a change of the processes that answer no permits are
+	// granted of servers that are new to this one: another may have granted them.
 	handover = time.Second
 	// trialRate is the least rate at which a server is sent requests, in requests a
 	// second: only its answers tell that its limit has ended.
@@ -37,44 +37,48 @@
 	turn   time.Duration // when the one that was refused last is to ask again
 }
 
-// Grant decides whether a request may be sent to the server that has the limit. The
-// request can wait so long.
-func (granter *Granter) Grant(limit shedkeel.ServerLimit, patience, now time.Duration) shedkeel.Permit {
+// Ask is the question whether a request may be sent to a server.
+type Ask struct {
+	Server   shedkeel.InstanceID
+	Rate     float64       // requests a second that this process may grant
+	Patience time.Duration // how long the request can wait
+	Settled  time.Duration // since when the same processes answer as now
+}
+
+// Grant answers a question.
+func (granter *Granter) Grant(ask Ask, now time.Duration) shedkeel.Permit {
 	granter.mutex.Lock()
 	defer granter.mutex.Unlock()
-	bucket := granter.bucket(limit, now)
+	bucket := granter.bucket(ask, now)
 	if now < bucket.from {
 		return bucket.refuse(bucket.from-now, now)
 	}
 	reservation := bucket.tokens.ReserveN(instant(now), 1)
 	delay := reservation.DelayFrom(instant(now))
-	if delay > patience {
+	if delay > ask.Patience {
 		reservation.CancelAt(instant(now))
 		return bucket.refuse(delay, now)
 	}
 	return shedkeel.Permit{Granted: true, Wait: delay}
 }
 
-// bucket returns the server's bucket, filled by the limit that holds now. The mutex
+// bucket returns the server's bucket, filled at the rate that holds now. The mutex
 // is held.
-func (granter *Granter) bucket(limit shedkeel.ServerLimit, now time.Duration) *bucket {
-	perSecond := rate.Limit(max(limit.Rate, trialRate))
-	known := granter.buckets[limit.Server]
+func (granter *Granter) bucket(ask Ask, now time.Duration) *bucket {
+	perSecond := rate.Limit(max(ask.Rate, trialRate))
+	known := granter.buckets[ask.Server]
 	if known != nil {
 		if known.tokens.Limit() != perSecond {
 			known.tokens.SetLimitAt(instant(now), perSecond)
 		}
 		return known
 	}
-	known = &bucket{tokens: rate.NewLimiter(perSecond, burst), from: now}
-	if limit.Since < now-handover {
-		known.from = now + handover
-	}
+	known = &bucket{tokens: rate.NewLimiter(perSecond, burst), from: max(now, ask.Settled+handover)}
 	known.tokens.AllowN(instant(known.from), burst)
 	if granter.buckets == nil {
 		granter.buckets = map[shedkeel.InstanceID]*bucket{}
 	}
-	granter.buckets[limit.Server] = known
+	granter.buckets[ask.Server] = known
 	return known
 }
 
--- a/ratelimit/granter_test.go
+++ b/ratelimit/granter_test.go
@@ -10,9 +10,9 @@
 )
 
 // pull asks for permits each so often for a while, and returns when one was granted.
-func pull(granter *Granter, limit shedkeel.ServerLimit, from, every, length time.Duration) (granted []time.Duration) {
+func pull(granter *Granter, ask Ask, from, every, length time.Duration) (granted []time.Duration) {
 	for now := from; now < from+length; now += every {
-		if granter.Grant(limit, 0, now).Granted {
+		if granter.Grant(ask, now).Granted {
 			granted = append(granted, now)
 		}
 	}
@@ -26,8 +26,7 @@
 	cases := map[string]float64{"a half": 0.5, "two": 2, "twenty": 20, "two hundred": 200}
 	for name, rate := range cases {
 		t.Run(name, func(t *testing.T) {
-			limit := shedkeel.ServerLimit{Server: "s", Rate: rate, Since: start}
-			granted := pull(&Granter{}, limit, start, time.Millisecond, length)
+			granted := pull(&Granter{}, Ask{Server: "s", Rate: rate}, start, time.Millisecond, length)
 			total := rate * length.Seconds()
 			assert.Assert(t, float64(len(granted)) >= 0.9*total-1, "%d of %.0f used", len(granted), total)
 			first := 0
@@ -41,21 +40,20 @@
 	}
 }
 
-// TestGranterTakesOver checks that a process which takes the permits of a server over
-// from another grants none for a while, and that nobody waits where the server has
-// only just stated its limit.
+// TestGranterTakesOver checks that a process grants no permits while another may still
+// grant them, and that nobody waits where the processes have long been the same.
 func TestGranterTakesOver(t *testing.T) {
 	cases := map[string]struct {
-		since time.Duration
-		first time.Duration
+		settled time.Duration
+		first   time.Duration
 	}{
-		"stated long ago": {0, time.Minute + handover},
-		"stated just now": {time.Minute, time.Minute},
+		"long ago": {0, time.Minute},
+		"just now": {time.Minute, time.Minute + handover},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			limit := shedkeel.ServerLimit{Server: "s", Rate: 10, Since: test.since}
-			granted := pull(&Granter{}, limit, time.Minute, 10*time.Millisecond, 3*time.Second)
+			ask := Ask{Server: "s", Rate: 10, Settled: test.settled}
+			granted := pull(&Granter{}, ask, time.Minute, 10*time.Millisecond, 3*time.Second)
 			interval := 100 * time.Millisecond
 			assert.Assert(t, granted[0] >= test.first+interval && granted[0] <= test.first+2*interval, "first at %s", granted[0])
 		})
@@ -66,26 +64,30 @@
 // are told different times.
 func TestGranterWaits(t *testing.T) {
 	const now = time.Minute
-	limit := shedkeel.ServerLimit{Server: "s", Rate: 2, Since: now}
+	ask := Ask{Server: "s", Rate: 2, Patience: time.Second}
 	granter := &Granter{}
-	assert.DeepEqual(t, granter.Grant(limit, time.Second, now), shedkeel.Permit{Granted: true, Wait: 500 * time.Millisecond})
-	assert.DeepEqual(t, granter.Grant(limit, time.Second, now), shedkeel.Permit{Granted: true, Wait: time.Second})
-	assert.DeepEqual(t, granter.Grant(limit, time.Second, now), shedkeel.Permit{Wait: 1500 * time.Millisecond})
-	assert.DeepEqual(t, granter.Grant(limit, time.Second, now), shedkeel.Permit{Wait: 2 * time.Second})
-	assert.DeepEqual(t, granter.Grant(limit, time.Second, now), shedkeel.Permit{Wait: mostWait})
+	for index, want := range []shedkeel.Permit{
+		{Granted: true, Wait: 500 * time.Millisecond},
+		{Granted: true, Wait: time.Second},
+		{Wait: 1500 * time.Millisecond},
+		{Wait: 2 * time.Second},
+		{Wait: mostWait},
+	} {
+		assert.Equal(t, granter.Grant(ask, now), want, "question %d", index)
+	}
 }
 
 // TestGranterFollowsTheLimit checks that a changed limit holds at once, and that a
 // server which takes none is tried now and then.
 func TestGranterFollowsTheLimit(t *testing.T) {
 	granter := &Granter{}
-	limit := shedkeel.ServerLimit{Server: "s", Rate: 5, Since: time.Minute}
-	assert.Equal(t, len(pull(granter, limit, time.Minute, 10*time.Millisecond, 10*time.Second)), 49)
-	limit.Rate = 1
-	few := len(pull(granter, limit, 2*time.Minute, 10*time.Millisecond, 10*time.Second))
+	ask := Ask{Server: "s", Rate: 5}
+	assert.Equal(t, len(pull(granter, ask, time.Minute, 10*time.Millisecond, 10*time.Second)), 49)
+	ask.Rate = 1
+	few := len(pull(granter, ask, 2*time.Minute, 10*time.Millisecond, 10*time.Second))
 	assert.Assert(t, few >= 10 && few <= 10+burst, "%d", few)
-	limit.Rate = 0
-	trials := len(pull(granter, limit, 3*time.Minute, 10*time.Millisecond, time.Minute))
+	ask.Rate = 0
+	trials := len(pull(granter, ask, 3*time.Minute, 10*time.Millisecond, time.Minute))
 	assert.Assert(t, trials >= 6 && trials <= 6+burst, "%d", trials)
 	granter.Retain(func(shedkeel.InstanceID) bool { return false })
 	assert.Equal(t, len(granter.buckets), 0)
