Operators see limited servers; the soak has servers limit themselves

What callers saw: a service is slow because its servers ask for less, and nothing told operators so.

Change: shedkeel status names each limited server, its rate, for how long it is known, and which node grants its permits, with counts there; gauges servers_limited, permits_granted, permits_refused. Stand-in servers state limits beside the soak's other faults (kills, stops, freezes, cuts, outages), and the soak checks what each gets in windows of 4 s from 3 s after the statement, with 4 more for each node that started or woke: it can't know yet. A test has half of a fleet grant half of a rate.

--- a/node/admin.go
+++ b/node/admin.go
@@ -26,6 +26,7 @@
 	Unnamed     []UnnamedDump     `json:"unnamed"`  // listed nodes to which callers are not sent
 	Isolated    bool              `json:"isolated"` // this node hears nobody, so it judges nobody
 	Judged      []BlameDump       `json:"judged"`   // requests that are kept from servers, since servers ended under them
+	Limited     []LimitDump       `json:"limited"`  // servers that limit the rate of their requests
 	Groups      []GroupDump       `json:"groups"`
 	Servers     []ServerDump      `json:"servers"`
 }
@@ -37,6 +38,16 @@
 	Servers  []shedkeel.InstanceID  `json:"servers"` // the starts of servers that ended under it
 }
 
+// LimitDump is a server that limits the rate of its requests.
+type LimitDump struct {
+	Server  shedkeel.InstanceID `json:"server"`
+	Rate    float64             `json:"rate"`    // requests a second from all nodes together
+	For     string              `json:"for"`     // how long this node has known it
+	Granter shedkeel.NodeID     `json:"granter"` // grants the permits; empty: no node is known
+	Granted int64               `json:"granted"` // permits, by this node since it grants them
+	Refused int64               `json:"refused"`
+}
+
 // UnnamedDump is a listed node to which callers are not sent, and why.
 type UnnamedDump struct {
 	Node   shedkeel.NodeID `json:"node"`
@@ -85,6 +96,7 @@
 	dump.Isolated = node.gossip.isolated()
 	dump.Unnamed = node.unnamed()
 	dump.Judged = node.guard.judged()
+	dump.Limited = node.limits.dump()
 	return dump
 }
 
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -1,14 +1,18 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/operator"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 // Two servers that had stated a limit of 2 requests a second in their answers got 5
@@ -23,18 +27,6 @@
 	limitBurst = 5
 )
 
-// mostArrivals returns the most arrivals in one window.
-func mostArrivals(arrivals []time.Time) int {
-	most, first := 0, 0
-	for last := range arrivals {
-		for arrivals[last].Sub(arrivals[first]) > limitWindow {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
-
 // press sends so many requests a second to the nodes in turn for a while, and returns
 // how many were answered whole, how many refused, and how many sent.
 func (world *world) press(nodes []*runningNode, path string, rate int, length time.Duration) (served, refused, sent int) {
@@ -108,11 +100,12 @@
 			allowed := limit*3/2*int(limitWindow/time.Second) + limitBurst
 			for _, server := range limited {
 				arrivals := world.fleet.Arrivals(server)
-				most := mostArrivals(arrivals)
+				most := platformstandin.MostArrivals(arrivals, limitWindow)
 				t.Logf("%d requests, %d served, %d refused; %s had %d, %d of them in %s, allowed %d", sent, served, refused, server, len(arrivals), most, limitWindow, allowed)
 				assert.Assert(t, most <= allowed, "%d requests in %s, allowed %d", most, limitWindow, allowed)
 				assert.Assert(t, len(arrivals) >= limit*int(length/time.Second)/2, "it states a limit, and is not to be left alone: %d requests", len(arrivals))
 			}
+			world.tellsLimits(limited)
 			if !test.all {
 				assert.Assert(t, served >= sent*9/10, "%d of %d served: the other servers can take them", served, sent)
 			}
@@ -120,3 +113,16 @@
 		})
 	}
 }
+
+// tellsLimits has an operator's client tell of the limited servers.
+func (world *world) tellsLimits(limited []string) {
+	t := world.t
+	client := &operator.Client{Keeper: world.nodes[1].admin}
+	status, err := client.Status(t.Context())
+	assert.NilError(t, err)
+	var printed bytes.Buffer
+	operator.PrintStatus(&printed, status)
+	for _, server := range limited {
+		assert.Assert(t, strings.Contains(printed.String(), "server "+server), printed.String())
+	}
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -234,6 +234,21 @@
 	_, _ = peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Limit{Limit: call}})
 }
 
+// dump returns the servers that limit their rate, for operators.
+func (limits *limits) dump() []LimitDump {
+	now := limits.node.Timers.Now()
+	found := []LimitDump{}
+	for _, limit := range limits.book.All() {
+		granter, _ := limits.node.peers.granter(limit.Server)
+		usage := limits.granter.Usage(limit.Server)
+		found = append(found, LimitDump{
+			Server: limit.Server, Rate: limit.Rate, For: (now - limit.Since).Round(time.Millisecond).String(),
+			Granter: granter, Granted: usage.Granted, Refused: usage.Refused,
+		})
+	}
+	return found
+}
+
 // wireLimit is how a limit is told: with ages, since nodes share no clock. It is nil
 // where nothing is known.
 func wireLimit(limit shedkeel.ServerLimit, now time.Duration) *wire.ServerLimit {
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -121,3 +121,32 @@
 	permit := node.limits.Acquire(t.Context(), server, time.Second)
 	assert.Equal(t, permit, shedkeel.Permit{Wait: permitPause})
 }
+
+// TestHalfOfTheFleetGrantsHalf has a node hear half of the others only: it grants half
+// of a server's rate.
+func TestHalfOfTheFleetGrantsHalf(t *testing.T) {
+	cases := map[string]struct {
+		alive []nodeRecord
+		want  int
+	}{
+		"all":  {fourNodes, 100},
+		"half": {fourNodes[:2], 50},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newListedNode(t, "a", fourNodes)
+			server := grantedBy(node, true)
+			node.peers.setAlive(test.alive)
+			timers.Advance(time.Minute)
+			node.limits.Observe(shedkeel.InstanceID(server), shedkeel.StatedLimit{Stated: true, Rate: 10}, timers.Now())
+			granted := 0
+			for range 1000 {
+				timers.Advance(10 * time.Millisecond)
+				if node.limits.Acquire(t.Context(), shedkeel.InstanceID(server), 0).Granted {
+					granted++
+				}
+			}
+			assert.Assert(t, granted >= test.want-2 && granted <= test.want+2, "%d", granted)
+		})
+	}
+}
--- a/node/report.go
+++ b/node/report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/formation"
 )
@@ -20,7 +22,7 @@
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
 	scope.Gauge("nodes_unnamed").Update(float64(len(node.unnamed())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
-	scope.Gauge("servers_limited").Update(float64(len(node.limits.book.All())))
+	node.reportLimits(scope)
 	judged := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
 	for _, blame := range node.guard.judged() {
 		judged[blame.Judgment]++
@@ -41,6 +43,20 @@
 	}
 }
 
+// reportLimits tells how many servers limit their rate, and what has become of the
+// permits that this node grants.
+func (node *Node) reportLimits(scope tally.Scope) {
+	limited := node.limits.dump()
+	var granted, refused int64
+	for _, limit := range limited {
+		granted += limit.Granted
+		refused += limit.Refused
+	}
+	scope.Gauge("servers_limited").Update(float64(len(limited)))
+	scope.Gauge("permits_granted").Update(float64(granted))
+	scope.Gauge("permits_refused").Update(float64(refused))
+}
+
 // unlistedHead is the state of a group whose head is not listed.
 const unlistedHead = "headless"
 
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -30,6 +30,13 @@
 	for _, blame := range status.Judged {
 		_, _ = fmt.Fprintf(writer, "request %s is %s: servers ended under it: %s\n", blame.Request, blame.Judgment, joined(blame.Servers))
 	}
+	for _, limit := range status.Limited {
+		_, _ = fmt.Fprintf(writer, "server %s takes %g requests a second, known for %s; node %s grants them", limit.Server, limit.Rate, limit.For, cmp.Or(string(limit.Granter), "unknown"))
+		if limit.Granter == status.Node {
+			_, _ = fmt.Fprintf(writer, ": %d granted, %d refused", limit.Granted, limit.Refused)
+		}
+		_, _ = fmt.Fprintln(writer)
+	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "\nGROUP\tMODEL\tEPOCH\tHEAD\tMEMBERS")
 	for _, group := range status.Groups {
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -35,6 +35,14 @@
 	tokens *rate.Limiter
 	from   time.Duration // permits are granted from then on
 	turn   time.Duration // when the one that was refused last is to ask again
+	usage  Usage
+}
+
+// Usage is how many permits of a server a process has granted and refused since it
+// grants them.
+type Usage struct {
+	Granted int64
+	Refused int64
 }
 
 // Ask is the question whether a request may be sent to a server.
@@ -59,6 +67,7 @@
 		reservation.CancelAt(instant(now))
 		return bucket.refuse(delay, now)
 	}
+	bucket.usage.Granted++
 	return shedkeel.Permit{Granted: true, Wait: delay}
 }
 
@@ -84,12 +93,23 @@
 
 // refuse tells when to ask again: each at a time of its own, at the server's rate.
 func (bucket *bucket) refuse(delay, now time.Duration) shedkeel.Permit {
+	bucket.usage.Refused++
 	bucket.turn = max(bucket.turn, now+delay)
 	wait := min(bucket.turn-now, mostWait)
 	bucket.turn = now + wait + time.Duration(float64(time.Second)/float64(bucket.tokens.Limit()))
 	return shedkeel.Permit{Wait: wait}
 }
 
+// Usage returns what has become of the questions for permits of a server.
+func (granter *Granter) Usage(server shedkeel.InstanceID) Usage {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	if bucket := granter.buckets[server]; bucket != nil {
+		return bucket.usage
+	}
+	return Usage{}
+}
+
 // Retain forgets the servers whose permits this process grants no longer.
 func (granter *Granter) Retain(granted func(shedkeel.InstanceID) bool) {
 	granter.mutex.Lock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -10,13 +10,14 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 // runFaults breaks things one after another for a while, and mends each.
 func (world *world) runFaults(random *rand.Rand, length time.Duration) {
 	kinds := []func(*rand.Rand) string{
 		world.killNode, world.stopNode, world.freezeNode, world.cutStore, world.loseServer, world.spoilServer,
-		world.drainServer, world.storeFault, world.removeKey, world.hangUp, world.sendDeadly,
+		world.drainServer, world.storeFault, world.removeKey, world.hangUp, world.sendDeadly, world.limitServer,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
@@ -56,6 +57,7 @@
 	node.signal(syscall.SIGSTOP)
 	time.Sleep(length)
 	node.signal(syscall.SIGCONT)
+	world.wakes()
 	return fmt.Sprintf("froze %s for %s", node.name, length)
 }
 
@@ -189,3 +191,65 @@
 		}
 	}
 }
+
+const (
+	// limitWindow is the time in which the requests to a limited server are counted,
+	// and limitBurst how many more than one and a half times its limit it may get.
+	limitWindow = 4 * time.Second
+	limitBurst  = 5
+	// limitContact is within which all nodes are to know of a limit.
+	limitContact = 3 * time.Second
+	// unawareSends is how many requests a node that has just started or woken may send
+	// to a server before it knows of its limit.
+	unawareSends = 4
+)
+
+// limitServer has a server state a limit for a while, beside the other faults.
+func (world *world) limitServer(random *rand.Rand) string {
+	_, id := world.victim(random)
+	if id == "" {
+		return "no server to limit"
+	}
+	limit := float64(random.IntN(8)) / 2
+	length := limitContact + between(random, 1000, 5000)
+	world.fleet.Limit(id, fmt.Sprint(limit))
+	go world.runLimited(id, limit, length)
+	return fmt.Sprintf("%s states a limit of %v for %s", id, limit, length)
+}
+
+// runLimited checks what a server gets while it states a limit.
+func (world *world) runLimited(id string, limit float64, length time.Duration) {
+	stated := time.Now()
+	select {
+	case <-world.over:
+		return
+	case <-time.After(length):
+	}
+	arrivals := world.fleet.Arrivals(id)
+	world.fleet.Limit(id, "")
+	known := slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Sub(stated) < limitContact })
+	allowed := int(1.5*limit*limitWindow.Seconds()) + limitBurst + unawareSends*world.wokenSince(stated)
+	if most := platformstandin.MostArrivals(known, limitWindow); most > allowed {
+		world.judge.breaks("server %s that states a limit of %v got %d requests in %s, allowed %d", id, limit, most, limitWindow, allowed)
+	}
+}
+
+// wakes notes that a node starts, or stood still until now.
+func (world *world) wakes() {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.woken = append(world.woken, time.Now())
+}
+
+// wokenSince returns how often nodes have started or woken since then.
+func (world *world) wokenSince(then time.Time) int {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	count := 0
+	for _, at := range world.woken {
+		if at.After(then) {
+			count++
+		}
+	}
+	return count
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,7 @@
 	named   int
 	version int
 	faults  []string
+	woken   []time.Time // when nodes started, or woke after they had stood still
 }
 
 // process is one node and the ways to and from it.
@@ -230,6 +231,7 @@
 	assert.NilError(world.t, command.Start())
 	_ = log.Close() // the process has its own
 	process.set(command)
+	world.wakes()
 }
 
 func (process *process) running() *exec.Cmd {
