A copy that has fallen behind waits for a change at another node, and not for its turn

Cause: a node whose copy is behind asked any other node each 100 ms and got what that had at once, so a change took six or seven such rounds through 66 nodes. Class: news that pass only when somebody asks.

Change: the question waits at the other node for those 100 ms, as questions to the node that is followed do; what reaches one passes at once through all that wait on it. As many questions as before. The test gets rows at 66 nodes, also with a third of the followers turned away by the service.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -281,7 +281,8 @@
 		}
 		peer, wait, stale := follower.Choose(), RelayWait, !follower.fresh(state)
 		if stale {
-			peer, wait = follower.other(), 0
+			// What reaches one process passes through all that wait on it at once.
+			peer, wait = follower.other(), retryPause
 		}
 		follower.noteFollowed(peer, state, stale)
 		sent := follower.Timers.Now()
--- a/mirror/rest_test.go
+++ b/mirror/rest_test.go
@@ -74,7 +74,7 @@
 	var peers []Peer
 	for index := range followers {
 		follower := &Follower{
-			Mirror: &Mirror{}, Source: fleet.others, Timers: clock, Choose: func() Peer { return fleet.first },
+			Mirror: &Mirror{}, Source: &choosySource{RecordSource: fleet.others}, Timers: clock, Choose: func() Peer { return fleet.first },
 			Processes: func() int { return followers + 1 }, Random: rand.NewPCG(uint64(index), 2),
 		}
 		fleet.followers = append(fleet.followers, follower)
@@ -116,16 +116,51 @@
 
 // TestFollowersLeaveOneThatIsTurnedAway checks that followers learn of a change
 // soon though the one that they follow, which answers them, is turned away by the
-// service: before their copies are stale.
+// service: before their copies are stale. The service may turn a third of them
+// away as well.
 func TestFollowersLeaveOneThatIsTurnedAway(t *testing.T) {
-	fleet := newRestingFleet(t, 20)
-	fleet.source.set(errors.New("turned away"))
-	began := time.Now()
-	time.Sleep(100 * time.Millisecond)
-	_, err := fleet.source.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "a", Value: []byte("new")}}})
-	assert.NilError(t, err)
-	for _, follower := range fleet.followers {
-		eventually(t, "the change", func() bool { return string(follower.Mirror.Get("a").Value) == "new" })
+	cases := map[string]struct {
+		followers int
+		refused   int // of them that the service turns away
+	}{
+		"21 nodes":                      {20, 0},
+		"66 nodes":                      {65, 0},
+		"66 nodes, a third turned away": {65, 22},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := newRestingFleet(t, test.followers)
+			fleet.source.set(errTurnedAway)
+			for _, follower := range fleet.followers[:test.refused] {
+				follower.Source.(*choosySource).refuse()
+			}
+			began := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			_, err := fleet.source.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "a", Value: []byte("new")}}})
+			assert.NilError(t, err)
+			for _, follower := range fleet.followers {
+				eventually(t, "the change", func() bool { return string(follower.Mirror.Get("a").Value) == "new" })
+			}
+			t.Logf("took %s", time.Since(began))
+			assert.Assert(t, time.Since(began) < staleAge-200*time.Millisecond, "it took %s", time.Since(began))
+		})
+	}
+}
+
+var errTurnedAway = errors.New("turned away")
+
+// choosySource is the service to one of several that share it: it may turn this one
+// away.
+type choosySource struct {
+	shedkeel.RecordSource
+	refused atomic.Bool
+}
+
+func (source *choosySource) refuse() { source.refused.Store(true) }
+
+func (source *choosySource) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (shedkeel.Changes, error) {
+	if source.refused.Load() {
+		return shedkeel.Changes{}, errTurnedAway
 	}
-	assert.Assert(t, time.Since(began) < staleAge-200*time.Millisecond, "it took %s", time.Since(began))
+	return source.RecordSource.Changes(ctx, prefix, since, wait)
 }
