A process that starts has its part of the budget of repeats only by and by

Cause: the class of the incident, a bound on the sum of what many nodes do, counted by each alone: what a node sent before its start is forgotten with it, and the new one had its whole part of the fixed number again.

Change: the part of the fixed number grows over the first window of a process; the part that goes by its own requests holds from the start.

Weighed: none of the fixed number in the first window (a small fleet's streams could not move for 10 s after a start). A mutant comes with it.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -45,6 +45,9 @@
 	"rate limits of servers: an answer that comes late lifts a limit": {
 		"ratelimit/book.go", "Lifted: true, At: sent}", "Lifted: true, At: now}", "TestBook", "./ratelimit",
 	},
+	"budget of repeats: a process that starts has all of it": {
+		"serve/budget.go", "known := min(float64(now-budget.Began)/float64(budget.Window), 1)", "known := 1.0", "TestRepeatsOfNodesThatStartAgain", "./serve",
+	},
 	"suspended box: limits go by the runtime's timers": {
 		"serve/guard.go", "if now > exchange.limit {", "if false {", "TestSuspendedBox", "./serve",
 	},
--- a/serve/budget.go
+++ b/serve/budget.go
@@ -16,6 +16,9 @@
 	Window  time.Duration
 	Slack   float64
 	Careful float64 // part of the bound that is used, for windows that slide
+	// Began is when the process started. The fixed number grows over the window after
+	// it: what was sent before is not known here.
+	Began time.Duration
 
 	mutex    sync.Mutex
 	services map[shedkeel.ServiceID]*spending
@@ -93,7 +96,9 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	spending := budget.at(service, now)
-	bound := budget.Careful * (budget.Ratio*sum(spending.requests) + budget.Slack/float64(max(nodes, 1)))
+	known := min(float64(now-budget.Began)/float64(budget.Window), 1)
+	slack := known * budget.Slack / float64(max(nodes, 1))
+	bound := budget.Careful * (budget.Ratio*sum(spending.requests) + slack)
 	if sum(spending.repeats)+1 > bound {
 		return false
 	}
--- /dev/null
+++ b/serve/budget_test.go
@@ -0,0 +1,90 @@
+package serve
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRepeatsOfNodesThatStartAgain plays a fleet of which nodes start again while
+// every request is to be repeated: the sum of repeats stays within the bound in each
+// window that slides.
+func TestRepeatsOfNodesThatStartAgain(t *testing.T) {
+	const (
+		window  = 10 * time.Second
+		length  = 60 * time.Second
+		ratio   = 0.2
+		slack   = 134.0
+		careful = 0.7
+		step    = 10 * time.Millisecond
+	)
+	cases := map[string]struct {
+		nodes    int
+		requests float64                                 // a second, of all
+		restarts func(node int, second int, of int) bool // at the beginning of that second
+	}{
+		"none":                 {9, 40, func(int, int, int) bool { return false }},
+		"all twice":            {9, 40, func(_, second, _ int) bool { return second == 25 || second == 30 }},
+		"all each two seconds": {66, 40, func(_, second, _ int) bool { return second > 20 && second%2 == 0 }},
+		"in turn":              {66, 40, func(node, second, of int) bool { return second > 20 && node%10 == second%10 }},
+		"all twice, large":     {300, 400, func(_, second, _ int) bool { return second == 25 || second == 30 }},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			fresh := func(now time.Duration) *Budget {
+				return &Budget{Ratio: ratio, Window: window, Slack: slack, Careful: careful, Began: now}
+			}
+			nodes := make([]*Budget, test.nodes)
+			for index := range nodes {
+				nodes[index] = fresh(0)
+			}
+			var requests, repeats []time.Duration
+			for now := time.Duration(0); now < length; now += step {
+				for index := range nodes {
+					if now%time.Second == 0 && test.restarts(index, int(now/time.Second), len(nodes)) {
+						nodes[index] = fresh(now)
+					}
+				}
+				for range int(test.requests*step.Seconds() + random.Float64()) {
+					node := nodes[random.IntN(len(nodes))]
+					requests = append(requests, now)
+					node.First("s", now)
+					if node.Repeat("s", len(nodes), now) {
+						repeats = append(repeats, now)
+					}
+				}
+				// What else fails is repeated as well: each node tries each second.
+				if now%time.Second == 0 {
+					for _, node := range nodes {
+						for node.Repeat("s", len(nodes), now) {
+							repeats = append(repeats, now)
+						}
+					}
+				}
+			}
+			worst := 0.0
+			for end := window; end < length; end += step {
+				bound := ratio*float64(within(requests, end-window, end)) + slack
+				worst = max(worst, float64(within(repeats, end-window, end))/bound)
+			}
+			t.Logf("%.2f of what is allowed", worst)
+			assert.Assert(t, worst <= 1, fmt.Sprintf("%.2f of what is allowed", worst))
+			assert.Assert(t, worst >= 0.1, "nothing was repeated, so nothing was checked")
+		})
+	}
+}
+
+// within counts the moments after the first and up to the second.
+func within(moments []time.Duration, after, until time.Duration) int {
+	count := 0
+	for _, moment := range moments {
+		if moment > after && moment <= until {
+			count++
+		}
+	}
+	return count
+}
