A node that is to follow the store and is turned away keeps its copy fresh by others

Cause: the first nodes in order follow the store themselves.

Change: while such a node gets no answer it asks others, as a stale copy does, with the same number of questions; the store is asked beside it.

Measured: TestTurnedAwayAsksOthers fails before (a copy 1.65 s old, bound 1.5 s) and passes after. Two mutants, of this and of questions that wait.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -279,7 +279,8 @@
 			timer.Sleep(ctx, retryPause)
 			continue
 		}
-		peer, wait, stale := follower.Choose(), RelayWait, !follower.fresh(state)
+		peer, wait := follower.Choose(), RelayWait
+		stale := !follower.fresh(state) || follower.Away()
 		if stale {
 			// What reaches one process passes through all that wait on it at once.
 			peer, wait = follower.other(), retryPause
--- a/mirror/rest_test.go
+++ b/mirror/rest_test.go
@@ -80,7 +80,7 @@
 		fleet.followers = append(fleet.followers, follower)
 		peers = append(peers, &followed{Follower: follower})
 	}
-	for _, follower := range fleet.followers {
+	for _, follower := range append(fleet.followers, fleet.first.Follower) {
 		follower.Others = func() []Peer { return peers }
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -147,6 +147,19 @@
 	}
 }
 
+// TestTurnedAwayAsksOthers checks that a process which is to follow the service, and is
+// turned away by it alone, keeps its copy fresh by the copies of others.
+func TestTurnedAwayAsksOthers(t *testing.T) {
+	fleet := newRestingFleet(t, 20)
+	fleet.source.set(errTurnedAway)
+	time.Sleep(staleAge)
+	oldest := time.Duration(0)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		oldest = max(oldest, fleet.first.Timers.Now()-fleet.first.Mirror.State().AsOf)
+	}
+	assert.Assert(t, oldest < staleAge, "the copy was %s old", oldest)
+}
+
 var errTurnedAway = errors.New("turned away")
 
 // choosySource is the service to one of several that share it: it may turn this one
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -48,6 +48,12 @@
 	"budget of repeats: a process that starts has all of it": {
 		"serve/budget.go", "known := min(float64(now-budget.Began)/float64(budget.Window), 1)", "known := 1.0", "TestRepeatsOfNodesThatStartAgain", "./serve",
 	},
+	"copies: who is turned away follows the service alone": {
+		"mirror/follower.go", "!follower.fresh(state) || follower.Away()", "!follower.fresh(state)", "TestTurnedAwayAsksOthers", "./mirror",
+	},
+	"copies: questions to any process do not wait": {
+		"mirror/follower.go", "peer, wait = follower.other(), retryPause", "peer, wait = follower.other(), 0", "TestFollowersLeaveOneThatIsTurnedAway", "./mirror",
+	},
 	"suspended box: limits go by the runtime's timers": {
 		"serve/guard.go", "if now > exchange.limit {", "if false {", "TestSuspendedBox", "./serve",
 	},
--- a/serve/budget_test.go
+++ b/serve/budget_test.go
@@ -23,14 +23,14 @@
 	)
 	cases := map[string]struct {
 		nodes    int
-		requests float64                                 // a second, of all
-		restarts func(node int, second int, of int) bool // at the beginning of that second
+		requests float64                     // a second, of all
+		restarts func(node, second int) bool // at the beginning of that second
 	}{
-		"none":                 {9, 40, func(int, int, int) bool { return false }},
-		"all twice":            {9, 40, func(_, second, _ int) bool { return second == 25 || second == 30 }},
-		"all each two seconds": {66, 40, func(_, second, _ int) bool { return second > 20 && second%2 == 0 }},
-		"in turn":              {66, 40, func(node, second, of int) bool { return second > 20 && node%10 == second%10 }},
-		"all twice, large":     {300, 400, func(_, second, _ int) bool { return second == 25 || second == 30 }},
+		"none":                 {9, 40, func(int, int) bool { return false }},
+		"all twice":            {9, 40, func(_, second int) bool { return second == 25 || second == 30 }},
+		"all each two seconds": {66, 40, func(_, second int) bool { return second > 20 && second%2 == 0 }},
+		"in turn":              {66, 40, func(node, second int) bool { return second > 20 && node%10 == second%10 }},
+		"all twice, large":     {300, 400, func(_, second int) bool { return second == 25 || second == 30 }},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -45,7 +45,7 @@
 			var requests, repeats []time.Duration
 			for now := time.Duration(0); now < length; now += step {
 				for index := range nodes {
-					if now%time.Second == 0 && test.restarts(index, int(now/time.Second), len(nodes)) {
+					if now%time.Second == 0 && test.restarts(index, int(now/time.Second)) {
 						nodes[index] = fresh(now)
 					}
 				}
