Known limits are counted anew only when one changes

Cause: each answer of a limited server counted all limits, 1,000 of them. Change: they are counted when one is stated, lifted or forgotten.

--- a/ratelimit/book.go
+++ b/ratelimit/book.go
@@ -53,7 +53,9 @@
 	}
 	book.limits[limit.Server] = limit
 	changed := !known || before.Lifted != limit.Lifted || before.Rate != limit.Rate
-	book.count()
+	if changed {
+		book.count()
+	}
 	return limit, changed
 }
 
--- a/ratelimit/book_test.go
+++ b/ratelimit/book_test.go
@@ -65,3 +65,30 @@
 	book.Retain(func(server shedkeel.InstanceID) bool { return server == "s" })
 	assert.Equal(t, len(book.All()), 1)
 }
+
+// BenchmarkObserve is an answer, with and without a limit, while no server states one
+// and while 1,000 do.
+func BenchmarkObserve(b *testing.B) {
+	cases := map[string]struct {
+		limited int
+		answer  shedkeel.StatedLimit
+	}{
+		"none limited":                {0, shedkeel.StatedLimit{}},
+		"1,000 limited":               {1000, shedkeel.StatedLimit{}},
+		"1,000 limited, one of these": {1000, shedkeel.StatedLimit{Stated: true, Rate: 2}},
+	}
+	for name, test := range cases {
+		b.Run(name, func(b *testing.B) {
+			var book Book
+			for index := range test.limited {
+				book.Merge(shedkeel.ServerLimit{Server: shedkeel.InstanceID(rune('a' + index)), Rate: 2, At: 1})
+			}
+			now := time.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				now++
+				book.Observe("b", test.answer, 1, now)
+			}
+		})
+	}
+}
--- a/ratelimit/granter_test.go
+++ b/ratelimit/granter_test.go
@@ -92,3 +92,17 @@
 	granter.Retain(func(shedkeel.InstanceID) bool { return false })
 	assert.Equal(t, len(granter.buckets), 0)
 }
+
+// BenchmarkGrant is a question to the process that grants the permits of 1,000 servers.
+func BenchmarkGrant(b *testing.B) {
+	granter := &Granter{}
+	now := time.Minute
+	for index := range 1000 {
+		granter.Grant(Ask{Server: shedkeel.InstanceID(rune('a' + index)), Rate: 2}, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Microsecond
+		granter.Grant(Ask{Server: "b", Rate: 2}, now)
+	}
+}
