--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -109,7 +109,7 @@
 		}
 		again := known.reported == 0 || now-known.reported >= reportAgain
 		for choice := range known.running {
-			choice.told = choice.told && !again
+			choice.notified = choice.notified && !again
 			choice.tell()
 		}
 		if again {
@@ -124,10 +124,10 @@
 // tell tells the request of a silence, once until it is reported again. The
 // table's mutex is held.
 func (choice *Choice) tell() {
-	if choice.told {
+	if choice.notified {
 		return
 	}
-	choice.told = true
+	choice.notified = true
 	select {
 	case choice.stalled <- struct{}{}:
 	default: // it has not taken the last one yet
@@ -137,7 +137,7 @@
 // forgetSilence takes back what the request has been told of a silence that is
 // over. The table's mutex is held.
 func (choice *Choice) forgetSilence() {
-	choice.told = false
+	choice.notified = false
 	select {
 	case <-choice.stalled:
 	default: // it has taken it, or was told nothing
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -28,17 +28,17 @@
 	// have answered this process to count as slow. Each process sees few of its
 	// answers, and below it they differ by chance.
 	slowFrom = 2.0
-	// toldTime is how long it counts what a process told of its requests; one
+	// reportTime is how long it counts what a process told of its requests; one
 	// that sends none for so long has few running.
-	toldTime = 3 * time.Second
+	reportTime = 3 * time.Second
 	// farTime is what a group in another availability zone counts more: a link
 	// of 1 to 2 ms there and back.
 	farTime = 3 * time.Millisecond
 )
 
-// given is the work that a group has of all processes, as of a moment: what
+// assigned is the work that a group has of all processes, as of a moment: what
 // Spread gave it, put right by what they tell.
-type given struct {
+type assigned struct {
 	at      time.Duration
 	reading time.Duration // prompts that still wait to be read
 	running float64       // requests that are likely to run still
@@ -50,11 +50,11 @@
 }
 
 // fade takes off what has been done since.
-func (given *given) fade(now time.Duration) {
-	passed := max(now-given.at, 0)
-	given.at = now
-	given.reading = max(given.reading-time.Duration(readingShare*float64(passed)), 0)
-	given.running *= lasting(passed)
+func (assigned *assigned) fade(now time.Duration) {
+	passed := max(now-assigned.at, 0)
+	assigned.at = now
+	assigned.reading = max(assigned.reading-time.Duration(readingShare*float64(passed)), 0)
+	assigned.running *= lasting(passed)
 }
 
 // Running is how many requests run on a model.
@@ -63,8 +63,8 @@
 	Late   int // requests that wait behind them
 }
 
-// Asker is a process that asks where a request is best sent.
-type Asker struct {
+// Reporter is a process that asks where a request is best sent.
+type Reporter struct {
 	Process string
 	Zone    shedkeel.ZoneID
 	Running Running // what it has running on the model, without this request
@@ -78,8 +78,8 @@
 	Running Running             // of all processes, on all groups of the model
 }
 
-// told is what a process told last of the requests it has running.
-type told struct {
+// report is what a process told last of the requests that it has running.
+type report struct {
 	running Running
 	groups  map[shedkeel.InstanceID]float64 // by head, with what it was given just then
 	at      time.Duration
@@ -91,18 +91,18 @@
 //
 // One process spreads the requests of all: each alone knows few of those that
 // run on a group, and prompts that are read at once hold each other up.
-func (table *Table) Spread(query Query, asker Asker) Advice {
+func (table *Table) Spread(query Query, reporter Reporter) Advice {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	members := pool{query.Service, query.Model}
 	table.note(query)
-	asked := table.take(members, asker, query.Now)
+	last := table.take(members, reporter, query.Now)
 	advice := Advice{Running: table.total(members, query.Now)}
-	if best := table.soonest(query, asker.Zone); best != nil {
-		best.given.reading += best.reading(query.Prompt)
-		best.given.running++
+	if best := table.soonest(query, reporter.Zone); best != nil {
+		best.assigned.reading += best.reading(query.Prompt)
+		best.assigned.running++
 		best.limit.schedule(query.Now)
-		asked.groups[best.Instance]++
+		last.groups[best.Instance]++
 		advice.Head = best.Instance
 	}
 	return advice
@@ -125,44 +125,44 @@
 	return hash.Sum32()
 }
 
-// take takes in what a process tells of the requests that it has running, in
-// the place of what it told before and was given since. The mutex is held.
+// take takes in the report of a process, in the place of its former one and what it
+// was assigned since. The mutex is held.
 //
 // What was given says little of what runs: streams last longer on fuller groups.
-func (table *Table) take(members pool, asker Asker, now time.Duration) told {
-	if table.told == nil {
-		table.told = map[pool]map[string]told{}
+func (table *Table) take(members pool, reporter Reporter, now time.Duration) report {
+	if table.reports == nil {
+		table.reports = map[pool]map[string]report{}
 	}
-	if table.told[members] == nil {
-		table.told[members] = map[string]told{}
+	if table.reports[members] == nil {
+		table.reports[members] = map[string]report{}
 	}
-	before := table.told[members][asker.Process]
+	before := table.reports[members][reporter.Process]
 	still := lasting(now - before.at)
 	for _, known := range table.pools[members] {
-		known.given.fade(now)
-		change := float64(asker.Groups[known.Instance]) - before.groups[known.Instance]*still
-		known.given.running = max(known.given.running+change, 0)
+		known.assigned.fade(now)
+		change := float64(reporter.Groups[known.Instance]) - before.groups[known.Instance]*still
+		known.assigned.running = max(known.assigned.running+change, 0)
 	}
 	groups := map[shedkeel.InstanceID]float64{}
-	for head, running := range asker.Groups {
+	for head, running := range reporter.Groups {
 		groups[head] = float64(running)
 	}
-	asked := told{running: asker.Running, groups: groups, at: now}
-	table.told[members][asker.Process] = asked
-	return asked
+	last := report{running: reporter.Running, groups: groups, at: now}
+	table.reports[members][reporter.Process] = last
+	return last
 }
 
 // total returns what all processes have running on a model, and forgets those
 // that tell nothing any more. The mutex is held.
 func (table *Table) total(members pool, now time.Duration) Running {
 	var total Running
-	for process, told := range table.told[members] {
-		if now-told.at > toldTime {
-			delete(table.told[members], process)
+	for process, report := range table.reports[members] {
+		if now-report.at > reportTime {
+			delete(table.reports[members], process)
 			continue
 		}
-		total.OnTime += told.running.OnTime
-		total.Late += told.running.Late
+		total.OnTime += report.running.OnTime
+		total.Late += report.running.Late
 	}
 	return total
 }
@@ -203,13 +203,13 @@
 // wait is about how long a first event would take, in seconds, with the sendings
 // that a failing group takes. usual is how slow groups of the model are just now.
 func (state *state) wait(zone shedkeel.ZoneID, usual float64, now time.Duration) float64 {
-	state.given.fade(now)
+	state.assigned.fade(now)
 	each := state.Each
 	if each <= 0 {
 		each = eachTime
 	}
-	wait := idleFirst + state.given.reading + time.Duration(state.given.running*float64(each))
-	if queued := state.given.running + 1 - float64(state.Slots); state.Slots > 0 && queued > 0 {
+	wait := idleFirst + state.assigned.reading + time.Duration(state.assigned.running*float64(each))
+	if queued := state.assigned.running + 1 - float64(state.Slots); state.Slots > 0 && queued > 0 {
 		wait += time.Duration(queued / float64(state.Slots) * float64(recentTime))
 	}
 	if state.Zone != zone {
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -70,7 +70,7 @@
 	servers map[string]*state
 	pools   map[pool][]*state
 	limits  map[shedkeel.InstanceID]*limit // of servers that limit their rate
-	told    map[pool]map[string]told       // by process, for Spread
+	reports map[pool]map[string]report     // by process, for Spread
 	demand  map[pool]*demand               // of what was spread
 }
 
@@ -90,9 +90,9 @@
 	avoidTill time.Duration // silent, or said to be
 	reported  time.Duration // when its silence was last returned by FindSilent; 0: not in this one
 	listed    bool
-	given     given  // by Spread, for all processes
-	hash      uint32 // of the group's name
-	limit     *limit // nil: it takes requests at any rate
+	assigned  assigned // by Spread, for all processes
+	hash      uint32   // of the group's name
+	limit     *limit   // nil: it takes requests at any rate
 }
 
 // Replace makes the servers the ones to choose from. What is known of those
@@ -148,13 +148,13 @@
 	Limited bool            // the server limits its rate: a permit is needed
 	Stalled <-chan struct{} // tells each time that the server is silent for longer than the request can bear
 
-	table   *Table
-	state   *state
-	prompt  int
-	late    bool
-	begun   bool // its first event or answer has come
-	stalled chan struct{}
-	told    bool // of the silence that lasts
+	table    *Table
+	state    *state
+	prompt   int
+	late     bool
+	begun    bool // its first event or answer has come
+	stalled  chan struct{}
+	notified bool // of the silence that lasts
 }
 
 // Choose returns the best server, or nil when none may be sent to.
--- a/node/limits.go
+++ b/node/limits.go
@@ -61,8 +61,8 @@
 
 // merge takes in what another node knows. The node that grants the permits of the
 // server passes it on.
-func (limits *limits) merge(told *wire.ServerLimit, from shedkeel.NodeID) {
-	limit, valid := limitOf(told, limits.node.Timers.Now())
+func (limits *limits) merge(reported *wire.ServerLimit, from shedkeel.NodeID) {
+	limit, valid := limitOf(reported, limits.node.Timers.Now())
 	if !valid {
 		return
 	}
@@ -197,38 +197,38 @@
 	limits.pending = nil
 	limits.mutex.Unlock()
 	if len(pending) > 0 {
-		limits.tellAll(slices.Collect(maps.Values(pending)))
+		limits.announceAll(slices.Collect(maps.Values(pending)))
 	}
 }
 
-// tellAll tells each limit to the node that grants the server's permits, or to all
+// announceAll tells each limit to the node that grants the server's permits, or to all
 // nodes where this one does.
-func (limits *limits) tellAll(changed []shedkeel.ServerLimit) {
-	told := map[*peer][]shedkeel.ServerLimit{}
+func (limits *limits) announceAll(changed []shedkeel.ServerLimit) {
+	news := map[*peer][]shedkeel.ServerLimit{}
 	for _, limit := range changed {
 		if limits.grants(limit.Server) {
 			for _, peer := range limits.node.peers.answering() {
-				told[peer] = append(told[peer], limit)
+				news[peer] = append(news[peer], limit)
 			}
 			continue
 		}
 		if granter, _ := limits.node.peers.granter(limit.Server); limits.node.peers.peer(granter) != nil {
 			peer := limits.node.peers.peer(granter)
-			told[peer] = append(told[peer], limit)
+			news[peer] = append(news[peer], limit)
 		}
 	}
-	for peer, limits := range told {
-		go peer.runTellLimits(limits)
+	for peer, limits := range news {
+		go peer.runAnnounce(limits)
 	}
 }
 
-// runTellLimits tells a node of limits. One that does not hear of them sees them in
+// runAnnounce tells a node of limits. One that does not hear of them sees them in
 // the servers' own answers.
-func (peer *peer) runTellLimits(told []shedkeel.ServerLimit) {
+func (peer *peer) runAnnounce(changed []shedkeel.ServerLimit) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	call := &wire.LimitCall{Node: string(peer.node.Settings.Node)}
-	for _, limit := range told {
+	for _, limit := range changed {
 		call.Limits = append(call.Limits, wireLimit(limit, peer.node.Timers.Now()))
 	}
 	_, _ = peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Limit{Limit: call}})
@@ -261,11 +261,11 @@
 	}
 }
 
-// limitOf reads a limit that was told, and reports whether it is one.
-func limitOf(told *wire.ServerLimit, now time.Duration) (shedkeel.ServerLimit, bool) {
+// limitOf reads a limit of another node, and reports whether it is one.
+func limitOf(reported *wire.ServerLimit, now time.Duration) (shedkeel.ServerLimit, bool) {
 	limit := shedkeel.ServerLimit{
-		Server: shedkeel.InstanceID(told.GetServer()), Rate: told.GetRate(), Lifted: told.GetLifted(),
-		At: now - time.Duration(told.GetAgeMs())*time.Millisecond, Since: now - time.Duration(told.GetSinceMs())*time.Millisecond,
+		Server: shedkeel.InstanceID(reported.GetServer()), Rate: reported.GetRate(), Lifted: reported.GetLifted(),
+		At: now - time.Duration(reported.GetAgeMs())*time.Millisecond, Since: now - time.Duration(reported.GetSinceMs())*time.Millisecond,
 	}
 	return limit, limit.Server != "" && limit.Rate >= 0 && !math.IsInf(limit.Rate, 0)
 }
--- a/node/spread.go
+++ b/node/spread.go
@@ -46,7 +46,7 @@
 	peer, own := peers.spreader(query.Part, query.Now)
 	settings := &peers.node.Settings
 	if own {
-		return peers.node.table.Spread(query, dispatch.Asker{Process: string(settings.Node), Zone: settings.Zone, Running: load.Running, Groups: load.Groups}), true
+		return peers.node.table.Spread(query, dispatch.Reporter{Process: string(settings.Node), Zone: settings.Zone, Running: load.Running, Groups: load.Groups}), true
 	}
 	if peer == nil {
 		return dispatch.Advice{}, false
@@ -113,11 +113,11 @@
 		Service: shedkeel.ServiceID(call.GetService()), Model: shedkeel.ModelID(call.GetModel()), Prompt: int(call.GetPrompt()), Answer: int(call.GetAnswer()), Now: peers.node.Timers.Now(),
 		Part: int(call.GetPart()), Parts: int(call.GetParts()),
 	}
-	asker := dispatch.Asker{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: runningOf(call.GetRunning()), Groups: map[shedkeel.InstanceID]int{}}
+	reporter := dispatch.Reporter{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: runningOf(call.GetRunning()), Groups: map[shedkeel.InstanceID]int{}}
 	for _, group := range call.GetGroups() {
-		asker.Groups[shedkeel.InstanceID(group.GetInstance())] = int(group.GetRunning())
+		reporter.Groups[shedkeel.InstanceID(group.GetInstance())] = int(group.GetRunning())
 	}
-	advice := peers.node.table.Spread(query, asker)
+	advice := peers.node.table.Spread(query, reporter)
 	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{
 		Instance: string(advice.Head), Running: &wire.Running{OnTime: uint32(advice.Running.OnTime), Late: uint32(advice.Running.Late)},
 	}}}
