--- a/mutants_test.go
+++ b/mutants_test.go
@@ -157,7 +157,7 @@
 		"formation/mend.go", "	case round.isProbed(group):\n", "	case false:\n", "TestServersLostTogether", "./formation",
 	},
 	"loads: more at once than the store serves": {
-		"formation/planner.go", "len(planner.loading) >= input.Engine.LoadsAtOnce {", "false {", "TestLoadsAreBoundedUnderTraffic", "./formation",
+		"formation/stage.go", "float64(round.loadsUnderWay()) >= part*float64(engine.LoadsAtOnce) {", "false {", "TestLoadsAreBoundedUnderTraffic", "./formation",
 	},
 	"box list: a member that answers is lost with its entry": {
 		"keeper/plan.go", "if unlisted[id] && (view.Seen < 0", "if unlisted[id] && (true || view.Seen < 0", "TestScenarios/box_list", ".",
@@ -178,16 +178,16 @@
 		"platform/cas.go", "if mine(record.Value) {", "if false {", "TestLostReply", "./platform",
 	},
 	"nodes: a write to lead that is done late is passed over": {
-		"node/election.go", "\t\tcontroller.vacant = 0\n\t\tcontroller.adopt()\n", "\t\tcontroller.vacant = 0\n", "TestLeadOfUnknownOutcome", "./node",
+		"node/election.go", "\t\t\tcontroller.vacant = 0\n\t\t\tcontroller.adopt(lead)\n", "\t\t\tcontroller.vacant = 0\n", "TestLeadOfUnknownOutcome", "./node",
 	},
 	"nodes: the leader's record may name a former lease": {
 		"node/election.go", " && lead.Lease == controller.lease.ID()", "", "TestLateWriteOfFormerLease", "./node",
 	},
 	"nodes: a source that failed is followed on": {
-		"node/peers.go", "if !followed.failed.within(failTime, peers.node.Timers.Now()) {", "if true {", "TestChoose", "./node",
+		"node/follow.go", "if !followed.failed.within(failTime, peers.node.Timers.Now()) {", "if true {", "TestChoose", "./node",
 	},
 	"nodes: renewals go on in an outage": {
-		"node/member.go", "return since >= maxListedRetry", "return since >= listedRetry", "TestRenewalsInAnOutage", "./node",
+		"node/member.go", "\treturn maxListedRetry\n", "\treturn listedRetry\n", "TestRenewalsInAnOutage", "./node",
 	},
 	"nodes: the word of the node that spreads is not taken": {
 		"dispatch/table.go", "if wish != nil && wishCost <= wishTrust*lowest {", "if wish != nil && wishCost < 0 {", "TestSpreadKeepsPromptsApart", "./dispatch",
@@ -217,7 +217,7 @@
 		"mirror/outage.go", "if !alone && (", "if !alone && false && (", "TestOutage", "./mirror",
 	},
 	"nodes: seeds are not asked": {
-		"mirror/follower.go", "follower.running.Go(func() { follower.runStart(ctx, peer) })", "_ = peer", "TestStartInAnOutage", "./mirror",
+		"mirror/start.go", "follower.runStartFrom(ctx, peer)\n", "_ = peer\n", "TestStartInAnOutage", "./mirror",
 	},
 	"nodes: a failure outweighs any wait": {
 		"dispatch/spread.go", "return 1 / max(1-failing, 1.0/mostSendings)", "return 1 + mostSendings*failing", "TestSpread$|TestWish", "./dispatch",
