--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -16,8 +16,10 @@
 	// trialRate is the least rate at which a server is sent requests, in requests a
 	// second: only its answers tell that its limit has ended.
 	trialRate = 0.1
-	// burst is how many permits are kept for requests to come.
-	burst = 2
+	// leastBurst is how many permits are kept at least for requests to come, and
+	// burstTime for how long they are.
+	leastBurst = 2
+	burstTime  = 50 * time.Millisecond
 	// mostWait is the longest time after which a refused process asks again.
 	mostWait = 2 * time.Second
 )
@@ -79,11 +81,12 @@
 	if known != nil {
 		if known.tokens.Limit() != perSecond {
 			known.tokens.SetLimitAt(instant(now), perSecond)
+			known.tokens.SetBurstAt(instant(now), burst(perSecond))
 		}
 		return known
 	}
-	known = &bucket{tokens: rate.NewLimiter(perSecond, burst), from: max(now, ask.Settled+handover)}
-	known.tokens.AllowN(instant(known.from), burst)
+	known = &bucket{tokens: rate.NewLimiter(perSecond, burst(perSecond)), from: max(now, ask.Settled+handover)}
+	known.tokens.AllowN(instant(known.from), burst(perSecond))
 	if granter.buckets == nil {
 		granter.buckets = map[shedkeel.InstanceID]*bucket{}
 	}
@@ -91,6 +94,11 @@
 	return known
 }
 
+// burst is how many permits are kept at the rate.
+func burst(perSecond rate.Limit) int {
+	return max(leastBurst, int(float64(perSecond)*burstTime.Seconds()))
+}
+
 // refuse tells when to ask again: each at a time of its own, at the server's rate.
 func (bucket *bucket) refuse(delay, now time.Duration) shedkeel.Permit {
 	bucket.usage.Refused++
