--- a/serve/digest_test.go
+++ b/serve/digest_test.go
@@ -10,7 +10,7 @@
 	"shedkeel.org/shedkeel"
 )
 
-func newLife() *exchange {
+func newExchange() *exchange {
 	return &exchange{
 		front:   &Front{DigestKey: []byte("k")},
 		request: httptest.NewRequest(http.MethodPost, "/s/x", nil),
@@ -41,9 +41,9 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			changed := newLife()
+			changed := newExchange()
 			test.change(changed)
-			assert.Equal(t, changed.makeDigest() == newLife().makeDigest(), test.same)
+			assert.Equal(t, changed.makeDigest() == newExchange().makeDigest(), test.same)
 			assert.Equal(t, len(changed.makeDigest()), 2*digestBytes)
 		})
 	}
@@ -52,7 +52,7 @@
 // BenchmarkDigest is what it costs to name a request with a body of 2 KB, once a
 // server has ended.
 func BenchmarkDigest(b *testing.B) {
-	exchange := newLife()
+	exchange := newExchange()
 	exchange.body = make([]byte, 2<<10)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -158,7 +158,7 @@
 		timers.Advance(time.Second)
 		return harness.Table.Choose(dispatch.Query{Service: "plain", Now: timers.Now()})
 	}
-	asked := newLife()
+	asked := newExchange()
 	asked.front, asked.digest = harness.Front, asked.makeDigest
 	before, another := choose(), choose()
 	asked.noteEnd(before, errLost)
@@ -203,7 +203,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t, test.step)
-			named := newLife()
+			named := newExchange()
 			named.front = harness.Front
 			named.call.Target, named.account, named.body = test.path, &shedkeel.KeyedAccount{ID: "clerk"}, []byte("body")
 			if name == "another request" {
