Logs and metrics tell which backend servers ask for a backoff or drain

Change: the boundary reads both headers (a date, a negative number, two values and 400 digits state nothing and are logged); events 622 to 624, backoffs_stated, and the backoff in the reason of 613. No decision heeds them yet. Tests: TestBackoff, TestDraining, FuzzAnswer.

--- a/Makefile
+++ b/Makefile
@@ -58,3 +58,4 @@
 	go test -run '^$$' -fuzz FuzzCall -fuzztime 20s ./wire
 	go test -run '^$$' -fuzz FuzzGossip -fuzztime 20s ./wire
 	go test -run '^$$' -fuzz FuzzServerLimit -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz FuzzAnswer -fuzztime 20s ./platform
--- a/call.go
+++ b/call.go
@@ -36,6 +36,11 @@
 	Sealed bool   // it carries the backend server's signature
 	NotRun bool   // the server says that it did not run the request
 	Limit  StatedLimit
+	// Backoff is for how long the server wants no request from this process; 0: it
+	// states none.
+	Backoff  time.Duration
+	Draining bool  // the server is about to end
+	Invalid  error // statements of the server that cannot be read; nothing is stated by them
 }
 
 // RequestDigest names what a request asks for. All tries of one and the same
--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,9 @@
 	LimitBad        = Event{619, slog.LevelWarn, "backend server states a limit that cannot be read; the former one stays"}
 	ServerSilent    = Event{620, slog.LevelWarn, "server or group has gone silent"}
 	NoticeTaken     = Event{621, slog.LevelInfo, "another process reports a group silent or lost"}
+	BackoffStated   = Event{622, slog.LevelInfo, "backend server wants no requests of this node for a while"}
+	DrainingStated  = Event{623, slog.LevelInfo, "backend server says in an answer that it drains"}
+	StatementBad    = Event{624, slog.LevelWarn, "answer of a backend server has a header that cannot be read; nothing is stated by it"}
 	ServersChanged  = Event{630, slog.LevelInfo, "list of servers and groups changed"}
 	ViewChanged     = Event{631, slog.LevelInfo, "serving configuration in force"}
 	NodesChanged    = Event{632, slog.LevelInfo, "list of nodes changed"}
@@ -95,7 +98,7 @@
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
-		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, ServersChanged, ViewChanged,
+		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, BackoffStated, DrainingStated, StatementBad, ServersChanged, ViewChanged,
 		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed, Followed,
 	}
 }
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -17,6 +17,7 @@
 	noBudget      tally.Counter
 	noServer      tally.Counter
 	notSpread     tally.Counter
+	backoffs      tally.Counter
 	first         tally.Histogram
 	pause         tally.Histogram
 	took          tally.Histogram
@@ -33,8 +34,8 @@
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed"),
 		broken: scope.Counter("answers_broken_off"), moves: scope.Counter("streams_moved"), sendingFailed: scope.Counter("sendings_failed"),
 		noBudget: scope.Counter("repeats_not_allowed"), noServer: scope.Counter("no_server_found"),
-		notSpread: scope.Counter("requests_not_spread"),
-		first:     scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
+		notSpread: scope.Counter("requests_not_spread"), backoffs: scope.Counter("backoffs_stated"),
+		first: scope.Histogram("first_event", buckets), pause: scope.Histogram("longest_pause", buckets), took: scope.Histogram("answer_time", buckets),
 	}
 	for cause, name := range causeNames {
 		meter.refused[cause] = scope.Tagged(map[string]string{"cause": name}).Counter("requests_refused")
--- a/serve/send.go
+++ b/serve/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strings"
@@ -14,6 +15,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
+	"shedkeel.org/shedkeel/event"
 )
 
 // The kinds of failure of one sending.
@@ -182,11 +184,12 @@
 func (exchange *exchange) check(response *http.Response, choice *dispatch.Choice) error {
 	answer := exchange.front.Protocol.Answer(response)
 	exchange.observeLimit(answer, response.StatusCode, choice)
+	exchange.observeState(answer, choice)
 	switch {
 	case answer.ID != "" && answer.ID != exchange.call.ID, answer.ID == "" && response.StatusCode < http.StatusMultipleChoices:
 		return &shedkeel.UnknownRunError{Reason: "server " + string(choice.Instance) + " answered for " + answer.ID, Cause: errWrong}
 	case answer.NotRun:
-		return &shedkeel.NotRunError{Reason: fmt.Sprintf("server %s refused it with status %d", choice.Instance, response.StatusCode), Arrived: true}
+		return &shedkeel.NotRunError{Reason: fmt.Sprintf("server %s refused it with status %d", choice.Instance, response.StatusCode), RetryAfter: answer.Backoff, Arrived: true}
 	case response.StatusCode < http.StatusMultipleChoices && !answer.Sealed, response.Header.Get("Content-Encoding") != "":
 		return &shedkeel.UnknownRunError{Reason: "the answer of server " + string(choice.Instance) + " is not its own", Cause: errWrong}
 	}
@@ -205,6 +208,25 @@
 	}
 }
 
+// observeState notes what an answer of the request's own says of whether the server
+// takes requests.
+func (exchange *exchange) observeState(answer shedkeel.BackendAnswer, choice *dispatch.Choice) {
+	if answer.ID != exchange.call.ID {
+		return
+	}
+	server := slog.String("server", string(choice.Instance))
+	if answer.Invalid != nil {
+		exchange.log(event.StatementBad, server, slog.String("error", answer.Invalid.Error()))
+	}
+	if answer.Backoff > 0 {
+		count(exchange.front.meter().backoffs)
+		exchange.log(event.BackoffStated, server, slog.Duration("backoff", answer.Backoff))
+	}
+	if answer.Draining {
+		exchange.log(event.DrainingStated, server)
+	}
+}
+
 // readWhole reads a response to its end.
 func readWhole(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
