Failing test: servers that ask for a backoff or drain get requests all the same

What callers saw: requests turned away by four servers within 8 ms, each of which had asked for 3 s without requests; 503 in their place, or late answers.

Three real nodes, store and servers on loopback, 40 requests a second: one server, or all of a service, turn away everything with a Retry-After of 2 s for 3.5 s; in the other test a server says in its answers that it drains, while its record says ready. The stand-in counts what reaches each server from each node by the users' rules (two requests from half a second on; none 2 s after the first answer). Seen: three and more requests of every node in each backoff, and requests 2.1 s and later at the draining server.

--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -40,9 +40,10 @@
 	sent := 0
 	for end := time.Now().Add(length); time.Now().Before(end); sent++ {
 		<-ticker.C
-		address := nodes[sent%len(nodes)].callers
+		index := sent % len(nodes)
 		go func() {
-			status, _ := world.send(address, shedkeel.NewNonce(), path, "key-1", 50)
+			id := platformstandin.RequestID(index, shedkeel.NewNonce())
+			status, _ := world.send(nodes[index].callers, id, path, "key-1", 50)
 			statuses <- status
 		}()
 	}
@@ -69,12 +70,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			world := newWorld(t, 3)
-			world.fleet.Answer = 80 * time.Millisecond // about as long as choices expect
-			world.eventually("all nodes are told", func() bool { return len(world.addresses(0)) == 3 })
-			for index := range world.nodes {
-				world.serves(index)
-			}
+			world := newServingWorld(t)
 			limited := world.limited(test.path, test.all)
 			stated := time.Now()
 			for _, server := range limited {
