Backoffs and drains that servers state in answers hold for all later requests

What callers saw: requests were turned away by up to four resting servers one after another and refused, while the servers got more requests than before; some would have been sent to servers that end.

Cause: a 503's Retry-After and Server-Leaving were read by nothing; what one sending learned of a server ended with its request.

Change: the table of servers keeps what each start of a server has said. One function, usable, says whether a request may be sent, asked by choices, permits, the spread of requests and the load that admission goes by. Where all back off, callers are refused at once with the earliest end, in times that differ. The planner that has heard a server drain forms its group anew. Each node goes by what it was told itself, as the backoff is meant for it. bounds.max_backoff bounds what is believed.

--- a/config/node.go
+++ b/config/node.go
@@ -56,6 +56,9 @@
 	RetryRatio      float64           `toml:"retry_ratio"`  // repeats for each request, over all nodes
 	RetryWindow     shedkeel.Duration `toml:"retry_window"` // in which they are counted
 	RetrySlack      float64           `toml:"retry_slack"`  // repeats allowed besides
+	// MaxBackoff is for how long a backend server that asks for a backoff gets no
+	// requests at most, so that one which states years is not lost.
+	MaxBackoff shedkeel.Duration `toml:"max_backoff"`
 }
 
 // DefaultNodeSettings returns what holds for keys that a file leaves out.
@@ -64,6 +67,7 @@
 		Bounds: NodeBounds{
 			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), RefuseStaleKeys: true, Directory: shedkeel.Duration(5 * time.Second),
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
+			MaxBackoff: shedkeel.Duration(10 * time.Minute),
 		},
 		Log: LogSettings{Level: "info"},
 	}
@@ -119,6 +123,7 @@
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
 		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
+		"bounds.max_backoff": settings.Bounds.MaxBackoff,
 	}
 	for key, value := range times {
 		if value <= 0 {
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -59,7 +59,7 @@
 	defer table.mutex.Unlock()
 	var first *state
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
-		if candidate.limit == nil || candidate.avoidTill > query.Now || avoided(query.Avoid, candidate.Instance) {
+		if candidate.limit == nil || !candidate.usable(query) {
 			continue
 		}
 		if first == nil || candidate.limit.heldTill < first.limit.heldTill {
@@ -77,7 +77,7 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
-		if candidate.Instance == server && candidate.avoidTill <= query.Now {
+		if candidate.Instance == server && candidate.usable(query) {
 			return candidate.take(table, query)
 		}
 	}
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -174,7 +174,7 @@
 	var best *state
 	soonest := 0.0
 	for _, candidate := range members {
-		if candidate.avoidTill > query.Now || candidate.limit.scheduled(query.Now) || candidate.hash%uint32(max(query.Parts, 1)) != uint32(query.Part) {
+		if !candidate.usable(query) || candidate.limit.scheduled(query.Now) || candidate.hash%uint32(max(query.Parts, 1)) != uint32(query.Part) {
 			continue
 		}
 		wait := candidate.wait(zone, usual, query.Now)
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -70,8 +70,10 @@
 	servers map[string]*state
 	pools   map[pool][]*state
 	limits  map[shedkeel.InstanceID]*limit // of servers that limit their rate
-	reports map[pool]map[string]report     // by process, for Spread
-	demand  map[pool]*demand               // of what was spread
+	// conditions are of servers that have asked for a backoff or said that they drain.
+	conditions map[shedkeel.InstanceID]*condition
+	reports    map[pool]map[string]report // by process, for Spread
+	demand     map[pool]*demand           // of what was spread
 }
 
 type pool struct {
@@ -90,9 +92,10 @@
 	avoidTill time.Duration // silent, or said to be
 	reported  time.Duration // when its silence was last returned by FindSilent; 0: not in this one
 	listed    bool
-	assigned  assigned // by Spread, for all processes
-	hash      uint32   // of the group's name
-	limit     *limit   // nil: it takes requests at any rate
+	assigned  assigned   // by Spread, for all processes
+	hash      uint32     // of the group's name
+	limit     *limit     // nil: it takes requests at any rate
+	condition *condition // nil: it has said nothing
 }
 
 // Replace makes the servers the ones to choose from. What is known of those
@@ -116,6 +119,7 @@
 		known.Server = server
 		known.listed = true
 		known.limit = table.limits[server.Instance]
+		known.condition = table.conditions[server.Instance]
 		members := pool{server.Service, server.Model}
 		table.pools[members] = append(table.pools[members], known)
 	}
@@ -164,7 +168,7 @@
 	var best, wish *state
 	lowest, ties, wishCost := 0.0, uint64(0), 0.0
 	for _, candidate := range table.pools[pool{query.Service, query.Model}] {
-		if candidate.avoidTill > query.Now || avoided(query.Avoid, candidate.Instance) || candidate.held(query) {
+		if !candidate.usable(query) || candidate.held(query) {
 			continue
 		}
 		cost := table.cost(candidate, query.Now)
@@ -190,6 +194,11 @@
 	return best.take(table, query)
 }
 
+// usable reports whether the request may be sent to the server, its rate limit apart.
+func (state *state) usable(query Query) bool {
+	return state.avoidTill <= query.Now && state.condition.takes(query.Now) && !avoided(query.Avoid, state.Instance)
+}
+
 func avoided(avoid []shedkeel.InstanceID, instance shedkeel.InstanceID) bool {
 	for _, other := range avoid {
 		if other == instance {
@@ -213,7 +222,7 @@
 	if candidate.Zone != table.Zone {
 		cost *= farCost
 	}
-	return cost
+	return cost * candidate.condition.cost()
 }
 
 // forgive lets what is held against a server fade with time.
@@ -235,6 +244,7 @@
 	stalled := make(chan struct{}, 1)
 	choice := &Choice{Server: state.Server, Limited: state.limit != nil, Stalled: stalled, table: table, state: state, Began: query.Now, prompt: query.Prompt, late: query.Late, stalled: stalled}
 	state.running[choice] = struct{}{}
+	state.condition.begin(choice)
 	return choice
 }
 
@@ -247,6 +257,7 @@
 	state.sign = now
 	state.avoidTill = 0
 	state.reported = 0
+	state.condition.sign(choice)
 	for running := range state.running {
 		running.forgetSilence()
 	}
@@ -267,6 +278,7 @@
 	defer choice.table.mutex.Unlock()
 	state := choice.state
 	delete(state.running, choice)
+	state.condition.end(choice)
 	outcome := 0.0
 	if failed {
 		outcome = 1
@@ -280,14 +292,16 @@
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	delete(choice.state.running, choice)
+	choice.state.condition.end(choice)
 }
 
-// Listed reports whether requests may still be sent to the server, as far as the
-// list of servers tells: it has not said that it leaves.
+// Listed reports whether requests may still be sent to the server: neither the list of
+// servers nor an answer of its own has said that it drains.
 func (choice *Choice) Listed() bool {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
-	return choice.state.listed
+	condition := choice.state.condition
+	return choice.state.listed && (condition == nil || !condition.draining)
 }
 
 // Load is what this process has running on the servers of a model.
@@ -307,7 +321,7 @@
 		if len(known.running) > 0 {
 			load.Groups[known.Instance] = len(known.running)
 		}
-		if known.avoidTill > now {
+		if known.avoidTill > now || !known.condition.takes(now) {
 			continue
 		}
 		for choice := range known.running {
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -45,6 +45,24 @@
 	"rate limits of servers: an answer that comes late lifts a limit": {
 		"ratelimit/book.go", "Lifted: true, At: sent}", "Lifted: true, At: now}", "TestBook", "./ratelimit",
 	},
+	"backoff of servers: it ends with the request": {
+		"dispatch/condition.go", "condition.backoffTill = max(condition.backoffTill, until)", "", "TestBackoffIsHeeded/all", "./node",
+	},
+	"backoff of servers: the shorter one holds": {
+		"dispatch/condition.go", "max(condition.backoffTill, until)", "until", "TestConditions", "./dispatch",
+	},
+	"backoff of servers: permits do not ask for it": {
+		"dispatch/limit.go", "candidate.limit == nil || !candidate.usable(query)", "candidate.limit == nil", "TestConditionsHoldForEveryChoice", "./dispatch",
+	},
+	"backoff of servers: callers are not told its end": {
+		"serve/front.go", "cause = causeBackoff", "cause = causeNoPlace", "TestRetryAfterABackoff", "./serve",
+	},
+	"draining servers: their own answers are not heeded": {
+		"dispatch/condition.go", "condition.draining = true", "", "TestDrainInAnswersIsHeeded", "./node",
+	},
+	"draining servers: what they said goes with their record": {
+		"dispatch/condition.go", "case now-condition.unlisted >= conditionKeep:", "default:", "TestConditions", "./dispatch",
+	},
 	"budget of repeats: a process that starts has all of it": {
 		"serve/budget.go", "known := min(float64(now-budget.Began)/float64(budget.Window), 1)", "known := 1.0", "TestRepeatsOfNodesThatStartAgain", "./serve",
 	},
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -239,6 +239,7 @@
 		listed[instance.ID] = true
 	}
 	fleet.node.limits.retain(func(server shedkeel.InstanceID) bool { return listed[server] })
+	fleet.node.table.Retain(func(server shedkeel.InstanceID) bool { return listed[server] }, fleet.node.Timers.Now())
 	epochs := formation.LatestEpochs(maps.Values(fleet.instances))
 	var servers []dispatch.Server
 	for key, instance := range fleet.instances {
@@ -303,7 +304,8 @@
 	fleet.node.Log.Write(event.ServersChanged, fields...)
 }
 
-// groupServices returns the services of replica groups with their instances.
+// groupServices returns the services of replica groups with their instances. Those
+// that said in an answer that they drain do so, whatever their records say.
 func (fleet *fleet) groupServices() map[shedkeel.ServiceID][]shedkeel.Instance {
 	view := fleet.view.Load()
 	if view == nil {
@@ -314,6 +316,7 @@
 	found := map[shedkeel.ServiceID][]shedkeel.Instance{}
 	for _, instance := range fleet.instances {
 		if service := view.Service(instance.Service); service != nil && service.Engine != nil {
+			instance.Draining = instance.Draining || fleet.node.table.Draining(instance.ID)
 			found[instance.Service] = append(found[instance.Service], instance)
 		}
 	}
--- a/node/report.go
+++ b/node/report.go
@@ -53,6 +53,9 @@
 		refused += limit.Refused
 	}
 	scope.Gauge("servers_limited").Update(float64(len(limited)))
+	backingOff, draining := node.table.Conditions(node.Timers.Now())
+	scope.Gauge("servers_backing_off").Update(float64(backingOff))
+	scope.Gauge("servers_draining_by_answers").Update(float64(draining))
 	scope.Gauge("permits_granted").Update(float64(granted))
 	scope.Gauge("permits_refused").Update(float64(refused))
 }
--- /dev/null
+++ b/serve/backoff_test.go
@@ -0,0 +1,105 @@
+package serve
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel/dispatch"
+)
+
+// TestBackoffOutlivesTheRequest checks that later requests are not sent to a server
+// that asked for a backoff, on every path, and what their callers are told when all do.
+func TestBackoffOutlivesTheRequest(t *testing.T) {
+	rest := step{status: 503, notRun: true, backoff: time.Minute}
+	cases := map[string]struct {
+		path   string
+		steps  []step
+		first  int // sendings of the first request
+		second int // and of the next one
+		status int // of the next one
+	}{
+		"one plain server":      {"/safe/x", []step{rest, {body: "ok"}}, 2, 1, 200},
+		"all plain servers":     {"/safe/x", []step{rest, rest, rest}, 3, 0, 503},
+		"all, run once":         {"/once/x", []step{rest, rest, rest}, 3, 0, 503},
+		"one group":             {"/s/x", []step{rest, {events: 5}}, 2, 1, 200},
+		"all groups":            {"/s/x", []step{rest, rest, rest}, 3, 0, 503},
+		"two, and one fails":    {"/s/x", []step{rest, rest, {status: 503, notRun: true}}, 3, 1, 200},
+		"the group of a repeat": {"/s/x", []step{{events: 5, cutAfter: 2}, rest, {events: 5}}, 3, 1, 200},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, append(test.steps, step{events: 5, body: "ok"})...)
+			harness.post(test.path, "", "Model", "m")
+			assert.Equal(t, len(harness.backend.requests), test.first)
+			resting := map[string]bool{}
+			for index, sent := range test.steps {
+				if sent.backoff > 0 {
+					resting[harness.backend.requests[index].Header.Get("To")] = true
+				}
+			}
+			began := time.Now()
+			got := harness.post(test.path, "", "Model", "m", "Deadline", "600s")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Equal(t, len(harness.backend.requests)-test.first, test.second)
+			for _, request := range harness.backend.requests[test.first:] {
+				assert.Assert(t, !resting[request.Header.Get("To")])
+			}
+			if test.status == 503 {
+				assert.Assert(t, time.Since(began) < 50*time.Millisecond, "it is refused at once")
+				back, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, back > 0.25, "told to come back in %v s", back)
+			}
+		})
+	}
+}
+
+// TestWhichStatementsCount checks which answers' backoffs and drains are heeded.
+func TestWhichStatementsCount(t *testing.T) {
+	cases := map[string]struct {
+		step     step
+		most     time.Duration // that a backoff is heeded
+		backsOff bool
+		drains   bool
+	}{
+		"nothing":             {step{body: "ok"}, 0, false, false},
+		"a backoff":           {step{status: 503, notRun: true, backoff: time.Minute}, 0, true, false},
+		"in a failure":        {step{status: 503, backoff: time.Minute}, 0, true, false},
+		"over the bound":      {step{status: 503, notRun: true, backoff: time.Minute}, time.Nanosecond, false, false},
+		"another's backoff":   {step{status: 503, notRun: true, wrongID: true, backoff: time.Minute}, 0, false, false},
+		"drains":              {step{body: "ok", drains: true}, 0, false, true},
+		"drains, and refuses": {step{status: 503, notRun: true, drains: true}, 0, false, true},
+		"another drains":      {step{wrongID: true, drains: true}, 0, false, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.step)
+			harness.MaxBackoff = test.most
+			harness.Table.Replace([]dispatch.Server{{Service: "plain", Instance: "p0", Slots: 4}})
+			harness.post("/once/x", "")
+			_, backsOff := harness.Table.BackoffEnd(dispatch.Query{Service: "plain", Now: harness.clock.Now()})
+			assert.Equal(t, backsOff, test.backsOff)
+			assert.Equal(t, harness.Table.Draining("p0"), test.drains)
+		})
+	}
+}
+
+// TestRetryAfterABackoff checks that callers that are refused together are told times
+// from the end of the backoff on that differ.
+func TestRetryAfterABackoff(t *testing.T) {
+	harness := newHarness(t)
+	harness.Table.Replace([]dispatch.Server{{Service: "plain", Instance: "p0", Slots: 4}})
+	now := harness.clock.Now()
+	harness.Table.BackOff("p0", now+2*time.Second, now)
+	told := map[string]bool{}
+	for index := range 20 {
+		got := harness.post("/safe/x", "", "Id", fmt.Sprint("r", index), "Deadline", "600s")
+		assert.Equal(t, got.Code, 503)
+		told[got.Header().Get("Retry-After")] = true
+	}
+	assert.Assert(t, len(told) > 10, "%v", told)
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -65,6 +65,9 @@
 	Check shedkeel.ServerCheck
 	// Limits knows which servers limit the rate of their requests. nil: none does.
 	Limits shedkeel.ServerLimits
+	// MaxBackoff is for how long the backoff of a server is heeded at most. 0: as long
+	// as it states.
+	MaxBackoff time.Duration
 	// DigestKey is mixed into what names requests, so that nobody outside can
 	// make two that look alike. It is the same at all processes.
 	DigestKey []byte
@@ -127,9 +130,9 @@
 	begun    atomic.Bool             // its answer has begun
 	fresh    atomic.Bool             // a server ended under it: the next may have too, and is to be found gone
 	callBack context.CancelCauseFunc // gives it up
-	// permitWait is after what time a server that limits its rate is free again, as
-	// was told last.
-	permitWait time.Duration
+	// freeIn is after what time a server that limits its rate or backs off takes a
+	// request again, as was told last.
+	freeIn time.Duration
 }
 
 // ServeHTTP serves one request.
@@ -335,6 +338,8 @@
 	switch {
 	case errors.Is(reason, errLimited):
 		cause = causeLimited
+	case errors.Is(reason, errBackoff):
+		cause = causeBackoff
 	case errors.Is(reason, errNoServer), errors.Is(reason, errFull):
 		cause = causeNoPlace
 	}
--- a/serve/permit.go
+++ b/serve/permit.go
@@ -38,7 +38,7 @@
 		exchange.front.Table.Hold(choice.Instance, exchange.front.Timers.Now()+permit.Wait)
 	}
 	if !patient {
-		return nil, errNoServer
+		return nil, exchange.noServer(query)
 	}
 	return exchange.await(ctx, query)
 }
@@ -47,12 +47,12 @@
 func (exchange *exchange) await(ctx context.Context, query dispatch.Query) (*dispatch.Choice, error) {
 	server, found := exchange.front.Table.NextPermit(query)
 	if !found || exchange.front.Limits == nil {
-		return nil, errNoServer
+		return nil, exchange.noServer(query)
 	}
 	patience := min(time.Duration(permitShare*float64(exchange.route.Objective)), exchange.limit-query.Now)
 	permit := exchange.front.Limits.Acquire(ctx, server, patience)
 	if !permit.Granted {
-		exchange.permitWait = permit.Wait
+		exchange.freeIn = permit.Wait
 		return nil, errLimited
 	}
 	timer.Sleep(ctx, permit.Wait)
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -27,7 +27,7 @@
 	for len(exchange.tried) < maxDials && ctx.Err() == nil && (len(exchange.tried) == 0 || exchange.mayGoOn()) {
 		choice, err := exchange.choose(ctx)
 		if err != nil {
-			reason = firstOf(reason, err)
+			reason = errors.Join(err, reason)
 			break
 		}
 		answer, err := exchange.try(ctx, choice)
--- a/serve/retryafter.go
+++ b/serve/retryafter.go
@@ -35,11 +35,12 @@
 	causeNotRun                   // servers refused it or could not be reached
 	causeQuarantined              // servers ended under it, and another try of it is made now
 	causeLimited                  // the servers limit their rate, and no permit is free in time
+	causeBackoff                  // the servers want no requests for a while
 	causeContained                // so many servers ended under it that no try is made any more
 )
 
 // causeNames are the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "contained"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained"}
 
 // String names the cause.
 func (cause cause) String() string { return causeNames[cause] }
@@ -53,10 +54,8 @@
 		return 0
 	case causeElsewhere:
 		back = retrySoon
-	case causeLimited:
-		// Nobody can be served earlier, so these times differ upwards.
-		back = exchange.permitWait + time.Duration(retrySpread*exchange.lot()*float64(exchange.permitWait))
-		return max(min(back, time.Duration(waitShare*float64(exchange.left()))), retrySoon)
+	case causeLimited, causeBackoff:
+		return exchange.retryFree()
 	case causeNoProof:
 		back = exchange.front.retryProof(exchange.front.Timers.Now())
 	}
@@ -65,6 +64,19 @@
 	return max(back, retrySoon)
 }
 
+// retryFree is when a server takes a request again: nobody can be served earlier, so
+// these times differ upwards. Callers who heed no time so long come before it, and
+// theirs differ downwards.
+func (exchange *exchange) retryFree() time.Duration {
+	spread := retrySpread * exchange.lot()
+	most := time.Duration(waitShare * float64(exchange.left()))
+	if exchange.freeIn >= most {
+		return max(most-time.Duration(spread*float64(most)), retrySoon)
+	}
+	back := exchange.freeIn + time.Duration(spread*float64(exchange.freeIn))
+	return max(min(back, most), retrySoon)
+}
+
 // retryProof is in how long a process that can't know what is in force is
 // likely to: at once where it alone is cut off or has just started, when the
 // outage is likely to end where all are in one.
--- a/serve/send.go
+++ b/serve/send.go
@@ -22,6 +22,7 @@
 var (
 	errNoServer  = errors.New("no server may be sent to")
 	errLimited   = errors.New("all servers that may be sent to limit their rate, and no permit is free in time")
+	errBackoff   = errors.New("all servers that may be sent to want no requests for a while")
 	errFull      = errors.New("all servers have more requests than they can answer in time")
 	errNoBudget  = errors.New("no more repeats are allowed now")
 	errWrong     = errors.New("the answer belongs to another request or is not the server's own")
@@ -82,7 +83,7 @@
 	load := exchange.front.Table.Load(query.Service, query.Model, query.Now)
 	running, places := exchange.places(query, load) // a model without groups is asked for too
 	if load.Usable == 0 {
-		return errNoServer
+		return exchange.noServer(*query)
 	}
 	exchange.late = float64(running.OnTime) >= max(onTimeFill*places, 1)
 	if exchange.late && float64(running.Late) >= max(lateFill*places, 1) {
@@ -219,14 +220,37 @@
 		exchange.log(event.StatementBad, server, slog.String("error", answer.Invalid.Error()))
 	}
 	if answer.Backoff > 0 {
-		count(exchange.front.meter().backoffs)
-		exchange.log(event.BackoffStated, server, slog.Duration("backoff", answer.Backoff))
+		exchange.backOff(choice.Instance, answer.Backoff)
 	}
-	if answer.Draining {
+	if answer.Draining && exchange.front.Table.Drain(choice.Instance) {
 		exchange.log(event.DrainingStated, server)
 	}
 }
 
+// backOff has no request sent to a server for as long as it wants none.
+func (exchange *exchange) backOff(server shedkeel.InstanceID, length time.Duration) {
+	front := exchange.front
+	count(front.meter().backoffs)
+	if front.MaxBackoff > 0 {
+		length = min(length, front.MaxBackoff)
+	}
+	now := front.Timers.Now()
+	if front.Table.BackOff(server, now+length, now) {
+		exchange.log(event.BackoffStated, slog.String("server", string(server)), slog.Duration("backoff", length))
+	}
+}
+
+// noServer is why no server is found for a request: nobody may be sent to, or all that
+// may want no requests now.
+func (exchange *exchange) noServer(query dispatch.Query) error {
+	end, backsOff := exchange.front.Table.BackoffEnd(query)
+	if !backsOff {
+		return errNoServer
+	}
+	exchange.freeIn = end - query.Now
+	return errBackoff
+}
+
 // readWhole reads a response to its end.
 func readWhole(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -50,6 +50,8 @@
 	answer := shedkeel.BackendAnswer{ID: response.Header.Get("Id"), Sealed: response.Header.Get("Seal") != "", NotRun: response.Header.Get("Not-Run") != ""}
 	_, err := fmt.Sscan(response.Header.Get("Limit"), &answer.Limit.Rate)
 	answer.Limit.Stated = err == nil
+	answer.Draining = response.Header.Get("Drains") != ""
+	answer.Backoff, _ = time.ParseDuration(response.Header.Get("Backoff")) // none is stated otherwise
 	return answer
 }
 
@@ -67,6 +69,8 @@
 	unsealed bool
 	notRun   bool
 	limit    float64 // that the server states; 0: none
+	backoff  time.Duration
+	drains   bool
 }
 
 // backend follows a script, a step a request.
@@ -112,6 +116,12 @@
 	if step.notRun {
 		header.Set("Not-Run", "1")
 	}
+	if step.backoff > 0 {
+		header.Set("Backoff", step.backoff.String())
+	}
+	if step.drains {
+		header.Set("Drains", "1")
+	}
 	if step.limit > 0 {
 		header.Set("Limit", fmt.Sprint(step.limit))
 	}
