--- a/serve/backoff_test.go
+++ b/serve/backoff_test.go
@@ -89,17 +89,31 @@
 }
 
 // TestRetryAfterABackoff checks that callers that are refused together are told times
-// from the end of the backoff on that differ.
+// from the end of the backoff on that differ, or what they heed if it ends later.
 func TestRetryAfterABackoff(t *testing.T) {
-	harness := newHarness(t)
-	harness.Table.Replace([]dispatch.Server{{Service: "plain", Instance: "p0", Slots: 4}})
-	now := harness.clock.Now()
-	harness.Table.BackOff("p0", now+2*time.Second, now)
-	told := map[string]bool{}
-	for index := range 20 {
-		got := harness.post("/safe/x", "", "Id", fmt.Sprint("r", index), "Deadline", "600s")
-		assert.Equal(t, got.Code, 503)
-		told[got.Header().Get("Retry-After")] = true
+	cases := map[string]struct {
+		length      time.Duration
+		least, most float64 // that callers are told, in seconds
+	}{
+		"ends soon": {100 * time.Millisecond, 0.08, 0.13},
+		"ends late": {time.Minute, 0.2, 0.3}, // of a second that they wait
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.Table.Replace([]dispatch.Server{{Service: "plain", Instance: "p0", Slots: 4}})
+			now := harness.clock.Now()
+			harness.Table.BackOff("p0", now+test.length, now)
+			told := map[float64]bool{}
+			for index := range 20 {
+				got := harness.post("/safe/x", "", "Id", fmt.Sprint("r", index))
+				assert.Equal(t, got.Code, 503)
+				back, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, back >= test.least && back <= test.most, "told to come back in %v s", back)
+				told[back] = true
+			}
+			assert.Assert(t, len(told) > 10, "%v", told)
+		})
 	}
-	assert.Assert(t, len(told) > 10, "%v", told)
 }
