Logs and metrics tell that the key-value service came back from an older copy

Cause: Store-Era, which all its answers carry once it has been restored, was read by nothing, so a restored service could not be told from one that missed changes. Change: the boundary reads the era from answers of every status (missing: none yet; unreadable: a warning a minute, no call fails); events 206 and 207, store_era. The stand-in gives it, and its restore gives revisions and leases out again. No decision heeds it yet. Tests: TestEraOfAnswers.

--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,8 @@
 	StoreHealed     = Event{203, slog.LevelInfo, "record in force written back to the key-value service"}
 	RecordBad       = Event{204, slog.LevelError, "record of the key-value service cannot be read"}
 	BoxListAway     = Event{205, slog.LevelWarn, "box list does not answer"}
+	StoreRestored   = Event{206, slog.LevelWarn, "key-value service has come back from an older copy"}
+	StoreEraBad     = Event{207, slog.LevelWarn, "answer of the key-value service has an era that cannot be read"}
 	Settled         = Event{300, slog.LevelInfo, "keeper knows what is in force"}
 	ConfigInForce   = Event{301, slog.LevelInfo, "configuration in force"}
 	ConfigAccepted  = Event{302, slog.LevelInfo, "configuration accepted from an operator"}
@@ -94,7 +96,7 @@
 // Catalog returns all events.
 func Catalog() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesLeftOut, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway,
+		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesLeftOut, StoreAway, StoreBack, StoreOlder, StoreHealed, RecordBad, BoxListAway, StoreRestored, StoreEraBad,
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,8 +19,8 @@
 	mutex    sync.Mutex
 	revision int64
 	data     map[string]shedkeel.Record
-	kept     map[string]shedkeel.Record
-	keptAt   int64
+	kept     snapshot
+	era      int64         // how often it has come back from a snapshot
 	changed  chan struct{} // closed at each change
 	log      []shedkeel.Record
 	floor    int64 // changes up to this revision are forgotten
@@ -29,6 +30,15 @@
 	counts   Counts
 }
 
+// snapshot is what a store held at a moment.
+type snapshot struct {
+	revision int64
+	data     map[string]shedkeel.Record
+	leases   map[shedkeel.LeaseID]time.Duration // how long each lasts
+	byLease  map[string]shedkeel.LeaseID
+	granted  shedkeel.LeaseID
+}
+
 // standLease is a lease that is not over.
 type standLease struct {
 	ttl   time.Duration
@@ -117,33 +127,47 @@
 	store.changed = make(chan struct{})
 }
 
-// Snapshot keeps the data as they are.
+// Snapshot keeps what the store holds as it is.
 func (store *Store) Snapshot() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.kept = map[string]shedkeel.Record{}
-	for key, record := range store.data {
-		store.kept[key] = record
+	leases := map[shedkeel.LeaseID]time.Duration{}
+	for id, lease := range store.leases {
+		leases[id] = lease.ttl
 	}
-	store.keptAt = store.revision
+	store.kept = snapshot{revision: store.revision, data: maps.Clone(store.data), leases: leases, byLease: maps.Clone(store.byLease), granted: store.granted}
 }
 
-// Restore goes back to the snapshot, with its revisions, as a service does
-// that was restored from a backup. Watches are broken off.
+// Restore goes back to the snapshot, as a service does that was restored from a backup:
+// what was written since is gone, and its revisions and leases are given out again.
+// Watches are broken off.
 func (store *Store) Restore() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.data = map[string]shedkeel.Record{}
-	for key, record := range store.kept {
-		store.data[key] = record
+	kept := store.kept
+	store.era++
+	store.data, store.byLease = map[string]shedkeel.Record{}, map[string]shedkeel.LeaseID{}
+	maps.Copy(store.data, kept.data)
+	maps.Copy(store.byLease, kept.byLease)
+	store.leases = map[shedkeel.LeaseID]*standLease{}
+	for id, ttl := range kept.leases {
+		store.leases[id] = &standLease{ttl: ttl, until: time.Now().Add(ttl)}
+		time.AfterFunc(ttl+time.Millisecond, store.expireNow)
 	}
-	store.revision = store.keptAt
+	store.revision, store.granted = kept.revision, kept.granted
 	store.log = nil
 	store.floor = store.revision
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
+// Era returns how often the store has come back from a snapshot.
+func (store *Store) Era() int64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.era
+}
+
 // Record returns a key's record; one with revision 0 if there is none.
 func (store *Store) Record(key string) shedkeel.Record {
 	store.mutex.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,7 @@
 	limits     limits
 	controller controller
 	stopping   atomic.Bool
+	era        atomic.Int64 // of the key-value service, as logged last
 	running    sync.WaitGroup
 }
 
--- a/program/node.go
+++ b/program/node.go
@@ -79,7 +79,8 @@
 	seed := rand.Uint64()
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewIncarnation(time.Now()),
-		Store:    &platform.Store{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: plainClient(4)},
+		Store: &platform.Store{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: plainClient(4),
+			Malformed: func(err error) { log.Write(event.StoreEraBad, slog.String("error", err.Error())) }},
 		Decoder:  platform.Decoder{},
 		Protocol: platform.Callers{},
 		Backend:  transport,
