--- a/claim/committer.go
+++ b/claim/committer.go
@@ -35,7 +35,7 @@
 	queue chan waiting
 	book  *book
 	// revision of the head; unknown is set when the head must be read.
-	revision int64
+	revision shedkeel.Revision
 	unknown  bool
 }
 
@@ -163,7 +163,7 @@
 		return err
 	}
 	var head Head
-	if record.Revision > 0 {
+	if record.Revision.Exists() {
 		if err := json.Unmarshal(record.Value, &head); err != nil {
 			return &shedkeel.InvalidError{Where: "key " + record.Key, What: err.Error(), Remedy: "restore the key; claims are refused until then"}
 		}
@@ -251,7 +251,7 @@
 	for _, claim := range head.Claims {
 		segment.Newest = max(segment.Newest, claim.Minute)
 	}
-	if _, err := committer.Store.Swap(ctx, segment.Key, 0, value); err != nil {
+	if _, err := committer.Store.Swap(ctx, segment.Key, shedkeel.Revision{}, value); err != nil {
 		return err
 	}
 	head.Sealed = append(head.Sealed, segment)
@@ -264,7 +264,7 @@
 func (committer *Committer) empty(ctx context.Context, dropped []Segment) {
 	for _, segment := range dropped {
 		record, err := committer.Store.Get(ctx, segment.Key)
-		if err != nil || record.Revision == 0 {
+		if err != nil || !record.Revision.Exists() {
 			continue
 		}
 		var claims []Claim
--- a/errors.go
+++ b/errors.go
@@ -89,12 +89,12 @@
 // HistoryGoneError says that the key-value service has forgotten what changed
 // since a revision.
 type HistoryGoneError struct {
-	Since int64
+	Since Revision
 }
 
 // Error names the remedy.
 func (err *HistoryGoneError) Error() string {
-	return fmt.Sprintf("the changes since revision %d are forgotten; list the records anew", err.Since)
+	return fmt.Sprintf("the changes since revision %s are forgotten; list the records anew", err.Since)
 }
 
 // LeaseGoneError says that a lease is over.
--- a/interfaces.go
+++ b/interfaces.go
@@ -6,22 +6,19 @@
 	"time"
 )
 
-// Record is one value of the key-value service. Revision 0 means that the key
-// does not exist.
+// Record is one value of the key-value service.
 type Record struct {
 	Key      string
 	Value    []byte
-	Revision int64
-	Gone     bool // as a change: the key was removed at the revision
+	Revision Revision // of its last change; the zero value: the key does not exist
+	Gone     bool     // as a change: the key was removed at the revision
+	Lost     bool     // as a change: it is gone since the service came back from an older copy
 }
 
-// LeaseID names a lease of the key-value service; 0 is none.
-type LeaseID int64
-
-// Condition holds while the key has the revision (0: does not exist).
+// Condition holds while the key has the revision (the zero value: does not exist).
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision Revision
 }
 
 // Put is a value to be written, and the lease with which it goes.
@@ -41,7 +38,7 @@
 // Changes are what changed below a prefix after a revision.
 type Changes struct {
 	Records []Record
-	At      int64 // the revision to go on from
+	At      Revision // to go on from
 	// More says that the answer was full: later changes may stand at the service
 	// already, so the answer does not prove that At is the newest revision.
 	More bool
@@ -51,18 +48,21 @@
 type RecordSource interface {
 	// List returns all records below the prefix and the revision from which
 	// to follow changes.
-	List(ctx context.Context, prefix string) ([]Record, int64, error)
+	List(ctx context.Context, prefix string) ([]Record, Revision, error)
 	// Changes waits for changes after a revision. It returns a
-	// HistoryGoneError when they can no longer be told.
-	Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (Changes, error)
+	// HistoryGoneError when they can no longer be told, as in a later era.
+	Changes(ctx context.Context, prefix string, since Revision, wait time.Duration) (Changes, error)
 	// GetStale reads one key, as it was up to some seconds ago. It costs the
 	// service a tenth of another read.
 	GetStale(ctx context.Context, key string) (Record, error)
 }
 
-// LeasedStore writes records that go with a lease.
+// LeasedStore writes records that go with a lease. A lease of an earlier era is over:
+// calls with it return a LeaseGoneError.
 type LeasedStore interface {
-	Commit(ctx context.Context, change Change) (int64, error)
+	// Commit makes all changes or none. A condition on a revision of an earlier era
+	// does not hold.
+	Commit(ctx context.Context, change Change) (Revision, error)
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
 	Renew(ctx context.Context, lease LeaseID) error
 	Release(ctx context.Context, lease LeaseID) error
@@ -83,11 +83,11 @@
 	// Get reads a key. It returns an UnavailableError when the service does
 	// not answer.
 	Get(ctx context.Context, key string) (Record, error)
-	// Swap writes the value if the key still has the revision (0: does not
-	// exist) and returns the new revision. It returns a ConflictError when
+	// Swap writes the value if the key still has the revision (the zero value:
+	// does not exist) and returns the new revision. It returns a ConflictError when
 	// the key has moved, an UnavailableError when nothing was sent, and an
 	// UnknownOutcomeError when the reply was lost.
-	Swap(ctx context.Context, key string, revision int64, value []byte) (int64, error)
+	Swap(ctx context.Context, key string, revision Revision, value []byte) (Revision, error)
 	// Watch calls seen for the present records below the prefix and for each
 	// later change, until the context ends or the service fails.
 	Watch(ctx context.Context, prefix string, seen func(Record)) error
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -24,9 +24,9 @@
 	changed  chan struct{} // closed at each change
 	log      []shedkeel.Record
 	floor    int64 // changes up to this revision are forgotten
-	leases   map[shedkeel.LeaseID]*standLease
-	byLease  map[string]shedkeel.LeaseID // of keys that go with a lease
-	granted  shedkeel.LeaseID
+	leases   map[int64]*standLease
+	byLease  map[string]int64 // of keys that go with a lease
+	granted  int64
 	counts   Counts
 }
 
@@ -34,9 +34,9 @@
 type snapshot struct {
 	revision int64
 	data     map[string]shedkeel.Record
-	leases   map[shedkeel.LeaseID]time.Duration // how long each lasts
-	byLease  map[string]shedkeel.LeaseID
-	granted  shedkeel.LeaseID
+	leases   map[int64]time.Duration // how long each lasts
+	byLease  map[string]int64
+	granted  int64
 }
 
 // standLease is a lease that is not over.
@@ -56,7 +56,7 @@
 func NewStore() *Store {
 	return &Store{
 		data: map[string]shedkeel.Record{}, changed: make(chan struct{}),
-		leases: map[shedkeel.LeaseID]*standLease{}, byLease: map[string]shedkeel.LeaseID{},
+		leases: map[int64]*standLease{}, byLease: map[string]int64{},
 	}
 }
 
@@ -83,16 +83,19 @@
 }
 
 // Swap writes a key, for tests that need no HTTP.
-func (store *Store) Swap(_ context.Context, key string, revision int64, value []byte) (int64, error) {
+func (store *Store) Swap(_ context.Context, key string, revision shedkeel.Revision, value []byte) (shedkeel.Revision, error) {
 	if store.faults.get().Outage {
-		return 0, &shedkeel.UnavailableError{What: "store"}
+		return shedkeel.Revision{}, &shedkeel.UnavailableError{What: "store"}
+	}
+	if revision.Exists() && revision.Era != store.Era() {
+		return shedkeel.Revision{}, &shedkeel.ConflictError{What: "key " + key}
 	}
 	written, swapped := store.swap(key, revision, value)
 	if store.faults.use(func(faults *Faults) *int { return &faults.LoseReplies }) {
-		return 0, &shedkeel.UnknownOutcomeError{What: "write"}
+		return shedkeel.Revision{}, &shedkeel.UnknownOutcomeError{What: "write"}
 	}
 	if !swapped {
-		return 0, &shedkeel.ConflictError{What: "key " + key}
+		return shedkeel.Revision{}, &shedkeel.ConflictError{What: "key " + key}
 	}
 	return written, nil
 }
@@ -115,7 +118,7 @@
 // SetFaults sets the faults in force.
 func (store *Store) SetFaults(faults Faults) { store.faults.set(faults) }
 
-func (store *Store) swap(key string, revision int64, value []byte) (int64, bool) {
+func (store *Store) swap(key string, revision shedkeel.Revision, value []byte) (shedkeel.Revision, bool) {
 	written, err := store.Commit(shedkeel.Change{If: []shedkeel.Condition{{Key: key, Revision: revision}}, Put: []shedkeel.Put{{Key: key, Value: value}}})
 	return written, err == nil
 }
@@ -131,7 +134,7 @@
 func (store *Store) Snapshot() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	leases := map[shedkeel.LeaseID]time.Duration{}
+	leases := map[int64]time.Duration{}
 	for id, lease := range store.leases {
 		leases[id] = lease.ttl
 	}
@@ -146,10 +149,13 @@
 	defer store.mutex.Unlock()
 	kept := store.kept
 	store.era++
-	store.data, store.byLease = map[string]shedkeel.Record{}, map[string]shedkeel.LeaseID{}
-	maps.Copy(store.data, kept.data)
+	store.data, store.byLease = map[string]shedkeel.Record{}, map[string]int64{}
+	for key, record := range kept.data {
+		record.Revision.Era = store.era
+		store.data[key] = record
+	}
 	maps.Copy(store.byLease, kept.byLease)
-	store.leases = map[shedkeel.LeaseID]*standLease{}
+	store.leases = map[int64]*standLease{}
 	for id, ttl := range kept.leases {
 		store.leases[id] = &standLease{ttl: ttl, until: time.Now().Add(ttl)}
 		time.AfterFunc(ttl+time.Millisecond, store.expireNow)
@@ -182,7 +188,7 @@
 }
 
 // List returns the records below the prefix, sorted by key, and the revision.
-func (store *Store) List(prefix string) ([]shedkeel.Record, int64) {
+func (store *Store) List(prefix string) ([]shedkeel.Record, shedkeel.Revision) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expire()
@@ -194,12 +200,12 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b shedkeel.Record) int { return strings.Compare(a.Key, b.Key) })
-	return found, store.revision
+	return found, store.at()
 }
 
 // Changes waits for changes below the prefix after the revision. It returns a
 // HistoryGoneError when they are forgotten.
-func (store *Store) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) ([]shedkeel.Record, int64, error) {
+func (store *Store) Changes(ctx context.Context, prefix string, since shedkeel.Revision, wait time.Duration) ([]shedkeel.Record, shedkeel.Revision, error) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	store.mutex.Lock()
@@ -208,24 +214,24 @@
 	for {
 		store.mutex.Lock()
 		store.expire()
-		gone := since < store.floor || since > store.revision
-		at, changed := store.revision, store.changed
+		gone := since.Number < store.floor || since.Number > store.revision
+		at, changed := store.at(), store.changed
 		var news []shedkeel.Record
 		for _, record := range store.log {
-			if record.Revision > since && strings.HasPrefix(record.Key, prefix) {
+			if record.Revision.Number > since.Number && strings.HasPrefix(record.Key, prefix) {
 				news = append(news, record)
 			}
 		}
 		store.mutex.Unlock()
 		if gone {
-			return nil, 0, &shedkeel.HistoryGoneError{Since: since}
+			return nil, at, &shedkeel.HistoryGoneError{Since: since}
 		}
 		if len(news) > 0 {
 			return news, at, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, at, ctx.Err()
 		case <-end.C:
 			return nil, at, nil
 		case <-changed:
@@ -243,35 +249,41 @@
 	store.changed = make(chan struct{})
 }
 
-// Commit makes all changes or none. Its error is a ConflictError or a
+// at returns the revision that the store has reached. The mutex is held.
+func (store *Store) at() shedkeel.Revision {
+	return shedkeel.Revision{Era: store.era, Number: store.revision}
+}
+
+// Commit makes all changes or none. As the service does, it knows no eras of
+// revisions and leases. Its error is a ConflictError or a
 // LeaseGoneError.
-func (store *Store) Commit(change shedkeel.Change) (int64, error) {
+func (store *Store) Commit(change shedkeel.Change) (shedkeel.Revision, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expire()
 	store.counts.Writes++
 	for _, condition := range change.If {
-		if store.data[condition.Key].Revision != condition.Revision {
-			return store.revision, &shedkeel.ConflictError{What: "key " + condition.Key}
+		if store.data[condition.Key].Revision.Number != condition.Revision.Number {
+			return store.at(), &shedkeel.ConflictError{What: "key " + condition.Key}
 		}
 	}
 	for _, put := range change.Put {
-		if put.Lease != 0 && store.leases[put.Lease] == nil {
-			return store.revision, &shedkeel.LeaseGoneError{}
+		if put.Lease.Number != 0 && store.leases[put.Lease.Number] == nil {
+			return store.at(), &shedkeel.LeaseGoneError{}
 		}
 	}
 	store.revision++
 	for _, put := range change.Put {
-		record := shedkeel.Record{Key: put.Key, Value: put.Value, Revision: store.revision}
+		record := shedkeel.Record{Key: put.Key, Value: put.Value, Revision: store.at()}
 		store.data[put.Key] = record
 		delete(store.byLease, put.Key)
-		if put.Lease != 0 {
-			store.byLease[put.Key] = put.Lease
+		if put.Lease.Number != 0 {
+			store.byLease[put.Key] = put.Lease.Number
 		}
 		store.tell(record)
 	}
 	store.remove(change.Remove)
-	return store.revision, nil
+	return store.at(), nil
 }
 
 // remove removes keys at the present revision. The mutex is held.
@@ -282,7 +294,7 @@
 		}
 		delete(store.data, key)
 		delete(store.byLease, key)
-		store.tell(shedkeel.Record{Key: key, Revision: store.revision, Gone: true})
+		store.tell(shedkeel.Record{Key: key, Revision: store.at(), Gone: true})
 	}
 }
 
@@ -294,7 +306,7 @@
 	store.granted++
 	store.leases[store.granted] = &standLease{ttl: ttl, until: time.Now().Add(ttl)}
 	time.AfterFunc(ttl+time.Millisecond, store.expireNow)
-	return store.granted
+	return shedkeel.LeaseID{Era: store.era, Number: store.granted}
 }
 
 // Renew makes a lease last anew. It returns a LeaseGoneError if it is over.
@@ -303,7 +315,7 @@
 	defer store.mutex.Unlock()
 	store.expire()
 	store.counts.Reads++
-	known := store.leases[lease]
+	known := store.leases[lease.Number]
 	if known == nil {
 		return 0, &shedkeel.LeaseGoneError{}
 	}
@@ -317,7 +329,7 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.counts.Writes++
-	if known := store.leases[lease]; known != nil {
+	if known := store.leases[lease.Number]; known != nil {
 		known.until = time.Time{}
 	}
 	store.expire()
--- a/keeper/agree.go
+++ b/keeper/agree.go
@@ -54,13 +54,13 @@
 	}
 	// Whatever the write was, the read tells what holds now.
 	_ = zone.lease.Reset(record.Revision, record.Value, zone.keeper.Timers.Now())
-	if record.Revision > 0 {
+	if record.Revision.Exists() {
 		zone.publish(zone.leaseKey(), record.Value, record.Revision)
 	}
 }
 
 // publish spreads a record that was just written or read.
-func (zone *zonePlanner) publish(key string, value []byte, revision int64) {
+func (zone *zonePlanner) publish(key string, value []byte, revision shedkeel.Revision) {
 	record, err := member.ParseRecord(shedkeel.Record{Key: key, Value: value, Revision: revision})
 	if err == nil {
 		zone.keeper.merge(record)
@@ -76,7 +76,7 @@
 		return false
 	}
 	placement := shedkeel.Placement{Zone: zone.zone}
-	if record.Revision > 0 {
+	if record.Revision.Exists() {
 		if err := json.Unmarshal(record.Value, &placement); err != nil {
 			zone.keeper.Log.Write(event.RecordBad, slog.String("error", err.Error()))
 			return false
--- a/keeper/operator.go
+++ b/keeper/operator.go
@@ -148,7 +148,7 @@
 		return Accepted{}, err
 	}
 	var current shedkeel.Config
-	if stored.Revision > 0 {
+	if stored.Revision.Exists() {
 		if err := json.Unmarshal(stored.Value, &current); err != nil {
 			return Accepted{}, &shedkeel.InvalidError{Where: "key " + stored.Key, What: err.Error(), Remedy: "restore the key"}
 		}
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -39,7 +39,7 @@
 	// placement is what this keeper wrote or read last, with the revision
 	// that its next compare-and-swap builds on.
 	placement   shedkeel.Placement
-	revision    int64
+	revision    shedkeel.Revision
 	fenced      bool // the placement carries our epoch
 	fallingBack bool // orders are for reserves in an outage
 	table       shedkeel.Table
--- a/keeper/spread.go
+++ b/keeper/spread.go
@@ -193,7 +193,7 @@
 func (keeper *Keeper) seen(stored shedkeel.Record) {
 	keeper.noteStore(nil)
 	record, err := member.ParseRecord(stored)
-	if stored.Revision == 0 {
+	if !stored.Revision.Exists() {
 		record = member.Record{Key: stored.Key}
 		err = nil
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,7 +27,7 @@
 	Margin      time.Duration // what clocks may drift apart over a TTL
 	Renew       time.Duration // how often a holder renews
 
-	revision int64
+	revision shedkeel.Revision
 	record   Record
 	known    bool
 	seen     time.Duration // when this revision was first seen here
@@ -43,14 +43,14 @@
 
 // Write is the compare-and-swap that a lease wants made.
 type Write struct {
-	Revision int64
+	Revision shedkeel.Revision
 	Value    []byte
 }
 
 // Observe tells of the record's value at a revision, as read or spread at now.
-// An older revision changes nothing. Revision 0 says that there is no record.
-func (lease *Lease) Observe(revision int64, value []byte, now time.Duration) error {
-	if lease.known && revision <= lease.revision {
+// An older revision changes nothing. The zero value says that there is no record.
+func (lease *Lease) Observe(revision shedkeel.Revision, value []byte, now time.Duration) error {
+	if lease.known && !revision.After(lease.revision) {
 		return nil
 	}
 	return lease.Reset(revision, value, now)
@@ -59,9 +59,9 @@
 // Reset is Observe for a read that was made because a write met a conflict: it
 // takes an older revision too, since the service may have been restored from
 // older data.
-func (lease *Lease) Reset(revision int64, value []byte, now time.Duration) error {
+func (lease *Lease) Reset(revision shedkeel.Revision, value []byte, now time.Duration) error {
 	var record Record
-	if revision > 0 {
+	if revision.Exists() {
 		if err := json.Unmarshal(value, &record); err != nil {
 			return &shedkeel.InvalidError{Where: "lease record", What: err.Error(), Remedy: "delete the key or write a valid record"}
 		}
@@ -91,7 +91,7 @@
 		}
 	default:
 		wait := lease.TTL + time.Duration(rank)*lease.Renew
-		if lease.revision == 0 {
+		if !lease.revision.Exists() {
 			wait = time.Duration(rank) * lease.Renew
 		}
 		if now-lease.seen < wait {
@@ -109,7 +109,7 @@
 }
 
 // Written tells that the write in flight took effect at the revision.
-func (lease *Lease) Written(revision int64, value []byte) {
+func (lease *Lease) Written(revision shedkeel.Revision, value []byte) {
 	lease.inFlight = false
 	var record Record
 	if err := json.Unmarshal(value, &record); err != nil {
@@ -142,7 +142,7 @@
 
 // mine reports whether the record names this start of this node.
 func (lease *Lease) mine() bool {
-	return lease.revision > 0 && lease.record.Holder == lease.Node && lease.record.Incarnation == lease.Incarnation
+	return lease.revision.Exists() && lease.record.Holder == lease.Node && lease.record.Incarnation == lease.Incarnation
 }
 
 // Held reports whether this node may act as the holder for at least the given
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -19,15 +19,15 @@
 
 // service is a key with compare-and-swap, all that a lease needs.
 type service struct {
-	revision int64
+	revision shedkeel.Revision
 	value    []byte
 }
 
-func (service *service) swap(write Write) (int64, bool) {
+func (service *service) swap(write Write) (shedkeel.Revision, bool) {
 	if write.Revision != service.revision {
-		return 0, false
+		return shedkeel.Revision{}, false
 	}
-	service.revision++
+	service.revision.Number++
 	service.value = write.Value
 	return service.revision, true
 }
@@ -137,7 +137,7 @@
 		}
 		first.Written(revision, write.Value)
 	}
-	assert.NilError(t, first.Observe(0, nil, now))
+	assert.NilError(t, first.Observe(shedkeel.Revision{}, nil, now))
 	renew()
 	older := *service
 	for range 5 {
@@ -166,10 +166,10 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			lease := &Lease{Node: "a", Incarnation: "1", TTL: ttl, Margin: margin, Renew: ttl / 3}
-			assert.NilError(t, lease.Observe(0, nil, 0))
+			assert.NilError(t, lease.Observe(shedkeel.Revision{}, nil, 0))
 			write, wanted := lease.Wanted(0, 0)
 			assert.Assert(t, wanted)
-			lease.Written(1, write.Value)
+			lease.Written(shedkeel.Revision{Number: 1}, write.Value)
 			_, holds := lease.Held(test.after, test.atLeast)
 			assert.Equal(t, holds, test.want)
 		})
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -38,7 +38,7 @@
 		table.MergeDigest(digestFromWire(digest, sent))
 	}
 	for _, message := range reply.GetRecords() {
-		record := Record{Key: message.GetKey(), Generation: message.GetVersion(), Revision: message.GetRevision(), Value: message.GetValue()}
+		record := Record{Key: message.GetKey(), Generation: message.GetVersion(), Revision: shedkeel.Revision{Era: message.GetEra(), Number: message.GetRevision()}, Value: message.GetValue()}
 		if table.MergeRecord(record) {
 			changed = append(changed, record)
 		}
@@ -116,7 +116,7 @@
 	var newer []*wire.Record
 	for _, record := range table.Records(KeyPrefix) {
 		if record.Generation > has[record.Key] {
-			newer = append(newer, &wire.Record{Key: record.Key, Version: record.Generation, Revision: record.Revision, Value: record.Value})
+			newer = append(newer, &wire.Record{Key: record.Key, Version: record.Generation, Era: record.Revision.Era, Revision: record.Revision.Number, Value: record.Value})
 		}
 	}
 	return newer
--- a/member/table.go
+++ b/member/table.go
@@ -28,8 +28,8 @@
 // Record is an agreed record as this process knows it.
 type Record struct {
 	Key        string
-	Generation uint64 // from its value; a process only moves to a higher one
-	Revision   int64  // of the key-value service, for the next compare-and-swap
+	Generation uint64            // from its value; a process only moves to a higher one
+	Revision   shedkeel.Revision // of the key-value service, for the next compare-and-swap
 	Value      []byte
 }
 
@@ -125,7 +125,7 @@
 	}
 	known, found := table.records[record.Key]
 	if found && record.Generation <= known.Generation {
-		if record.Generation == known.Generation && record.Revision > known.Revision {
+		if record.Generation == known.Generation && record.Revision.After(known.Revision) {
 			// The same write stands at another revision after the
 			// service was restored and healed.
 			known.Revision = record.Revision
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -67,7 +67,7 @@
 	// Relay asks for what changed since the revision, and waits for a change
 	// for as long as wait. The update's AsOf is the age of the other's copy,
 	// counted back from zero.
-	Relay(ctx context.Context, since int64, wait time.Duration) (Update, error)
+	Relay(ctx context.Context, since shedkeel.Revision, wait time.Duration) (Update, error)
 	// Knows asks whether the other's copy has anything at all. While it has not,
 	// the answer waits for as long as wait.
 	Knows(ctx context.Context, wait time.Duration) (bool, error)
@@ -262,7 +262,7 @@
 	}
 	follower.away = err != nil
 	state := follower.Mirror.State()
-	fields := []slog.Attr{slog.Int64("revision", state.At), slog.Duration("age", follower.Timers.Now()-state.AsOf)}
+	fields := []slog.Attr{slog.String("revision", state.At.String()), slog.Duration("age", follower.Timers.Now()-state.AsOf)}
 	if err != nil {
 		follower.Log.Write(event.StoreAway, append(fields, slog.String("error", err.Error()))...)
 		return
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,19 +31,20 @@
 	records   map[string]shedkeel.Record
 	before    map[string]shedkeel.Record // former values of small records
 	gone      []shedkeel.Record          // removed keys, oldest first
-	goneFloor int64                      // removals up to this revision may be forgotten
-	at        int64                      // the store's revision that the copy has reached
+	goneFloor shedkeel.Revision          // removals up to this revision may be forgotten
+	at        shedkeel.Revision          // the store's revision that the copy has reached
 	known     bool
 	asOf      time.Duration // the copy is what the store held then, or later
 	changed   chan struct{} // closed at the next change
 	listeners []func([]shedkeel.Record)
+	restored  []func(Restore)
 }
 
 // Update is what brings a mirror up to date.
 type Update struct {
 	Records []shedkeel.Record // as they now stand, or gone
 	Whole   bool              // Records are all there are; others are gone
-	At      int64
+	At      shedkeel.Revision
 	AsOf    time.Duration // when the question was sent that this answers
 	// Away says that the peer that told it is to follow the service and gets no
 	// answer: the next change will not come from it.
@@ -56,7 +57,22 @@
 	mirror.listeners = append(mirror.listeners, told)
 }
 
-// Apply takes an update in. Older records never replace newer ones.
+// Restore is that the service has come back from an older copy of itself, as a mirror
+// learns of it: by its first update of the new era.
+type Restore struct {
+	From, To shedkeel.Revision
+	Lost     int // records that the older copy lacks
+}
+
+// ListenRestored has told called with each restore, before Listen's functions are with
+// what changed by it. It must be called before the first Apply.
+func (mirror *Mirror) ListenRestored(told func(Restore)) {
+	mirror.restored = append(mirror.restored, told)
+}
+
+// Apply takes an update in. Older records never replace newer ones, and what is of an
+// earlier era changes nothing. A later era begins with a whole update, since records
+// may be gone without a change that says so.
 func (mirror *Mirror) Apply(update Update) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -64,16 +80,25 @@
 		mirror.records = map[string]shedkeel.Record{}
 		mirror.before = map[string]shedkeel.Record{}
 	}
+	rises := mirror.known && update.At.Era > mirror.at.Era
+	if update.At.Exists() && update.At.Era < mirror.at.Era || rises && !update.Whole {
+		return
+	}
+	from := mirror.at
+	mirror.at = shedkeel.LaterRevision(mirror.at, update.At)
 	news := mirror.merge(update.Records)
 	if update.Whole {
-		news = append(news, mirror.dropAbsent(update)...)
-		mirror.goneFloor = max(mirror.goneFloor, update.At)
+		news = append(news, mirror.dropAbsent(update, rises)...)
+		mirror.goneFloor = shedkeel.LaterRevision(mirror.goneFloor, update.At)
 	}
 	first := !mirror.known
 	mirror.known = mirror.known || update.Whole
-	mirror.at = max(mirror.at, update.At)
 	mirror.asOf = max(mirror.asOf, update.AsOf)
-	if len(news) == 0 && !first {
+	if rises {
+		clear(mirror.before) // they are of another history
+		mirror.tellRestored(from, news)
+	}
+	if len(news) == 0 && !first && !rises {
 		return
 	}
 	for _, told := range mirror.listeners {
@@ -85,11 +110,24 @@
 	}
 }
 
+func (mirror *Mirror) tellRestored(from shedkeel.Revision, news []shedkeel.Record) {
+	restore := Restore{From: from, To: mirror.at}
+	for _, record := range news {
+		if record.Lost {
+			restore.Lost++
+		}
+	}
+	for _, told := range mirror.restored {
+		told(restore)
+	}
+}
+
 // merge takes in the records that are newer than the copy's and returns them.
 func (mirror *Mirror) merge(records []shedkeel.Record) []shedkeel.Record {
 	var news []shedkeel.Record
 	for _, record := range records {
-		if record.Revision <= mirror.records[record.Key].Revision || mirror.removedSince(record) {
+		late := record.Revision.Era < mirror.at.Era
+		if late || !record.Revision.After(mirror.records[record.Key].Revision) || mirror.removedSince(record) {
 			continue
 		}
 		news = append(news, record)
@@ -117,7 +155,7 @@
 // the record's.
 func (mirror *Mirror) removedSince(record shedkeel.Record) bool {
 	return slices.ContainsFunc(mirror.gone, func(gone shedkeel.Record) bool {
-		return gone.Key == record.Key && gone.Revision >= record.Revision
+		return gone.Key == record.Key && !record.Revision.After(gone.Revision)
 	})
 }
 
@@ -126,23 +164,24 @@
 	delete(mirror.before, record.Key)
 	mirror.gone = append(mirror.gone, shedkeel.Record{Key: record.Key, Revision: record.Revision, Gone: true})
 	if len(mirror.gone) > maxGone {
-		mirror.goneFloor = max(mirror.goneFloor, mirror.gone[0].Revision)
+		mirror.goneFloor = shedkeel.LaterRevision(mirror.goneFloor, mirror.gone[0].Revision)
 		mirror.gone = mirror.gone[1:]
 	}
 }
 
-// dropAbsent removes the keys that a whole copy lacks.
-func (mirror *Mirror) dropAbsent(update Update) []shedkeel.Record {
+// dropAbsent removes the keys that a whole copy lacks. They are lost where it begins
+// an era.
+func (mirror *Mirror) dropAbsent(update Update, lost bool) []shedkeel.Record {
 	present := map[string]bool{}
 	for _, record := range update.Records {
 		present[record.Key] = true
 	}
 	var news []shedkeel.Record
 	for key, record := range mirror.records {
-		if present[key] || record.Revision > update.At {
+		if present[key] || record.Revision.After(update.At) {
 			continue
 		}
-		removed := shedkeel.Record{Key: key, Revision: update.At, Gone: true}
+		removed := shedkeel.Record{Key: key, Revision: update.At, Gone: true, Lost: lost}
 		mirror.remove(removed)
 		news = append(news, removed)
 	}
@@ -152,7 +191,7 @@
 // State is how far a mirror has come.
 type State struct {
 	Known bool
-	At    int64
+	At    shedkeel.Revision
 	AsOf  time.Duration
 }
 
@@ -170,7 +209,7 @@
 	return len(mirror.records)
 }
 
-// Get returns a record of the copy. Revision 0 says that there is none.
+// Get returns a record of the copy. One that does not exist has no revision.
 func (mirror *Mirror) Get(key string) shedkeel.Record {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -181,8 +220,8 @@
 	return record
 }
 
-// Before returns the record that the newest one of the key replaced. Revision 0
-// says that it is not kept.
+// Before returns the record that the newest one of the key replaced. One that is not
+// kept has no revision.
 func (mirror *Mirror) Before(key string) shedkeel.Record {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -203,24 +242,30 @@
 	return found
 }
 
-// Since returns what another mirror needs that has reached the revision.
-func (mirror *Mirror) Since(revision int64) Update {
+// Since returns what another mirror needs that has reached the revision: all of the
+// era that this one has reached, if that is a later one.
+func (mirror *Mirror) Since(revision shedkeel.Revision) Update {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	update := Update{At: mirror.at, AsOf: mirror.asOf, Whole: revision < mirror.goneFloor}
-	if update.Whole {
-		revision = 0
+	whole := mirror.goneFloor.After(revision) || revision.Era < mirror.at.Era
+	update := Update{At: mirror.at, AsOf: mirror.asOf, Whole: whole}
+	if whole {
+		revision = shedkeel.Revision{}
+	}
+	wanted := func(record shedkeel.Record) bool {
+		// One of a later era was written by this process, which has not seen the era begin.
+		return record.Revision.After(revision) && record.Revision.Era == mirror.at.Era
 	}
 	for _, record := range mirror.records {
-		if record.Revision > revision {
+		if wanted(record) {
 			update.Records = append(update.Records, record)
 		}
 	}
-	if update.Whole {
+	if whole {
 		return update
 	}
 	for _, record := range mirror.gone {
-		if record.Revision > revision {
+		if wanted(record) {
 			update.Records = append(update.Records, record)
 		}
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -17,11 +17,11 @@
 )
 
 func record(key string, revision int64) shedkeel.Record {
-	return shedkeel.Record{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
+	return shedkeel.Record{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: shedkeel.Revision{Number: revision}}
 }
 
 func gone(key string, revision int64) shedkeel.Record {
-	return shedkeel.Record{Key: key, Revision: revision, Gone: true}
+	return shedkeel.Record{Key: key, Revision: shedkeel.Revision{Number: revision}, Gone: true}
 }
 
 func TestApply(t *testing.T) {
@@ -32,27 +32,27 @@
 		asOf    time.Duration
 	}{
 		"newer replaces older": {
-			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: 1, AsOf: 1}, {Records: []shedkeel.Record{record("a", 3)}, At: 3, AsOf: 2}},
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: shedkeel.Revision{Number: 1}, AsOf: 1}, {Records: []shedkeel.Record{record("a", 3)}, At: shedkeel.Revision{Number: 3}, AsOf: 2}},
 			want:    map[string]int64{"a": 3}, at: 3, asOf: 2,
 		},
 		"older never replaces newer": {
-			updates: []Update{{Records: []shedkeel.Record{record("a", 3)}, At: 3, AsOf: 2}, {Records: []shedkeel.Record{record("a", 1)}, At: 1, AsOf: 1}},
+			updates: []Update{{Records: []shedkeel.Record{record("a", 3)}, At: shedkeel.Revision{Number: 3}, AsOf: 2}, {Records: []shedkeel.Record{record("a", 1)}, At: shedkeel.Revision{Number: 1}, AsOf: 1}},
 			want:    map[string]int64{"a": 3}, at: 3, asOf: 2,
 		},
 		"a removed key does not come back": {
-			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: 1}, {Records: []shedkeel.Record{gone("a", 2)}, At: 2}, {Records: []shedkeel.Record{record("a", 1)}, At: 1}},
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1)}, At: shedkeel.Revision{Number: 1}}, {Records: []shedkeel.Record{gone("a", 2)}, At: shedkeel.Revision{Number: 2}}, {Records: []shedkeel.Record{record("a", 1)}, At: shedkeel.Revision{Number: 1}}},
 			want:    map[string]int64{}, at: 2,
 		},
 		"a key may be made anew": {
-			updates: []Update{{Records: []shedkeel.Record{gone("a", 2)}, At: 2}, {Records: []shedkeel.Record{record("a", 3)}, At: 3}},
+			updates: []Update{{Records: []shedkeel.Record{gone("a", 2)}, At: shedkeel.Revision{Number: 2}}, {Records: []shedkeel.Record{record("a", 3)}, At: shedkeel.Revision{Number: 3}}},
 			want:    map[string]int64{"a": 3}, at: 3,
 		},
 		"a whole copy removes what it lacks": {
-			updates: []Update{{Records: []shedkeel.Record{record("a", 1), record("b", 2)}, At: 2}, {Records: []shedkeel.Record{record("b", 2)}, Whole: true, At: 5}},
+			updates: []Update{{Records: []shedkeel.Record{record("a", 1), record("b", 2)}, At: shedkeel.Revision{Number: 2}}, {Records: []shedkeel.Record{record("b", 2)}, Whole: true, At: shedkeel.Revision{Number: 5}}},
 			want:    map[string]int64{"b": 2}, at: 5,
 		},
 		"a whole copy leaves what is newer": {
-			updates: []Update{{Records: []shedkeel.Record{record("a", 9)}, At: 9}, {Whole: true, At: 5}},
+			updates: []Update{{Records: []shedkeel.Record{record("a", 9)}, At: shedkeel.Revision{Number: 9}}, {Whole: true, At: shedkeel.Revision{Number: 5}}},
 			want:    map[string]int64{"a": 9}, at: 9,
 		},
 	}
@@ -64,10 +64,10 @@
 			}
 			found := map[string]int64{}
 			for _, record := range mirror.Below("") {
-				found[record.Key] = record.Revision
+				found[record.Key] = record.Revision.Number
 			}
 			assert.DeepEqual(t, found, test.want)
-			assert.Equal(t, mirror.State().At, test.at)
+			assert.Equal(t, mirror.State().At.Number, test.at)
 			assert.Equal(t, mirror.State().AsOf, test.asOf)
 		})
 	}
@@ -80,10 +80,10 @@
 		random := rand.New(rand.NewPCG(seed, 3))
 		store := standin.NewStore()
 		first, second := &Mirror{}, &Mirror{}
-		newest := map[string]int64{}
+		newest := map[string]shedkeel.Revision{}
 		second.Listen(func(records []shedkeel.Record) {
 			for _, record := range records {
-				assert.Assert(t, record.Revision > newest[record.Key], "seed %d: %s went back from %d to %d", seed, record.Key, newest[record.Key], record.Revision)
+				assert.Assert(t, record.Revision.After(newest[record.Key]), "seed %d: %s went back from %s to %s", seed, record.Key, newest[record.Key], record.Revision)
 				newest[record.Key] = record.Revision
 			}
 		})
@@ -154,15 +154,15 @@
 	source.fails = err
 }
 
-func (source *source) List(_ context.Context, prefix string) ([]shedkeel.Record, int64, error) {
+func (source *source) List(_ context.Context, prefix string) ([]shedkeel.Record, shedkeel.Revision, error) {
 	if err := source.enter(); err != nil {
-		return nil, 0, err
+		return nil, shedkeel.Revision{}, err
 	}
 	records, at := source.Store.List(prefix)
 	return records, at, nil
 }
 
-func (source *source) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (shedkeel.Changes, error) {
+func (source *source) Changes(ctx context.Context, prefix string, since shedkeel.Revision, wait time.Duration) (shedkeel.Changes, error) {
 	if err := source.enter(); err != nil {
 		return shedkeel.Changes{}, err
 	}
@@ -188,7 +188,7 @@
 
 func (*peer) Name() string { return "peer" }
 
-func (peer *peer) Relay(_ context.Context, since int64, wait time.Duration) (Update, error) {
+func (peer *peer) Relay(_ context.Context, since shedkeel.Revision, wait time.Duration) (Update, error) {
 	time.Sleep(min(wait, 5*time.Millisecond))
 	if peer.mirror == nil {
 		return Update{}, errors.New("it knows nothing yet")
@@ -228,7 +228,7 @@
 	clock := &timer.System{}
 	informed, own := &Mirror{}, &Mirror{}
 	proved := clock.Now() - 3*time.Second
-	informed.Apply(Update{Whole: true, At: 7, AsOf: proved, Records: []shedkeel.Record{record("a", 7)}})
+	informed.Apply(Update{Whole: true, At: shedkeel.Revision{Number: 7}, AsOf: proved, Records: []shedkeel.Record{record("a", 7)}})
 	others := []Peer{&peer{now: clock.Now}, &peer{mirror: informed, now: clock.Now}, silentPeer{}}
 	follower := &Follower{
 		Mirror: own, Source: from, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return others },
@@ -238,7 +238,7 @@
 	var running sync.WaitGroup
 	began := clock.Now()
 	running.Go(func() { follower.Run(ctx) })
-	eventually(t, "what the peer knows", func() bool { return own.Get("a").Revision == 7 })
+	eventually(t, "what the peer knows", func() bool { return own.Get("a").Revision.Number == 7 })
 	assert.Assert(t, clock.Now()-began < 200*time.Millisecond, "it took %s", clock.Now()-began)
 	assert.Assert(t, own.State().AsOf <= proved, "it looks younger than the peer's copy")
 	cancel()
@@ -250,7 +250,7 @@
 
 func (silentPeer) Name() string { return "silent" }
 
-func (silentPeer) Relay(ctx context.Context, _ int64, _ time.Duration) (Update, error) {
+func (silentPeer) Relay(ctx context.Context, _ shedkeel.Revision, _ time.Duration) (Update, error) {
 	<-ctx.Done()
 	return Update{}, ctx.Err()
 }
@@ -274,7 +274,7 @@
 	var followers []*Follower
 	for index := range processes {
 		own := &Mirror{}
-		own.Apply(Update{Whole: true, At: 1, AsOf: clock.Now() - staleAge})
+		own.Apply(Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: clock.Now() - staleAge})
 		all = append(all, &peer{mirror: own, now: clock.Now})
 		followers = append(followers, &Follower{
 			Mirror: own, Source: from, Timers: clock, Choose: func() Peer { return dead }, Others: func() []Peer { return all },
@@ -291,10 +291,10 @@
 	assert.Assert(t, from.asked() <= 2*int(outage/askEach), "%d questions", from.asked())
 	assert.Assert(t, from.asked() > 0)
 
-	followers[0].Mirror.Apply(Update{Records: []shedkeel.Record{record("a", 2)}, At: 2, AsOf: clock.Now()})
+	followers[0].Mirror.Apply(Update{Records: []shedkeel.Record{record("a", 2)}, At: shedkeel.Revision{Number: 2}, AsOf: clock.Now()})
 	eventually(t, "all to learn it", func() bool {
 		for _, follower := range followers {
-			if follower.Mirror.Get("a").Revision == 0 {
+			if follower.Mirror.Get("a").Revision.Number == 0 {
 				return false
 			}
 		}
@@ -321,7 +321,7 @@
 	var running sync.WaitGroup
 	began := clock.Now()
 	running.Go(func() { follower.Run(ctx) })
-	eventually(t, "the newest record", func() bool { return own.Get("a").Revision > 0 })
+	eventually(t, "the newest record", func() bool { return own.Get("a").Revision.Number > 0 })
 	assert.Assert(t, clock.Now()-began < 3*retryPause, "it took %s", clock.Now()-began)
 	cancel()
 	running.Wait()
@@ -349,23 +349,23 @@
 		assert.NilError(t, err)
 	}
 	put("a")
-	eventually(t, "the first copy", func() bool { return own.Get("a").Revision > 0 })
+	eventually(t, "the first copy", func() bool { return own.Get("a").Revision.Number > 0 })
 
 	from.set(errors.New("away"))
 	put("b")
 	store.Forget()
 	time.Sleep(2 * retryPause)
 	from.set(nil)
-	eventually(t, "what changed while the service was away and forgot", func() bool { return own.Get("b").Revision > 0 })
+	eventually(t, "what changed while the service was away and forgot", func() bool { return own.Get("b").Revision.Number > 0 })
 
 	from.set(errors.New("away"))
 	age := clock.Now() - own.State().AsOf
 	records, at := store.List("")
-	other.Apply(Update{Records: append(records, record("c", at+1)), Whole: true, At: at + 1, AsOf: clock.Now()})
+	other.Apply(Update{Records: append(records, record("c", at.Number+1)), Whole: true, At: shedkeel.Revision{Number: at.Number + 1}, AsOf: clock.Now()})
 	mutex.Lock()
 	followed = &peer{mirror: other, now: clock.Now}
 	mutex.Unlock()
-	eventually(t, "what the peer has", func() bool { return own.Get("c").Revision > 0 })
+	eventually(t, "what the peer has", func() bool { return own.Get("c").Revision.Number > 0 })
 	assert.Assert(t, clock.Now()-own.State().AsOf < age+5*time.Second)
 	assert.Assert(t, own.State().AsOf <= clock.Now(), "proof from the future")
 	cancel()
@@ -396,10 +396,11 @@
 	last, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "config", Value: []byte("v")}}})
 	assert.NilError(t, err)
 	written := clock.Now()
-	for own.State().At < last {
+	for last.After(own.State().At) {
 		state := own.State()
-		assert.Assert(t, state.At >= last || state.AsOf <= written, "a copy %d changes behind counts as fresh", last-state.At)
-		assert.Assert(t, clock.Now()-began < 5*time.Second, "the copy is %d changes behind", last-state.At)
+		behind := last.Number - state.At.Number
+		assert.Assert(t, behind <= 0 || state.AsOf <= written, "a copy %d changes behind counts as fresh", behind)
+		assert.Assert(t, clock.Now()-began < 5*time.Second, "the copy is %d changes behind", behind)
 		time.Sleep(time.Millisecond)
 	}
 	assert.Assert(t, clock.Now()-written < startPause+maxGather+250*time.Millisecond, "it took %s", clock.Now()-written)
--- a/mirror/rest_test.go
+++ b/mirror/rest_test.go
@@ -32,10 +32,10 @@
 
 func (*followed) Name() string { return "followed" }
 
-func (followed *followed) Relay(ctx context.Context, since int64, wait time.Duration) (Update, error) {
+func (followed *followed) Relay(ctx context.Context, since shedkeel.Revision, wait time.Duration) (Update, error) {
 	followed.asked.Add(1)
 	changed := followed.Mirror.Changed()
-	if away := followed.Away(); !away && followed.Mirror.State().At <= since {
+	if away := followed.Away(); !away && !followed.Mirror.State().At.After(since) {
 		select {
 		case <-ctx.Done():
 			return Update{}, ctx.Err()
@@ -171,7 +171,7 @@
 
 func (source *choosySource) refuse() { source.refused.Store(true) }
 
-func (source *choosySource) Changes(ctx context.Context, prefix string, since int64, wait time.Duration) (shedkeel.Changes, error) {
+func (source *choosySource) Changes(ctx context.Context, prefix string, since shedkeel.Revision, wait time.Duration) (shedkeel.Changes, error) {
 	if source.refused.Load() {
 		return shedkeel.Changes{}, errTurnedAway
 	}
--- /dev/null
+++ b/mirror/restore_test.go
@@ -0,0 +1,180 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/timer"
+)
+
+// in returns the record as it is in an era of the service.
+func in(era int64, record shedkeel.Record) shedkeel.Record {
+	record.Revision.Era = era
+	return record
+}
+
+// whole returns a whole update of an era.
+func whole(era, at int64, asOf time.Duration, records ...shedkeel.Record) Update {
+	update := Update{Whole: true, At: shedkeel.Revision{Era: era, Number: at}, AsOf: asOf}
+	for _, record := range records {
+		update.Records = append(update.Records, in(era, record))
+	}
+	return update
+}
+
+// TestEras checks what a copy holds after the service came back from an older one.
+func TestEras(t *testing.T) {
+	before := whole(0, 9, 1, record("a", 3), record("b", 9))
+	after := whole(1, 5, 2, record("a", 3))
+	later := Update{At: shedkeel.Revision{Era: 1, Number: 6}, AsOf: 3, Records: []shedkeel.Record{in(1, record("c", 6))}}
+	cases := map[string]struct {
+		updates []Update
+		want    map[string]string
+		at      string
+		asOf    time.Duration
+		lost    int // records that were told as lost
+	}{
+		"restored":                     {[]Update{before, after}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"and changed":                  {[]Update{before, after, later}, map[string]string{"a": "1:3", "c": "1:6"}, "1:6", 3, 1},
+		"an answer of before, late":    {[]Update{before, after, {At: shedkeel.Revision{Number: 12}, AsOf: 7, Records: []shedkeel.Record{record("b", 12)}}}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"a list of before, late":       {[]Update{before, after, whole(0, 12, 7, record("b", 12))}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"a write of before, late":      {[]Update{before, after, {Records: []shedkeel.Record{record("b", 12)}}}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"a change before its list":     {[]Update{before, later}, map[string]string{"a": "3", "b": "9"}, "9", 1, 0},
+		"an own write before its list": {[]Update{before, {Records: []shedkeel.Record{in(1, record("b", 4))}}, after}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"an own write after its list":  {[]Update{before, after, {Records: []shedkeel.Record{in(1, record("b", 6))}}}, map[string]string{"a": "1:3", "b": "1:6"}, "1:5", 2, 1},
+		"twice":                        {[]Update{before, after, whole(3, 2, 5, record("d", 1))}, map[string]string{"d": "3:1"}, "3:2", 5, 2},
+		"a value of the same number":   {[]Update{whole(0, 9, 1, record("a", 3), record("b", 9)), whole(1, 9, 2, record("a", 3), record("b", 9))}, map[string]string{"a": "1:3", "b": "1:9"}, "1:9", 2, 0},
+		"its start is in a later era":  {[]Update{after}, map[string]string{"a": "1:3"}, "1:5", 2, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			mirror := &Mirror{}
+			lost, told := 0, 0
+			mirror.ListenRestored(func(restore Restore) { lost += restore.Lost })
+			mirror.Listen(func(records []shedkeel.Record) {
+				for _, record := range records {
+					if record.Lost {
+						told++
+					}
+				}
+			})
+			for _, update := range test.updates {
+				mirror.Apply(update)
+			}
+			found := map[string]string{}
+			for _, record := range mirror.Below("") {
+				found[record.Key] = record.Revision.String()
+			}
+			assert.DeepEqual(t, found, test.want)
+			assert.Equal(t, mirror.State().At.String(), test.at)
+			assert.Equal(t, mirror.State().AsOf, test.asOf)
+			assert.Equal(t, told, test.lost)
+			assert.Equal(t, lost, test.lost)
+		})
+	}
+}
+
+// TestRelayOverEras has mirrors follow each other in random order while the service goes
+// back to older copies, and checks that each ends with what the service holds and that
+// none goes back within an era or to an earlier one.
+func TestRelayOverEras(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		store := standin.NewStore()
+		mirrors := []*Mirror{{}, {}, {}}
+		newest := map[string]shedkeel.Revision{}
+		mirrors[2].Listen(func(records []shedkeel.Record) {
+			for _, record := range records {
+				assert.Assert(t, record.Revision.After(newest[record.Key]), "seed %d: %s went back from %s to %s", seed, record.Key, newest[record.Key], record.Revision)
+				newest[record.Key] = record.Revision
+			}
+		})
+		for range 80 {
+			change(t, store, random)
+			switch random.IntN(8) {
+			case 0:
+				store.Snapshot()
+			case 1:
+				store.Restore()
+			default:
+				step(t, store, mirrors, random)
+			}
+		}
+		records, at := store.List("")
+		mirrors[0].Apply(Update{Records: records, Whole: true, At: at})
+		for _, mirror := range mirrors[1:] {
+			mirror.Apply(mirrors[0].Since(mirror.State().At))
+			assert.DeepEqual(t, mirror.Below(""), records)
+		}
+	}
+}
+
+// step has a mirror follow the service or another mirror once.
+func step(t *testing.T, store *standin.Store, mirrors []*Mirror, random *rand.Rand) {
+	t.Helper()
+	index, from := random.IntN(len(mirrors)), random.IntN(len(mirrors)+1)
+	own := mirrors[index]
+	if from < len(mirrors) {
+		own.Apply(mirrors[from].Since(own.State().At))
+		return
+	}
+	records, at, err := store.Changes(t.Context(), "", own.State().At, 0)
+	if err == nil && at.Era == own.State().At.Era {
+		own.Apply(Update{Records: records, At: at})
+		return
+	}
+	records, at = store.List("")
+	own.Apply(Update{Records: records, Whole: true, At: at})
+}
+
+// TestFollowerListsALaterEra has a service come back from an older copy whose numbers
+// have passed the known ones, so that a watch is answered as if nothing had happened.
+func TestFollowerListsALaterEra(t *testing.T) {
+	store := standin.NewStore()
+	put := func(key string) {
+		_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: key, Value: []byte("v")}}})
+		assert.NilError(t, err)
+	}
+	put("a")
+	store.Snapshot()
+	put("lost")
+	clock := &timer.System{}
+	own := &Mirror{}
+	follower := &Follower{
+		Mirror: own, Source: &eraSource{source: &source{Store: store}}, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return nil },
+		Processes: func() int { return 1 }, Random: rand.NewPCG(1, 1),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { follower.Run(ctx); close(ended) }()
+	eventually(t, "the first copy", func() bool { return own.Get("lost").Revision.Exists() })
+	store.Restore()
+	put("below")
+	for range 9 {
+		put("above")
+	}
+	eventually(t, "what was written below the known number", func() bool { return own.Get("below").Revision.Exists() })
+	assert.Assert(t, !own.Get("lost").Revision.Exists())
+	cancel()
+	<-ended
+}
+
+// eraSource answers watches as the service does whose numbers have passed the asked one,
+// and tells of another era as its client does.
+type eraSource struct {
+	*source
+}
+
+func (source *eraSource) Changes(ctx context.Context, prefix string, since shedkeel.Revision, wait time.Duration) (shedkeel.Changes, error) {
+	changes, err := source.source.Changes(ctx, prefix, since, wait)
+	if err == nil && changes.At.Era != since.Era {
+		err = &shedkeel.HistoryGoneError{Since: since}
+	}
+	return changes, err
+}
--- a/mirror/start_test.go
+++ b/mirror/start_test.go
@@ -25,7 +25,7 @@
 	asked int
 }
 
-func (link *link) List(ctx context.Context, _ string) ([]shedkeel.Record, int64, error) {
+func (link *link) List(ctx context.Context, _ string) ([]shedkeel.Record, shedkeel.Revision, error) {
 	link.mutex.Lock()
 	link.asked++
 	now := time.Now()
@@ -37,12 +37,12 @@
 	link.mutex.Unlock()
 	timer.Sleep(ctx, min(through, link.patience))
 	if through > link.patience {
-		return nil, 0, errors.New("it took too long")
+		return nil, shedkeel.Revision{}, errors.New("it took too long")
 	}
-	return []shedkeel.Record{record("a", 7)}, 7, nil
+	return []shedkeel.Record{record("a", 7)}, shedkeel.Revision{Number: 7}, nil
 }
 
-func (link *link) Changes(ctx context.Context, _ string, since int64, wait time.Duration) (shedkeel.Changes, error) {
+func (link *link) Changes(ctx context.Context, _ string, since shedkeel.Revision, wait time.Duration) (shedkeel.Changes, error) {
 	timer.Sleep(ctx, wait)
 	return shedkeel.Changes{At: since}, nil
 }
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -45,6 +45,45 @@
 	"rate limits of servers: an answer that comes late lifts a limit": {
 		"ratelimit/book.go", "Lifted: true, At: sent}", "Lifted: true, At: now}", "TestBook", "./ratelimit",
 	},
+	"restored store: eras are not compared": {
+		"revision.go", "cmp.Or(cmp.Compare(revision.Era, other.Era), cmp.Compare(revision.Number, other.Number))", "cmp.Compare(revision.Number, other.Number)", "TestEras|TestRelayOverEras", "./mirror",
+	},
+	"restored store: a watch of a later era is believed": {
+		"platform/store.go", "|| err == nil && era != since.Era {", "{", "TestRestoredService", "./platform",
+	},
+	"restored store: late answers count": {
+		"mirror/mirror.go", "update.At.Exists() && update.At.Era < mirror.at.Era ||", "", "TestEras", "./mirror",
+	},
+	"restored store: late writes count": {
+		"mirror/mirror.go", "late := record.Revision.Era < mirror.at.Era", "late := false", "TestEras", "./mirror",
+	},
+	"restored store: conditions hold by chance": {
+		"platform/era.go", "if condition.Revision.Exists() && condition.Revision.Era < store.Era() {", "if false {", "TestRestoredService", "./platform",
+	},
+	"restored store: former leases are renewed": {
+		"platform/store.go", "if era != lease.Era {", "if false {", "TestRestoredService", "./platform",
+	},
+	"restored store: a leader leads on": {
+		"node/election.go", "return lead, lead.Era >= mirror.State().At.Era", "return lead, true", "TestLeadEndsWithTheEra", "./node",
+	},
+	"restored store: terms begin anew": {
+		"node/election.go", ", era*eraTerms) + 1", ", 0*era) + 1", "TestLeadEndsWithTheEra", "./node",
+	},
+	"restored store: a drain goes back": {
+		"node/fleet.go", "fleet.node.table.Drain(instance.ID) // also", "// also", "TestServersAfterARestore", "./node",
+	},
+	"restored store: a removed server is used again": {
+		"node/removal.go", "case era > known.era:", "case false:", "TestServersAfterARestore", "./node",
+	},
+	"restored store: lost records are not believed": {
+		"node/restore.go", "fleet.troubled = fleet.node.Timers.Now() + lapseHold", "", "TestServersAfterARestore", "./node",
+	},
+	"restored store: orders go back": {
+		"node/fleet.go", "|| born == knownBorn && instance.Orders < known.Orders", "", "TestOrdersAreKnownAfterARestore", "./node",
+	},
+	"restored store: blames are not written again": {
+		"node/restore.go", "node.guard.keepAgain()", "", "TestBlamesOutliveARestore", "./node",
+	},
 	"backoff of servers: it ends with the request": {
 		"dispatch/condition.go", "condition.backoffTill = max(condition.backoffTill, until)", "", "TestBackoffIsHeeded/all", "./node",
 	},
--- a/node/admin.go
+++ b/node/admin.go
@@ -19,7 +19,7 @@
 	Leads       bool              `json:"leads"`
 	Leader      shedkeel.NodeID   `json:"leader"`
 	Config      int64             `json:"config"`   // version in force
-	Revision    int64             `json:"revision"` // of the store, as far as is known here
+	Revision    string            `json:"revision"` // of the store, as far as is known here
 	Age         string            `json:"age"`      // of the proof that nothing is newer
 	Served      int64             `json:"served"`
 	Nodes       []shedkeel.NodeID `json:"nodes"`
@@ -86,7 +86,7 @@
 	node.controller.mutex.Unlock()
 	dump := Dump{
 		Process: Process, Node: node.Settings.Node, Incarnation: node.Incarnation, Stopping: node.stopping.Load(), Leads: leads,
-		Leader: node.controller.lead().Node, Revision: state.At, Served: node.front.Served(),
+		Leader: node.controller.leader(), Revision: state.At.String(), Served: node.front.Served(),
 		Age: (node.Timers.Now() - state.AsOf).Round(time.Millisecond).String(),
 	}
 	if view := node.fleet.view.Load(); view != nil {
--- a/node/controller.go
+++ b/node/controller.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -46,6 +47,7 @@
 	stray    time.Duration                         // since when the one that leads is not listed; 0: it is
 	told     time.Duration                         // when the use of servers was logged last
 	sized    time.Duration                         // when the size of the fleet was looked at last
+	rewrite  atomic.Bool                           // the key-value service has lost what was written
 	// kept are the loads as written last. Only the planning loop uses it.
 	kept map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID
 }
@@ -89,6 +91,9 @@
 	if now-node.mirror.State().AsOf > planAge || view == nil {
 		return
 	}
+	if controller.rewrite.Swap(false) {
+		clear(controller.kept)
+	}
 	services := node.fleet.groupServices()
 	tellUsage := now-controller.told >= usageEvery
 	if tellUsage {
@@ -137,7 +142,7 @@
 	planner := &formation.Planner{NextEpoch: controller.nextEpoch}
 	controller.planners[id] = planner
 	record := controller.node.mirror.Get(loadsPrefix + string(id))
-	if record.Revision == 0 {
+	if !record.Revision.Exists() {
 		return planner
 	}
 	var loading map[shedkeel.InstanceID]shedkeel.ModelID
--- a/node/copies.go
+++ b/node/copies.go
@@ -28,7 +28,8 @@
 func (copies *copies) tell(update mirror.Update, now time.Duration) *wire.RelayReply {
 	copies.mutex.Lock()
 	defer copies.mutex.Unlock()
-	if copies.packed == nil || now-copies.made >= copyKeep && update.At != copies.kept.At {
+	outdated := now-copies.made >= copyKeep && update.At != copies.kept.At || update.At.Era != copies.kept.At.Era
+	if copies.packed == nil || outdated {
 		copies.pack(update, now)
 	}
 	if copies.packed == nil {
--- a/node/copies_test.go
+++ b/node/copies_test.go
@@ -19,7 +19,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var records []shedkeel.Record
 	add := func(key string, value []byte) {
-		records = append(records, shedkeel.Record{Key: key, Value: value, Revision: int64(len(records) + 1)})
+		records = append(records, shedkeel.Record{Key: key, Value: value, Revision: shedkeel.Revision{Number: int64(len(records) + 1)}})
 	}
 	for range servers {
 		add(fmt.Sprintf("servers/i-%010x", random.Uint64()>>24), fmt.Appendf(nil, `{"service":"seny25a","address":"10.%d.64.%d:8580","zone":"ic-a","version":"v1","slots":22,"state":"ready",`+
@@ -56,15 +56,15 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !known, "nothing is known yet")
 	time.AfterFunc(20*time.Millisecond, func() {
-		source.mirror.Apply(mirror.Update{Whole: true, At: 5000, AsOf: timers.Now() - time.Second, Records: records})
+		source.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 5000}, AsOf: timers.Now() - time.Second, Records: records})
 	})
 	known, err = peer.Knows(t.Context(), 5*time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, known, "it tells as soon as it knows")
-	update, err := peer.Relay(t.Context(), 0, 0)
+	update, err := peer.Relay(t.Context(), shedkeel.Revision{}, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(update.Records), len(records))
-	assert.Assert(t, update.Whole && update.At == 5000 && update.AsOf < 0, "%v", update.AsOf)
+	assert.Assert(t, update.Whole && update.At.Number == 5000 && update.AsOf < 0, "%v", update.AsOf)
 	own.mirror.Apply(update)
 	for _, record := range records {
 		assert.DeepEqual(t, own.mirror.Get(record.Key), record)
@@ -73,7 +73,7 @@
 	for _, record := range records {
 		plain += len(record.Key) + len(record.Value)
 	}
-	sent := proto.Size(source.peers.copies.tell(source.mirror.Since(0), timers.Now()))
+	sent := proto.Size(source.peers.copies.tell(source.mirror.Since(shedkeel.Revision{}), timers.Now()))
 	t.Logf("%d bytes as records, %d as sent", plain, sent)
 	assert.Assert(t, sent*5 < plain)
 	assert.Assert(t, sent < 160_000)
@@ -82,13 +82,13 @@
 // TestCopyIsKept covers a copy that is told again while more changes.
 func TestCopyIsKept(t *testing.T) {
 	own := &mirror.Mirror{}
-	own.Apply(mirror.Update{Whole: true, At: 1, AsOf: time.Minute, Records: recordsOfFleet(3, 0, 0)})
+	own.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: time.Minute, Records: recordsOfFleet(3, 0, 0)})
 	copies := &copies{}
 	now := time.Minute + time.Second
-	assert.Equal(t, copies.tell(own.Since(0), now).GetAgeMs(), uint64(1001))
-	own.Apply(mirror.Update{At: 9, AsOf: now, Records: []shedkeel.Record{{Key: "a", Revision: 9}}})
-	kept := copies.tell(own.Since(0), now+copyKeep/2)
+	assert.Equal(t, copies.tell(own.Since(shedkeel.Revision{}), now).GetAgeMs(), uint64(1001))
+	own.Apply(mirror.Update{At: shedkeel.Revision{Number: 9}, AsOf: now, Records: []shedkeel.Record{{Key: "a", Revision: shedkeel.Revision{Number: 9}}}})
+	kept := copies.tell(own.Since(shedkeel.Revision{}), now+copyKeep/2)
 	assert.Equal(t, kept.GetAt(), int64(1), "the kept one is good for a while")
 	assert.Equal(t, kept.GetAgeMs(), uint64(1001+copyKeep.Milliseconds()/2), "as old as it is")
-	assert.Equal(t, copies.tell(own.Since(0), now+copyKeep).GetAt(), int64(9))
+	assert.Equal(t, copies.tell(own.Since(shedkeel.Revision{}), now+copyKeep).GetAt(), int64(9))
 }
--- a/node/difference.go
+++ b/node/difference.go
@@ -24,8 +24,8 @@
 		return nil
 	}
 	return &wire.StoreRecord{
-		Key: record.Key, Revision: record.Revision, Value: record.Value[prefix : len(record.Value)-suffix],
-		Base: former.Revision, Prefix: uint32(prefix), Suffix: uint32(suffix),
+		Key: record.Key, Revision: record.Revision.Number, Value: record.Value[prefix : len(record.Value)-suffix],
+		Base: former.Revision.Number, Prefix: uint32(prefix), Suffix: uint32(suffix),
 	}
 }
 
@@ -45,11 +45,12 @@
 	return count
 }
 
-// undiffer returns the whole record. Known is the one that this node has.
-func undiffer(sent *wire.StoreRecord, known shedkeel.Record) (shedkeel.Record, error) {
-	record := shedkeel.Record{Key: sent.GetKey(), Revision: sent.GetRevision()}
+// undiffer returns the whole record of the era. Known is the one that this node has.
+func undiffer(sent *wire.StoreRecord, era int64, known shedkeel.Record) (shedkeel.Record, error) {
+	record := shedkeel.Record{Key: sent.GetKey(), Revision: shedkeel.Revision{Era: era, Number: sent.GetRevision()}}
+	base := shedkeel.Revision{Era: era, Number: sent.GetBase()}
 	prefix, suffix := int(sent.GetPrefix()), int(sent.GetSuffix())
-	if known.Revision != sent.GetBase() || prefix+suffix > len(known.Value) {
+	if known.Revision != base || prefix+suffix > len(known.Value) {
 		return record, errOtherBase
 	}
 	record.Value = append(record.Value, known.Value[:prefix]...)
--- a/node/difference_test.go
+++ b/node/difference_test.go
@@ -32,18 +32,18 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			former := shedkeel.Record{Key: "k", Value: bytes.Clone(test.former), Revision: 3}
-			record := shedkeel.Record{Key: "k", Value: bytes.Clone(test.value), Revision: 8}
+			former := shedkeel.Record{Key: "k", Value: bytes.Clone(test.former), Revision: shedkeel.Revision{Number: 3}}
+			record := shedkeel.Record{Key: "k", Value: bytes.Clone(test.value), Revision: shedkeel.Revision{Number: 8}}
 			told := differ(record, former)
 			assert.Equal(t, told != nil, test.told)
 			if told == nil {
 				return
 			}
-			whole, err := undiffer(told, former)
+			whole, err := undiffer(told, 0, former)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, whole, record)
-			former.Revision = 4
-			_, err = undiffer(told, former)
+			former.Revision.Number = 4
+			_, err = undiffer(told, 0, former)
 			assert.Assert(t, errors.Is(err, errOtherBase))
 		})
 	}
@@ -59,12 +59,12 @@
 			}
 			return append(bytes.Repeat([]byte("a"), random.IntN(60)), text...)
 		}
-		former, record := shedkeel.Record{Value: value(), Revision: 1}, shedkeel.Record{Value: value(), Revision: 2}
+		former, record := shedkeel.Record{Value: value(), Revision: shedkeel.Revision{Number: 1}}, shedkeel.Record{Value: value(), Revision: shedkeel.Revision{Number: 2}}
 		told := differ(record, former)
 		if told == nil {
 			continue
 		}
-		whole, err := undiffer(told, former)
+		whole, err := undiffer(told, 0, former)
 		assert.NilError(t, err)
 		assert.Assert(t, bytes.Equal(whole.Value, record.Value), "%q from %q", whole.Value, former.Value)
 	}
@@ -72,7 +72,7 @@
 
 // TestUndifferRefuses gives a difference that does not fit the value it is of.
 func TestUndifferRefuses(t *testing.T) {
-	_, err := undiffer(&wire.StoreRecord{Base: 1, Prefix: 4, Suffix: 4}, shedkeel.Record{Value: []byte("short"), Revision: 1})
+	_, err := undiffer(&wire.StoreRecord{Base: 1, Prefix: 4, Suffix: 4}, 0, shedkeel.Record{Value: []byte("short"), Revision: shedkeel.Revision{Number: 1}})
 	assert.Assert(t, errors.Is(err, errOtherBase))
 }
 
@@ -88,8 +88,9 @@
 	own.Settings.Wire.Key = "k"
 	peer := own.peers.dial("source", listener.Addr().String())
 	defer peer.close()
-	write := func(to *Node, revision int64, whole bool) {
-		value := fmt.Appendf(nil, "%s\"seq\":%d}", bytes.Repeat([]byte("server "), 60), revision)
+	write := func(to *Node, number int64, whole bool) {
+		value := fmt.Appendf(nil, "%s\"seq\":%d}", bytes.Repeat([]byte("server "), 60), number)
+		revision := shedkeel.Revision{Number: number}
 		to.mirror.Apply(mirror.Update{Whole: whole, At: revision, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Value: value, Revision: revision}}})
 	}
 	follow := func() {
@@ -102,13 +103,13 @@
 	follow()
 	write(source, 2, false)
 	follow()
-	call := &wire.RelayCall{Since: 2, Differences: true}
+	since := shedkeel.Revision{Number: 2}
 	write(source, 9, false)
-	sent := source.peers.tell(source.mirror.Get("servers/a"), call)
+	sent := source.peers.tell(source.mirror.Get("servers/a"), since, true)
 	assert.Assert(t, sent.GetBase() == 2 && len(sent.GetValue()) < 4, "%v", sent)
 	write(own, 5, false) // the service told it something that the source has not heard of
 	follow()
-	assert.Equal(t, source.peers.tell(source.mirror.Get("servers/a"), &wire.RelayCall{Since: 2}).GetBase(), int64(0), "who does not ask for differences gets the whole")
+	assert.Equal(t, source.peers.tell(source.mirror.Get("servers/a"), since, false).GetBase(), int64(0), "who does not ask for differences gets the whole")
 }
 
 // TestHeartbeatIsSmall measures what a follower is sent for a heartbeat of a
@@ -119,8 +120,8 @@
 			`"stage":"both","models":[{"name":"xada67d8ae","version":1,"adapters":[]}],"domain":"ic-a-d0","staged":["jewu36007d"],`+
 			`"group":{"name":"xada67d8ae/ic-a-d0/6","epoch":1048604,"rank":1,"state":"ready"}}`, seq)
 	}
-	former := shedkeel.Record{Key: "servers/i-015bfff921", Value: value(41), Revision: 1200}
-	record := shedkeel.Record{Key: "servers/i-015bfff921", Value: value(42), Revision: 1251}
+	former := shedkeel.Record{Key: "servers/i-015bfff921", Value: value(41), Revision: shedkeel.Revision{Number: 1200}}
+	record := shedkeel.Record{Key: "servers/i-015bfff921", Value: value(42), Revision: shedkeel.Revision{Number: 1251}}
 	whole := proto.Size((&packer{}).pack(record))
 	difference := proto.Size(differ(record, former))
 	t.Logf("%d bytes whole, %d by difference", whole, difference)
--- a/node/election.go
+++ b/node/election.go
@@ -24,6 +24,9 @@
 	leadRenew = leadTTL / 3
 	// termEpochs is how many epochs one term of a leader has.
 	termEpochs = 1 << 20
+	// eraTerms is how many terms an era of the service has: far more than leaders begin
+	// in it, so that those of a later era are above all of an earlier one.
+	eraTerms = 1 << 20
 	// mostTerm is the highest term that is believed. A higher one is another
 	// writer's: its epochs would run over.
 	mostTerm = 1 << 40
@@ -40,16 +43,18 @@
 	Node        shedkeel.NodeID `json:"node"`
 	Incarnation string          `json:"incarnation"`
 	Term        uint64          `json:"term"`
-	// Lease is what the record goes with. A write of which the outcome is
-	// unknown may be done when the node has another one already.
-	Lease shedkeel.LeaseID `json:"lease"`
+	// Lease and Era name the lease that the record goes with. A write of which the
+	// outcome is unknown may be done when the node has another one already.
+	Lease int64 `json:"lease"`
+	Era   int64 `json:"era,omitempty"`
 }
 
 // leadsBy reports whether the record says that this start of the node leads,
 // for as long as the lease that it keeps.
 func (controller *controller) leadsBy(lead leadRecord) bool {
 	node := controller.node
-	return lead.Node == node.Settings.Node && lead.Incarnation == node.Incarnation && lead.Lease == controller.lease.ID()
+	lease := shedkeel.LeaseID{Era: lead.Era, Number: lead.Lease}
+	return lead.Node == node.Settings.Node && lead.Incarnation == node.Incarnation && lease == controller.lease.ID()
 }
 
 type termRecord struct {
@@ -63,7 +68,8 @@
 	if !controller.leads {
 		return false
 	}
-	mine := controller.leadsBy(controller.lead())
+	lead, stands := controller.lead()
+	mine := stands && controller.leadsBy(lead)
 	if mine && !controller.resigned && controller.lease.valid(now) {
 		return true
 	}
@@ -92,7 +98,7 @@
 		controller.mutex.Lock()
 		leads := controller.leads
 		controller.mutex.Unlock()
-		if leads && controller.lease.ID() != 0 {
+		if leads && controller.lease.held() {
 			controller.lease.renew(ctx)
 		}
 		timer.Sleep(ctx, leadRenew)
@@ -100,15 +106,27 @@
 	controller.lease.end()
 }
 
-// lead returns the record of who leads, as far as is known here.
-func (controller *controller) lead() leadRecord {
-	var lead leadRecord
-	record := controller.node.mirror.Get(leadKey)
-	if record.Revision == 0 {
-		return lead
+// lead returns the record of who leads, as far as is known here. One that was written
+// before the service came back from an older copy is none: its lease is over.
+func (controller *controller) lead() (lead leadRecord, stands bool) {
+	mirror := &controller.node.mirror
+	record := mirror.Get(leadKey)
+	if !record.Revision.Exists() {
+		return lead, false
 	}
-	_ = controller.node.fleet.read(record, &lead) // nobody leads by one that can't be read
-	return lead
+	if controller.node.fleet.read(record, &lead) != nil {
+		return leadRecord{}, true // nobody leads by one that can't be read
+	}
+	return lead, lead.Era >= mirror.State().At.Era
+}
+
+// leader returns the node that plans, as far as is known here, or "".
+func (controller *controller) leader() shedkeel.NodeID {
+	lead, stands := controller.lead()
+	if !stands {
+		return ""
+	}
+	return lead.Node
 }
 
 // elect tries to lead where nobody does.
@@ -122,13 +140,10 @@
 		controller.vacant, controller.stray = 0, 0
 		return
 	}
-	record := node.mirror.Get(leadKey)
-	if record.Revision != 0 {
-		if lead := controller.lead(); !controller.isStray(lead, now) {
-			controller.vacant = 0
-			controller.adopt(lead)
-			return
-		}
+	if lead, stands := controller.lead(); stands && !controller.isStray(lead, now) {
+		controller.vacant = 0
+		controller.adopt(lead)
+		return
 	}
 	if controller.vacant == 0 {
 		controller.vacant = now
@@ -136,7 +151,7 @@
 	if now-controller.vacant < time.Duration(node.peers.place())*electionStep {
 		return
 	}
-	term := node.mirror.Get(termKey)
+	record, term := node.mirror.Get(leadKey), node.mirror.Get(termKey)
 	if controller.lease.valid(now) || controller.lease.grant(ctx) {
 		controller.tryLead(ctx, record.Revision, term.Revision, controller.nextTerm(term))
 	}
@@ -165,19 +180,22 @@
 // writer's, so the epochs that backend servers tell of count too.
 func (controller *controller) nextTerm(record shedkeel.Record) uint64 {
 	var term termRecord
-	if record.Revision != 0 {
+	if record.Revision.Exists() {
 		_ = controller.node.fleet.read(record, &term) // 0 where it can't be read
 	}
 	if term.Term > mostTerm {
 		term.Term = 0
 	}
-	return max(term.Term, controller.node.fleet.highestEpoch()/termEpochs) + 1
+	// An older copy of the service may have forgotten terms that nobody here has seen.
+	era := min(uint64(controller.node.mirror.State().At.Era), mostTerm/eraTerms-1)
+	return max(term.Term, controller.node.fleet.highestEpoch()/termEpochs, era*eraTerms) + 1
 }
 
 // tryLead writes that this node plans, unless another has at these revisions.
-func (controller *controller) tryLead(ctx context.Context, leadRevision, termRevision int64, term uint64) {
+func (controller *controller) tryLead(ctx context.Context, leadRevision, termRevision shedkeel.Revision, term uint64) {
 	node := controller.node
-	lead, err := json.Marshal(leadRecord{Node: node.Settings.Node, Incarnation: node.Incarnation, Term: term, Lease: controller.lease.ID()})
+	lease := controller.lease.ID()
+	lead, err := json.Marshal(leadRecord{Node: node.Settings.Node, Incarnation: node.Incarnation, Term: term, Lease: lease.Number, Era: lease.Era})
 	if err != nil {
 		return
 	}
@@ -187,7 +205,7 @@
 	}
 	written, err := node.Store.Commit(ctx, shedkeel.Change{
 		If:  []shedkeel.Condition{{Key: leadKey, Revision: leadRevision}, {Key: termKey, Revision: termRevision}},
-		Put: []shedkeel.Put{{Key: leadKey, Value: lead, Lease: controller.lease.ID()}, {Key: termKey, Value: next}},
+		Put: []shedkeel.Put{{Key: leadKey, Value: lead, Lease: lease}, {Key: termKey, Value: next}},
 	})
 	if err != nil {
 		// Another was faster, or the outcome is unknown: if it is done after
@@ -197,7 +215,9 @@
 	}
 	node.mirror.Apply(mirrorUpdate(
 		shedkeel.Record{Key: leadKey, Value: lead, Revision: written}, shedkeel.Record{Key: termKey, Value: next, Revision: written}))
-	controller.adopt(controller.lead())
+	if lead, stands := controller.lead(); stands {
+		controller.adopt(lead)
+	}
 }
 
 // adopt begins to lead if the record says that this node does.
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -24,7 +24,7 @@
 }
 
 func (store *leaseStore) Grant(_ context.Context, ttl time.Duration) (shedkeel.LeaseID, time.Duration, error) {
-	store.granted++
+	store.granted.Number++
 	return store.granted, ttl, nil
 }
 
@@ -42,8 +42,9 @@
 	return nil
 }
 
-func (store *leaseStore) Commit(_ context.Context, change shedkeel.Change) (int64, error) {
-	return store.commit(change)
+func (store *leaseStore) Commit(_ context.Context, change shedkeel.Change) (shedkeel.Revision, error) {
+	number, err := store.commit(change)
+	return shedkeel.Revision{Number: number}, err
 }
 
 // electedNode returns a node that is listed and knows that nobody leads.
@@ -51,7 +52,7 @@
 	node, timers := newTestNode(t)
 	store := &leaseStore{renewed: map[shedkeel.LeaseID]int{}, commit: func(shedkeel.Change) (int64, error) { return 2, nil }}
 	node.Store = store
-	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	assert.Assert(t, node.member.step(t.Context()))
 	return node, timers, store
 }
@@ -65,7 +66,8 @@
 }
 
 // written returns a change's records as a mirror of the service gets them.
-func written(change shedkeel.Change, revision int64, asOf time.Duration) mirror.Update {
+func written(change shedkeel.Change, number int64, asOf time.Duration) mirror.Update {
+	revision := shedkeel.Revision{Number: number}
 	update := mirror.Update{At: revision, AsOf: asOf}
 	for _, put := range change.Put {
 		update.Records = append(update.Records, shedkeel.Record{Key: put.Key, Value: put.Value, Revision: revision})
@@ -115,7 +117,7 @@
 	}
 	elect(t, node, timers)
 	timers.Advance(2 * leadTTL)
-	node.mirror.Apply(mirror.Update{At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	store.commit = func(shedkeel.Change) (int64, error) { return 0, &shedkeel.ConflictError{What: "lead"} }
 	elect(t, node, timers)
 	node.mirror.Apply(written(first, 2, timers.Now()))
@@ -135,7 +137,7 @@
 	elect(t, node, timers)
 	assert.Assert(t, node.controller.leading(timers.Now()))
 	before := node.controller.nextEpoch()
-	node.mirror.Apply(mirror.Update{At: 3, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: leadKey, Revision: 3, Gone: true}}})
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 3}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: leadKey, Revision: shedkeel.Revision{Number: 3}, Gone: true}}})
 	assert.Assert(t, !node.controller.leading(timers.Now()))
 	node.mirror.Apply(written(lead, 4, timers.Now()))
 	node.controller.elect(t.Context(), timers.Now())
@@ -157,6 +159,6 @@
 	assert.Assert(t, node.controller.leading(timers.Now()), "it has the lease again")
 
 	node.controller.resign()
-	assert.DeepEqual(t, store.ended, []shedkeel.LeaseID{2})
+	assert.DeepEqual(t, store.ended, []shedkeel.LeaseID{{Number: 2}})
 	assert.Assert(t, !node.controller.leading(timers.Now()))
 }
--- a/node/explain.go
+++ b/node/explain.go
@@ -55,7 +55,7 @@
 func (node *Node) serveExplain(writer http.ResponseWriter, request *http.Request) {
 	group := shedkeel.GroupID(request.PathValue("group"))
 	explanation := Explanation{
-		Process: Process, Node: node.Settings.Node, Leader: node.controller.lead().Node, Group: group, Members: node.members(group),
+		Process: Process, Node: node.Settings.Node, Leader: node.controller.leader(), Group: group, Members: node.members(group),
 		Events: []json.RawMessage{},
 	}
 	explanation.Waits = node.controller.waitsOf(group, explanation.Members, node.Timers.Now())
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -46,11 +46,12 @@
 	instances map[string]shedkeel.Instance // by key
 	nodes     map[string]nodeRecord        // by key
 	lapsed    map[string]time.Duration     // gone while the service was away, believed until then
-	doubted   map[string]time.Duration     // servers whose records can't be read, and until when they keep their places
-	unread    atomic.Int64                 // records that were not used
-	troubled  time.Duration                // the service was away until then, or is
-	proven    atomic.Int64                 // when the copy was proven last, as a time.Duration
-	counts    map[string]int               // servers and groups that may be sent to, as logged last
+	removed   removals
+	doubted   map[string]time.Duration // servers whose records can't be read, and until when they keep their places
+	unread    atomic.Int64             // records that were not used
+	troubled  time.Duration            // the service was away until then, or is
+	proven    atomic.Int64             // when the copy was proven last, as a time.Duration
+	counts    map[string]int           // servers and groups that may be sent to, as logged last
 }
 
 // changed takes in changed records. The mirror calls it one at a time.
@@ -83,7 +84,7 @@
 // skipped notes a record that is not used. The mutex may be held.
 func (fleet *fleet) skipped(record shedkeel.Record, err error) {
 	fleet.unread.Add(1)
-	fleet.node.Log.Write(event.RecordSkipped, slog.String("key", record.Key), slog.Int64("revision", record.Revision), slog.String("error", err.Error()))
+	fleet.node.Log.Write(event.RecordSkipped, slog.String("key", record.Key), slog.String("revision", record.Revision.String()), slog.String("error", err.Error()))
 }
 
 // read decodes a record that nodes write, and logs one that can't be read.
@@ -111,7 +112,7 @@
 		return false
 	}
 	fleet.view.Store(serve.NewView(config))
-	fleet.node.Log.Write(event.ViewChanged, slog.Int64("version", config.Version), slog.Int64("revision", record.Revision), slog.Int("routes", len(config.Routes)))
+	fleet.node.Log.Write(event.ViewChanged, slog.Int64("version", config.Version), slog.String("revision", record.Revision.String()), slog.Int("routes", len(config.Routes)))
 	return true
 }
 
@@ -119,7 +120,7 @@
 // while where the service was away, and never in a state they had left.
 func (fleet *fleet) takeInstance(record shedkeel.Record, now time.Duration) bool {
 	if record.Gone {
-		return fleet.takeGone(record.Key, now, func() { fleet.drop(record.Key) })
+		return fleet.takeGone(record.Key, now, func() { fleet.drop(record.Key, record.Revision.Era, now) })
 	}
 	instance, err := fleet.node.Decoder.Instance(record.Key, record.Value)
 	if err != nil {
@@ -127,16 +128,27 @@
 		return fleet.doubt(record.Key, now)
 	}
 	known, listed := fleet.instances[record.Key]
-	if listed && known.ID.Born() > instance.ID.Born() && instance.ID.Born() != 0 {
-		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "a former start of the server wrote it", Remedy: "none is needed: the present one goes on"})
+	if listed && instance.ID.Born() != 0 && older(&instance, &known) {
+		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "the server wrote it before what is known of it", Remedy: "none is needed: it writes its record again"})
 		return false
 	}
+	if instance.Draining {
+		fleet.node.table.Drain(instance.ID) // also where an older record comes back
+	}
+	fleet.removed.returned(instance.ID, record.Revision.Era, now)
 	delete(fleet.lapsed, record.Key)
 	delete(fleet.doubted, record.Key)
 	fleet.instances[record.Key] = instance
 	return true
 }
 
+// older reports whether a record of a server is older than what is known of it: of a
+// former start, or with fewer orders taken.
+func older(instance, known *shedkeel.Instance) bool {
+	born, knownBorn := instance.ID.Born(), known.ID.Born()
+	return born < knownBorn || born == knownBorn && instance.Orders < known.Orders
+}
+
 // doubt has a server that was good get no requests, now that its record can't be
 // read, and keep its place in its group for a while. It reports whether that is
 // news.
@@ -150,8 +162,11 @@
 	return true
 }
 
-// drop forgets a server.
-func (fleet *fleet) drop(key string) {
+// drop forgets a server that is gone in an era of the key-value service.
+func (fleet *fleet) drop(key string, era int64, now time.Duration) {
+	if instance, listed := fleet.instances[key]; listed {
+		fleet.removed.note(instance.ID, era, now)
+	}
 	delete(fleet.instances, key)
 	delete(fleet.doubted, key)
 }
@@ -198,16 +213,17 @@
 			delete(fleet.nodes, key)
 			nodes = true
 		} else {
-			fleet.drop(key)
+			fleet.drop(key, state.At.Era, now)
 			servers = true
 		}
 	}
 	for key, until := range fleet.doubted {
 		if now >= until {
-			fleet.drop(key)
+			fleet.drop(key, state.At.Era, now)
 			servers = true
 		}
 	}
+	servers = fleet.removed.expire(now) || servers
 	fleet.refresh(servers, nodes)
 }
 
@@ -246,7 +262,7 @@
 		service := view.Service(instance.Service)
 		_, doubted := fleet.doubted[key]
 		switch {
-		case service == nil || instance.Draining || doubted:
+		case service == nil || instance.Draining || doubted || fleet.removed.withheld(instance.ID):
 		case service.Engine == nil:
 			servers = append(servers, serverOf(&instance))
 		case headServes(instance.Member, epochs):
@@ -305,7 +321,7 @@
 }
 
 // groupServices returns the services of replica groups with their instances. Those
-// that said in an answer that they drain do so, whatever their records say.
+// that said that they drain do so, whatever their records say now.
 func (fleet *fleet) groupServices() map[shedkeel.ServiceID][]shedkeel.Instance {
 	view := fleet.view.Load()
 	if view == nil {
@@ -316,7 +332,7 @@
 	found := map[shedkeel.ServiceID][]shedkeel.Instance{}
 	for _, instance := range fleet.instances {
 		if service := view.Service(instance.Service); service != nil && service.Engine != nil {
-			instance.Draining = instance.Draining || fleet.node.table.Draining(instance.ID)
+			instance.Draining = instance.Draining || fleet.node.table.Draining(instance.ID) || fleet.removed.withheld(instance.ID)
 			found[instance.Service] = append(found[instance.Service], instance)
 		}
 	}
--- a/node/fleetsize.go
+++ b/node/fleetsize.go
@@ -70,7 +70,7 @@
 	}
 	var standing sizeRecord
 	record := node.mirror.Get(sizeKey)
-	if record.Revision != 0 {
+	if record.Revision.Exists() {
 		_ = node.fleet.read(record, &standing) // one that can't be read is written anew
 	}
 	size := sizeOf(node.peers.listed())
@@ -95,7 +95,7 @@
 	if err != nil {
 		return mirror.Advice{}, err
 	}
-	if record.Revision == 0 { // the fleet's first start
+	if !record.Revision.Exists() { // the fleet's first start
 		return mirror.Advice{List: peers.isSeed() || len(peers.seeds) == 0}, nil
 	}
 	var size sizeRecord
--- a/node/fleetsize_test.go
+++ b/node/fleetsize_test.go
@@ -59,7 +59,7 @@
 			node.peers.prepare()
 			store := &staleStore{}
 			if test.value != nil {
-				store.record = shedkeel.Record{Key: sizeKey, Value: test.value, Revision: 7}
+				store.record = shedkeel.Record{Key: sizeKey, Value: test.value, Revision: shedkeel.Revision{Number: 7}}
 			}
 			node.Store = store
 			advice, err := node.peers.advise(t.Context())
@@ -78,14 +78,14 @@
 func TestSizeIsKept(t *testing.T) {
 	node, timers := newTestNode(t)
 	var stands []sizeRecord
-	revision := int64(10)
+	revision := shedkeel.Revision{Number: 10}
 	node.Store = &leaseStore{commit: func(change shedkeel.Change) (int64, error) {
-		revision++
+		revision.Number++
 		var size sizeRecord
 		assert.NilError(t, json.Unmarshal(change.Put[0].Value, &size))
 		stands = append(stands, size)
 		node.mirror.Apply(mirror.Update{Whole: true, At: revision, Records: []shedkeel.Record{{Key: sizeKey, Value: change.Put[0].Value, Revision: revision}}})
-		return revision, nil
+		return revision.Number, nil
 	}}
 	look := func(nodes []nodeRecord) {
 		node.peers.update(nodes)
--- a/node/guard.go
+++ b/node/guard.go
@@ -280,6 +280,17 @@
 	}
 }
 
+// keepAgain has all that is held against requests compared with what the key-value
+// service keeps, after that has lost some of it.
+func (guard *guard) keepAgain() {
+	now := guard.node.Timers.Now()
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	for _, blame := range guard.ledger.All() {
+		guard.unkept[blame.Request] = now
+	}
+}
+
 func (guard *guard) unkeptNow() map[shedkeel.RequestDigest]time.Duration {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
@@ -300,7 +311,7 @@
 // request, or false when it does. Only judged requests have a record.
 func lacking(blame shedkeel.Blame, record shedkeel.Record) (shedkeel.Change, bool) {
 	key := blamePrefix + string(blame.Request)
-	exists := record.Revision != 0
+	exists := record.Revision.Exists()
 	var written shedkeel.Blame
 	readable := exists && json.Unmarshal(record.Value, &written) == nil && written.Request == blame.Request
 	same := readable && written.Round >= blame.Round && len(written.Servers) >= len(blame.Servers)
@@ -350,6 +361,9 @@
 // clears its request: it was answered, or an operator lets it go.
 func (guard *guard) takeRecord(record shedkeel.Record) {
 	request := shedkeel.RequestDigest(strings.TrimPrefix(record.Key, blamePrefix))
+	if record.Lost {
+		return // it is written again
+	}
 	if record.Gone {
 		if before, now := guard.ledger.Clear(request); len(before.Servers) > 0 {
 			guard.changed(now)
--- a/node/guard_test.go
+++ b/node/guard_test.go
@@ -18,14 +18,15 @@
 	Store
 	away    bool
 	changes []shedkeel.Change
+	era     int64
 }
 
-func (store *blameStore) Commit(_ context.Context, change shedkeel.Change) (int64, error) {
+func (store *blameStore) Commit(_ context.Context, change shedkeel.Change) (shedkeel.Revision, error) {
 	if store.away {
-		return 0, &shedkeel.UnavailableError{What: "store"}
+		return shedkeel.Revision{}, &shedkeel.UnavailableError{What: "store"}
 	}
 	store.changes = append(store.changes, change)
-	return int64(1000 + len(store.changes)), nil
+	return shedkeel.Revision{Era: store.era, Number: int64(1000 + len(store.changes))}, nil
 }
 
 func blamed(round uint32, servers ...shedkeel.InstanceID) shedkeel.Blame {
@@ -36,7 +37,7 @@
 	t.Helper()
 	value, err := json.Marshal(blame)
 	assert.NilError(t, err)
-	return shedkeel.Record{Key: blamePrefix + string(blame.Request), Value: value, Revision: 5}
+	return shedkeel.Record{Key: blamePrefix + string(blame.Request), Value: value, Revision: shedkeel.Revision{Number: 5}}
 }
 
 // TestLackingRecord checks when the key-value service is to be written: when a
@@ -59,8 +60,8 @@
 		"cleared, written before":          {blamed(1), recordOf(t, blamed(0, "a", "b", "c")), 0, 1},
 		"cleared, blamed anew since":       {blamed(1), recordOf(t, blamed(2, "a", "b", "c")), 0, 0},
 		"cleared, then two":                {blamed(1, "d", "e"), recordOf(t, blamed(0, "a", "b", "c")), 1, 0},
-		"three, spoilt by another writer":  {blamed(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte("{"), Revision: 5}, 1, 0},
-		"three, another request's written": {blamed(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte(`{"request":"q"}`), Revision: 5}, 1, 0},
+		"three, spoilt by another writer":  {blamed(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte("{"), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
+		"three, another request's written": {blamed(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte(`{"request":"q"}`), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -81,7 +82,7 @@
 	node, timers := newTestNode(t)
 	store := &blameStore{away: true}
 	node.Store = store
-	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	for _, server := range []shedkeel.InstanceID{"a", "b", "c"} {
 		node.guard.Ended("r", server)
 	}
@@ -95,7 +96,7 @@
 	assert.Equal(t, len(store.changes), 1)
 	assert.Equal(t, node.guard.Judge("r"), shedkeel.Contained)
 
-	node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + "r", Gone: true, Revision: 2000}))
+	node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + "r", Gone: true, Revision: shedkeel.Revision{Number: 2000}}))
 	assert.Equal(t, node.guard.Judge("r"), shedkeel.Unblamed, "an operator let it go")
 	for range 5 {
 		timers.Advance(keepTick)
@@ -110,7 +111,7 @@
 	node, timers := newTestNode(t)
 	store := &blameStore{}
 	node.Store = store
-	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	node.guard.Ended("r", "a")
 	node.guard.Ended("r", "b")
 	seen := node.guard.unkeptNow()["r"]
@@ -144,7 +145,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			node, _ := newTestNode(t)
-			node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + test.key, Value: []byte(test.value), Revision: 7}))
+			node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + test.key, Value: []byte(test.value), Revision: shedkeel.Revision{Number: 7}}))
 			assert.Equal(t, node.guard.Judge("r"), test.judgment)
 			assert.Equal(t, node.fleet.unread.Load(), test.skipped)
 		})
--- a/node/lapse_test.go
+++ b/node/lapse_test.go
@@ -26,14 +26,14 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			node, timers := newTestNode(t)
-			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Revision: 1}}})
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Revision: shedkeel.Revision{Number: 1}}}})
 			timers.Advance(test.age)
 			node.fleet.tick(timers.Now())
-			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Revision: 2, Gone: true}}})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Revision: shedkeel.Revision{Number: 2}, Gone: true}}})
 			assert.Equal(t, len(node.fleet.instances) == 1, test.held)
 
 			timers.Advance(lapseHold)
-			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now()})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now()})
 			node.fleet.tick(timers.Now())
 			assert.Equal(t, len(node.fleet.instances), 0, "it never came back")
 		})
@@ -63,16 +63,16 @@
 			value, err := json.Marshal(nodeRecord{ID: "b", Zone: "z", Callers: "127.0.0.1:1", Control: "127.0.0.1:2", Gossip: "127.0.0.1:2"})
 			assert.NilError(t, err)
 			key := nodePrefix + "b"
-			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: key, Value: value, Revision: 1}}})
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: key, Value: value, Revision: shedkeel.Revision{Number: 1}}}})
 			timers.Advance(4 * time.Second)
 			node.fleet.tick(timers.Now())
-			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: key, Revision: 2, Gone: true}}})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: key, Revision: shedkeel.Revision{Number: 2}, Gone: true}}})
 			found.liveness["b"] = test.after
 			timers.Advance(fleetTick)
 			node.fleet.tick(timers.Now())
 			assert.Equal(t, len(node.peers.listed()) == 1, test.held)
 			timers.Advance(lapseHold)
-			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now()})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now()})
 			node.fleet.tick(timers.Now())
 			assert.Equal(t, len(node.peers.listed()), 0, "it never came back")
 		})
--- a/node/lease.go
+++ b/node/lease.go
@@ -21,17 +21,29 @@
 	node *Node
 	ttl  time.Duration
 
-	id    atomic.Int64 // 0: none
-	until atomic.Int64 // it lasts at least until then, on this node's clock
+	id    atomic.Pointer[shedkeel.LeaseID] // nil: none
+	until atomic.Int64                     // it lasts at least until then, on this node's clock
 }
 
-// valid reports whether the lease surely still lasts.
+// valid reports whether the lease surely still lasts. It does not in another era of the
+// service, whatever the clock says.
 func (lease *lease) valid(now time.Duration) bool {
-	return lease.id.Load() != 0 && now < time.Duration(lease.until.Load())-leaseMargin
+	if !lease.held() || lease.ID().Era < lease.node.mirror.State().At.Era {
+		return false
+	}
+	return now < time.Duration(lease.until.Load())-leaseMargin
 }
 
 // ID names the lease to the service.
-func (lease *lease) ID() shedkeel.LeaseID { return shedkeel.LeaseID(lease.id.Load()) }
+func (lease *lease) ID() shedkeel.LeaseID {
+	if id := lease.id.Load(); id != nil {
+		return *id
+	}
+	return shedkeel.LeaseID{}
+}
+
+// held reports whether there is a lease that is not known to be over.
+func (lease *lease) held() bool { return lease.id.Load() != nil }
 
 // renew renews the lease and reports whether it lasts. One that is over is
 // forgotten.
@@ -44,7 +56,7 @@
 	}
 	var gone *shedkeel.LeaseGoneError
 	if errors.As(err, &gone) {
-		lease.id.Store(0)
+		lease.id.Store(nil)
 	}
 	lease.node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
 	return false
@@ -59,17 +71,17 @@
 		return false
 	}
 	lease.until.Store(int64(sent + min(ttl, lease.ttl)))
-	lease.id.Store(int64(granted))
+	lease.id.Store(&granted)
 	return true
 }
 
 // end gives the lease up.
 func (lease *lease) end() {
-	if lease.ID() == 0 {
+	if !lease.held() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaseMargin)
 	defer cancel()
 	_ = lease.node.Store.Release(ctx, lease.ID()) // it runs out by itself
-	lease.id.Store(0)
+	lease.id.Store(nil)
 }
--- a/node/member.go
+++ b/node/member.go
@@ -137,7 +137,7 @@
 // stepWatched writes the record unless it stands as it should, as after a
 // restart. A former lease runs out when the record goes without it.
 func (membership *membership) stepWatched(ctx context.Context) bool {
-	membership.lease.id.Store(0)
+	membership.lease.id.Store(nil)
 	membership.changed.Store(false)
 	return membership.stands() || membership.write(ctx)
 }
@@ -146,7 +146,7 @@
 // is known here.
 func (membership *membership) stands() bool {
 	record := membership.node.mirror.Get(membership.key())
-	if record.Revision == 0 {
+	if !record.Revision.Exists() {
 		return false
 	}
 	var listed nodeRecord
@@ -161,10 +161,10 @@
 // needed.
 func (membership *membership) stepLeased(ctx context.Context) bool {
 	lease := &membership.lease
-	if lease.ID() != 0 && !lease.renew(ctx) && lease.ID() != 0 {
+	if lease.held() && !lease.renew(ctx) && lease.held() {
 		return false // the service does not answer
 	}
-	if ttl := membership.ttl(); lease.ID() == 0 || lease.ttl != ttl {
+	if ttl := membership.ttl(); !lease.held() || lease.ttl != ttl {
 		lease.ttl = ttl // the former lease runs out when the record goes with a new one
 		if !lease.grant(ctx) {
 			return false
@@ -177,7 +177,7 @@
 // ttl returns how long a node is to be listed without a renewal: as in a large
 // fleet until it has found out how many there are.
 func (membership *membership) ttl() time.Duration {
-	if membership.lease.ID() != 0 && membership.node.fleet.nodeCount() <= smallFleet {
+	if membership.lease.held() && membership.node.fleet.nodeCount() <= smallFleet {
 		return shortTTL
 	}
 	return longTTL
--- a/node/member_test.go
+++ b/node/member_test.go
@@ -17,8 +17,8 @@
 	cases := map[string]struct {
 		nodes int
 		ttl   time.Duration
-		lease shedkeel.LeaseID // that the record goes with in the end; 0: none
-		asked shedkeel.LeaseID // leases that were asked for
+		lease int64 // that the record goes with in the end; 0: none
+		asked int64 // leases that were asked for
 	}{
 		"none is known yet": {0, longTTL, 1, 1},
 		"a small fleet":     {9, shortTTL, 2, 2},
@@ -44,8 +44,8 @@
 				assert.Assert(t, node.member.step(t.Context()))
 			}
 			assert.Equal(t, node.member.lease.ttl, test.ttl)
-			assert.Equal(t, lease, test.lease)
-			assert.Equal(t, store.granted, test.asked, "a lease was asked for in vain")
+			assert.Equal(t, lease.Number, test.lease)
+			assert.Equal(t, store.granted.Number, test.asked, "a lease was asked for in vain")
 		})
 	}
 }
@@ -67,7 +67,7 @@
 			node, timers := newTestNode(t)
 			store := &leaseStore{renewed: map[shedkeel.LeaseID]int{}, commit: func(shedkeel.Change) (int64, error) { return 2, nil }}
 			node.Store = store
-			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 			node.member.tick(t.Context())
 			timers.Advance(longTTL / renewals)
 			store.away = true
@@ -77,7 +77,7 @@
 			for store.calls == calls && timers.Now() < failed+time.Minute {
 				timers.Advance(memberTick)
 				if answered := failed + test.answers; test.answers > 0 && timers.Now() >= answered {
-					node.mirror.Apply(mirror.Update{At: 1, AsOf: answered})
+					node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1}, AsOf: answered})
 				}
 				node.member.tick(t.Context())
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -103,7 +103,6 @@
 	limits     limits
 	controller controller
 	stopping   atomic.Bool
-	era        atomic.Int64 // of the key-value service, as logged last
 	running    sync.WaitGroup
 }
 
@@ -153,6 +152,7 @@
 	node.member.lease = lease{node: node, ttl: longTTL}
 	node.controller.node = node
 	node.controller.prepare()
+	node.mirror.ListenRestored(node.restored)
 	node.mirror.Listen(node.fleet.changed)
 	node.follower = mirror.Follower{Mirror: &node.mirror, Source: node.Store, Timers: node.Timers, Log: node.Log, Choose: node.peers.choose, Others: node.peers.others,
 		Advise: node.peers.advise, Hops: node.peers.hops, Processes: node.fleet.nodeCount, Random: rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())}
--- a/node/notices.go
+++ b/node/notices.go
@@ -22,7 +22,7 @@
 // whether a member is lost: a group that reads long prompts is silent too, and
 // if each node told all others, all would leave it for those that remain.
 func (peers *peers) suspect(group shedkeel.Assignment) {
-	leader := peers.node.controller.lead().Node
+	leader := peers.node.controller.leader()
 	if leader == peers.node.Settings.Node {
 		peers.node.controller.suspect(group)
 		return
--- a/node/packer.go
+++ b/node/packer.go
@@ -25,7 +25,13 @@
 // for use.
 type packer struct {
 	mutex sync.Mutex
-	kept  map[string]*wire.StoreRecord // by key, the latest revision that was asked for
+	kept  map[string]packedRecord // by key, the latest revision that was asked for
+}
+
+// packedRecord is a record as it is sent.
+type packedRecord struct {
+	revision shedkeel.Revision
+	sent     *wire.StoreRecord
 }
 
 // pack returns the record as it is sent to other nodes.
@@ -36,24 +42,24 @@
 	}
 	packer.mutex.Lock()
 	defer packer.mutex.Unlock()
-	if known := packer.kept[record.Key]; known != nil && known.Revision == record.Revision {
-		return known
+	if known := packer.kept[record.Key]; known.sent != nil && known.revision == record.Revision {
+		return known.sent
 	}
 	value, err := deflate(record.Value)
 	if err != nil {
 		return plain // memory never fails to be written to, and plain is right too
 	}
 	if packer.kept == nil {
-		packer.kept = map[string]*wire.StoreRecord{}
+		packer.kept = map[string]packedRecord{}
 	}
-	packed := &wire.StoreRecord{Key: record.Key, Value: value, Revision: record.Revision, Packed: true}
-	packer.kept[record.Key] = packed
+	packed := &wire.StoreRecord{Key: record.Key, Value: value, Revision: record.Revision.Number, Packed: true}
+	packer.kept[record.Key] = packedRecord{record.Revision, packed}
 	return packed
 }
 
 // plainRecord returns the record as it is.
 func plainRecord(record shedkeel.Record) *wire.StoreRecord {
-	return &wire.StoreRecord{Key: record.Key, Value: record.Value, Revision: record.Revision, Gone: record.Gone}
+	return &wire.StoreRecord{Key: record.Key, Value: record.Value, Revision: record.Revision.Number, Gone: record.Gone}
 }
 
 func deflate(value []byte) ([]byte, error) {
@@ -71,9 +77,9 @@
 	return packed.Bytes(), nil
 }
 
-// unpack returns the record as the service has it.
-func unpack(sent *wire.StoreRecord) (shedkeel.Record, error) {
-	record := shedkeel.Record{Key: sent.GetKey(), Value: sent.GetValue(), Revision: sent.GetRevision(), Gone: sent.GetGone()}
+// unpack returns a record of the era as the service has it.
+func unpack(sent *wire.StoreRecord, era int64) (shedkeel.Record, error) {
+	record := shedkeel.Record{Key: sent.GetKey(), Value: sent.GetValue(), Revision: shedkeel.Revision{Era: era, Number: sent.GetRevision()}, Gone: sent.GetGone()}
 	if !sent.GetPacked() {
 		return record, nil
 	}
--- a/node/packer_test.go
+++ b/node/packer_test.go
@@ -20,9 +20,9 @@
 		record shedkeel.Record
 		packed bool
 	}{
-		"a small one": {shedkeel.Record{Key: "a", Value: []byte("v"), Revision: 3}, false},
-		"a large one": {shedkeel.Record{Key: "a", Value: routes.Bytes(), Revision: 3}, true},
-		"a gone one":  {shedkeel.Record{Key: "a", Revision: 3, Gone: true}, false},
+		"a small one": {shedkeel.Record{Key: "a", Value: []byte("v"), Revision: shedkeel.Revision{Number: 3}}, false},
+		"a large one": {shedkeel.Record{Key: "a", Value: routes.Bytes(), Revision: shedkeel.Revision{Number: 3}}, true},
+		"a gone one":  {shedkeel.Record{Key: "a", Revision: shedkeel.Revision{Number: 3}, Gone: true}, false},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -33,10 +33,10 @@
 				assert.Assert(t, len(sent.GetValue())*5 < len(test.record.Value), "%d bytes", len(sent.GetValue()))
 				assert.Assert(t, packer.pack(test.record) == sent, "the same revision was compressed twice")
 				newer := test.record
-				newer.Revision++
-				assert.Equal(t, packer.pack(newer).GetRevision(), newer.Revision)
+				newer.Revision.Number++
+				assert.Equal(t, packer.pack(newer).GetRevision(), newer.Revision.Number)
 			}
-			record, err := unpack(sent)
+			record, err := unpack(sent, 0)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, record, test.record)
 		})
@@ -48,7 +48,7 @@
 	assert.NilError(t, err)
 	for name, value := range map[string][]byte{"no such format": []byte("xyz"), "too much": bomb} {
 		t.Run(name, func(t *testing.T) {
-			_, err := unpack(&wire.StoreRecord{Key: "a", Value: value, Packed: true})
+			_, err := unpack(&wire.StoreRecord{Key: "a", Value: value, Packed: true}, 0)
 			assert.ErrorContains(t, err, "record a")
 		})
 	}
--- a/node/relay.go
+++ b/node/relay.go
@@ -25,7 +25,7 @@
 )
 
 // Relay asks the node's mirror.
-func (peer *peer) Relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
+func (peer *peer) Relay(ctx context.Context, since shedkeel.Revision, wait time.Duration) (mirror.Update, error) {
 	update, err := peer.relay(ctx, since, wait)
 	if err != nil && ctx.Err() == nil || err == nil && (update.Away || -update.AsOf > peer.mostAge()) {
 		peer.failed.note(peer.node.Timers.Now())
@@ -43,16 +43,16 @@
 
 // relay asks for differences first. What it has may be another value than they
 // are of, where the service itself told it something meanwhile.
-func (peer *peer) relay(ctx context.Context, since int64, wait time.Duration) (mirror.Update, error) {
+func (peer *peer) relay(ctx context.Context, since shedkeel.Revision, wait time.Duration) (mirror.Update, error) {
 	margin := relayMargin
-	if since == 0 {
+	if !since.Exists() {
 		margin = copyTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
-	update, err := peer.askRelay(ctx, &wire.RelayCall{Since: since, WaitMs: uint32(wait.Milliseconds()), Differences: true})
+	update, err := peer.askRelay(ctx, &wire.RelayCall{SinceEra: since.Era, Since: since.Number, WaitMs: uint32(wait.Milliseconds()), Differences: true})
 	if errors.Is(err, errOtherBase) {
-		return peer.askRelay(ctx, &wire.RelayCall{Since: since})
+		return peer.askRelay(ctx, &wire.RelayCall{SinceEra: since.Era, Since: since.Number})
 	}
 	return update, err
 }
@@ -78,13 +78,14 @@
 	if !relay.GetKnown() {
 		return mirror.Update{}, mirror.ErrNothingKnown
 	}
-	update := mirror.Update{Whole: relay.GetWhole(), At: relay.GetAt(), Away: relay.GetAway(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
+	at := shedkeel.Revision{Era: relay.GetEra(), Number: relay.GetAt()}
+	update := mirror.Update{Whole: relay.GetWhole(), At: at, Away: relay.GetAway(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
 	records, err := recordsOf(relay)
 	if err != nil {
 		return mirror.Update{}, err
 	}
 	for _, record := range records {
-		unpacked, err := peer.whole(record)
+		unpacked, err := peer.whole(record, at.Era)
 		if err != nil {
 			return mirror.Update{}, err
 		}
@@ -99,12 +100,12 @@
 	return reply.GetRelay(), err
 }
 
-// whole returns a record as the service has it.
-func (peer *peer) whole(sent *wire.StoreRecord) (shedkeel.Record, error) {
+// whole returns a record of the era as the service has it.
+func (peer *peer) whole(sent *wire.StoreRecord, era int64) (shedkeel.Record, error) {
 	if sent.GetBase() != 0 {
-		return undiffer(sent, peer.node.mirror.Get(sent.GetKey()))
+		return undiffer(sent, era, peer.node.mirror.Get(sent.GetKey()))
 	}
-	return unpack(sent)
+	return unpack(sent, era)
 }
 
 func (peers *peers) relay(ctx context.Context, call *wire.RelayCall) *wire.Reply {
@@ -112,8 +113,9 @@
 	peers.node.askers.hear(shedkeel.NodeID(call.GetNode()), peers.node.Timers.Now())
 	changed := own.Changed()
 	state := own.State()
+	since := shedkeel.Revision{Era: call.GetSinceEra(), Number: call.GetSince()}
 	away := own.State().Known && peers.node.follower.Away() // who asks goes on to the next node at once
-	if !away && (!state.Known || !call.GetOnlyKnown() && state.At <= call.GetSince()) {
+	if !away && (!state.Known || !call.GetOnlyKnown() && !state.At.After(since)) {
 		timer := time.NewTimer(time.Duration(call.GetWaitMs()) * time.Millisecond)
 		select {
 		case <-ctx.Done():
@@ -125,7 +127,7 @@
 	if call.GetOnlyKnown() || !own.State().Known {
 		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: &wire.RelayReply{Known: own.State().Known, Nodes: peers.heardOf()}}}
 	}
-	update := own.Since(call.GetSince())
+	update := own.Since(since)
 	now := peers.node.Timers.Now()
 	if update.Whole {
 		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: peers.copies.tell(update, now)}}
@@ -133,7 +135,7 @@
 	reply := relayReply(update, now)
 	reply.Away = away
 	for _, record := range update.Records {
-		reply.Records = append(reply.Records, peers.tell(record, call))
+		reply.Records = append(reply.Records, peers.tell(record, since, call.GetDifferences()))
 	}
 	return &wire.Reply{Kind: &wire.Reply_Relay{Relay: reply}}
 }
@@ -150,7 +152,7 @@
 // relayReply tells of an update, but for its records.
 func relayReply(update mirror.Update, now time.Duration) *wire.RelayReply {
 	age := now - update.AsOf
-	return &wire.RelayReply{Whole: update.Whole, At: update.At, AgeMs: uint64(age.Milliseconds()) + 1, Known: true}
+	return &wire.RelayReply{Whole: update.Whole, Era: update.At.Era, At: update.At.Number, AgeMs: uint64(age.Milliseconds()) + 1, Known: true}
 }
 
 // tell returns a record as it is sent to a node that asks: by the difference if
@@ -159,10 +161,10 @@
 // A heartbeat of a server changes one number: 37 bytes are sent in place of 362
 // (TestHeartbeatIsSmall). With 600 servers that write each 1.2 s a follower gets
 // 19 KB/s in place of 181.
-func (peers *peers) tell(record shedkeel.Record, call *wire.RelayCall) *wire.StoreRecord {
+func (peers *peers) tell(record shedkeel.Record, since shedkeel.Revision, differences bool) *wire.StoreRecord {
 	former := peers.node.mirror.Before(record.Key)
-	usable := former.Revision != 0 && former.Revision <= call.GetSince() && former.Revision < record.Revision
-	if call.GetDifferences() && !record.Gone && usable {
+	usable := former.Revision.Exists() && !former.Revision.After(since) && record.Revision.After(former.Revision)
+	if differences && !record.Gone && usable {
 		if told := differ(record, former); told != nil {
 			return told
 		}
--- a/node/remover.go
+++ b/node/remover.go
@@ -94,7 +94,7 @@
 	node := remover.node
 	key := nodePrefix + string(record.ID)
 	seen := node.mirror.Get(key)
-	if seen.Revision == 0 {
+	if !seen.Revision.Exists() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/node/remover_test.go
+++ b/node/remover_test.go
@@ -90,10 +90,10 @@
 			}}
 			var records []shedkeel.Record
 			for _, record := range nodes {
-				records = append(records, shedkeel.Record{Key: nodePrefix + string(record.ID), Value: []byte("{}"), Revision: 5})
+				records = append(records, shedkeel.Record{Key: nodePrefix + string(record.ID), Value: []byte("{}"), Revision: shedkeel.Revision{Number: 5}})
 			}
 			for range len(nodes) {
-				node.mirror.Apply(mirror.Update{Whole: true, At: 5, AsOf: timers.Now() - test.age, Records: records})
+				node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 5}, AsOf: timers.Now() - test.age, Records: records})
 				node.remover.tick(timers.Now())
 				timers.Advance(removerTurn)
 			}
@@ -122,7 +122,7 @@
 	}
 	node.Store = store
 	node.member.hint.Store(nodes)
-	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	return node, store
 }
 
@@ -140,17 +140,17 @@
 	}
 	live(hintTime / 2)
 	assert.Equal(t, store.calls, 1, "the record is written once")
-	assert.Equal(t, store.granted, shedkeel.LeaseID(0))
+	assert.Equal(t, store.granted, shedkeel.LeaseID{})
 	assert.Assert(t, node.member.listed.Load())
 	standing := node.mirror.Get(node.member.key())
 
-	node.mirror.Apply(mirror.Update{At: 1015, AsOf: node.Timers.Now(), Records: []shedkeel.Record{{Key: standing.Key, Revision: 1015, Gone: true}}})
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1015}, AsOf: node.Timers.Now(), Records: []shedkeel.Record{{Key: standing.Key, Revision: shedkeel.Revision{Number: 1015}, Gone: true}}})
 	live(2 * listedRetry)
 	assert.Equal(t, store.calls, 2, "it was removed, and lives")
 
 	restarted, again := watchedNode(t, 295)
 	restarted.Incarnation = "second"
-	restarted.mirror.Apply(mirror.Update{At: 1030, AsOf: restarted.Timers.Now(), Records: []shedkeel.Record{{Key: standing.Key, Value: standing.Value, Revision: 1030}}})
+	restarted.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1030}, AsOf: restarted.Timers.Now(), Records: []shedkeel.Record{{Key: standing.Key, Value: standing.Value, Revision: shedkeel.Revision{Number: 1030}}}})
 	restarted.member.tick(t.Context())
 	assert.Equal(t, again.calls, 0, "it stands already")
 	assert.Assert(t, restarted.member.listed.Load())
@@ -160,6 +160,6 @@
 func TestSmallFleetIsLeased(t *testing.T) {
 	node, store := watchedNode(t, watchedFrom-1)
 	node.member.tick(t.Context())
-	assert.Equal(t, store.granted, shedkeel.LeaseID(1))
+	assert.Equal(t, store.granted, shedkeel.LeaseID{Number: 1})
 	assert.Assert(t, !node.member.watched.Load())
 }
--- a/node/report.go
+++ b/node/report.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"log/slog"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/formation"
 )
 
@@ -19,7 +17,7 @@
 		return
 	}
 	scope := node.Metrics.Scope
-	node.reportEra(scope)
+	scope.Gauge("store_era").Update(float64(node.mirror.State().At.Era))
 	scope.Gauge("mirror_age_seconds").Update((now - node.mirror.State().AsOf).Seconds())
 	scope.Gauge("records_skipped").Update(float64(node.fleet.unread.Load()))
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
@@ -46,19 +44,6 @@
 	}
 }
 
-// reportEra tells how often the key-value service has come back from an older copy.
-func (node *Node) reportEra(scope tally.Scope) {
-	told, ok := node.Store.(interface{ Era() int64 })
-	if !ok {
-		return
-	}
-	era := told.Era()
-	if before := node.era.Swap(era); era > before {
-		node.Log.Write(event.StoreRestored, slog.Int64("from", before), slog.Int64("era", era))
-	}
-	scope.Gauge("store_era").Update(float64(era))
-}
-
 // reportLimits tells how many servers limit their rate, and what has become of the
 // permits that this node grants.
 func (node *Node) reportLimits(scope tally.Scope) {
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -1,6 +1,7 @@
-package node_test
+package node
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,90 +9,191 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/serve"
 )
 
-// The key-value service came back from a copy some seconds old: routes that were added
-// then were refused with 404, and requests were sent to servers 2 s after they had said
-// that they drain.
+// plainServer is the record of a plain server as the platform's servers write it.
+func plainServer(revision shedkeel.Revision, state string, orders int) shedkeel.Record {
+	value := fmt.Sprintf(`{"service":"p","address":"10.0.0.9:1","zone":"z","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"seq":%d,"born":7}`, state, orders)
+	return shedkeel.Record{Key: "servers/i-9", Value: []byte(value), Revision: revision}
+}
 
-const (
-	// applyBound is within what a change must be in force at all nodes.
-	applyBound = 2 * time.Second
-	// lostChanges is how many changes the service loses.
-	lostChanges = 300
-)
+// viewOf returns a configuration with a service.
+func viewOf(service shedkeel.RoutedService) *serve.View {
+	return serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{service}})
+}
 
-// TestRestoredServiceIsFollowed has the service come back from an older copy and checks
-// that what is written next is in force in time at all nodes.
-func TestRestoredServiceIsFollowed(t *testing.T) {
+// TestServersAfterARestore checks where requests go after the service has come back from
+// a copy that is older than what a server has said.
+func TestServersAfterARestore(t *testing.T) {
+	old, lost := shedkeel.Revision{Number: 1}, shedkeel.Revision{Number: 5}
+	restored, again := shedkeel.Revision{Era: 1, Number: 1}, shedkeel.Revision{Era: 1, Number: 3}
+	gone := shedkeel.Record{Key: "servers/i-9", Revision: lost, Gone: true}
 	cases := map[string]struct {
-		restores int
-		// passed has the service change so often before nodes reach it that its revisions
-		// have passed those that they know.
-		passed bool
+		before []shedkeel.Record // one after the other
+		copied []shedkeel.Record // what the older copy has
+		after  []shedkeel.Record // written later
+		usable [3]int            // after the restore, after the later write, and after all holds
 	}{
-		"revisions below those known": {1, false},
-		"revisions have passed them":  {1, true},
-		"twice in a row":              {2, false},
+		"nothing was lost":        {[]shedkeel.Record{plainServer(old, "ready", 1)}, []shedkeel.Record{plainServer(restored, "ready", 1)}, nil, [3]int{1, 1, 1}},
+		"its drain was lost":      {[]shedkeel.Record{plainServer(old, "ready", 1), plainServer(lost, "draining", 1)}, []shedkeel.Record{plainServer(restored, "ready", 1)}, nil, [3]int{0, 0, 0}},
+		"its end was lost":        {[]shedkeel.Record{plainServer(old, "ready", 1), gone}, []shedkeel.Record{plainServer(restored, "ready", 1)}, nil, [3]int{0, 0, 1}},
+		"its start was lost":      {[]shedkeel.Record{plainServer(lost, "ready", 1)}, nil, []shedkeel.Record{plainServer(again, "ready", 1)}, [3]int{1, 1, 1}},
+		"its start, and it ended": {[]shedkeel.Record{plainServer(lost, "ready", 1)}, nil, nil, [3]int{1, 1, 0}},
+		"an order was lost":       {[]shedkeel.Record{plainServer(old, "ready", 1), plainServer(lost, "ready", 2)}, []shedkeel.Record{plainServer(restored, "ready", 1)}, nil, [3]int{1, 1, 1}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			world := newServingWorld(t)
-			world.data.Snapshot()
-			world.change(lostChanges)
-			world.configure(2, `"key-1","key-lost"`)
-			world.eventually("the lost configuration is in force", func() bool { return world.served("key-lost") == len(world.nodes) })
-			for range test.restores {
-				world.data.SetFaults(standin.Faults{Outage: true})
-				time.Sleep(time.Second)
-				world.data.Restore()
-				if !test.passed {
-					world.data.SetFaults(standin.Faults{})
-					time.Sleep(500 * time.Millisecond)
-				}
+			node, timers := newTestNode(t)
+			node.Decoder = platform.Decoder{}
+			node.fleet.view.Store(viewOf(shedkeel.RoutedService{ID: "p"}))
+			node.mirror.Apply(mirror.Update{Whole: true, At: old, AsOf: timers.Now()})
+			for _, record := range test.before {
+				node.mirror.Apply(mirror.Update{At: record.Revision, AsOf: timers.Now(), Records: []shedkeel.Record{record}})
+				node.fleet.tick(timers.Now())
 			}
-			world.configure(3, `"key-3"`)
-			world.fleet.Drain("plain-0")
-			if test.passed {
-				world.change(2 * lostChanges)
-				world.data.SetFaults(standin.Faults{})
-			}
-			began := time.Now()
-			world.eventually("the new key is known", func() bool { return world.served("key-3") == len(world.nodes) })
-			assert.Assert(t, time.Since(began) < applyBound, "it took %s", time.Since(began))
-			time.Sleep(applyBound - time.Since(began))
-			came := world.fleet.Came("plain-0")
-			for range 20 {
-				for _, node := range world.nodes {
-					status, body := world.send(node.callers, shedkeel.NewNonce(), "/look/x", "key-3", 0)
-					assert.Equal(t, status, 200, body)
-					status, _ = world.send(node.callers, shedkeel.NewNonce(), "/look/x", "key-1", 0)
-					assert.Equal(t, status, 401, "the key was removed")
-				}
-			}
-			assert.Equal(t, world.fleet.Came("plain-0"), came, "it has said that it drains")
-			world.eventually("groups are planned", func() bool { return len(world.fleet.Serving()["m0"]) >= 2 })
-			assert.DeepEqual(t, world.fleet.Broken(), []string(nil))
+			usable := func() int { return node.table.Load("p", "", timers.Now()).Usable }
+			node.mirror.Apply(mirror.Update{Whole: true, At: restored, AsOf: timers.Now(), Records: test.copied})
+			node.fleet.tick(timers.Now())
+			assert.Equal(t, usable(), test.usable[0])
+			node.mirror.Apply(mirror.Update{At: again, AsOf: timers.Now(), Records: test.after})
+			node.fleet.tick(timers.Now())
+			assert.Equal(t, usable(), test.usable[1])
+			timers.Advance(max(lapseHold, returnHold))
+			node.mirror.Apply(mirror.Update{At: again, AsOf: timers.Now()})
+			node.fleet.tick(timers.Now())
+			assert.Equal(t, usable(), test.usable[2])
 		})
 	}
 }
 
-// change makes so many changes of records that nobody uses.
-func (world *world) change(count int) {
-	for index := range count {
-		_, err := world.data.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: fmt.Sprint("other/", index%7), Value: fmt.Append(nil, index)}}})
-		assert.NilError(world.t, err)
+// TestOrdersAreKnownAfterARestore checks that the planner does not go back to the group
+// that a server was in before its last orders.
+func TestOrdersAreKnownAfterARestore(t *testing.T) {
+	node, timers := newTestNode(t)
+	node.Decoder = platform.Decoder{}
+	node.fleet.view.Store(viewOf(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
+	member := func(revision shedkeel.Revision, epoch, orders int) shedkeel.Record {
+		value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":7,"domain":"d",`+
+			`"group":{"name":"m/d/1","epoch":%d,"rank":0,"state":"open"}}`, orders, epoch)
+		return shedkeel.Record{Key: "servers/i-1", Value: []byte(value), Revision: revision}
 	}
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 9}, Records: []shedkeel.Record{member(shedkeel.Revision{Number: 9}, 6, 4)}})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 5}, AsOf: timers.Now(), Records: []shedkeel.Record{member(shedkeel.Revision{Era: 1, Number: 5}, 5, 2)}})
+	assert.Equal(t, node.fleet.groupServices()["s"][0].Member.Epoch, uint64(6))
+	assert.Equal(t, node.fleet.highestEpoch(), uint64(6))
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Era: 1, Number: 6}, AsOf: timers.Now(), Records: []shedkeel.Record{member(shedkeel.Revision{Era: 1, Number: 6}, 7, 6)}})
+	assert.Equal(t, node.fleet.groupServices()["s"][0].Member.Epoch, uint64(7))
+}
+
+// TestLeadEndsWithTheEra has the service come back from an older copy, which has the
+// leader's record with a lease that may be another's now: nobody leads by it, and terms
+// rise above those that the copy lacks.
+func TestLeadEndsWithTheEra(t *testing.T) {
+	node, timers, store := electedNode(t)
+	var last shedkeel.Change
+	store.commit = func(change shedkeel.Change) (int64, error) { last = change; return 2, nil }
+	elect(t, node, timers)
+	assert.Assert(t, node.controller.leading(timers.Now()))
+	lead := node.mirror.Get(leadKey)
+	lead.Revision = shedkeel.Revision{Era: 1, Number: 2}
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{lead}})
+	assert.Assert(t, !node.controller.leading(timers.Now()))
+	assert.Equal(t, node.controller.leader(), shedkeel.NodeID(""))
+	assert.Assert(t, !node.member.lease.valid(timers.Now()))
+
+	store.granted.Era = 1
+	elect(t, node, timers)
+	assert.DeepEqual(t, last.If[0], shedkeel.Condition{Key: leadKey, Revision: lead.Revision})
+	assert.Equal(t, last.Put[0].Lease.Era, int64(1))
+	assert.Assert(t, node.controller.nextTerm(shedkeel.Record{}) > eraTerms, "terms of the first era may stand at servers")
+}
+
+// TestNodeIsListedAgain checks that a node writes its record again after the service has
+// come back from an older copy.
+func TestNodeIsListedAgain(t *testing.T) {
+	node, timers, store := electedNode(t)
+	writes := 0
+	store.commit = func(shedkeel.Change) (int64, error) { writes++; return 3, nil }
+	node.member.tried = timers.Now()
+	node.member.changed.Store(false)
+	node.member.tick(t.Context())
+	assert.Equal(t, writes, 0, "it is listed")
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 1}, AsOf: timers.Now()})
+	node.member.tick(t.Context())
+	assert.Equal(t, writes, 1)
 }
 
-// served returns how many nodes serve a request with the key.
-func (world *world) served(key string) int {
-	count := 0
-	for _, node := range world.nodes {
-		if status, _ := world.send(node.callers, shedkeel.NewNonce(), "/look/x", key, 0); status == 200 {
-			count++
-		}
+// TestBlamesOutliveARestore checks that what is held against a request is written again
+// when the service has lost it, and that an older copy does not clear it.
+func TestBlamesOutliveARestore(t *testing.T) {
+	node, timers := newTestNode(t)
+	store := &blameStore{}
+	node.Store = store
+	node.peers.update([]nodeRecord{node.record()})
+	for _, server := range []shedkeel.InstanceID{"a", "b", "c"} {
+		node.guard.Ended("r", server)
+	}
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
+	keep := func() {
+		timers.Advance(keepTurn)
+		node.mirror.Apply(mirror.Update{At: node.mirror.State().At, AsOf: timers.Now()})
+		node.guard.keep(context.Background(), timers.Now())
+		node.guard.keep(context.Background(), timers.Now())
+	}
+	keep()
+	assert.Equal(t, len(store.changes), 1)
+	store.era = 1
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 1}, AsOf: timers.Now()})
+	assert.Equal(t, node.guard.Judge("r"), shedkeel.Contained)
+	keep()
+	assert.Equal(t, len(store.changes), 2, "the service has lost it")
+}
+
+// TestLoadsAreKeptAgain checks that the loads under way are written again after the
+// service has come back from an older copy.
+func TestLoadsAreKeptAgain(t *testing.T) {
+	node, timers, store := electedNode(t)
+	writes := 0
+	store.commit = func(shedkeel.Change) (int64, error) { writes++; return 3, nil }
+	loading := map[shedkeel.InstanceID]shedkeel.ModelID{"a": "m"}
+	node.fleet.view.Store(viewOf(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
+	keep := func() {
+		node.controller.plan(t.Context(), timers.Now())
+		node.controller.keepLoads(t.Context(), "s", loading)
+	}
+	keep()
+	keep()
+	assert.Equal(t, writes, 1)
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 1}, AsOf: timers.Now()})
+	keep()
+	assert.Equal(t, writes, 2)
+}
+
+// TestRemovals checks for how long a removed server is remembered and kept from use.
+func TestRemovals(t *testing.T) {
+	cases := map[string]struct {
+		era  int64 // in which it is back
+		at   time.Duration
+		held bool
+	}{
+		"in the same era":       {0, time.Second, false},
+		"in a later one":        {1, time.Second, true},
+		"in a later one, later": {1, removalKeep, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var removals removals
+			removals.note("a", 0, 0)
+			removals.expire(test.at)
+			removals.returned("a", test.era, test.at)
+			assert.Equal(t, removals.withheld("a"), test.held)
+			assert.Equal(t, removals.expire(test.at+returnHold), test.held)
+			assert.Assert(t, !removals.withheld("a"))
+			removals.returned("a", test.era, test.at+returnHold)
+			assert.Assert(t, !removals.withheld("a"), "it writes its record still")
+		})
 	}
-	return count
 }
--- a/node/spoilt_test.go
+++ b/node/spoilt_test.go
@@ -16,10 +16,10 @@
 
 // serverRecord is the record of a head that serves, or of a member, as the
 // platform's servers write it.
-func serverRecord(revision, born int64, rank int, state shedkeel.MemberState) shedkeel.Record {
+func serverRecord(number, born int64, rank int, state shedkeel.MemberState) shedkeel.Record {
 	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.%d:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1,"born":%d,"domain":"d",`+
 		`"group":{"name":"m/d/1","epoch":5,"rank":%d,"state":%q}}`, rank+1, born, rank, state)
-	return shedkeel.Record{Key: fmt.Sprintf("servers/i-%d", rank), Value: []byte(value), Revision: revision}
+	return shedkeel.Record{Key: fmt.Sprintf("servers/i-%d", rank), Value: []byte(value), Revision: shedkeel.Revision{Number: number}}
 }
 
 // spoiltNode returns a node that knows a group of two, with requests to its
@@ -31,10 +31,10 @@
 	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s", Engine: &shedkeel.Engine{Slots: 8, Models: []shedkeel.Model{{ID: "m", Size: 2}}}}}}))
 	apply := func(after time.Duration, records ...shedkeel.Record) {
 		timers.Advance(after)
-		node.mirror.Apply(mirror.Update{At: 1, AsOf: timers.Now(), Records: records})
+		node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1}, AsOf: timers.Now(), Records: records})
 		node.fleet.tick(timers.Now())
 	}
-	node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now()})
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	apply(0, serverRecord(2, 7, 0, shedkeel.MemberOpen), serverRecord(3, 7, 1, shedkeel.MemberReady))
 	return node, apply
 }
@@ -45,7 +45,7 @@
 // server: it gets no requests, and keeps its place in its group until its own
 // next heartbeat or, if none comes, for doubtHold.
 func TestRecordThatBecomesUnreadable(t *testing.T) {
-	spoil := shedkeel.Record{Key: "servers/i-0", Value: []byte(`{"service":7}`), Revision: 4}
+	spoil := shedkeel.Record{Key: "servers/i-0", Value: []byte(`{"service":7}`), Revision: shedkeel.Revision{Number: 4}}
 	t.Run("its next heartbeat comes", func(t *testing.T) {
 		node, apply := spoiltNode(t)
 		assert.Equal(t, node.usable(), 1)
@@ -60,19 +60,19 @@
 	t.Run("none comes", func(t *testing.T) {
 		node, apply := spoiltNode(t)
 		apply(0, spoil)
-		apply(doubtHold/2, shedkeel.Record{Key: "servers/i-0", Value: []byte(`[]`), Revision: 5})
+		apply(doubtHold/2, shedkeel.Record{Key: "servers/i-0", Value: []byte(`[]`), Revision: shedkeel.Revision{Number: 5}})
 		assert.Equal(t, len(node.fleet.instances), 2)
 		apply(doubtHold / 2)
 		assert.Equal(t, len(node.fleet.instances), 1, "odd writes kept it for longer")
 	})
 	t.Run("a member's", func(t *testing.T) {
 		node, apply := spoiltNode(t)
-		apply(0, shedkeel.Record{Key: "servers/i-1", Value: []byte("\x00"), Revision: 4})
+		apply(0, shedkeel.Record{Key: "servers/i-1", Value: []byte("\x00"), Revision: shedkeel.Revision{Number: 4}})
 		assert.Equal(t, node.usable(), 1, "the head's record is sound")
 	})
 	t.Run("in one reading with sound ones", func(t *testing.T) {
 		node, apply := spoiltNode(t)
-		apply(0, shedkeel.Record{Key: "servers/odd", Value: []byte(`null`), Revision: 4}, serverRecord(5, 7, 0, shedkeel.MemberClosing))
+		apply(0, shedkeel.Record{Key: "servers/odd", Value: []byte(`null`), Revision: shedkeel.Revision{Number: 4}}, serverRecord(5, 7, 0, shedkeel.MemberClosing))
 		assert.Equal(t, len(node.fleet.instances), 2)
 		assert.Equal(t, node.usable(), 0, "the sound one was not taken in")
 	})
@@ -108,11 +108,11 @@
 			spoil(&record)
 			value, err := json.Marshal(record)
 			assert.NilError(t, err)
-			node.mirror.Apply(mirror.Update{Whole: true, At: 1, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: 1}}})
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: shedkeel.Revision{Number: 1}}}})
 			assert.Equal(t, len(node.fleet.nodes), 0)
 			value, err = json.Marshal(sound)
 			assert.NilError(t, err)
-			node.mirror.Apply(mirror.Update{At: 2, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: 2}}})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: nodePrefix + "b", Value: value, Revision: shedkeel.Revision{Number: 2}}}})
 			assert.Equal(t, len(node.fleet.nodes), 1)
 		})
 	}
@@ -140,11 +140,11 @@
 		t.Run(name, func(t *testing.T) {
 			node, timers, store := electedNode(t)
 			node.Decoder = platform.Decoder{}
-			records := []shedkeel.Record{member, {Key: termKey, Value: []byte(test.term), Revision: 3}}
+			records := []shedkeel.Record{member, {Key: termKey, Value: []byte(test.term), Revision: shedkeel.Revision{Number: 3}}}
 			if test.lead != "" {
-				records = append(records, shedkeel.Record{Key: leadKey, Value: []byte(test.lead), Revision: 4})
+				records = append(records, shedkeel.Record{Key: leadKey, Value: []byte(test.lead), Revision: shedkeel.Revision{Number: 4}})
 			}
-			node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now(), Records: records})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 4}, AsOf: timers.Now(), Records: records})
 			store.commit = func(change shedkeel.Change) (int64, error) {
 				for _, condition := range change.If {
 					assert.Equal(t, condition.Revision, node.mirror.Get(condition.Key).Revision, condition.Key)
@@ -152,13 +152,13 @@
 				return 5, nil
 			}
 			for range 3 { // the copy stays fresh
-				node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now()})
+				node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 4}, AsOf: timers.Now()})
 				elect(t, node, timers)
 				timers.Advance(strayLeadTime / 2)
 			}
-			node.mirror.Apply(mirror.Update{At: 4, AsOf: timers.Now()})
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 4}, AsOf: timers.Now()})
 			elect(t, node, timers)
-			lead := node.controller.lead()
+			lead, _ := node.controller.lead()
 			assert.Equal(t, lead.Node, node.Settings.Node, "nobody plans")
 			assert.Equal(t, lead.Term, test.next)
 		})
--- /dev/null
+++ b/revision_test.go
@@ -0,0 +1,21 @@
+package shedkeel
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRevisions checks that an era goes before a number in the order of revisions.
+func TestRevisions(t *testing.T) {
+	ordered := []Revision{{}, {0, 7}, {0, 1000}, {1, 0}, {1, 7}, {2, 3}}
+	for i, a := range ordered {
+		for j, b := range ordered {
+			assert.Equal(t, a.After(b), i > j, "%s after %s", a, b)
+			assert.Equal(t, LaterRevision(a, b), ordered[max(i, j)])
+		}
+		assert.Equal(t, a.Exists(), a.Number > 0)
+	}
+	assert.Equal(t, Revision{0, 258}.String(), "258")
+	assert.Equal(t, Revision{1, 9}.String(), "1:9")
+}
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -575,7 +575,7 @@
 func (world *world) holder(ctx context.Context) string {
 	store := &platform.Store{Address: world.addresses["store"], Timeout: time.Second}
 	record, err := store.Get(ctx, "shedkeel/lease/z1")
-	if err != nil || record.Revision == 0 {
+	if err != nil || record.Revision.Number == 0 {
 		return ""
 	}
 	var lease struct {
--- a/serving.go
+++ b/serving.go
@@ -183,6 +183,7 @@
 	Zone     ZoneID
 	Slots    int
 	Draining bool
+	Orders   int64 // taken since its start
 	Domain   DomainID
 	Staged   []ModelID // on the box's host
 	Models   []ModelID // loaded
