--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -45,6 +45,7 @@
 		"an answer of before, late":    {[]Update{before, after, {At: shedkeel.Revision{Number: 12}, AsOf: 7, Records: []shedkeel.Record{record("b", 12)}}}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
 		"a list of before, late":       {[]Update{before, after, whole(0, 12, 7, record("b", 12))}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
 		"a write of before, late":      {[]Update{before, after, {Records: []shedkeel.Record{record("b", 12)}}}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
+		"a first write, late":          {[]Update{before, after, {Records: []shedkeel.Record{record("z", 12)}}}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
 		"a change before its list":     {[]Update{before, later}, map[string]string{"a": "3", "b": "9"}, "9", 1, 0},
 		"an own write before its list": {[]Update{before, {Records: []shedkeel.Record{in(1, record("b", 4))}}, after}, map[string]string{"a": "1:3"}, "1:5", 2, 1},
 		"an own write after its list":  {[]Update{before, after, {Records: []shedkeel.Record{in(1, record("b", 6))}}}, map[string]string{"a": "1:3", "b": "1:6"}, "1:5", 2, 1},
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -61,7 +61,7 @@
 		"platform/era.go", "if condition.Revision.Exists() && condition.Revision.Era < store.Era() {", "if false {", "TestRestoredService", "./platform",
 	},
 	"restored store: former leases are renewed": {
-		"platform/store.go", "if era != lease.Era {", "if false {", "TestRestoredService", "./platform",
+		"platform/store.go", "if era != lease.Era {", "if era < 0 {", "TestRestoredService", "./platform",
 	},
 	"restored store: a leader leads on": {
 		"node/election.go", "return lead, lead.Era >= mirror.State().At.Era", "return lead, true", "TestLeadEndsWithTheEra", "./node",
