A server that starts again is not used elsewhere while a join of its former start may come

Cause: engines know themselves by name and forget epochs when they start again. An order to join without an answer was carried out by the next start, 100 ms before the planner, by a list that lagged 150 ms, ordered that start to wait as a standby.

Change: for 15 s after an order to join without an answer, a later start of the server is reserved while the head of that formation may serve. Test: TestLateJoinOfAServerThatStartedAgain fails without it.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -402,3 +402,39 @@
 	}
 	assert.Assert(t, len(loads) > 20, "loads go on")
 }
+
+// TestLateJoinOfAServerThatStartedAgain has a member start again while an order to join
+// its group may still be carried out, to which its former start gave no answer. The
+// planner ordered the new start to wait as a standby when it had just taken the late
+// order, and so took it out of a group whose head served.
+func TestLateJoinOfAServerThatStartedAgain(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		unanswered bool
+		wait       time.Duration // from the order to the start
+		free       bool          // the new start may be used elsewhere
+	}{
+		"all orders were answered": {false, 0, true},
+		"one may be under way":     {true, 0, false},
+		"one may be, for long":     {true, lateTime - time.Second, false},
+		"one is over":              {true, lateTime, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFakeFleet(3, 6, 8)
+			planner := newPlanner(1)
+			fleet.play(planner, time.Minute, false)
+			member := fleet.servers["s002"]
+			order := shedkeel.GroupOrder{Kind: shedkeel.OrderJoin, To: member.ID, Group: member.Member.Group, Epoch: member.Member.Epoch, Model: "large", Members: member.list}
+			if test.unanswered {
+				planner.Unanswered(order, fleet.now)
+			}
+			fleet.play(planner, test.wait, true)
+			fleet.restart(member.ID)
+			ordered := slices.ContainsFunc(planner.Plan(Input{Now: fleet.now, Engine: fleet.engine, Instances: fleet.instances(), Traffic: true}), func(action Action) bool {
+				return action.Order.Kind == shedkeel.OrderJoin && action.Order.To == "s002@1" && action.Order.Group != order.Group
+			})
+			assert.Equal(t, ordered, test.free)
+		})
+	}
+}
--- a/formation/mend.go
+++ b/formation/mend.go
@@ -67,6 +67,7 @@
 	for id := range round.planner.reserved {
 		round.used[id] = true
 	}
+	round.reserveStartedAgain()
 	for _, group := range round.groups {
 		if _, forming := round.planner.forming[group.id]; forming || group.model == nil || group.members == nil {
 			continue
@@ -76,6 +77,21 @@
 	round.dismissFormerHeads()
 }
 
+// reserveStartedAgain keeps servers from use that have started again while an order to
+// a former start of them may still be carried out: engines know themselves by name and
+// have forgotten higher epochs, so the server may be a member of a group that serves
+// before the list tells.
+func (round *round) reserveStartedAgain() {
+	for index := range round.input.Instances {
+		instance := &round.input.Instances[index]
+		for _, join := range round.planner.pending[instance.ID.Server()] {
+			if join.to != instance.ID && round.formerHeadMayServe(join.assignment) {
+				round.used[instance.ID] = true
+			}
+		}
+	}
+}
+
 // replaceSlow forms an open group anew without its slow members, if there are
 // substitutes: all of it works at the pace of the slowest.
 func (round *round) replaceSlow(group *observed) {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -39,6 +39,8 @@
 	// listedTime is within what time the list tells what became of an order that was
 	// answered.
 	listedTime = time.Second
+	// lateTime is for how long an order without an answer may still be carried out.
+	lateTime = 15 * time.Second
 	// loadWindow is the span over which load orders are counted.
 	loadWindow = 5 * time.Second
 	// spareShare is the part of a domain that is kept free as substitutes.
@@ -97,6 +99,7 @@
 	absent   map[shedkeel.Assignment]time.Duration               // a member missing since
 	loads    []time.Duration                                     // when load orders were given
 	loading  map[shedkeel.InstanceID]loading                     // ordered to load onto the host
+	pending  map[shedkeel.ServerID][]pendingJoin                 // orders to join without an answer
 	silent   map[shedkeel.InstanceID]int                         // orders in a row without an answer
 	passed   map[shedkeel.InstanceID]time.Duration               // passed over until then
 	warmed   map[shedkeel.InstanceID]time.Duration               // spares ordered to wait as standbys, and when
@@ -116,6 +119,14 @@
 	confirmed bool          // the server has said that it loads
 }
 
+// pendingJoin is an order to join that may still be carried out, by a later start of
+// the server too.
+type pendingJoin struct {
+	to         shedkeel.InstanceID
+	assignment shedkeel.Assignment
+	until      time.Duration
+}
+
 type orderKey struct {
 	kind  shedkeel.GroupOrderKind
 	to    shedkeel.InstanceID
@@ -209,6 +220,10 @@
 // Unanswered tells that the answer to an order did not come; the order may
 // still be carried out.
 func (planner *Planner) Unanswered(order shedkeel.GroupOrder, now time.Duration) {
+	if order.Kind == shedkeel.OrderJoin {
+		join := pendingJoin{order.To, shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}, now + lateTime}
+		planner.pending[order.To.Server()] = append(planner.pending[order.To.Server()], join)
+	}
 	planner.silent[order.To]++
 	if planner.silent[order.To] >= unansweredMax {
 		delete(planner.silent, order.To)
@@ -260,6 +275,7 @@
 		planner.left = map[shedkeel.Assignment]time.Duration{}
 		planner.reserved = map[shedkeel.InstanceID]time.Duration{}
 		planner.absent = map[shedkeel.Assignment]time.Duration{}
+		planner.pending = map[shedkeel.ServerID][]pendingJoin{}
 		planner.silent = map[shedkeel.InstanceID]int{}
 		planner.passed = map[shedkeel.InstanceID]time.Duration{}
 		planner.yieldings = map[shedkeel.DomainID]*yielding{}
@@ -287,6 +303,13 @@
 // forget forgets orders, standbys and formations of long ago.
 func (planner *Planner) forget(now time.Duration) {
 	maps.DeleteFunc(planner.sent, func(_ orderKey, at time.Duration) bool { return now-at > forgetTime })
+	for server, joins := range planner.pending {
+		joins = slices.DeleteFunc(joins, func(join pendingJoin) bool { return now >= join.until })
+		planner.pending[server] = joins
+		if len(joins) == 0 {
+			delete(planner.pending, server)
+		}
+	}
 	maps.DeleteFunc(planner.warmed, func(_ shedkeel.InstanceID, at time.Duration) bool { return now-at > warmAgain })
 	for assignment, at := range planner.told {
 		if now-at <= forgetTime {
