The soak has servers ask for backoffs and drain by their answers

Servers of the soak turn requests away with a Retry-After for a while, and drain saying so in their answers alone, beside all other faults; the stand-in judges what each node sends them by the users' rules. Requests carry the name of the node that they are sent to, by which servers tell nodes apart. A node that started or woke is excused, as is a server whose way was spoilt.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -18,6 +18,7 @@
 	kinds := []func(*rand.Rand) string{
 		world.killNode, world.stopNode, world.freezeNode, world.cutStore, world.loseServer, world.spoilServer,
 		world.drainServer, world.storeFault, world.removeKey, world.hangUp, world.sendDeadly, world.limitServer,
+		world.backOffServer, world.drainByAnswers,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
@@ -57,7 +58,7 @@
 	node.signal(syscall.SIGSTOP)
 	time.Sleep(length)
 	node.signal(syscall.SIGCONT)
-	world.wakes()
+	world.wakes(node)
 	return fmt.Sprintf("froze %s for %s", node.name, length)
 }
 
@@ -128,6 +129,7 @@
 	length := between(random, 200, 2000)
 	time.Sleep(length)
 	way.set(passing)
+	world.fleet.ExcuseAll(id)
 	return fmt.Sprintf("way to %s in manner %d for %s", id, manner, length)
 }
 
@@ -234,8 +236,36 @@
 	}
 }
 
+// backOffServer has a server turn requests away and ask for a backoff for a while.
+func (world *world) backOffServer(random *rand.Rand) string {
+	_, id := world.victim(random)
+	if id == "" {
+		return "no server to back off"
+	}
+	length, lasts := between(random, 600, 3000), between(random, 500, 5000)
+	world.fleet.BackOff(id, length)
+	time.AfterFunc(lasts, func() { world.fleet.BackOff(id, 0) })
+	return fmt.Sprintf("%s asks for backoffs of %s for %s", id, length, lasts)
+}
+
+// drainByAnswers has a server drain that says so in its answers alone.
+func (world *world) drainByAnswers(random *rand.Rand) string {
+	service, id := world.victim(random)
+	if id == "" {
+		return "no server to drain"
+	}
+	world.fleet.DrainByAnswers(id)
+	time.AfterFunc(3500*time.Millisecond, func() {
+		world.fleet.Kill(id)
+		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
+	})
+	world.replaceServer(random, service)
+	return "drained by its answers " + id
+}
+
 // wakes notes that a node starts, or stood still until now.
-func (world *world) wakes() {
+func (world *world) wakes(process *process) {
+	world.fleet.Excuse(slices.Index(world.nodes, process))
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.woken = append(world.woken, time.Now())
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"shedkeel.org/shedkeel"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 // revokeBound is within which a removed key must not run any more, by the
@@ -121,7 +123,9 @@
 // send sends one call and judges its answer. It returns whether it was
 // answered as it should.
 func (caller *caller) send(address, kind, key string) bool {
-	id := shedkeel.NewNonce()
+	world := caller.judge.world
+	node := slices.IndexFunc(world.nodes, func(process *process) bool { return process.callers == address })
+	id := platformstandin.RequestID(node, shedkeel.NewNonce())
 	sent := time.Now()
 	status, body := caller.post(address, kind+id, id, key, "x")
 	caller.judge.note(kind, id, status)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -231,7 +231,7 @@
 	assert.NilError(world.t, command.Start())
 	_ = log.Close() // the process has its own
 	process.set(command)
-	world.wakes()
+	world.wakes(process)
 }
 
 func (process *process) running() *exec.Cmd {
