The soak has the store come back from an older copy

The store loses what was written in up to 3 s, is away for up to 1.5 s, gives revisions and leases out again, and is written again by the operator and the servers up to 1.5 s later, beside kills, freezes, cuts, signals and changes.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -18,7 +18,7 @@
 	kinds := []func(*rand.Rand) string{
 		world.killNode, world.stopNode, world.freezeNode, world.cutStore, world.loseServer, world.spoilServer,
 		world.drainServer, world.storeFault, world.removeKey, world.hangUp, world.sendDeadly, world.limitServer,
-		world.backOffServer, world.drainByAnswers,
+		world.backOffServer, world.drainByAnswers, world.restoreStore,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
@@ -263,6 +263,23 @@
 	return "drained by its answers " + id
 }
 
+// restoreStore has the store lose what was written in a while, come back, and be
+// written again by the operator and the servers.
+func (world *world) restoreStore(random *rand.Rand) string {
+	world.restoring.Lock()
+	defer world.restoring.Unlock()
+	world.data.Snapshot()
+	lost, away, again := between(random, 300, 3000), between(random, 200, 1500), between(random, 0, 1500)
+	time.Sleep(lost)
+	world.data.SetFaults(standin.Faults{Outage: true})
+	time.Sleep(away)
+	world.data.Restore()
+	world.data.SetFaults(standin.Faults{})
+	time.Sleep(again)
+	world.writeAgain()
+	return fmt.Sprintf("store came back from a copy of %s before, after %s, written again after %s", lost, away, again)
+}
+
 // wakes notes that a node starts, or stood still until now.
 func (world *world) wakes(process *process) {
 	world.fleet.Excuse(slices.Index(world.nodes, process))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,7 +78,8 @@
 	nodes  []*process
 	judge  judge
 
-	over chan struct{} // closed at the end
+	over      chan struct{} // closed at the end
+	restoring sync.Mutex    // held while the store goes back to a copy
 
 	mutex   sync.Mutex
 	deadly  int               // requests that end servers
@@ -148,6 +149,15 @@
 	world.judge.keyRemoved(fmt.Sprint("key-", world.version-1))
 }
 
+// writeAgain has the operator and the servers write theirs again.
+func (world *world) writeAgain() {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	_, err := world.data.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, configText, world.version, world.version)}}})
+	assert.NilError(world.t, err)
+	world.fleet.WriteAgain()
+}
+
 func (world *world) key() string {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
