--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 	first     = flag.Uint64("first", 1, "the first seed")
 	seconds   = flag.Int("seconds", 10, "how long faults go on for each seed")
 	processes = flag.Int("processes", 3, "how many nodes run")
+	program   = flag.String("program", "", "the node's program, such as an earlier one; empty: it is built")
 	callers   = flag.Int("callers", 12, "how many callers call at once")
 )
 
@@ -60,6 +61,9 @@
 
 func build(t *testing.T) string {
 	t.Helper()
+	if *program != "" {
+		return *program
+	}
 	binary := filepath.Join(t.TempDir(), "shedkeel-node")
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "shedkeel.org/shedkeel/cmd/shedkeel-node").CombinedOutput()
 	assert.NilError(t, err, string(output))
