A node that starts on an older configuration is told the one in force

What callers saw: nothing yet; a node that started between the return of a restored service and the operators' writing again went by the copy's configuration, in which removed keys still stood and routes were missing.

Cause: the copy's configuration is all that such a node can read; others have the newer one in force, and only told what stands in the service. Change: a question to another node names the version in force; who has a newer one that the service lacks tells it with the answer, and who is asked by a node with a newer one asks back. Nothing is sent or compressed while the service has the newest. Ways weighed: keeping the newer record in the copies under a made-up revision would spoil differences, whose bases go by revisions; the node that plans could write it back, but only operators may write there. Test: TestNodeThatStartsAfterARestore (both directions), a mutant.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -81,6 +81,9 @@
 	"restored store: orders go back": {
 		"node/fleet.go", "|| born == knownBorn && instance.Orders < known.Orders", "", "TestOrdersAreKnownAfterARestore", "./node",
 	},
+	"restored store: nodes that start go by the older configuration": {
+		"node/config.go", "if version >= fleet.version() || !fleet.kept.unwritten.Load() {", "if true {", "TestNodeThatStartsAfterARestore", "./node",
+	},
 	"restored store: blames are not written again": {
 		"node/restore.go", "node.guard.keepAgain()", "", "TestBlamesOutliveARestore", "./node",
 	},
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/serve"
+	"shedkeel.org/shedkeel/wire"
+)
+
+// keptConfig is the configuration in force as operators wrote it. The key-value service
+// may have an older one, when it has come back from a copy and they have not written
+// theirs again; nodes that start then are told by others. The zero value is none.
+type keptConfig struct {
+	mutex  sync.Mutex
+	value  []byte
+	packed []byte // the same compressed; nil: not yet
+
+	unwritten atomic.Bool // the service has an older one
+	fetching  atomic.Bool // another node is being asked for a newer one
+}
+
+func (kept *keptConfig) set(value []byte) {
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	kept.value, kept.packed = value, nil
+}
+
+// pack returns the configuration as it is told, or nil if there is none.
+func (kept *keptConfig) pack() []byte {
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	if kept.packed == nil && kept.value != nil {
+		packed, err := deflate(kept.value)
+		if err != nil {
+			return nil // memory never fails to be written to
+		}
+		kept.packed = packed
+	}
+	return kept.packed
+}
+
+// version returns the version of the configuration in force; 0: none.
+func (fleet *fleet) version() int64 {
+	if view := fleet.view.Load(); view != nil {
+		return view.Config.Version
+	}
+	return 0
+}
+
+// takeConfig takes in the configuration that the key-value service has, and reports
+// whether it is in force now.
+func (fleet *fleet) takeConfig(record shedkeel.Record) bool {
+	if record.Gone {
+		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "it was removed", Remedy: "write a configuration"})
+		return false
+	}
+	config, err := fleet.node.Decoder.Config(record.Value)
+	if err != nil {
+		fleet.skipped(record, err)
+		return false
+	}
+	fleet.kept.unwritten.Store(config.Version < fleet.version())
+	return fleet.enforce(config, record)
+}
+
+// enforce puts a configuration in force if it is newer than the one that is. The mutex
+// is held.
+func (fleet *fleet) enforce(config *shedkeel.ServingConfig, record shedkeel.Record) bool {
+	if fleet.view.Load() != nil && config.Version <= fleet.version() {
+		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "its version is not newer than the one in force", Remedy: "raise it"})
+		return false
+	}
+	fleet.view.Store(serve.NewView(config))
+	fleet.kept.set(record.Value)
+	fleet.node.Log.Write(event.ViewChanged, slog.Int64("version", config.Version), slog.String("revision", record.Revision.String()), slog.Int("routes", len(config.Routes)))
+	return true
+}
+
+// newerConfig returns the configuration in force, compressed, for a node that has an
+// older one, where the key-value service has an older one too. Otherwise nil.
+func (fleet *fleet) newerConfig(version int64) []byte {
+	if version >= fleet.version() || !fleet.kept.unwritten.Load() {
+		return nil
+	}
+	return fleet.kept.pack()
+}
+
+// takeTold takes in a configuration that another node has in force.
+func (fleet *fleet) takeTold(packed []byte, from shedkeel.NodeID) {
+	record := shedkeel.Record{Key: fleet.node.Decoder.ConfigKey()}
+	value, err := inflate(packed, unpackMax)
+	if err != nil {
+		fleet.skipped(record, fmt.Errorf("node %s: %w", from, err))
+		return
+	}
+	record.Value = value
+	config, err := fleet.node.Decoder.Config(value)
+	if err != nil {
+		fleet.skipped(record, fmt.Errorf("node %s: %w", from, err))
+		return
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.enforce(config, record) {
+		fleet.kept.unwritten.Store(true)
+		fleet.refresh(true, false)
+	}
+}
+
+// fetchConfig asks a node that has a newer configuration in force for it.
+func (peers *peers) fetchConfig(id shedkeel.NodeID, version int64) {
+	fleet := &peers.node.fleet
+	own := fleet.version()
+	if own == 0 || version <= own || !fleet.kept.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	peer := peers.peer(id)
+	if peer == nil {
+		fleet.kept.fetching.Store(false)
+		return
+	}
+	go peer.runFetchConfig()
+}
+
+func (peer *peer) runFetchConfig() {
+	defer peer.node.fleet.kept.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	at := peer.node.mirror.State().At
+	_, _ = peer.askRelay(ctx, &wire.RelayCall{SinceEra: at.Era, Since: at.Number}) // what it tells else is followed elsewhere
+}
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/platform"
+)
+
+// configRecord is a configuration as operators write it.
+func configRecord(version, era, number int64) shedkeel.Record {
+	value := fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{}}`, version)
+	return shedkeel.Record{Key: platform.ConfigKey, Value: value, Revision: shedkeel.Revision{Era: era, Number: number}}
+}
+
+// TestNodeThatStartsAfterARestore has a node start when the service has come back from a
+// copy with an older configuration, which others have newer: with the older one it
+// accepted keys that had been removed.
+func TestNodeThatStartsAfterARestore(t *testing.T) {
+	cases := map[string]struct {
+		follows bool // the new node follows the other one, and not the other way round
+	}{
+		"it follows another": {true},
+		"another follows it": {false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			nodes, peers := map[string]*Node{}, map[string]*peer{}
+			for _, id := range []string{"old", "new"} {
+				node, timers := newTestNode(t)
+				node.Decoder = platform.Decoder{}
+				node.Settings.Node, node.Settings.Wire.Key = shedkeel.NodeID(id), "k"
+				listener := listenHere(t)
+				t.Cleanup(serveWire(t, listener, &node.peers))
+				nodes[id] = node
+				node.Settings.Listen.Control = listener.Addr().String()
+				if id == "old" {
+					node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 9}, AsOf: timers.Now(), Records: []shedkeel.Record{configRecord(7, 0, 9)}})
+				}
+				node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: 1, Number: 5}, AsOf: timers.Now(), Records: []shedkeel.Record{configRecord(6, 1, 5)}})
+			}
+			for from, to := range map[string]string{"old": "new", "new": "old"} {
+				record := nodeRecord{ID: shedkeel.NodeID(to), Control: nodes[to].Settings.Listen.Control}
+				nodes[from].peers.update([]nodeRecord{record})
+				peers[from] = nodes[from].peers.peer(record.ID)
+				t.Cleanup(nodes[from].peers.close)
+			}
+			assert.Equal(t, nodes["new"].fleet.version(), int64(6))
+			from := "old"
+			if test.follows {
+				from = "new"
+			}
+			_, err := peers[from].Relay(t.Context(), nodes[from].mirror.State().At, 0)
+			assert.NilError(t, err)
+			for end := time.Now().Add(5 * time.Second); nodes["new"].fleet.version() != 7 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, nodes["new"].fleet.version(), int64(7))
+			assert.Equal(t, nodes["old"].fleet.version(), int64(7))
+			assert.Assert(t, nodes["new"].fleet.newerConfig(6) != nil, "it tells others")
+
+			again := configRecord(7, 1, 8)
+			nodes["old"].mirror.Apply(mirror.Update{At: again.Revision, Records: []shedkeel.Record{again}})
+			assert.Assert(t, nodes["old"].fleet.newerConfig(6) == nil, "the service has it")
+		})
+	}
+}
+
+// TestToldConfigurations checks what becomes of configurations that other nodes tell.
+func TestToldConfigurations(t *testing.T) {
+	pack := func(text string) []byte {
+		packed, err := deflate([]byte(text))
+		assert.NilError(t, err)
+		return packed
+	}
+	cases := map[string]struct {
+		packed []byte
+		want   int64
+	}{
+		"newer":          {pack(string(configRecord(8, 0, 0).Value)), 8},
+		"the same":       {pack(string(configRecord(6, 0, 0).Value)), 6},
+		"older":          {pack(string(configRecord(5, 0, 0).Value)), 6},
+		"no JSON":        {pack("{"), 6},
+		"not compressed": {[]byte("xyz"), 6},
+		"empty":          {pack(""), 6},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, _ := newTestNode(t)
+			node.Decoder = platform.Decoder{}
+			first := configRecord(6, 0, 3)
+			node.mirror.Apply(mirror.Update{Whole: true, At: first.Revision, Records: []shedkeel.Record{first}})
+			node.fleet.takeTold(test.packed, "other")
+			assert.Equal(t, node.fleet.version(), test.want)
+		})
+	}
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -41,6 +41,7 @@
 type fleet struct {
 	node *Node
 	view atomic.Pointer[serve.View]
+	kept keptConfig
 
 	mutex     sync.Mutex
 	instances map[string]shedkeel.Instance // by key
@@ -96,26 +97,6 @@
 	return err
 }
 
-func (fleet *fleet) takeConfig(record shedkeel.Record) bool {
-	if record.Gone {
-		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "it was removed", Remedy: "write a configuration"})
-		return false
-	}
-	config, err := fleet.node.Decoder.Config(record.Value)
-	if err != nil {
-		fleet.skipped(record, err)
-		return false
-	}
-	before := fleet.view.Load()
-	if before != nil && config.Version <= before.Config.Version {
-		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "its version is not newer than the one in force", Remedy: "raise it"})
-		return false
-	}
-	fleet.view.Store(serve.NewView(config))
-	fleet.node.Log.Write(event.ViewChanged, slog.Int64("version", config.Version), slog.String("revision", record.Revision.String()), slog.Int("routes", len(config.Routes)))
-	return true
-}
-
 // takeInstance takes in a backend server's record. Gone ones are believed a
 // while where the service was away, and never in a state they had left.
 func (fleet *fleet) takeInstance(record shedkeel.Record, now time.Duration) bool {
--- a/node/relay.go
+++ b/node/relay.go
@@ -71,10 +71,14 @@
 }
 
 func (peer *peer) askRelay(ctx context.Context, call *wire.RelayCall) (mirror.Update, error) {
+	call.Config = peer.node.fleet.version()
 	relay, err := peer.callRelay(ctx, call)
 	if err != nil {
 		return mirror.Update{}, err
 	}
+	if len(relay.GetConfig()) > 0 {
+		peer.node.fleet.takeTold(relay.GetConfig(), peer.id)
+	}
 	if !relay.GetKnown() {
 		return mirror.Update{}, mirror.ErrNothingKnown
 	}
@@ -114,6 +118,7 @@
 	changed := own.Changed()
 	state := own.State()
 	since := shedkeel.Revision{Era: call.GetSinceEra(), Number: call.GetSince()}
+	peers.fetchConfig(shedkeel.NodeID(call.GetNode()), call.GetConfig())
 	away := own.State().Known && peers.node.follower.Away() // who asks goes on to the next node at once
 	if !away && (!state.Known || !call.GetOnlyKnown() && !state.At.After(since)) {
 		timer := time.NewTimer(time.Duration(call.GetWaitMs()) * time.Millisecond)
@@ -128,12 +133,15 @@
 		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: &wire.RelayReply{Known: own.State().Known, Nodes: peers.heardOf()}}}
 	}
 	update := own.Since(since)
+	config := peers.node.fleet.newerConfig(call.GetConfig())
 	now := peers.node.Timers.Now()
 	if update.Whole {
-		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: peers.copies.tell(update, now)}}
+		reply := peers.copies.tell(update, now)
+		reply.Config = config
+		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: reply}}
 	}
 	reply := relayReply(update, now)
-	reply.Away = away
+	reply.Away, reply.Config = away, config
 	for _, record := range update.Records {
 		reply.Records = append(reply.Records, peers.tell(record, since, call.GetDifferences()))
 	}
