The node that plans is told of servers that say in an answer that they drain

What callers saw: streams moved when a head ended whose record never said that it drains, since the planner formed the group anew only after its loss. Change: the node that hears it first tells the planner, once a node and start of the server. All others hear it with the next answer, at the cost of a request that the server still runs, so they are not told. Test: TestDrainIsTold.

--- a/node/node.go
+++ b/node/node.go
@@ -132,7 +132,7 @@
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:  &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), Slack: bounds.RetrySlack, Careful: budgetCare, Began: node.Timers.Now()},
 		Believe: node.believe, Spread: node.peers.spread, Nodes: node.fleet.nodeCount, Serving: node.fleet.serving,
-		Guard: &node.guard, Limits: &node.limits, Check: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
+		Guard: &node.guard, Limits: &node.limits, Draining: node.peers.draining, Check: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		ProofAge: time.Duration(float64(bounds.Revoke) * proofShare), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), Outage: node.follower.Outage,
 	}
 	if node.Metrics != nil {
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -36,3 +38,28 @@
 		})
 	}
 }
+
+// TestDrainIsTold has a node hear that a head drains, whose record says nothing of it, and
+// tell the node that plans, which is to form the group anew.
+func TestDrainIsTold(t *testing.T) {
+	planner, apply := spoiltNode(t)
+	apply(0)
+	planner.Settings.Wire.Key = "k"
+	listener := listenHere(t)
+	defer serveWire(t, listener, &planner.peers)()
+	node, timers := newTestNode(t)
+	node.Settings.Wire.Key = "k"
+	node.peers.update([]nodeRecord{{ID: "planner", Control: listener.Addr().String()}})
+	defer node.peers.close()
+	lead, err := json.Marshal(leadRecord{Node: "planner"})
+	assert.NilError(t, err)
+	node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: leadKey, Value: lead, Revision: shedkeel.Revision{Number: 2}}}})
+	head := planner.fleet.groupServices()["s"][0]
+	assert.Assert(t, !head.Draining)
+	node.front.Draining(head.ID)
+	for end := time.Now().Add(5 * time.Second); !planner.table.Draining(head.ID) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, planner.fleet.groupServices()["s"][0].Draining)
+	assert.Equal(t, planner.usable(), 0)
+}
--- a/serve/front.go
+++ b/serve/front.go
@@ -65,6 +65,8 @@
 	Check shedkeel.ServerCheck
 	// Limits knows which servers limit the rate of their requests. nil: none does.
 	Limits shedkeel.ServerLimits
+	// Draining is told of a server that says in an answer that it drains. nil: nobody is.
+	Draining func(shedkeel.InstanceID)
 	// MaxBackoff is for how long the backoff of a server is heeded at most. 0: as long
 	// as it states.
 	MaxBackoff time.Duration
--- a/serve/send.go
+++ b/serve/send.go
@@ -224,6 +224,9 @@
 	}
 	if answer.Draining && exchange.front.Table.Drain(choice.Instance) {
 		exchange.log(event.DrainingStated, server)
+		if exchange.front.Draining != nil {
+			exchange.front.Draining(choice.Instance)
+		}
 	}
 }
 
