--- a/node/config.go
+++ b/node/config.go
@@ -11,6 +11,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/serve"
+	"shedkeel.org/shedkeel/transfer"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -37,7 +38,7 @@
 	kept.mutex.Lock()
 	defer kept.mutex.Unlock()
 	if kept.packed == nil && kept.value != nil {
-		packed, err := deflate(kept.value)
+		packed, err := transfer.Deflate(kept.value)
 		if err != nil {
 			return nil // memory never fails to be written to
 		}
@@ -95,7 +96,7 @@
 // takeTold takes in a configuration that another node has in force.
 func (fleet *fleet) takeTold(packed []byte, from shedkeel.NodeID) {
 	record := shedkeel.Record{Key: fleet.node.Decoder.ConfigKey()}
-	value, err := inflate(packed, unpackMax)
+	value, err := transfer.Inflate(packed, transfer.MaxValue)
 	if err != nil {
 		fleet.skipped(record, fmt.Errorf("node %s: %w", from, err))
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -89,21 +89,21 @@
 	Log         *event.Log
 	Metrics     *metrics.Metrics
 
-	mirror     mirror.Mirror
-	follower   mirror.Follower
-	table      dispatch.Table
-	front      serve.Front
-	fleet      fleet
-	peers      peers
-	member     membership
-	gossip     gossip
-	remover    remover
-	askers     askers
-	guard      guard
-	limits     limits
-	controller controller
-	stopping   atomic.Bool
-	running    sync.WaitGroup
+	mirror      mirror.Mirror
+	follower    mirror.Follower
+	table       dispatch.Table
+	front       serve.Front
+	fleet       fleet
+	peers       peers
+	member      membership
+	gossip      gossip
+	remover     remover
+	subscribers subscribers
+	guard       guard
+	limits      limits
+	controller  controller
+	stopping    atomic.Bool
+	running     sync.WaitGroup
 }
 
 // Listeners are the sockets that a node serves, and what answers on those that
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,6 +12,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/transfer"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -34,8 +35,8 @@
 	// random is not used elsewhere, and only with the mutex held.
 	random shedkeel.Random
 
-	packer packer
-	copies copies
+	packer transfer.Packer
+	copies transfer.Copies
 }
 
 // peer is one other node.
--- a/node/relay.go
+++ b/node/relay.go
@@ -7,6 +7,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/transfer"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -17,11 +18,6 @@
 	// copyTimeout is the same for a whole copy: 300 boxes that start together ask
 	// three others for 0.1 MB each, which take half a second over 200 Mbit/s.
 	copyTimeout = 3 * time.Second
-	// copyKeep is for how long a whole copy that was compressed is told again,
-	// though more has changed since: that is asked for next.
-	copyKeep = 500 * time.Millisecond
-	// copyMax bounds a whole copy, in bytes.
-	copyMax = 32 << 20
 )
 
 // Relay asks the node's mirror.
@@ -51,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	update, err := peer.askRelay(ctx, &wire.RelayCall{SinceEra: since.Era, Since: since.Number, WaitMs: uint32(wait.Milliseconds()), Differences: true})
-	if errors.Is(err, errOtherBase) {
+	if errors.Is(err, transfer.ErrOtherBase) {
 		return peer.askRelay(ctx, &wire.RelayCall{SinceEra: since.Era, Since: since.Number})
 	}
 	return update, err
@@ -84,7 +80,7 @@
 	}
 	at := shedkeel.Revision{Era: relay.GetEra(), Number: relay.GetAt()}
 	update := mirror.Update{Whole: relay.GetWhole(), At: at, Away: relay.GetAway(), AsOf: -time.Duration(relay.GetAgeMs()) * time.Millisecond}
-	records, err := recordsOf(relay)
+	records, err := transfer.Records(relay)
 	if err != nil {
 		return mirror.Update{}, err
 	}
@@ -107,14 +103,14 @@
 // whole returns a record of the era as the service has it.
 func (peer *peer) whole(sent *wire.StoreRecord, era int64) (shedkeel.Record, error) {
 	if sent.GetBase() != 0 {
-		return undiffer(sent, era, peer.node.mirror.Get(sent.GetKey()))
+		return transfer.Undiffer(sent, era, peer.node.mirror.Get(sent.GetKey()))
 	}
-	return unpack(sent, era)
+	return transfer.Unpack(sent, era)
 }
 
 func (peers *peers) relay(ctx context.Context, call *wire.RelayCall) *wire.Reply {
 	own := &peers.node.mirror
-	peers.node.askers.hear(shedkeel.NodeID(call.GetNode()), peers.node.Timers.Now())
+	peers.node.subscribers.hear(shedkeel.NodeID(call.GetNode()), peers.node.Timers.Now())
 	changed := own.Changed()
 	state := own.State()
 	since := shedkeel.Revision{Era: call.GetSinceEra(), Number: call.GetSince()}
@@ -136,11 +132,11 @@
 	config := peers.node.fleet.newerConfig(call.GetConfig())
 	now := peers.node.Timers.Now()
 	if update.Whole {
-		reply := peers.copies.tell(update, now)
+		reply := peers.copies.Tell(update, now)
 		reply.Config = config
 		return &wire.Reply{Kind: &wire.Reply_Relay{Relay: reply}}
 	}
-	reply := relayReply(update, now)
+	reply := transfer.Reply(update, now)
 	reply.Away, reply.Config = away, config
 	for _, record := range update.Records {
 		reply.Records = append(reply.Records, peers.tell(record, since, call.GetDifferences()))
@@ -154,13 +150,7 @@
 	if peers.node.mirror.State().Known {
 		listed = peers.node.fleet.nodeCount()
 	}
-	return uint32(max(listed, peers.node.askers.count(peers.node.Timers.Now())))
-}
-
-// relayReply tells of an update, but for its records.
-func relayReply(update mirror.Update, now time.Duration) *wire.RelayReply {
-	age := now - update.AsOf
-	return &wire.RelayReply{Whole: update.Whole, Era: update.At.Era, At: update.At.Number, AgeMs: uint64(age.Milliseconds()) + 1, Known: true}
+	return uint32(max(listed, peers.node.subscribers.count(peers.node.Timers.Now())))
 }
 
 // tell returns a record as it is sent to a node that asks: by the difference if
@@ -173,11 +163,11 @@
 	former := peers.node.mirror.Before(record.Key)
 	usable := former.Revision.Exists() && !former.Revision.After(since) && record.Revision.After(former.Revision)
 	if differences && !record.Gone && usable {
-		if told := differ(record, former); told != nil {
+		if told := transfer.Differ(record, former); told != nil {
 			return told
 		}
 	}
-	return peers.packer.pack(record)
+	return peers.packer.Pack(record)
 }
 
 // mirrorUpdate is an update with records that this node has written itself.
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/mirror"
+)
+
+// TestRelayByDifferences has a node follow another over a real connection: it
+// comes to have the same records, also where it was told another value
+// meanwhile, and what is sent for a server's heartbeat is small.
+func TestRelayByDifferences(t *testing.T) {
+	listener := listenHere(t)
+	source, timers := newTestNode(t)
+	stop := serveWire(t, listener, &source.peers)
+	defer stop()
+	own, _ := newTestNode(t)
+	own.Settings.Wire.Key = "k"
+	peer := own.peers.dial("source", listener.Addr().String())
+	defer peer.close()
+	write := func(to *Node, number int64, whole bool) {
+		value := fmt.Appendf(nil, "%s\"seq\":%d}", bytes.Repeat([]byte("server "), 60), number)
+		revision := shedkeel.Revision{Number: number}
+		to.mirror.Apply(mirror.Update{Whole: whole, At: revision, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/a", Value: value, Revision: revision}}})
+	}
+	follow := func() {
+		update, err := peer.Relay(t.Context(), own.mirror.State().At, 0)
+		assert.NilError(t, err)
+		own.mirror.Apply(update)
+		assert.DeepEqual(t, own.mirror.Get("servers/a"), source.mirror.Get("servers/a"))
+	}
+	write(source, 1, true)
+	follow()
+	write(source, 2, false)
+	follow()
+	since := shedkeel.Revision{Number: 2}
+	write(source, 9, false)
+	sent := source.peers.tell(source.mirror.Get("servers/a"), since, true)
+	assert.Assert(t, sent.GetBase() == 2 && len(sent.GetValue()) < 4, "%v", sent)
+	write(own, 5, false) // the service told it something that the source has not heard of
+	follow()
+	assert.Equal(t, source.peers.tell(source.mirror.Get("servers/a"), since, false).GetBase(), int64(0), "who does not ask for differences gets the whole")
+}
--- a/node/copies.go
+++ b/transfer/copies.go
@@ -1,4 +1,4 @@
-package node
+package transfer
 
 import (
 	"sync"
@@ -11,21 +11,29 @@
 	"shedkeel.org/shedkeel/wire"
 )
 
-// copies compresses whole copies of the mirror for nodes that know nothing, each
+const (
+	// copyKeep is for how long a whole copy that was compressed is told again,
+	// though more has changed since: that is asked for next.
+	copyKeep = 500 * time.Millisecond
+	// copyMax bounds a whole copy, in bytes.
+	copyMax = 32 << 20
+)
+
+// Copies compresses whole copies of a mirror for processes that know nothing, each
 // once for all that ask within copyKeep. The zero value is ready for use.
-type copies struct {
+type Copies struct {
 	mutex  sync.Mutex
 	made   time.Duration
 	kept   mirror.Update // without its records
 	packed []byte        // nil: none is kept
 }
 
-// tell returns the update as it is sent, or an older one that is still good.
+// Tell returns the update as it is sent, or an older one that is still good.
 //
 // A list of a thousand servers and a configuration of 1,500 routes are 0.9 MB
 // as records and some 0.1 MB compressed together: a box whose link has 20 Mbit/s
 // has them in 50 ms in place of 400.
-func (copies *copies) tell(update mirror.Update, now time.Duration) *wire.RelayReply {
+func (copies *Copies) Tell(update mirror.Update, now time.Duration) *wire.RelayReply {
 	copies.mutex.Lock()
 	defer copies.mutex.Unlock()
 	outdated := now-copies.made >= copyKeep && update.At != copies.kept.At || update.At.Era != copies.kept.At.Era
@@ -33,25 +41,25 @@
 		copies.pack(update, now)
 	}
 	if copies.packed == nil {
-		reply := relayReply(update, now)
+		reply := Reply(update, now)
 		reply.Records = plainRecords(update.Records)
 		return reply
 	}
 	if copies.kept.At == update.At {
 		copies.kept.AsOf = update.AsOf
 	}
-	reply := relayReply(copies.kept, now)
+	reply := Reply(copies.kept, now)
 	reply.Packed = copies.packed
 	return reply
 }
 
-func (copies *copies) pack(update mirror.Update, now time.Duration) {
+func (copies *Copies) pack(update mirror.Update, now time.Duration) {
 	copies.packed = nil
 	text, err := proto.Marshal(&wire.RelayReply{Records: plainRecords(update.Records)})
 	if err != nil {
 		return // it is told as it is
 	}
-	packed, err := deflate(text)
+	packed, err := Deflate(text)
 	if err != nil {
 		return // memory never fails to be written to, and plain is right too
 	}
@@ -67,12 +75,12 @@
 	return plain
 }
 
-// recordsOf returns the records that a reply tells.
-func recordsOf(reply *wire.RelayReply) ([]*wire.StoreRecord, error) {
+// Records returns the records that a reply tells.
+func Records(reply *wire.RelayReply) ([]*wire.StoreRecord, error) {
 	if len(reply.GetPacked()) == 0 {
 		return reply.GetRecords(), nil
 	}
-	text, err := inflate(reply.GetPacked(), copyMax)
+	text, err := Inflate(reply.GetPacked(), copyMax)
 	if err != nil {
 		return nil, err
 	}
@@ -82,3 +90,9 @@
 	}
 	return whole.GetRecords(), nil
 }
+
+// Reply tells of an update, but for its records.
+func Reply(update mirror.Update, now time.Duration) *wire.RelayReply {
+	age := now - update.AsOf
+	return &wire.RelayReply{Whole: update.Whole, Era: update.At.Era, At: update.At.Number, AgeMs: uint64(age.Milliseconds()) + 1, Known: true}
+}
--- a/node/difference.go
+++ b/transfer/difference.go
@@ -1,4 +1,4 @@
-package node
+package transfer
 
 import (
 	"errors"
@@ -11,13 +11,13 @@
 // value to be told by the difference, which takes some twelve bytes.
 const differenceMin = 32
 
-// errOtherBase says that a record was told by how it differs from a value that
-// this node does not have.
-var errOtherBase = errors.New("the record differs from a value that is not known here")
+// ErrOtherBase says that a record was told by how it differs from a value that
+// is not known here.
+var ErrOtherBase = errors.New("the record differs from a value that is not known here")
 
-// differ tells a record by how it differs from the value that it replaced, or
+// Differ tells a record by how it differs from the value that it replaced, or
 // nil if it has too little in common with it.
-func differ(record, former shedkeel.Record) *wire.StoreRecord {
+func Differ(record, former shedkeel.Record) *wire.StoreRecord {
 	prefix := commonPrefix(record.Value, former.Value)
 	suffix := commonSuffix(record.Value[prefix:], former.Value[prefix:])
 	if prefix+suffix < differenceMin {
@@ -45,13 +45,13 @@
 	return count
 }
 
-// undiffer returns the whole record of the era. Known is the one that this node has.
-func undiffer(sent *wire.StoreRecord, era int64, known shedkeel.Record) (shedkeel.Record, error) {
+// Undiffer returns the whole record of the era. Known is the one that this process has.
+func Undiffer(sent *wire.StoreRecord, era int64, known shedkeel.Record) (shedkeel.Record, error) {
 	record := shedkeel.Record{Key: sent.GetKey(), Revision: shedkeel.Revision{Era: era, Number: sent.GetRevision()}}
 	base := shedkeel.Revision{Era: era, Number: sent.GetBase()}
 	prefix, suffix := int(sent.GetPrefix()), int(sent.GetSuffix())
 	if known.Revision != base || prefix+suffix > len(known.Value) {
-		return record, errOtherBase
+		return record, ErrOtherBase
 	}
 	record.Value = append(record.Value, known.Value[:prefix]...)
 	record.Value = append(record.Value, sent.GetValue()...)
--- a/node/packer.go
+++ b/transfer/packer.go
@@ -1,4 +1,7 @@
-package node
+// Package transfer encodes records of the key-value service for other processes: large
+// ones and whole copies compressed, small changes by how a value differs from the one
+// before.
+package transfer
 
 import (
 	"bytes"
@@ -16,14 +19,14 @@
 	// nodes, in bytes. A configuration of 1,900 routes has half a megabyte;
 	// sent as it is to 57 nodes over a link of 20 Mbit/s it takes ten seconds.
 	packMin = 4 << 10
-	// unpackMax bounds a record that was compressed, in bytes: the service
-	// takes values of a megabyte.
-	unpackMax = 4 << 20
+	// MaxValue bounds a value that was compressed, in bytes: the service takes values
+	// of a megabyte.
+	MaxValue = 4 << 20
 )
 
-// packer compresses large records, each revision once. The zero value is ready
+// Packer compresses large records, each revision once. The zero value is ready
 // for use.
-type packer struct {
+type Packer struct {
 	mutex sync.Mutex
 	kept  map[string]packedRecord // by key, the latest revision that was asked for
 }
@@ -34,8 +37,8 @@
 	sent     *wire.StoreRecord
 }
 
-// pack returns the record as it is sent to other nodes.
-func (packer *packer) pack(record shedkeel.Record) *wire.StoreRecord {
+// Pack returns the record as it is sent to other nodes.
+func (packer *Packer) Pack(record shedkeel.Record) *wire.StoreRecord {
 	plain := plainRecord(record)
 	if len(record.Value) < packMin {
 		return plain
@@ -45,7 +48,7 @@
 	if known := packer.kept[record.Key]; known.sent != nil && known.revision == record.Revision {
 		return known.sent
 	}
-	value, err := deflate(record.Value)
+	value, err := Deflate(record.Value)
 	if err != nil {
 		return plain // memory never fails to be written to, and plain is right too
 	}
@@ -62,7 +65,8 @@
 	return &wire.StoreRecord{Key: record.Key, Value: record.Value, Revision: record.Revision.Number, Gone: record.Gone}
 }
 
-func deflate(value []byte) ([]byte, error) {
+// Deflate compresses a value.
+func Deflate(value []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
@@ -77,13 +81,13 @@
 	return packed.Bytes(), nil
 }
 
-// unpack returns a record of the era as the service has it.
-func unpack(sent *wire.StoreRecord, era int64) (shedkeel.Record, error) {
+// Unpack returns a record of the era as the service has it.
+func Unpack(sent *wire.StoreRecord, era int64) (shedkeel.Record, error) {
 	record := shedkeel.Record{Key: sent.GetKey(), Value: sent.GetValue(), Revision: shedkeel.Revision{Era: era, Number: sent.GetRevision()}, Gone: sent.GetGone()}
 	if !sent.GetPacked() {
 		return record, nil
 	}
-	value, err := inflate(record.Value, unpackMax)
+	value, err := Inflate(record.Value, MaxValue)
 	if err != nil {
 		return record, fmt.Errorf("record %s of another node: %w", record.Key, err)
 	}
@@ -91,8 +95,8 @@
 	return record, nil
 }
 
-// inflate returns what was compressed, of at most so many bytes.
-func inflate(packed []byte, most int64) ([]byte, error) {
+// Inflate returns what was compressed, of at most so many bytes.
+func Inflate(packed []byte, most int64) ([]byte, error) {
 	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), most+1))
 	if err != nil {
 		return nil, err
