Records of servers are compared with what is known in an older copy alone

What callers saw: nothing; by reading. A lower sequence or a drain taken back was refused in any record of the same start, so that one odd record of another writer with a high sequence, or with a drain, could have kept a good server from use until its end. Cause: the rule for older copies held at all times, though within an era the service's own order tells which record is newer. Change: it holds for the whole copy with which an era begins. The field is named for what it is, a sequence: whether it counts orders or writes is the server's matter. Test: a row in TestOrdersAreKnownAfterARestore; both mutants are found.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -70,7 +70,7 @@
 		"node/election.go", ", era*eraTerms) + 1", ", 0*era) + 1", "TestLeadEndsWithTheEra", "./node",
 	},
 	"restored store: a drain goes back": {
-		"node/fleet.go", "fleet.node.table.Drain(instance.ID) // also", "// also", "TestServersAfterARestore", "./node",
+		"node/fleet.go", "wasReady := known.Draining && !instance.Draining", "wasReady := false", "TestServersAfterARestore", "./node",
 	},
 	"restored store: a removed server is used again": {
 		"node/removal.go", "case era > known.era:", "case false:", "TestServersAfterARestore", "./node",
@@ -79,7 +79,7 @@
 		"node/restore.go", "fleet.troubled = fleet.node.Timers.Now() + lapseHold", "", "TestServersAfterARestore", "./node",
 	},
 	"restored store: orders go back": {
-		"node/fleet.go", "|| born == knownBorn && instance.Orders < known.Orders", "", "TestOrdersAreKnownAfterARestore", "./node",
+		"node/fleet.go", "wasReady || instance.Sequence < known.Sequence", "wasReady", "TestOrdersAreKnownAfterARestore", "./node",
 	},
 	"restored store: nodes that start go by the older configuration": {
 		"node/config.go", "if version >= fleet.version() || !fleet.kept.unwritten.Load() {", "if true {", "TestNodeThatStartsAfterARestore", "./node",
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -50,6 +50,7 @@
 	removed   removals
 	doubted   map[string]time.Duration // servers whose records can't be read, and until when they keep their places
 	unread    atomic.Int64             // records that were not used
+	copied    bool                     // the records that come are of an older copy of the service
 	troubled  time.Duration            // the service was away until then, or is
 	proven    atomic.Int64             // when the copy was proven last, as a time.Duration
 	counts    map[string]int           // servers and groups that may be sent to, as logged last
@@ -79,6 +80,7 @@
 			fleet.node.guard.takeRecord(record)
 		}
 	}
+	fleet.copied = false
 	fleet.refresh(servers, nodes)
 }
 
@@ -109,13 +111,10 @@
 		return fleet.doubt(record.Key, now)
 	}
 	known, listed := fleet.instances[record.Key]
-	if listed && instance.ID.Born() != 0 && older(&instance, &known) {
+	if listed && fleet.older(&instance, &known) {
 		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "the server wrote it before what is known of it", Remedy: "none is needed: it writes its record again"})
 		return false
 	}
-	if instance.Draining {
-		fleet.node.table.Drain(instance.ID) // also where an older record comes back
-	}
 	fleet.removed.returned(instance.ID, record.Revision.Era, now)
 	delete(fleet.lapsed, record.Key)
 	delete(fleet.doubted, record.Key)
@@ -124,10 +123,15 @@
 }
 
 // older reports whether a record of a server is older than what is known of it: of a
-// former start, or with fewer orders taken.
-func older(instance, known *shedkeel.Instance) bool {
+// former start, or in an older copy of the key-value service with a lower sequence or
+// from before it drained.
+func (fleet *fleet) older(instance, known *shedkeel.Instance) bool {
 	born, knownBorn := instance.ID.Born(), known.ID.Born()
-	return born < knownBorn || born == knownBorn && instance.Orders < known.Orders
+	if born == 0 || born > knownBorn {
+		return false
+	}
+	wasReady := known.Draining && !instance.Draining
+	return born < knownBorn || fleet.copied && (wasReady || instance.Sequence < known.Sequence)
 }
 
 // doubt has a server that was good get no requests, now that its record can't be
--- a/node/restore.go
+++ b/node/restore.go
@@ -19,9 +19,11 @@
 }
 
 // holdLost has records that an older copy of the key-value service lacks be believed
-// until their owners have written them again.
+// until their owners have written them again, and those that it has be compared with what
+// is known.
 func (fleet *fleet) holdLost() {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.troubled = fleet.node.Timers.Now() + lapseHold
+	fleet.copied = true
 }
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -15,8 +15,8 @@
 )
 
 // plainServer is the record of a plain server as the platform's servers write it.
-func plainServer(revision shedkeel.Revision, state string, orders int) shedkeel.Record {
-	value := fmt.Sprintf(`{"service":"p","address":"10.0.0.9:1","zone":"z","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"seq":%d,"born":7}`, state, orders)
+func plainServer(revision shedkeel.Revision, state string, sequence int) shedkeel.Record {
+	value := fmt.Sprintf(`{"service":"p","address":"10.0.0.9:1","zone":"z","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"seq":%d,"born":7}`, state, sequence)
 	return shedkeel.Record{Key: "servers/i-9", Value: []byte(value), Revision: revision}
 }
 
@@ -86,6 +86,8 @@
 	assert.Equal(t, node.fleet.highestEpoch(), uint64(6))
 	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Era: 1, Number: 6}, AsOf: timers.Now(), Records: []shedkeel.Record{member(shedkeel.Revision{Era: 1, Number: 6}, 7, 6)}})
 	assert.Equal(t, node.fleet.groupServices()["s"][0].Member.Epoch, uint64(7))
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Era: 1, Number: 7}, AsOf: timers.Now(), Records: []shedkeel.Record{member(shedkeel.Revision{Era: 1, Number: 7}, 8, 1)}})
+	assert.Equal(t, node.fleet.groupServices()["s"][0].Member.Epoch, uint64(8), "within an era the service's order holds")
 }
 
 // TestLeadEndsWithTheEra has the service come back from an older copy, which has the
--- a/serving.go
+++ b/serving.go
@@ -183,7 +183,7 @@
 	Zone     ZoneID
 	Slots    int
 	Draining bool
-	Orders   int64 // taken since its start
+	Sequence int64 // rises with what the server tells of itself, and begins anew with its start
 	Domain   DomainID
 	Staged   []ModelID // on the box's host
 	Models   []ModelID // loaded
