--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,7 +154,7 @@
 	clock := &timer.System{}
 	own := &Mirror{}
 	follower := &Follower{
-		Mirror: own, Source: &eraSource{source: &source{Store: store}}, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return nil },
+		Mirror: own, Source: &eraSource{source: &source{Store: store}, lists: &atomic.Int64{}}, Timers: clock, Choose: func() Peer { return nil }, Others: func() []Peer { return nil },
 		Processes: func() int { return 1 }, Random: rand.NewPCG(1, 1),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -170,6 +176,7 @@
 // and tells of another era as its client does.
 type eraSource struct {
 	*source
+	lists *atomic.Int64
 }
 
 func (source *eraSource) Changes(ctx context.Context, prefix string, since shedkeel.Revision, wait time.Duration) (shedkeel.Changes, error) {
@@ -179,3 +186,112 @@
 	}
 	return changes, err
 }
+
+// sizes has TestRestoreIsFollowed play all sizes.
+var sizes = flag.Bool("sizes", false, "measure how all processes come through a restore, at all sizes")
+
+// List counts the lists.
+func (source *eraSource) List(ctx context.Context, prefix string) ([]shedkeel.Record, shedkeel.Revision, error) {
+	source.lists.Add(1)
+	return source.source.List(ctx, prefix)
+}
+
+// TestRestoreIsFollowed has a service that was away come back from an older copy, and
+// compares how processes come to follow it: each by itself, or one from which the others
+// copy. The second way stands.
+func TestRestoreIsFollowed(t *testing.T) {
+	cases := map[string]struct {
+		processes int
+		alone     bool
+		within    time.Duration
+	}{
+		"9, one tells the others": {9, false, 500 * time.Millisecond},
+	}
+	if *sizes {
+		for _, processes := range []int{9, 66, 300} {
+			cases[fmt.Sprintf("%d, each by itself", processes)] = struct {
+				processes int
+				alone     bool
+				within    time.Duration
+			}{processes, true, time.Second}
+			cases[fmt.Sprintf("%d, one tells the others", processes)] = struct {
+				processes int
+				alone     bool
+				within    time.Duration
+			}{processes, false, time.Second}
+		}
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, passed := range []bool{false, true} {
+				took, lists, calls := restoreFleet(t, test.processes, test.alone, passed)
+				t.Logf("revisions passed: %t; all follow after %s; %d lists, %d calls", passed, took, lists, calls)
+				assert.Assert(t, took < test.within, "it took %s", took)
+			}
+		})
+	}
+}
+
+// restoreFleet returns how long it takes from the return of the service until all
+// processes follow it, and how often they list it and call it meanwhile.
+func restoreFleet(t *testing.T, processes int, alone, passed bool) (took time.Duration, lists, calls int64) {
+	t.Helper()
+	store := standin.NewStore()
+	change := func(count int) {
+		for index := range count {
+			_, err := store.Commit(shedkeel.Change{Put: []shedkeel.Put{{Key: fmt.Sprint("servers/", index%100), Value: []byte("v")}}})
+			assert.NilError(t, err)
+		}
+	}
+	change(200)
+	clock := &timer.System{}
+	from := &eraSource{source: &source{Store: store}, lists: &atomic.Int64{}}
+	var peers []Peer
+	var followers []*Follower
+	for index := range processes {
+		follower := &Follower{
+			Mirror: &Mirror{}, Source: from, Timers: clock, Processes: func() int { return processes }, Random: rand.NewPCG(uint64(index), 3),
+			Choose: func() Peer {
+				if alone || index == 0 {
+					return nil
+				}
+				return peers[0]
+			},
+			Others: func() []Peer { return peers },
+		}
+		followers = append(followers, follower)
+		peers = append(peers, &followed{Follower: follower})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, follower := range followers {
+		running.Go(func() { follower.Run(ctx) })
+	}
+	defer func() {
+		cancel()
+		running.Wait()
+	}()
+	reached := func(era int64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(followers, func(follower *Follower) bool {
+				state := follower.Mirror.State()
+				return !state.Known || state.At.Era < era
+			})
+		}
+	}
+	eventually(t, "the first copy", reached(0))
+	store.Snapshot()
+	change(50)
+	time.Sleep(time.Second)
+	from.set(errors.New("away"))
+	time.Sleep(500 * time.Millisecond)
+	store.Restore()
+	if passed {
+		change(100)
+	}
+	asked, listed := from.asked(), from.lists.Load()
+	returned := clock.Now()
+	from.set(nil)
+	eventually(t, "all follow", reached(1))
+	return clock.Now() - returned, from.lists.Load() - listed, int64(from.asked() - asked)
+}
