The planner waits for servers' records after the service came back from an older copy

What callers saw: nothing yet; a member of a group that served was ordered into another formation (TWO), and the group went silent.

Cause: the older copy told of the server as free: it had been formed into the group within what was lost, and by 100 ms after the return the planner had ordered it to wait as a standby. Older records of servers that tell no start were taken in, and a node that has just started, or was behind, has nothing to compare them with. Change: a planner gives no orders for 2.3 s after it has reached another era, or has started in one; servers write theirs again within about two. Older records are refused where servers tell no start, too, as one name was one start then.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -79,11 +79,14 @@
 		"node/restore.go", "fleet.troubled = fleet.node.Timers.Now() + lapseHold", "", "TestServersAfterARestore", "./node",
 	},
 	"restored store: orders go back": {
-		"node/fleet.go", "wasReady || instance.Sequence < known.Sequence", "wasReady", "TestOrdersAreKnownAfterARestore", "./node",
+		"node/fleet.go", "(wasReady || instance.Sequence < known.Sequence)", "wasReady", "TestOrdersAreKnownAfterARestore", "./node",
 	},
 	"restored store: nodes that start go by the older configuration": {
 		"node/config.go", "if version >= fleet.version() || !fleet.kept.unwritten.Load() {", "if true {", "TestNodeThatStartsAfterARestore", "./node",
 	},
+	"restored store: the planner goes by older records": {
+		"node/controller.go", "return controller.era == 0 || now-controller.since >= lapseHold", "return true", "TestPlannerWaitsForRecordsAfterARestore", "./node",
+	},
 	"restored store: blames are not written again": {
 		"node/restore.go", "node.guard.keepAgain()", "", "TestBlamesOutliveARestore", "./node",
 	},
--- a/node/controller.go
+++ b/node/controller.go
@@ -48,6 +48,10 @@
 	told     time.Duration                         // when the use of servers was logged last
 	sized    time.Duration                         // when the size of the fleet was looked at last
 	rewrite  atomic.Bool                           // the key-value service has lost what was written
+	// era is that of the key-value service that this node follows, and since is since when
+	// it does. Only the planning loop uses them.
+	era   int64
+	since time.Duration
 	// kept are the loads as written last. Only the planning loop uses it.
 	kept map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID
 }
@@ -68,6 +72,7 @@
 func (controller *controller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := controller.node.Timers.Now()
+		controller.noteEra(now)
 		if controller.leading(now) {
 			controller.plan(ctx, now)
 			controller.keepSize(ctx, now)
@@ -78,6 +83,21 @@
 	}
 }
 
+// noteEra notes since when this node follows the present era of the service.
+func (controller *controller) noteEra(now time.Duration) {
+	state := controller.node.mirror.State()
+	if state.Known && (controller.since == 0 || controller.era != state.At.Era) {
+		controller.era, controller.since = state.At.Era, now
+	}
+}
+
+// settled reports whether the backend servers have had the time to write their records
+// again since the service came back from an older copy. Until then an older record may
+// tell of a server as free that is a member of a group.
+func (controller *controller) settled(now time.Duration) bool {
+	return controller.era == 0 || now-controller.since >= lapseHold
+}
+
 // nextEpoch returns an epoch that no other formation has. The mutex is held.
 func (controller *controller) nextEpoch() uint64 {
 	controller.epochs++
@@ -94,6 +114,9 @@
 	if controller.rewrite.Swap(false) {
 		clear(controller.kept)
 	}
+	if !controller.settled(now) {
+		return
+	}
 	services := node.fleet.groupServices()
 	tellUsage := now-controller.told >= usageEvery
 	if tellUsage {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -127,11 +127,11 @@
 // from before it drained.
 func (fleet *fleet) older(instance, known *shedkeel.Instance) bool {
 	born, knownBorn := instance.ID.Born(), known.ID.Born()
-	if born == 0 || born > knownBorn {
-		return false
+	if born != knownBorn {
+		return born != 0 && born < knownBorn
 	}
 	wasReady := known.Draining && !instance.Draining
-	return born < knownBorn || fleet.copied && (wasReady || instance.Sequence < known.Sequence)
+	return fleet.copied && (wasReady || instance.Sequence < known.Sequence)
 }
 
 // doubt has a server that was good get no requests, now that its record can't be
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -199,3 +199,39 @@
 		})
 	}
 }
+
+// TestPlannerWaitsForRecordsAfterARestore has a node that plans see the service come back
+// from an older copy, or start after it: until servers have had the time to write their
+// records again it gives no orders. By an older record a member of a group that served
+// was ordered to wait as a standby.
+func TestPlannerWaitsForRecordsAfterARestore(t *testing.T) {
+	cases := map[string]struct {
+		before, after int64 // eras
+		waits         bool
+	}{
+		"no restore":          {0, 0, false},
+		"a restore":           {0, 1, true},
+		"another one":         {2, 3, true},
+		"one before it began": {1, 1, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers, _ := electedNode(t)
+			node.controller.since = 0
+			apply := func(era int64) {
+				node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Era: era, Number: 9}, AsOf: timers.Now()})
+				node.controller.noteEra(timers.Now())
+			}
+			apply(test.before)
+			if test.after != test.before {
+				timers.Advance(time.Minute)
+				apply(test.after)
+			}
+			assert.Equal(t, node.controller.settled(timers.Now()), !test.waits)
+			timers.Advance(lapseHold - 1)
+			assert.Equal(t, node.controller.settled(timers.Now()), !test.waits)
+			timers.Advance(1)
+			assert.Assert(t, node.controller.settled(timers.Now()))
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,9 @@
 )
 
 // regressions are seeds that failed once, with their cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	110: "a planner took a member for free by a record of an older copy of the store",
+}
 
 func TestSoak(t *testing.T) {
 	if testing.Short() {
