Loads are written again by the era that the planning loop notes, not by a second flag

The planning loop notes each change of the era already; a flag that the restore set beside it told the same, and is gone. Behaviour is as it was: the loop forgets what it had written when the era changes. TestLoadsAreKeptAgain drives that, its assertions unchanged.

--- a/node/controller.go
+++ b/node/controller.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -47,7 +46,6 @@
 	stray    time.Duration                         // since when the one that leads is not listed; 0: it is
 	told     time.Duration                         // when the use of servers was logged last
 	sized    time.Duration                         // when the size of the fleet was looked at last
-	rewrite  atomic.Bool                           // the key-value service has lost what was written
 	// era is that of the key-value service that this node follows, and since is since when
 	// it does. Only the planning loop uses them.
 	era   int64
@@ -83,11 +81,13 @@
 	}
 }
 
-// noteEra notes since when this node follows the present era of the service.
+// noteEra notes since when this node follows the present era of the service, which may
+// have lost what was written.
 func (controller *controller) noteEra(now time.Duration) {
 	state := controller.node.mirror.State()
 	if state.Known && (controller.since == 0 || controller.era != state.At.Era) {
 		controller.era, controller.since = state.At.Era, now
+		clear(controller.kept)
 	}
 }
 
@@ -111,9 +111,6 @@
 	if now-node.mirror.State().AsOf > planAge || view == nil {
 		return
 	}
-	if controller.rewrite.Swap(false) {
-		clear(controller.kept)
-	}
 	if !controller.settled(now) {
 		return
 	}
--- a/node/restore.go
+++ b/node/restore.go
@@ -15,7 +15,6 @@
 	node.fleet.holdLost()
 	node.member.update()
 	node.guard.keepAgain()
-	node.controller.rewrite.Store(true)
 }
 
 // holdLost has records that an older copy of the key-value service lacks be believed
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -161,9 +161,8 @@
 	writes := 0
 	store.commit = func(shedkeel.Change) (int64, error) { writes++; return 3, nil }
 	loading := map[shedkeel.InstanceID]shedkeel.ModelID{"a": "m"}
-	node.fleet.view.Store(viewOf(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
 	keep := func() {
-		node.controller.plan(t.Context(), timers.Now())
+		node.controller.noteEra(timers.Now())
 		node.controller.keepLoads(t.Context(), "s", loading)
 	}
 	keep()
