--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -139,10 +139,7 @@
 		return "no server to drain"
 	}
 	world.fleet.Drain(id)
-	time.AfterFunc(3*time.Second, func() {
-		world.fleet.Kill(id)
-		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
-	})
+	world.endServer(id, 3*time.Second)
 	world.replaceServer(random, service)
 	return "drained " + id
 }
@@ -248,6 +245,14 @@
 	return fmt.Sprintf("%s asks for backoffs of %s for %s", id, length, lasts)
 }
 
+// endServer ends a server after a while, and its record with it.
+func (world *world) endServer(id string, after time.Duration) {
+	time.AfterFunc(after, func() {
+		world.fleet.Kill(id)
+		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
+	})
+}
+
 // drainByAnswers has a server drain that says so in its answers alone.
 func (world *world) drainByAnswers(random *rand.Rand) string {
 	service, id := world.victim(random)
@@ -255,10 +260,7 @@
 		return "no server to drain"
 	}
 	world.fleet.DrainByAnswers(id)
-	time.AfterFunc(3500*time.Millisecond, func() {
-		world.fleet.Kill(id)
-		_ = world.fleet.Lapse(id) // the stand-in's store takes it always
-	})
+	world.endServer(id, 3500*time.Millisecond)
 	world.replaceServer(random, service)
 	return "drained by its answers " + id
 }
