--- a/dispatch/ways_test.go
+++ b/dispatch/ways_test.go
@@ -44,8 +44,8 @@
 	events  events
 	now     time.Duration
 
-	sent, served, refused, turned, broken int
-	late                                  int // served, but after more than one sending
+	sent, served, turned, broken int
+	late                         int // served, but after more than one sending
 }
 
 // backingServer runs so many requests at once and turns others away. While it is
@@ -133,7 +133,6 @@
 func (play *play) send(node int, tried []shedkeel.InstanceID) {
 	choice := play.nodes[node].Choose(Query{Service: "s", Avoid: tried, Now: play.now})
 	if choice == nil || len(tried) == playDials {
-		play.refused++
 		return
 	}
 	link := time.Millisecond + time.Duration(play.random.Int64N(int64(time.Millisecond)))
@@ -223,7 +222,6 @@
 						play.run(load * servers * playSlots / playTime.Seconds())
 						sum.sent += play.sent
 						sum.served += play.served
-						sum.refused += play.refused
 						sum.turned += play.turned
 						sum.broken += play.broken
 						sum.late += play.late
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -19,6 +19,9 @@
 	"shedkeel.org/shedkeel/timer"
 )
 
+// sizes has TestRestoreIsFollowed play all sizes.
+var sizes = flag.Bool("sizes", false, "measure how all processes come through a restore, at all sizes")
+
 // in returns the record as it is in an era of the service.
 func in(era int64, record shedkeel.Record) shedkeel.Record {
 	record.Revision.Era = era
@@ -173,7 +176,7 @@
 }
 
 // eraSource answers watches as the service does whose numbers have passed the asked one,
-// and tells of another era as its client does.
+// tells of another era as its client does, and counts lists.
 type eraSource struct {
 	*source
 	lists *atomic.Int64
@@ -187,10 +190,7 @@
 	return changes, err
 }
 
-// sizes has TestRestoreIsFollowed play all sizes.
-var sizes = flag.Bool("sizes", false, "measure how all processes come through a restore, at all sizes")
-
-// List counts the lists.
+// List lists the service's records.
 func (source *eraSource) List(ctx context.Context, prefix string) ([]shedkeel.Record, shedkeel.Revision, error) {
 	source.lists.Add(1)
 	return source.source.List(ctx, prefix)
@@ -200,25 +200,16 @@
 // compares how processes come to follow it: each by itself, or one from which the others
 // copy. The second way stands.
 func TestRestoreIsFollowed(t *testing.T) {
-	cases := map[string]struct {
+	type way struct {
 		processes int
 		alone     bool
 		within    time.Duration
-	}{
-		"9, one tells the others": {9, false, 500 * time.Millisecond},
 	}
+	cases := map[string]way{"9, one tells the others": {9, false, 500 * time.Millisecond}}
 	if *sizes {
 		for _, processes := range []int{9, 66, 300} {
-			cases[fmt.Sprintf("%d, each by itself", processes)] = struct {
-				processes int
-				alone     bool
-				within    time.Duration
-			}{processes, true, time.Second}
-			cases[fmt.Sprintf("%d, one tells the others", processes)] = struct {
-				processes int
-				alone     bool
-				within    time.Duration
-			}{processes, false, time.Second}
+			cases[fmt.Sprintf("%d, each by itself", processes)] = way{processes, true, time.Second}
+			cases[fmt.Sprintf("%d, one tells the others", processes)] = way{processes, false, time.Second}
 		}
 	}
 	for name, test := range cases {
