--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,10 +64,10 @@
 	Lost     int // records that the older copy lacks
 }
 
-// ListenRestored has told called with each restore, before Listen's functions are with
-// what changed by it. It must be called before the first Apply.
-func (mirror *Mirror) ListenRestored(told func(Restore)) {
-	mirror.restored = append(mirror.restored, told)
+// ListenRestored has the listener called with each restore, before Listen's functions
+// are with what changed by it. It must be called before the first Apply.
+func (mirror *Mirror) ListenRestored(listener func(Restore)) {
+	mirror.restored = append(mirror.restored, listener)
 }
 
 // Apply takes an update in. Older records never replace newer ones, and what is of an
@@ -96,7 +96,7 @@
 	mirror.asOf = max(mirror.asOf, update.AsOf)
 	if rises {
 		clear(mirror.before) // they are of another history
-		mirror.tellRestored(from, news)
+		mirror.notifyRestored(from, news)
 	}
 	if len(news) == 0 && !first && !rises {
 		return
@@ -110,15 +110,15 @@
 	}
 }
 
-func (mirror *Mirror) tellRestored(from shedkeel.Revision, news []shedkeel.Record) {
+func (mirror *Mirror) notifyRestored(from shedkeel.Revision, news []shedkeel.Record) {
 	restore := Restore{From: from, To: mirror.at}
 	for _, record := range news {
 		if record.Lost {
 			restore.Lost++
 		}
 	}
-	for _, told := range mirror.restored {
-		told(restore)
+	for _, listener := range mirror.restored {
+		listener(restore)
 	}
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -93,8 +93,8 @@
 	return fleet.kept.pack()
 }
 
-// takeTold takes in a configuration that another node has in force.
-func (fleet *fleet) takeTold(packed []byte, from shedkeel.NodeID) {
+// receiveConfig takes in the configuration that another node has in force.
+func (fleet *fleet) receiveConfig(packed []byte, from shedkeel.NodeID) {
 	record := shedkeel.Record{Key: fleet.node.Decoder.ConfigKey()}
 	value, err := transfer.Inflate(packed, transfer.MaxValue)
 	if err != nil {
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// TestToldConfigurations checks what becomes of configurations that other nodes tell.
-func TestToldConfigurations(t *testing.T) {
+// TestReceivedConfigurations checks what becomes of configurations that other nodes tell.
+func TestReceivedConfigurations(t *testing.T) {
 	pack := func(text string) []byte {
 		packed, err := transfer.Deflate([]byte(text))
 		assert.NilError(t, err)
@@ -96,7 +96,7 @@
 			node.Decoder = platform.Decoder{}
 			first := configRecord(6, 0, 3)
 			node.mirror.Apply(mirror.Update{Whole: true, At: first.Revision, Records: []shedkeel.Record{first}})
-			node.fleet.takeTold(test.packed, "other")
+			node.fleet.receiveConfig(test.packed, "other")
 			assert.Equal(t, node.fleet.version(), test.want)
 		})
 	}
--- a/node/relay.go
+++ b/node/relay.go
@@ -73,7 +73,7 @@
 		return mirror.Update{}, err
 	}
 	if len(relay.GetConfig()) > 0 {
-		peer.node.fleet.takeTold(relay.GetConfig(), peer.id)
+		peer.node.fleet.receiveConfig(relay.GetConfig(), peer.id)
 	}
 	if !relay.GetKnown() {
 		return mirror.Update{}, mirror.ErrNothingKnown
