--- a/node/relay.go
+++ b/node/relay.go
@@ -15,8 +15,8 @@
 	// relayMargin is how much longer than its wait a question to another
 	// mirror may take.
 	relayMargin = 400 * time.Millisecond
-	// copyTimeout is the same for a whole copy: 300 boxes that start together ask
-	// three others for 0.1 MB each, which take half a second over 200 Mbit/s.
+	// copyTimeout is the same for a whole copy, which many nodes that start together
+	// ask of a few.
 	copyTimeout = 3 * time.Second
 )
 
@@ -155,10 +155,7 @@
 
 // tell returns a record as it is sent to a node that asks: by the difference if
 // that is what it has the former value of, else whole.
-//
-// A heartbeat of a server changes one number: 37 bytes are sent in place of 362
-// (TestHeartbeatIsSmall). With 600 servers that write each 1.2 s a follower gets
-// 19 KB/s in place of 181.
+// A heartbeat of a server changes one number.
 func (peers *peers) tell(record shedkeel.Record, since shedkeel.Revision, differences bool) *wire.StoreRecord {
 	former := peers.node.mirror.Before(record.Key)
 	usable := former.Revision.Exists() && !former.Revision.After(since) && record.Revision.After(former.Revision)
--- a/transfer/copies.go
+++ b/transfer/copies.go
@@ -28,11 +28,8 @@
 	packed []byte        // nil: none is kept
 }
 
-// Tell returns the update as it is sent, or an older one that is still good.
-//
-// A list of a thousand servers and a configuration of 1,500 routes are 0.9 MB
-// as records and some 0.1 MB compressed together: a box whose link has 20 Mbit/s
-// has them in 50 ms in place of 400.
+// Tell returns the update as it is sent, or an older one that is still good. Records
+// that are alike compress well together.
 func (copies *Copies) Tell(update mirror.Update, now time.Duration) *wire.RelayReply {
 	copies.mutex.Lock()
 	defer copies.mutex.Unlock()
--- a/transfer/packer.go
+++ b/transfer/packer.go
@@ -16,8 +16,7 @@
 
 const (
 	// packMin is the size of a record from which it is compressed for other
-	// nodes, in bytes. A configuration of 1,900 routes has half a megabyte;
-	// sent as it is to 57 nodes over a link of 20 Mbit/s it takes ten seconds.
+	// nodes, in bytes: a configuration of many routes would fill a slow link.
 	packMin = 4 << 10
 	// MaxValue bounds a value that was compressed, in bytes: the service takes values
 	// of a megabyte.
