Availability zones that operators evacuate get no requests

Cause: no node read the record, though the copy of the store has it. Change: fleet heeds evacuations where it makes the table of servers; what runs in the zone goes on to its end. One that the store has lost with an older copy stays in force (event 627). Events 625 to 627, gauge zones_evacuated, status.

--- a/event/event.go
+++ b/event/event.go
@@ -68,6 +68,9 @@
 	NoticeTaken     = Event{621, slog.LevelInfo, "another process reports a group silent or lost"}
 	BackoffStated   = Event{622, slog.LevelInfo, "backend server wants no requests of this node for a while"}
 	DrainingStated  = Event{623, slog.LevelInfo, "backend server says in an answer that it drains"}
+	EvacuationBegun = Event{625, slog.LevelInfo, "availability zone is evacuated; its backend servers get no requests"}
+	EvacuationEnded = Event{626, slog.LevelInfo, "availability zone is taken back; its backend servers get requests again"}
+	EvacuationLost  = Event{627, slog.LevelWarn, "key-value service has lost an evacuation, which stays in force; write it again, or write and remove it to withdraw it"}
 	StatementBad    = Event{624, slog.LevelWarn, "answer of a backend server has a header that cannot be read; nothing is stated by it"}
 	ServersChanged  = Event{630, slog.LevelInfo, "list of servers and groups changed"}
 	ViewChanged     = Event{631, slog.LevelInfo, "serving configuration in force"}
@@ -100,7 +103,7 @@
 		Settled, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
-		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, BackoffStated, DrainingStated, StatementBad, ServersChanged, ViewChanged,
+		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, BackoffStated, DrainingStated, StatementBad, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ViewChanged,
 		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed, Followed,
 	}
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -23,10 +23,11 @@
 	Age         string            `json:"age"`      // of the proof that nothing is newer
 	Served      int64             `json:"served"`
 	Nodes       []shedkeel.NodeID `json:"nodes"`
-	Unnamed     []UnnamedDump     `json:"unnamed"`  // listed nodes to which callers are not sent
-	Isolated    bool              `json:"isolated"` // this node hears nobody, so it judges nobody
-	Judged      []BlameDump       `json:"judged"`   // requests that are kept from servers, since servers ended under them
-	Limited     []LimitDump       `json:"limited"`  // servers that limit the rate of their requests
+	Unnamed     []UnnamedDump     `json:"unnamed"`   // listed nodes to which callers are not sent
+	Isolated    bool              `json:"isolated"`  // this node hears nobody, so it judges nobody
+	Judged      []BlameDump       `json:"judged"`    // requests that are kept from servers, since servers ended under them
+	Limited     []LimitDump       `json:"limited"`   // servers that limit the rate of their requests
+	Evacuated   []EvacuationDump  `json:"evacuated"` // availability zones whose servers get nothing
 	Groups      []GroupDump       `json:"groups"`
 	Servers     []ServerDump      `json:"servers"`
 }
@@ -48,6 +49,12 @@
 	Refused int64               `json:"refused"`
 }
 
+// EvacuationDump is an availability zone that operators have evacuated.
+type EvacuationDump struct {
+	Zone    shedkeel.ZoneID `json:"zone"`
+	Servers int             `json:"servers"` // listed there; 0 may be a misspelt zone
+}
+
 // UnnamedDump is a listed node to which callers are not sent, and why.
 type UnnamedDump struct {
 	Node   shedkeel.NodeID `json:"node"`
@@ -97,6 +104,7 @@
 	dump.Unnamed = node.unnamed()
 	dump.Judged = node.guard.judged()
 	dump.Limited = node.limits.dump()
+	dump.Evacuated = node.fleet.evacuations()
 	return dump
 }
 
--- /dev/null
+++ b/node/evacuated_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+)
+
+// TestEvacuationsFollowRecords has records of evacuations come, go, be lost with an
+// older copy of the service, and name nothing.
+func TestEvacuationsFollowRecords(t *testing.T) {
+	record := func(zone string) shedkeel.Record { return shedkeel.Record{Key: "evacuated/" + zone} }
+	gone := func(zone string, lost bool) shedkeel.Record {
+		return shedkeel.Record{Key: "evacuated/" + zone, Gone: true, Lost: lost}
+	}
+	cases := map[string]struct {
+		records []shedkeel.Record
+		want    []EvacuationDump
+	}{
+		"asked":                     {[]shedkeel.Record{record("a")}, []EvacuationDump{{Zone: "a", Servers: 1}}},
+		"asked twice":               {[]shedkeel.Record{record("a"), record("a")}, []EvacuationDump{{Zone: "a", Servers: 1}}},
+		"two zones":                 {[]shedkeel.Record{record("b"), record("a")}, []EvacuationDump{{Zone: "a", Servers: 1}, {Zone: "b"}}},
+		"withdrawn":                 {[]shedkeel.Record{record("a"), record("b"), gone("a", false)}, []EvacuationDump{{Zone: "b"}}},
+		"withdrawn, never asked":    {[]shedkeel.Record{gone("a", false)}, []EvacuationDump{}},
+		"lost":                      {[]shedkeel.Record{record("a"), gone("a", true)}, []EvacuationDump{{Zone: "a", Servers: 1}}},
+		"lost, never asked":         {[]shedkeel.Record{gone("a", true)}, []EvacuationDump{}},
+		"lost, written, withdrawn":  {[]shedkeel.Record{record("a"), gone("a", true), record("a"), gone("a", false)}, []EvacuationDump{}},
+		"asked again":               {[]shedkeel.Record{record("a"), gone("a", false), record("a")}, []EvacuationDump{{Zone: "a", Servers: 1}}},
+		"no zone is named":          {[]shedkeel.Record{record("")}, []EvacuationDump{}},
+		"a zone that is not listed": {[]shedkeel.Record{record("nowhere")}, []EvacuationDump{{Zone: "nowhere"}}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, _ := newTestNode(t)
+			node.fleet.changed(nil)
+			node.fleet.instances["servers/1"] = shedkeel.Instance{ID: "1", Zone: "a"}
+			for _, record := range test.records {
+				node.fleet.changed([]shedkeel.Record{record})
+			}
+			assert.DeepEqual(t, node.fleet.evacuations(), test.want)
+		})
+	}
+}
--- /dev/null
+++ b/node/evacuation.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+)
+
+// takeEvacuation takes in that operators have an availability zone evacuated, or that
+// they have withdrawn it. It reports whether that is news. The mutex is held.
+//
+// An evacuation that the key-value service has lost stays in force: nobody withdrew it.
+func (fleet *fleet) takeEvacuation(record shedkeel.Record, zone shedkeel.ZoneID) bool {
+	fields := []slog.Attr{slog.String("zone", string(zone)), slog.Int("servers", fleet.serversIn(zone))}
+	before := fleet.evacuated[zone]
+	switch {
+	case zone == "":
+		fleet.skipped(record, &shedkeel.InvalidError{Where: record.Key, What: "it names no availability zone", Remedy: "write it below the zone's name"})
+		return false
+	case record.Lost && before:
+		fleet.node.Log.Write(event.EvacuationLost, fields...)
+		return false
+	case before != record.Gone:
+		return false
+	case record.Gone:
+		delete(fleet.evacuated, zone)
+		fleet.node.Log.Write(event.EvacuationEnded, fields...)
+	default:
+		fleet.evacuated[zone] = true
+		fleet.node.Log.Write(event.EvacuationBegun, fields...)
+	}
+	return true
+}
+
+// serversIn counts the backend servers of an availability zone. The mutex is held.
+func (fleet *fleet) serversIn(zone shedkeel.ZoneID) int {
+	count := 0
+	for _, instance := range fleet.instances {
+		if instance.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// evacuations returns the evacuated availability zones by name, for operators.
+func (fleet *fleet) evacuations() []EvacuationDump {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	found := []EvacuationDump{}
+	for _, zone := range slices.Sorted(maps.Keys(fleet.evacuated)) {
+		found = append(found, EvacuationDump{Zone: zone, Servers: fleet.serversIn(zone)})
+	}
+	return found
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -47,6 +47,7 @@
 	instances map[string]shedkeel.Instance // by key
 	nodes     map[string]nodeRecord        // by key
 	lapsed    map[string]time.Duration     // gone while the service was away, believed until then
+	evacuated map[shedkeel.ZoneID]bool     // their backend servers get nothing
 	removed   removals
 	doubted   map[string]time.Duration // servers whose records can't be read, and until when they keep their places
 	unread    atomic.Int64             // records that were not used
@@ -65,6 +66,7 @@
 		fleet.nodes = map[string]nodeRecord{}
 		fleet.lapsed = map[string]time.Duration{}
 		fleet.doubted = map[string]time.Duration{}
+		fleet.evacuated = map[shedkeel.ZoneID]bool{}
 	}
 	now := fleet.node.Timers.Now()
 	servers, nodes := false, false
@@ -78,6 +80,10 @@
 			nodes = fleet.takeNode(record, now) || nodes
 		case strings.HasPrefix(record.Key, blamePrefix):
 			fleet.node.guard.takeRecord(record)
+		default:
+			if zone, found := fleet.node.Decoder.EvacuatedZone(record.Key); found {
+				servers = fleet.takeEvacuation(record, zone) || servers
+			}
 		}
 	}
 	fleet.copied = false
@@ -248,7 +254,7 @@
 		service := view.Service(instance.Service)
 		_, doubted := fleet.doubted[key]
 		switch {
-		case service == nil || instance.Draining || doubted || fleet.removed.withheld(instance.ID):
+		case service == nil || instance.Draining || doubted || fleet.removed.withheld(instance.ID) || fleet.evacuated[instance.Zone]:
 		case service.Engine == nil:
 			servers = append(servers, serverOf(&instance))
 		case headServes(instance.Member, epochs):
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,9 @@
 	Instance(key string, value []byte) (shedkeel.Instance, error)
 	ConfigKey() string
 	InstancePrefix() string
+	// EvacuatedZone returns the availability zone that the record of a key asks to be
+	// evacuated, or false where the key is another one's.
+	EvacuatedZone(key string) (shedkeel.ZoneID, bool)
 }
 
 // Node is one node. Its exported fields are set before Run.
--- a/node/report.go
+++ b/node/report.go
@@ -24,6 +24,7 @@
 	scope.Gauge("nodes_unnamed").Update(float64(len(node.unnamed())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
 	node.reportLimits(scope)
+	scope.Gauge("zones_evacuated").Update(float64(len(node.fleet.evacuations())))
 	judged := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
 	for _, blame := range node.guard.judged() {
 		judged[blame.Judgment]++
--- a/node/testnode_test.go
+++ b/node/testnode_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +21,10 @@
 
 func (listDecoder) ConfigKey() string      { return "config" }
 func (listDecoder) InstancePrefix() string { return "servers/" }
+func (listDecoder) EvacuatedZone(key string) (shedkeel.ZoneID, bool) {
+	zone, found := strings.CutPrefix(key, "evacuated/")
+	return shedkeel.ZoneID(zone), found
+}
 func (listDecoder) Instance(key string, _ []byte) (shedkeel.Instance, error) {
 	return shedkeel.Instance{ID: shedkeel.InstanceID(key)}, nil
 }
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -30,6 +30,9 @@
 	for _, blame := range status.Judged {
 		_, _ = fmt.Fprintf(writer, "request %s is %s: servers ended under it: %s\n", blame.Request, blame.Judgment, joined(blame.Servers))
 	}
+	for _, evacuation := range status.Evacuated {
+		_, _ = fmt.Fprintf(writer, "zone %s is evacuated: its %d listed servers get no requests\n", evacuation.Zone, evacuation.Servers)
+	}
 	for _, limit := range status.Limited {
 		_, _ = fmt.Fprintf(writer, "server %s takes %g requests a second, known for %s; node %s grants them", limit.Server, limit.Rate, limit.For, cmp.Or(string(limit.Granter), "unknown"))
 		if limit.Granter == status.Node {
