Cold backend servers get no more requests than they bear, over all nodes

Cause: cold_remaining_ms was checked and dropped, cold_per_s not read. Change: a cold server has a limited rate, whose permits the node grants that grants those of stated limits (ratelimit.Cold beside ratelimit.Book; one function says what holds for a server). A node that sees a server cold first tells the granting one with its question. After an evacuation servers count as cold for the time that their service states, since their records tell it late.

--- a/node/admin.go
+++ b/node/admin.go
@@ -43,7 +43,8 @@
 type LimitDump struct {
 	Server  shedkeel.InstanceID `json:"server"`
 	Rate    float64             `json:"rate"`    // requests a second from all nodes together
-	For     string              `json:"for"`     // how long this node has known it
+	For     string              `json:"for"`     // how long this node has known it; empty: the server is cold
+	Cold    string              `json:"cold"`    // how much longer it is cold; empty: it states a limit
 	Granter shedkeel.NodeID     `json:"granter"` // grants the permits; empty: no node is known
 	Granted int64               `json:"granted"` // permits, by this node since it grants them
 	Refused int64               `json:"refused"`
@@ -52,7 +53,7 @@
 // EvacuationDump is an availability zone that operators have evacuated.
 type EvacuationDump struct {
 	Zone    shedkeel.ZoneID `json:"zone"`
-	Servers int             `json:"servers"` // listed there; 0 may be a misspelt zone
+	Servers int             `json:"servers"` // listed there; 0 may be a misspelled zone
 }
 
 // UnnamedDump is a listed node to which callers are not sent, and why.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -44,10 +44,12 @@
 	kept keptConfig
 
 	mutex     sync.Mutex
-	instances map[string]shedkeel.Instance // by key
-	nodes     map[string]nodeRecord        // by key
-	lapsed    map[string]time.Duration     // gone while the service was away, believed until then
-	evacuated map[shedkeel.ZoneID]bool     // their backend servers get nothing
+	instances map[string]shedkeel.Instance      // by key
+	nodes     map[string]nodeRecord             // by key
+	lapsed    map[string]time.Duration          // gone while the service was away, believed until then
+	evacuated map[shedkeel.ZoneID]bool          // their backend servers get nothing
+	cold      map[string]time.Duration          // servers that have said so are cold until then, by key
+	returned  map[shedkeel.ZoneID]time.Duration // when an evacuation was withdrawn last
 	removed   removals
 	doubted   map[string]time.Duration // servers whose records can't be read, and until when they keep their places
 	unread    atomic.Int64             // records that were not used
@@ -67,6 +69,8 @@
 		fleet.lapsed = map[string]time.Duration{}
 		fleet.doubted = map[string]time.Duration{}
 		fleet.evacuated = map[shedkeel.ZoneID]bool{}
+		fleet.cold = map[string]time.Duration{}
+		fleet.returned = map[shedkeel.ZoneID]time.Duration{}
 	}
 	now := fleet.node.Timers.Now()
 	servers, nodes := false, false
@@ -125,6 +129,7 @@
 	delete(fleet.lapsed, record.Key)
 	delete(fleet.doubted, record.Key)
 	fleet.instances[record.Key] = instance
+	fleet.cold[record.Key] = now + instance.ColdFor
 	return true
 }
 
@@ -160,6 +165,7 @@
 	}
 	delete(fleet.instances, key)
 	delete(fleet.doubted, key)
+	delete(fleet.cold, key)
 }
 
 // takeGone takes in that a record went. While the service was away leases may have
@@ -252,6 +258,7 @@
 	var servers []dispatch.Server
 	for key, instance := range fleet.instances {
 		service := view.Service(instance.Service)
+		fleet.noteCold(key, &instance, service)
 		_, doubted := fleet.doubted[key]
 		switch {
 		case service == nil || instance.Draining || doubted || fleet.removed.withheld(instance.ID) || fleet.evacuated[instance.Zone]:
@@ -266,6 +273,21 @@
 	fleet.logServers(servers)
 }
 
+// noteCold tells the limits of a server that is cold. After an evacuation a server is
+// taken to be: its record says so only some time after requests may come again.
+func (fleet *fleet) noteCold(key string, instance *shedkeel.Instance, service *shedkeel.RoutedService) {
+	if service == nil || service.ColdRate <= 0 {
+		return
+	}
+	until := fleet.cold[key]
+	if returned, was := fleet.returned[instance.Zone]; was {
+		until = max(until, returned+service.ColdTime)
+	}
+	if until > fleet.node.Timers.Now() {
+		fleet.node.limits.noteCold(shedkeel.ColdServer{Server: instance.ID, Rate: service.ColdRate, Until: until})
+	}
+}
+
 // headServes reports whether a member is the open head of its group. One whose
 // group was formed anew without it may be open still.
 func headServes(member *shedkeel.Membership, epochs map[shedkeel.GroupID]uint64) bool {
--- a/node/limits.go
+++ b/node/limits.go
@@ -29,14 +29,19 @@
 	announceEvery = 50 * time.Millisecond
 	// announceTimeout bounds the call that tells them.
 	announceTimeout = 500 * time.Millisecond
+	// neverStated is the age in milliseconds of what stands for no statement: older
+	// than any.
+	neverStated = 1 << 40
 )
 
-// limits is how a node takes part in the rate limits of backend servers. Each server
-// has one node that grants its permits, so that the sum over all nodes is bounded. The
-// node that sees a limit change tells that one, which tells all others.
+// limits is how a node takes part in the rate limits of backend servers, stated ones
+// and those of cold servers. Each server has one node that grants its permits, so that
+// the sum over all nodes is bounded. The node that sees a limit change tells that one,
+// which tells all others; that a server is cold all nodes see in its record.
 type limits struct {
 	node    *Node
 	book    ratelimit.Book
+	cold    ratelimit.Cold
 	granter ratelimit.Granter
 
 	mutex   sync.Mutex
@@ -62,7 +67,11 @@
 // merge takes in what another node knows. The node that grants the permits of the
 // server passes it on.
 func (limits *limits) merge(reported *wire.ServerLimit, from shedkeel.NodeID) {
-	limit, valid := limitOf(reported, limits.node.Timers.Now())
+	now := limits.node.Timers.Now()
+	if cold, isCold := coldOf(reported, now); isCold {
+		limits.noteCold(cold)
+	}
+	limit, valid := limitOf(reported, now)
 	if !valid {
 		return
 	}
@@ -78,11 +87,35 @@
 
 // changed has choices heed a limit.
 func (limits *limits) changed(limit shedkeel.ServerLimit, from shedkeel.NodeID) {
-	limits.node.table.SetLimit(limit.Server, limit.Rate, !limit.Lifted)
+	limits.heed(limit.Server)
 	limits.node.Log.Write(event.LimitChanged, slog.String("server", string(limit.Server)), slog.Float64("rate", limit.Rate),
 		slog.Bool("lifted", limit.Lifted), slog.String("from", string(from)))
 }
 
+// heed has choices heed what holds for a server now.
+func (limits *limits) heed(server shedkeel.InstanceID) {
+	rate, limited := limits.rate(server, limits.node.Timers.Now())
+	limits.node.table.SetLimit(server, rate, limited)
+}
+
+// rate returns how many requests a second a server takes from all nodes, and whether
+// that is bounded: it states a limit, or is cold.
+func (limits *limits) rate(server shedkeel.InstanceID, now time.Duration) (rate float64, limited bool) {
+	stated, limited := limits.book.Limit(server)
+	cold, isCold := limits.cold.Server(server, now)
+	if isCold && (!limited || cold.Rate < stated.Rate) {
+		return cold.Rate, true
+	}
+	return stated.Rate, limited
+}
+
+// noteCold takes in that a server is cold.
+func (limits *limits) noteCold(cold shedkeel.ColdServer) {
+	if limits.cold.Note(cold) {
+		limits.heed(cold.Server)
+	}
+}
+
 func (limits *limits) announce(limit shedkeel.ServerLimit) {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
@@ -95,7 +128,10 @@
 // apply has choices heed all limits, after the list of servers has changed.
 func (limits *limits) apply() {
 	for _, limit := range limits.book.All() {
-		limits.node.table.SetLimit(limit.Server, limit.Rate, true)
+		limits.heed(limit.Server)
+	}
+	for _, cold := range limits.cold.All(limits.node.Timers.Now()) {
+		limits.heed(cold.Server)
 	}
 }
 
@@ -107,37 +143,37 @@
 
 // Acquire asks for a permit to send one request, which can wait so long.
 func (limits *limits) Acquire(ctx context.Context, server shedkeel.InstanceID, patience time.Duration) shedkeel.Permit {
-	limit, limited := limits.book.Limit(server)
+	rate, limited := limits.rate(server, limits.node.Timers.Now())
 	if !limited {
 		return shedkeel.Permit{Granted: true}
 	}
 	granter, known := limits.node.peers.granter(server)
 	if known && granter == limits.node.Settings.Node {
-		return limits.grant(limit, patience)
+		return limits.grant(server, rate, patience)
 	}
 	peer := limits.node.peers.peer(granter)
 	if peer == nil {
 		return shedkeel.Permit{Wait: permitPause}
 	}
-	return limits.ask(ctx, peer, limit, patience)
+	return limits.ask(ctx, peer, server, patience)
 }
 
 // grant grants a permit of a server that is this node's to grant: of the part of its
 // rate that is the part of the nodes which this one hears, since the others may grant
 // the rest of it on the other side of a cut.
-func (limits *limits) grant(limit shedkeel.ServerLimit, patience time.Duration) shedkeel.Permit {
+func (limits *limits) grant(server shedkeel.InstanceID, rate float64, patience time.Duration) shedkeel.Permit {
 	part, settled := limits.node.peers.heard()
-	ask := ratelimit.Ask{Server: limit.Server, Rate: limit.Rate * part, Patience: patience, Settled: settled}
+	ask := ratelimit.Ask{Server: server, Rate: rate * part, Patience: patience, Settled: settled}
 	return limits.granter.Grant(ask, limits.node.Timers.Now())
 }
 
 // ask asks another node for a permit. Where that does not answer nobody grants any:
 // two nodes that each grant the server's rate would send it twice as much.
-func (limits *limits) ask(ctx context.Context, peer *peer, limit shedkeel.ServerLimit, patience time.Duration) shedkeel.Permit {
+func (limits *limits) ask(ctx context.Context, peer *peer, server shedkeel.InstanceID, patience time.Duration) shedkeel.Permit {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	call := &wire.PermitCall{
-		Node: string(limits.node.Settings.Node), Limit: wireLimit(limit, limits.node.Timers.Now()),
+		Node: string(limits.node.Settings.Node), Limit: limits.known(server),
 		PatienceMs: uint32(max(patience, 0).Milliseconds()),
 	}
 	reply, err := peer.asked.Do(ctx, &wire.Call{Kind: &wire.Call_Permit{Permit: call}})
@@ -154,22 +190,39 @@
 // takePermit answers another node's question for a permit.
 func (limits *limits) takePermit(call *wire.PermitCall) *wire.Reply {
 	limits.merge(call.GetLimit(), shedkeel.NodeID(call.GetNode()))
-	now := limits.node.Timers.Now()
 	server := shedkeel.InstanceID(call.GetLimit().GetServer())
 	permit := shedkeel.Permit{Wait: permitPause}
-	limit, limited := limits.book.Limit(server)
+	rate, limited := limits.rate(server, limits.node.Timers.Now())
+	stated, _ := limits.book.Limit(server)
 	switch {
 	case !limits.grants(server): // the sender and this node see others alive
 	case limited:
-		permit = limits.grant(limit, time.Duration(call.GetPatienceMs())*time.Millisecond)
+		permit = limits.grant(server, rate, time.Duration(call.GetPatienceMs())*time.Millisecond)
 	default:
-		permit = shedkeel.Permit{Granted: limit.Lifted}
+		permit = shedkeel.Permit{Granted: stated.Lifted}
 	}
 	return &wire.Reply{Kind: &wire.Reply_Permit{Permit: &wire.PermitReply{
-		Granted: permit.Granted, WaitMs: uint32(permit.Wait.Milliseconds()), Limit: wireLimit(limit, now),
+		Granted: permit.Granted, WaitMs: uint32(permit.Wait.Milliseconds()), Limit: limits.known(server),
 	}}}
 }
 
+// known returns what this node knows of a server, as it is told: nil where that is
+// nothing.
+func (limits *limits) known(server shedkeel.InstanceID) *wire.ServerLimit {
+	now := limits.node.Timers.Now()
+	stated, _ := limits.book.Limit(server)
+	told := wireLimit(stated, now)
+	cold, isCold := limits.cold.Server(server, now)
+	if !isCold {
+		return told
+	}
+	if told == nil {
+		told = &wire.ServerLimit{Server: string(server), Lifted: true, AgeMs: neverStated}
+	}
+	told.ColdMs, told.ColdRate = uint32((cold.Until - now).Milliseconds()), cold.Rate
+	return told
+}
+
 // takeLimits takes in the limits that another node tells of.
 func (limits *limits) takeLimits(call *wire.LimitCall) *wire.Reply {
 	for _, limit := range call.GetLimits() {
@@ -192,6 +245,9 @@
 		limits.views = views
 		limits.granter.Retain(limits.grants)
 	}
+	for _, server := range limits.cold.Expire(limits.node.Timers.Now()) {
+		limits.heed(server)
+	}
 	limits.mutex.Lock()
 	pending := limits.pending
 	limits.pending = nil
@@ -246,6 +302,14 @@
 			Granter: granter, Granted: usage.Granted, Refused: usage.Refused,
 		})
 	}
+	for _, cold := range limits.cold.All(now) {
+		granter, _ := limits.node.peers.granter(cold.Server)
+		usage := limits.granter.Usage(cold.Server)
+		found = append(found, LimitDump{
+			Server: cold.Server, Rate: cold.Rate, Cold: (cold.Until - now).Round(time.Millisecond).String(),
+			Granter: granter, Granted: usage.Granted, Refused: usage.Refused,
+		})
+	}
 	return found
 }
 
@@ -270,6 +334,14 @@
 	return limit, limit.Server != "" && limit.Rate >= 0 && !math.IsInf(limit.Rate, 0)
 }
 
+// coldOf reads that a server is cold, and reports whether it is.
+func coldOf(reported *wire.ServerLimit, now time.Duration) (shedkeel.ColdServer, bool) {
+	cold := shedkeel.ColdServer{
+		Server: shedkeel.InstanceID(reported.GetServer()), Rate: reported.GetColdRate(), Until: now + time.Duration(reported.GetColdMs())*time.Millisecond,
+	}
+	return cold, cold.Server != "" && reported.GetColdMs() > 0 && cold.Rate > 0 && !math.IsInf(cold.Rate, 0)
+}
+
 // logBad logs a limit that cannot be read, unless the server's was just now.
 func (limits *limits) logBad(server shedkeel.InstanceID, err error, now time.Duration) {
 	limits.mutex.Lock()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -56,8 +56,8 @@
   {"name":"r1","host":"h.example","path_prefix":"/copy/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":2,"resume_streams":true,"service":"llm"},
   {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"}],
  "services":[
-  {"name":"llm","health_path":"/health","max_connections":100,"engine":{"slots":8,"models":[{"name":"m0","size":2,"share":1,"pace":1,"load_s":0.3,"warmup_s":0.2}],"read_per_s":46000,"loads_per_s":4,"loads_at_once":6,"form_ms":100}},
-  {"name":"plain","health_path":"/health","max_connections":50}],
+  {"name":"llm","health_path":"/health","max_connections":100,"cold_start_s":3,"cold_per_s":4,"engine":{"slots":8,"models":[{"name":"m0","size":2,"share":1,"pace":1,"load_s":0.3,"warmup_s":0.2}],"read_per_s":46000,"loads_per_s":4,"loads_at_once":6,"form_ms":100}},
+  {"name":"plain","health_path":"/health","max_connections":50,"cold_start_s":3,"cold_per_s":4}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"shop","api_keys":[%s]}]}`
 
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -34,7 +34,11 @@
 		_, _ = fmt.Fprintf(writer, "zone %s is evacuated: its %d listed servers get no requests\n", evacuation.Zone, evacuation.Servers)
 	}
 	for _, limit := range status.Limited {
-		_, _ = fmt.Fprintf(writer, "server %s takes %g requests a second, known for %s; node %s grants them", limit.Server, limit.Rate, limit.For, cmp.Or(string(limit.Granter), "unknown"))
+		reason := "known for " + limit.For
+		if limit.Cold != "" {
+			reason = "cold for " + limit.Cold + " more"
+		}
+		_, _ = fmt.Fprintf(writer, "server %s takes %g requests a second, %s; node %s grants them", limit.Server, limit.Rate, reason, cmp.Or(string(limit.Granter), "unknown"))
 		if limit.Granter == status.Node {
 			_, _ = fmt.Fprintf(writer, ": %d granted, %d refused", limit.Granted, limit.Refused)
 		}
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -23,6 +23,14 @@
 	Since  time.Duration // from when on the server has stated a limit
 }
 
+// ColdServer is a backend server that has started lately and takes fewer requests until
+// it is warm.
+type ColdServer struct {
+	Server InstanceID
+	Rate   float64       // requests a second from all processes together
+	Until  time.Duration // it is warm from then on
+}
+
 // Permit is the answer to the question whether a request may be sent to a backend
 // server that limits its rate.
 type Permit struct {
--- /dev/null
+++ b/ratelimit/cold_test.go
@@ -0,0 +1,47 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/ratelimit"
+)
+
+// TestColdServersAreKnownUntilWarm has servers be told of as cold once and again.
+func TestColdServersAreKnownUntilWarm(t *testing.T) {
+	type note struct {
+		until time.Duration
+		news  bool
+	}
+	cases := map[string]struct {
+		notes []note
+		until time.Duration
+	}{
+		"once":                {[]note{{5, true}}, 5},
+		"again, the same":     {[]note{{5, true}, {5, false}}, 5},
+		"again, for longer":   {[]note{{5, true}, {7, true}}, 7},
+		"again, for less":     {[]note{{5, true}, {3, false}}, 5},
+		"in the past already": {[]note{{-1, true}}, -1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var cold ratelimit.Cold
+			for _, note := range test.notes {
+				assert.Equal(t, cold.Note(shedkeel.ColdServer{Server: "s", Rate: 2, Until: note.until}), note.news)
+			}
+			_, isCold := cold.Server("s", test.until)
+			assert.Assert(t, !isCold, "it is warm from then on")
+			known, isCold := cold.Server("s", test.until-1)
+			assert.Assert(t, isCold)
+			assert.Equal(t, known.Rate, 2.0)
+			assert.Equal(t, len(cold.All(test.until-1)), 1)
+			assert.Equal(t, len(cold.All(test.until)), 0)
+			assert.Equal(t, len(cold.Expire(test.until-1)), 0)
+			assert.Equal(t, len(cold.Expire(test.until)), 1)
+			assert.Equal(t, len(cold.All(-10)), 0)
+		})
+	}
+}
--- a/serving.go
+++ b/serving.go
@@ -137,8 +137,10 @@
 type RoutedService struct {
 	ID             ServiceID
 	HealthPath     string
-	MaxConnections int     // that one server takes from all callers together
-	Engine         *Engine // nil: a plain service
+	MaxConnections int           // that one server takes from all callers together
+	ColdRate       float64       // requests a second that a cold server takes from all processes together; 0: as many as a warm one
+	ColdTime       time.Duration // for how long a server is cold after a start while callers are served
+	Engine         *Engine       // nil: a plain service
 }
 
 // ServingConfig is what operators want served: routes, services, accounts.
@@ -183,7 +185,8 @@
 	Zone     ZoneID
 	Slots    int
 	Draining bool
-	Sequence int64 // rises with what the server tells of itself, and begins anew with its start
+	ColdFor  time.Duration // how much longer it is cold, when it wrote that; 0: it is warm
+	Sequence int64         // rises with what the server tells of itself, and begins anew with its start
 	Domain   DomainID
 	Staged   []ModelID // on the box's host
 	Models   []ModelID // loaded
