Processes of a fleet that starts for the first time wait for its seeds

Each page is a priced call, and all go through one link. Cause: a process waits 1.5 s and more only once a peer has answered it. Seeds that start some tenths of a second later than it are no answer within 0.1 to 0.2 s. Change: the record of the fleet's size, which each process reads first, is missing at the first start only; then it waits as if peers had answered.

--- a/mirror/start.go
+++ b/mirror/start.go
@@ -23,8 +23,8 @@
 	// startTurn is after how long a process asks the service itself, if no peer
 	// answers; up to as much again is drawn.
 	startTurn = 100 * time.Millisecond
-	// startPatience is the same where peers answer that they know nothing either:
-	// all have just started. Those that list the service's records, 1.5 MB in a
+	// startPatience is the same where peers answer that they know nothing either, or
+	// the fleet starts for the first time: all have just started. Those that list the service's records, 1.5 MB in a
 	// fleet of 300 boxes, have them in 0.1 to 0.4 s, and tell twenty others each in
 	// a tenth of a second.
 	startPatience = 1500 * time.Millisecond
@@ -41,6 +41,9 @@
 	// List says that it is one of those that list the service's records at once:
 	// others ask it, or there are so few processes that all may.
 	List bool
+	// First says that the fleet starts for the first time: no caller waits, and the
+	// peers may all be about to start.
+	First bool
 	// Peers are asked besides those that were known without the advice.
 	Peers []Peer
 }
@@ -53,6 +56,7 @@
 	began   atomic.Int64 // when Run was called
 	copying sync.Mutex   // held while a whole copy is asked for
 	lists   atomic.Bool  // it lists at once, as advised
+	first   atomic.Bool  // the fleet starts for the first time, as advised
 
 	// Only the loop that asks the service uses these.
 	lot    float64       // from 0 to 1, the process's own
@@ -81,6 +85,7 @@
 		follower.note(ctx, err)
 		if err == nil {
 			follower.start.lists.Store(advice.List)
+			follower.start.first.Store(advice.First)
 			follower.askAtStart(ctx, advice.Peers)
 			return
 		}
@@ -99,7 +104,7 @@
 		return now >= start.turn
 	}
 	least := startTurn
-	if follower.outage.answered() {
+	if follower.outage.answered() || start.first.Load() {
 		least = startPatience
 	}
 	turn := time.Duration(start.began.Load()) + least + time.Duration(start.lot*float64(least))
--- a/mirror/start_test.go
+++ b/mirror/start_test.go
@@ -52,6 +52,19 @@
 	return shedkeel.Record{Key: key}, nil
 }
 
+// latePeer is a peer whose socket is not open until then.
+type latePeer struct {
+	peer
+	from time.Time
+}
+
+func (peer *latePeer) Knows(ctx context.Context, wait time.Duration) (bool, error) {
+	if time.Now().Before(peer.from) {
+		return false, errors.New("connection refused")
+	}
+	return peer.peer.Knows(ctx, wait)
+}
+
 // TestStartOfAllAtOnce has all processes of a fleet start at one moment, as after
 // a loss of power. Each list takes 12 ms of the service's link, so that 58 come
 // through in 0.7 s of those that are asked for together.
@@ -59,17 +72,21 @@
 	const processes, seeds = 300, 3 // the seeds are advised to list
 	cases := map[string]struct {
 		seedsLive bool
+		seedsFrom time.Duration // until then their sockets are not open
+		first     bool          // as all processes are advised
 		patience  time.Duration
 		within    time.Duration
 		asked     int // most lists
 	}{
-		"the seeds start too":                               {true, 700 * time.Millisecond, 700 * time.Millisecond, 2 * seeds},
-		"the seeds are down, and lists that come are taken": {false, 10 * time.Second, 5 * time.Second, processes},
+		"the seeds start too":                               {true, 0, false, 700 * time.Millisecond, 700 * time.Millisecond, 2 * seeds},
+		"the seeds start last of a fleet that is new":       {true, 300 * time.Millisecond, true, 700 * time.Millisecond, time.Second, 2 * seeds},
+		"the seeds are down, and lists that come are taken": {false, 0, false, 10 * time.Second, 5 * time.Second, processes},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			service := &link{each: 12 * time.Millisecond, patience: test.patience}
 			clock := &timer.System{}
+			began := time.Now()
 			var mirrors []*Mirror
 			var known []Peer
 			for range processes {
@@ -78,7 +95,7 @@
 			for _, mirror := range mirrors[:seeds] {
 				known = append(known, Peer(silentPeer{}))
 				if test.seedsLive {
-					known[len(known)-1] = &peer{mirror: mirror, now: clock.Now}
+					known[len(known)-1] = &latePeer{peer{mirror: mirror, now: clock.Now}, began.Add(test.seedsFrom)}
 				}
 			}
 			ctx, cancel := context.WithCancel(t.Context())
@@ -86,7 +103,7 @@
 			for index, own := range mirrors {
 				follower := &Follower{
 					Mirror: own, Source: service, Timers: clock, Choose: func() Peer { return known[0] }, Others: func() []Peer { return known },
-					Advise:    func(context.Context) (Advice, error) { return Advice{List: index < seeds}, nil },
+					Advise:    func(context.Context) (Advice, error) { return Advice{List: index < seeds, First: test.first}, nil },
 					Processes: func() int { return processes }, Random: rand.NewPCG(uint64(index), 8),
 				}
 				if index < seeds {
@@ -95,9 +112,13 @@
 						continue
 					}
 				}
-				running.Go(func() { follower.Run(ctx) })
+				running.Go(func() {
+					if index < seeds {
+						timer.Sleep(ctx, test.seedsFrom)
+					}
+					follower.Run(ctx)
+				})
 			}
-			began := time.Now()
 			informed := func() int {
 				count := 0
 				for _, own := range mirrors {
--- a/node/fleetsize.go
+++ b/node/fleetsize.go
@@ -96,7 +96,7 @@
 		return mirror.Advice{}, err
 	}
 	if !record.Revision.Exists() { // the fleet's first start
-		return mirror.Advice{List: peers.isSeed() || len(peers.seeds) == 0}, nil
+		return mirror.Advice{List: peers.isSeed() || len(peers.seeds) == 0, First: true}, nil
 	}
 	var size sizeRecord
 	if node.fleet.read(record, &size) != nil {
