The first node that plans is elected once nodes have ceased to come

Cause: a node's turn is its place among those that it knows, and all know few when they have just been listed, so that all are among the first. The one that wins need not be a large box either. Change: while nobody has ever planned, turns are counted from half a second after the last node came, three seconds at most, and are 0.4 s apart. Test: TestFirstElectionIsOfFew: a box in the eleventh place won before, the largest box with one try after.

--- a/node/election.go
+++ b/node/election.go
@@ -16,6 +16,13 @@
 	// electionStep is how much later each further node tries to lead, so that
 	// they seldom write at once.
 	electionStep = 60 * time.Millisecond
+	// firstSettle is how long no node may have come before the first one is elected
+	// that plans: while a fleet starts, each node knows few others that come before it.
+	firstSettle = 500 * time.Millisecond
+	// firstPatience bounds that wait.
+	firstPatience = 3 * time.Second
+	// firstStep is electionStep in the first election: within it all know the outcome.
+	firstStep = 400 * time.Millisecond
 	// leadTTL is how long a leader leads without a renewal: long enough for two
 	// renewals to fail, short enough that a successor of a dead one acts within
 	// two seconds.
@@ -148,15 +155,27 @@
 	if controller.vacant == 0 {
 		controller.vacant = now
 	}
-	if now-controller.vacant < time.Duration(node.peers.place())*electionStep {
+	record, term := node.mirror.Get(leadKey), node.mirror.Get(termKey)
+	if now-controller.vacant < controller.electionTurn(term) {
 		return
 	}
-	record, term := node.mirror.Get(leadKey), node.mirror.Get(termKey)
 	if controller.lease.valid(now) || controller.lease.grant(ctx) {
 		controller.tryLead(ctx, record.Revision, term.Revision, controller.nextTerm(term))
 	}
 }
 
+// electionTurn returns after what time without a node that plans this one tries to:
+// those with the most capacity come first.
+func (controller *controller) electionTurn(term shedkeel.Record) time.Duration {
+	peers := &controller.node.peers
+	place := time.Duration(peers.place())
+	if term.Revision.Exists() {
+		return place * electionStep
+	}
+	settled := min(max(peers.lastCame()-controller.vacant, 0)+firstSettle, firstPatience)
+	return settled + place*firstStep
+}
+
 // isStray reports whether the record of who plans has for so long named no
 // listed node, or this one though it does not plan, that another may. Another
 // writer may have spoilt it, and it goes with no lease then: nobody planned any
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,9 +60,9 @@
 
 // elect has the node try to lead as it does while nobody leads.
 func elect(t *testing.T, node *Node, timers *timer.Manual) {
-	for range 2 {
+	for _, wait := range []time.Duration{firstSettle, electionStep} {
 		node.controller.elect(t.Context(), timers.Now())
-		timers.Advance(electionStep)
+		timers.Advance(wait)
 	}
 }
 
@@ -162,3 +163,57 @@
 	assert.DeepEqual(t, store.ended, []shedkeel.LeaseID{{Number: 2}})
 	assert.Assert(t, !node.controller.leading(timers.Now()))
 }
+
+// TestFirstElectionIsOfFew has the nodes of a new fleet come to know each other within
+// half a second, while what one writes is known to the others a quarter of a second
+// later. Each knew few that came before it, and 88 of 142 tried to plan.
+func TestFirstElectionIsOfFew(t *testing.T) {
+	const (
+		lag   = 250 * time.Millisecond
+		tick  = 50 * time.Millisecond
+		batch = 10 // nodes that are listed within a tick
+	)
+	all := fleetOf(100, 3)
+	var nodes []*Node
+	var clocks []*timer.Manual
+	tries, winner := 0, shedkeel.NodeID("")
+	var won mirror.Update
+	for _, record := range all {
+		node, timers := newListedNode(t, record.ID, nil)
+		store := &leaseStore{renewed: map[shedkeel.LeaseID]int{}}
+		store.commit = func(change shedkeel.Change) (int64, error) {
+			tries++
+			if winner != "" {
+				return 0, &shedkeel.ConflictError{}
+			}
+			winner, won = record.ID, written(change, 2, 0)
+			return 2, nil
+		}
+		node.Store = store
+		node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
+		node.member.listed.Store(true)
+		nodes, clocks = append(nodes, node), append(clocks, timers)
+	}
+	// The largest boxes are listed last.
+	order := slices.Clone(all)
+	slices.Reverse(order)
+	wonAt := time.Duration(0)
+	for now := time.Duration(0); now < 3*time.Second && (winner == "" || now < wonAt+lag); now += tick {
+		known := slices.Clone(order[:min(len(order), batch*(1+int(now/tick)))])
+		slices.SortFunc(known, compareNodes)
+		for index, node := range nodes {
+			if now < time.Duration(len(order)/batch)*tick {
+				node.peers.update(known)
+			}
+			node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1}, AsOf: clocks[index].Now()})
+			node.controller.elect(t.Context(), clocks[index].Now())
+			clocks[index].Advance(tick)
+		}
+		if winner != "" && wonAt == 0 {
+			wonAt = now
+		}
+	}
+	assert.Assert(t, len(won.Records) > 0)
+	assert.Equal(t, winner, all[0].ID, "the largest box plans")
+	assert.Equal(t, tries, 1)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -28,6 +28,7 @@
 	alive    []nodeRecord                            // those of them that answer
 	views    atomic.Uint64                           // how often these have changed
 	settled  time.Duration                           // when they changed last
+	came     time.Duration                           // when a node was listed last that was not before
 	granters map[shedkeel.InstanceID]shedkeel.NodeID // of servers that were asked about, while they don't
 	known    map[shedkeel.NodeID]*peer
 	seeds    []*peer // from the settings: asked while no nodes are known
@@ -91,6 +92,9 @@
 	peers.node.gossip.setPeers(nodes)
 	peers.setAlive(peers.node.gossip.alive(nodes))
 	came, went := changedKeys(before, peers.known)
+	if len(came) > 0 {
+		peers.came = peers.node.Timers.Now()
+	}
 	peers.node.Log.Write(event.NodesChanged, slog.Int("nodes", len(nodes)), slog.Any("came", came), slog.Any("went", went), slog.Duration("age", peers.node.fleet.copyAge()))
 }
 
@@ -196,6 +200,13 @@
 	return found
 }
 
+// lastCame returns when a node was listed last that was not before.
+func (peers *peers) lastCame() time.Duration {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return peers.came
+}
+
 // listed returns the nodes in order.
 func (peers *peers) listed() []nodeRecord {
 	peers.mutex.Lock()
