A node that knows few of its fleet follows a seed, listed or not

What was seen: each of 142 nodes that start together asked the service once for changes, just after it had been listed: its copy held one node, itself. Cause: only a node that was not listed followed a seed. Change: so does one that knows less than half of the nodes that a seed has told of. Test: TestUnlistedFollowsSeed, a new row.

--- a/node/follow.go
+++ b/node/follow.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		if place == own {
-			return peers.unlisted(listed)
+			return peers.atStart(listed && len(nodes) >= peers.node.member.expected()/2)
 		}
 		followed := peers.known[nodes[place].ID]
 		if !followed.failed.within(failTime, peers.node.Timers.Now()) {
@@ -139,10 +139,10 @@
 	return first // none answers; the copy will be stale, and its turn to ask the service comes
 }
 
-// unlisted returns whom a node follows that would follow the service itself: a
-// seed while this node is not listed, since it may know few of the others then.
-func (peers *peers) unlisted(listed bool) mirror.Peer {
-	if listed || peers.isSeed() {
+// atStart returns whom a node follows that would follow the service itself: a seed
+// while this node is not listed or knows few of the others, and so not its place.
+func (peers *peers) atStart(settled bool) mirror.Peer {
+	if settled || peers.isSeed() {
 		return nil
 	}
 	for _, seed := range peers.seeds {
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -100,25 +100,29 @@
 	}
 }
 
-// TestUnlistedFollowsSeed has a node that is not listed yet know too few others:
-// it must not follow the service itself, as 295 did that started together.
+// TestUnlistedFollowsSeed has a node that is not listed yet, or only itself, know too
+// few others: it must not follow the service itself, as 295 did that started together.
 func TestUnlistedFollowsSeed(t *testing.T) {
 	cases := map[string]struct {
 		seeds  []string
 		listed []nodeRecord
+		hint   int64 // how many nodes there are, as a seed has told
 		follow string
 	}{
-		"it knows nobody":           {[]string{"seed:1"}, nil, "seed:1"},
-		"it would be the second":    {[]string{"seed:1"}, []nodeRecord{{ID: "a", Capacity: 0.8}}, "seed:1"},
-		"it is listed":              {[]string{"seed:1"}, []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "d", Capacity: 0.2}}, ""},
-		"it is a seed":              {[]string{"seed:1", "own:1"}, nil, ""},
-		"there are no seeds":        {nil, nil, ""},
-		"another is to be followed": {[]string{"seed:1"}, fourNodes[:3], "b"},
+		"it knows nobody":              {[]string{"seed:1"}, nil, 0, "seed:1"},
+		"it would be the second":       {[]string{"seed:1"}, []nodeRecord{{ID: "a", Capacity: 0.8}}, 0, "seed:1"},
+		"it is listed":                 {[]string{"seed:1"}, []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "d", Capacity: 0.2}}, 2, ""},
+		"it is listed, few others are": {[]string{"seed:1"}, []nodeRecord{{ID: "a", Capacity: 0.8}, {ID: "d", Capacity: 0.2}}, 140, "seed:1"},
+		"it is a seed":                 {[]string{"seed:1", "own:1"}, nil, 0, ""},
+		"there are no seeds":           {nil, nil, 0, ""},
+		"another is to be followed":    {[]string{"seed:1"}, fourNodes[:3], 0, "b"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			node, _ := newTestNode(t)
+			node, timers := newTestNode(t)
 			node.Settings.Node, node.Settings.Capacity = "d", 0.2
+			node.member.began.Store(int64(timers.Now()))
+			node.member.hint.Store(test.hint)
 			node.Settings.Listen.Control = "own:1"
 			node.Settings.Seeds = test.seeds
 			node.peers.prepare()
--- a/node/member.go
+++ b/node/member.go
@@ -52,9 +52,9 @@
 	listed  atomic.Bool  // the service answered, and the node is listed as it should be
 	watched atomic.Bool  // the record needs no lease
 
-	// Only the loop uses these.
-	began time.Duration // when the node started; 0: not noted yet
-	tried time.Duration // when the service was called last; 0: never
+	began atomic.Int64 // when the node started, as a time.Duration; 0: not noted yet
+
+	tried time.Duration // when the service was called last; 0: never. Only the loop uses it
 }
 
 // update has the record written again.
@@ -71,9 +71,7 @@
 // tick does what is due.
 func (membership *membership) tick(ctx context.Context) {
 	now := membership.node.Timers.Now()
-	if membership.began == 0 {
-		membership.began = now
-	}
+	membership.began.CompareAndSwap(0, int64(now))
 	if !membership.due(now) {
 		return
 	}
@@ -110,16 +108,22 @@
 // fleetWatches reports whether the fleet is so large that its nodes watch each
 // other.
 func (membership *membership) fleetWatches() bool {
-	nodes := membership.node.fleet.nodeCount()
-	if membership.node.Timers.Now()-membership.began < hintTime {
-		nodes = max(nodes, int(membership.hint.Load())) // the others may not be listed yet
-	}
+	nodes := max(membership.node.fleet.nodeCount(), membership.expected())
 	if membership.watched.Load() {
 		return nodes > watchedUntil
 	}
 	return nodes >= watchedFrom
 }
 
+// expected returns how many nodes there are at least, as a seed told at the start: not
+// all of them may be listed yet. It is 0 some time later.
+func (membership *membership) expected() int {
+	if membership.node.Timers.Now()-time.Duration(membership.began.Load()) >= hintTime {
+		return 0
+	}
+	return int(membership.hint.Load())
+}
+
 // step makes the node listed, by what its fleet needs, and reports whether it is.
 func (membership *membership) step(ctx context.Context) bool {
 	watched := membership.fleetWatches()
