Nodes of a large fleet that start together are listed with few writes

Cause: only the node itself wrote its record, though it goes with no lease in a large fleet, so that any node may. Change: a node asks the one that it follows to write it, which gathers records for 0.1 s and writes up to 32 with one call (package node, registrar). A record that is not the sender's own is refused. A node that gets no answer, is refused, stops, or follows nobody writes its record itself, as before. Tests: TestRegistrationsAreWrittenTogether (70 nodes: 3 writes), TestNodeIsListedWithoutRegistrar.

--- a/event/event.go
+++ b/event/event.go
@@ -92,6 +92,7 @@
 	NodesJudged     = Event{655, slog.LevelInfo, "nodes were found dead, have left, or live again"}
 	GossipFailed    = Event{656, slog.LevelWarn, "datagram between nodes could not be used"}
 	Followed        = Event{657, slog.LevelInfo, "copy of another process is followed"}
+	NodesRegistered = Event{658, slog.LevelInfo, "records of nodes that follow this one were written"}
 	WaitOverdue     = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsNotKept    = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -104,7 +105,7 @@
 		PlacementFailed, Decided, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperAway, KeeperBack,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, BrokenOff, SendingFailed, StreamMoved, ServerEnded, RequestJudged, BlameNotKept, LimitChanged, LimitBad, ServerSilent, NoticeTaken, BackoffStated, DrainingStated, StatementBad, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ViewChanged,
-		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed, Followed,
+		NodesChanged, RecordSkipped, OrderGiven, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeUnsure, DomainUsage, PaceChanged, Demand, LeaseRenewFail, LoadsNotKept, NodeDead, SizeNotKept, WaitOverdue, NodeHeld, NodesJudged, GossipFailed, Followed, NodesRegistered,
 	}
 }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -28,7 +28,11 @@
 	Lease LeaseID
 }
 
-// Change is a transaction: all of it is done if every condition holds.
+// MaxEntries is how many conditions, puts and removals a transaction may have in all.
+const MaxEntries = 32
+
+// Change is a transaction: all of it is done if every condition holds. It has at most
+// MaxEntries entries.
 type Change struct {
 	If     []Condition
 	Put    []Put
--- a/node/member.go
+++ b/node/member.go
@@ -195,6 +195,21 @@
 	}
 }
 
+// commit writes the record: in a large fleet by the node that this one follows, which
+// writes those of others with it, or itself where there is none or that fails. A node
+// that stops can't wait.
+func (membership *membership) commit(ctx context.Context, put shedkeel.Put) (shedkeel.Revision, error) {
+	node := membership.node
+	if membership.watched.Load() && !node.stopping.Load() {
+		if followed, _ := node.peers.choose().(*peer); followed != nil {
+			if revision, err := followed.register(ctx, put.Value); err == nil {
+				return revision, nil
+			}
+		}
+	}
+	return node.Store.Commit(ctx, shedkeel.Change{Put: []shedkeel.Put{put}})
+}
+
 // write writes the record and reports whether it was. One that was not is
 // written again.
 func (membership *membership) write(ctx context.Context) bool {
@@ -204,7 +219,7 @@
 		return true // it can never be written
 	}
 	put := shedkeel.Put{Key: membership.key(), Value: value, Lease: membership.lease.ID()}
-	revision, err := node.Store.Commit(ctx, shedkeel.Change{Put: []shedkeel.Put{put}})
+	revision, err := membership.commit(ctx, put)
 	if err != nil {
 		membership.changed.Store(true)
 		node.Log.Write(event.LeaseRenewFail, slog.String("error", err.Error()))
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,7 @@
 	gossip      gossip
 	remover     remover
 	subscribers subscribers
+	registrar   registrar
 	guard       guard
 	limits      limits
 	controller  controller
@@ -145,6 +146,7 @@
 	node.peers.node = node
 	node.peers.prepare()
 	node.peers.random = rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())
+	node.registrar.node = node
 	node.member.node = node
 	node.gossip.node = node
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
--- a/node/peers.go
+++ b/node/peers.go
@@ -275,8 +275,10 @@
 		return peers.node.limits.takePermit(kind.Permit)
 	case *wire.Call_Limit:
 		return peers.node.limits.takeLimits(kind.Limit)
+	case *wire.Call_Register:
+		return peers.node.registrar.take(ctx, kind.Register)
 	}
-	return &wire.Reply{Error: "a node answers relays, notices, spreads, demands, blames, permits and limits only; upgrade one side"}
+	return &wire.Reply{Error: "a node answers relays, notices, spreads, demands, blames, permits, limits and registrations only; upgrade one side"}
 }
 
 // place returns this node's place among the nodes.
--- /dev/null
+++ b/node/registrar.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/wire"
+)
+
+const (
+	// registerGather is for how long the records of nodes are let gather that start
+	// together: each write costs a call, however many records it has.
+	registerGather = 100 * time.Millisecond
+	// registerWrite bounds the write.
+	registerWrite = time.Second
+	// registerTimeout bounds a node's question to have its record written. Later it
+	// does so itself.
+	registerTimeout = registerGather + registerWrite + 200*time.Millisecond
+)
+
+// registrar writes the records of nodes that follow this one to the key-value
+// service, as many with one call as it takes.
+type registrar struct {
+	node *Node
+
+	mutex sync.Mutex
+	open  *registration // still takes records; nil: there is none
+}
+
+// registration is one write of several records.
+type registration struct {
+	registrar *registrar
+	puts      map[string]shedkeel.Put // by key; the registrar's mutex guards it
+	full      chan struct{}           // closed once it takes no more
+	done      chan struct{}           // closed once the outcome is known
+	revision  shedkeel.Revision
+	err       error
+}
+
+// take answers a node that asks to have its record written.
+func (registrar *registrar) take(ctx context.Context, call *wire.RegisterCall) *wire.Reply {
+	record := shedkeel.Record{Key: nodePrefix + call.GetNode(), Value: call.GetRecord()}
+	if _, err := registrar.node.fleet.readNode(record); err != nil {
+		return &wire.Reply{Error: err.Error()}
+	}
+	registration := registrar.join(shedkeel.Put{Key: record.Key, Value: record.Value})
+	select {
+	case <-ctx.Done():
+		return &wire.Reply{Error: "the outcome of the write is not known yet"}
+	case <-registration.done:
+	}
+	if registration.err != nil {
+		return &wire.Reply{Error: registration.err.Error()}
+	}
+	revision := registration.revision
+	return &wire.Reply{Kind: &wire.Reply_Register{Register: &wire.RegisterReply{Written: true, Era: revision.Era, Revision: revision.Number}}}
+}
+
+// join has a record written with the next write, and returns that.
+func (registrar *registrar) join(put shedkeel.Put) *registration {
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	joined := registrar.open
+	if joined == nil {
+		joined = &registration{registrar: registrar, puts: map[string]shedkeel.Put{}, full: make(chan struct{}), done: make(chan struct{})}
+		registrar.open = joined
+		go joined.run()
+	}
+	joined.puts[put.Key] = put
+	if len(joined.puts) == shedkeel.MaxEntries {
+		close(joined.full)
+		registrar.open = nil
+	}
+	return joined
+}
+
+// run writes the records once they have gathered.
+func (registration *registration) run() {
+	timer := time.NewTimer(registerGather)
+	select {
+	case <-timer.C:
+	case <-registration.full:
+	}
+	timer.Stop()
+	change := shedkeel.Change{}
+	for _, put := range registration.close() {
+		change.Put = append(change.Put, put)
+	}
+	node := registration.registrar.node
+	ctx, cancel := context.WithTimeout(context.Background(), registerWrite)
+	defer cancel()
+	registration.revision, registration.err = node.Store.Commit(ctx, change)
+	if registration.err == nil {
+		var records []shedkeel.Record
+		for _, put := range change.Put {
+			records = append(records, shedkeel.Record{Key: put.Key, Value: put.Value, Revision: registration.revision})
+		}
+		node.mirror.Apply(mirrorUpdate(records...))
+		node.Log.Write(event.NodesRegistered, slog.Int("nodes", len(records)))
+	}
+	close(registration.done)
+}
+
+// close ends the gathering and returns what is to be written.
+func (registration *registration) close() map[string]shedkeel.Put {
+	registrar := registration.registrar
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	if registrar.open == registration {
+		registrar.open = nil
+	}
+	return registration.puts
+}
+
+// register asks the node to write the record of this one, and returns the revision at
+// which it stands.
+func (peer *peer) register(ctx context.Context, record []byte) (shedkeel.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	call := &wire.RegisterCall{Node: string(peer.node.Settings.Node), Record: record}
+	reply, err := peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Register{Register: call}})
+	written := reply.GetRegister()
+	switch {
+	case err != nil:
+		return shedkeel.Revision{}, err
+	case !written.GetWritten():
+		return shedkeel.Revision{}, &shedkeel.UnknownOutcomeError{What: "registration at node " + string(peer.id)}
+	}
+	return shedkeel.Revision{Era: written.GetEra(), Number: written.GetRevision()}, nil
+}
--- /dev/null
+++ b/node/registrar_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/wire"
+)
+
+// registeredRecord returns a record that a node may have written.
+func registeredRecord(t *testing.T, id shedkeel.NodeID) []byte {
+	t.Helper()
+	value, err := json.Marshal(nodeRecord{ID: id, Zone: "z", Callers: "10.0.0.1:1", Control: "10.0.0.1:2", Watched: true})
+	assert.NilError(t, err)
+	return value
+}
+
+// TestRegistrationsAreWrittenTogether has many nodes ask one at once to write their
+// records: each wrote its own, which was most of the calls of a fleet that starts.
+func TestRegistrationsAreWrittenTogether(t *testing.T) {
+	cases := map[string]struct {
+		nodes  int
+		bad    int // nodes that ask for a record of another one
+		fails  bool
+		writes int
+	}{
+		"one":                    {1, 0, false, 1},
+		"as many as a write has": {32, 0, false, 1},
+		"more":                   {70, 0, false, 3},
+		"some ask for another's": {33, 3, false, 1},
+		"the service does not":   {40, 0, true, 2},
+		"all ask for another's":  {5, 5, false, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, _ := newTestNode(t)
+			var mutex sync.Mutex
+			writes, listed := 0, map[string]int{}
+			node.Store = &leaseStore{commit: func(change shedkeel.Change) (int64, error) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				writes++
+				assert.Check(t, len(change.Put) <= shedkeel.MaxEntries)
+				if test.fails {
+					return 0, &shedkeel.UnavailableError{What: "key-value service"}
+				}
+				for _, put := range change.Put {
+					listed[put.Key]++
+				}
+				return 7, nil
+			}}
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}})
+			var asking sync.WaitGroup
+			written := make([]bool, test.nodes)
+			for index := range test.nodes {
+				id := shedkeel.NodeID(fmt.Sprint("n-", index))
+				record := registeredRecord(t, id)
+				if index < test.bad {
+					record = registeredRecord(t, "n-other")
+				}
+				asking.Go(func() {
+					reply := node.registrar.take(t.Context(), &wire.RegisterCall{Node: string(id), Record: record})
+					written[index] = reply.GetRegister().GetWritten() && reply.GetRegister().GetRevision() == 7
+				})
+			}
+			asking.Wait()
+			assert.Equal(t, writes, test.writes)
+			for index, told := range written {
+				key := nodePrefix + fmt.Sprint("n-", index)
+				assert.Equal(t, told, !test.fails && index >= test.bad, key)
+				assert.Equal(t, listed[key] == 1, told, "a node is told that it is listed only if it is: %s", key)
+			}
+		})
+	}
+}
+
+// TestNodeIsListedWithoutRegistrar has the node that is to write this one's record fail
+// in each way: the node writes it itself.
+func TestNodeIsListedWithoutRegistrar(t *testing.T) {
+	cases := map[string]struct {
+		handler  func(*Node) wire.Handler // of the node that is followed; nil: it is down
+		stopping bool
+		own      int // writes of the node itself
+	}{
+		"it writes":       {func(other *Node) wire.Handler { return &other.peers }, false, 0},
+		"this node stops": {func(other *Node) wire.Handler { return &other.peers }, true, 1},
+		"it is down":      {nil, false, 1},
+		"it does not write": {func(other *Node) wire.Handler {
+			other.Store = &leaseStore{commit: func(shedkeel.Change) (int64, error) { return 0, &shedkeel.UnavailableError{What: "service"} }}
+			return &other.peers
+		}, false, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			other, _ := newTestNode(t)
+			other.Store = &leaseStore{commit: func(shedkeel.Change) (int64, error) { return 9, nil }}
+			other.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}})
+			listener := listenHere(t)
+			address := listener.Addr().String()
+			if test.handler == nil {
+				assert.NilError(t, listener.Close())
+			} else {
+				defer serveWire(t, listener, test.handler(other))()
+			}
+
+			node, timers := newTestNode(t)
+			node.Settings.Wire.Key = "k"
+			node.Settings.Zone = "z"
+			node.Settings.Listen.Callers, node.Settings.Listen.Control = "10.0.0.1:1", "10.0.0.1:2"
+			node.Settings.Seeds = []string{address}
+			node.peers.prepare()
+			node.stopping.Store(test.stopping)
+			own := 0
+			node.Store = &leaseStore{commit: func(shedkeel.Change) (int64, error) {
+				own++
+				return 9, nil
+			}}
+			node.mirror.Apply(mirror.Update{Whole: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
+			node.member.began.Store(int64(timers.Now()))
+			node.member.hint.Store(watchedFrom)
+			began := time.Now()
+			assert.Assert(t, node.member.step(t.Context()))
+			assert.Equal(t, own, test.own)
+			assert.Assert(t, node.member.stands(), "it knows that it is listed")
+			assert.Assert(t, time.Since(began) < registerTimeout)
+		})
+	}
+}
