Calls to the key-value service are counted by kind; operators evacuate zones from the command line

What was missing: which calls a fleet's start costs could only be seen by printing each in a scratch copy: reads, writes and watches were counted in three sums. Mutants for evacuations, cold servers and the start of a fleet; the one of a cut fleet's halves names its line again.

--- a/interfaces.go
+++ b/interfaces.go
@@ -72,6 +72,26 @@
 	Release(ctx context.Context, lease LeaseID) error
 }
 
+// StoreCall is a kind of call to the key-value service.
+type StoreCall string
+
+// The kinds of call.
+const (
+	CallGet      StoreCall = "get"
+	CallGetStale StoreCall = "get_stale"
+	CallList     StoreCall = "list" // each page
+	CallWatch    StoreCall = "watch"
+	CallCommit   StoreCall = "commit"
+	CallGrant    StoreCall = "grant"
+	CallRenew    StoreCall = "renew"
+	CallRelease  StoreCall = "release"
+)
+
+// CallCounter counts the calls that a process has made to the key-value service.
+type CallCounter interface {
+	Calls() map[StoreCall]int64
+}
+
 // GroupEngines is how the engines of replica groups are asked and ordered.
 type GroupEngines interface {
 	// Report asks an engine for its load.
--- a/keeper/operator.go
+++ b/keeper/operator.go
@@ -309,18 +309,18 @@
 
 // Dump is the state of a keeper, without secrets.
 type Dump struct {
-	Status    Status               `json:"status"`
-	Config    shedkeel.Config      `json:"config"`
-	Table     shedkeel.Table       `json:"policy_table"`
-	Records   map[string]uint64    `json:"record_generations"`
-	Digests   []member.Digest      `json:"digests"`
-	Decisions []shedkeel.Decision  `json:"decisions"`
-	Calls     map[string]int64     `json:"store_calls"`
-	Placement []shedkeel.Placement `json:"placements"`
+	Status    Status                       `json:"status"`
+	Config    shedkeel.Config              `json:"config"`
+	Table     shedkeel.Table               `json:"policy_table"`
+	Records   map[string]uint64            `json:"record_generations"`
+	Digests   []member.Digest              `json:"digests"`
+	Decisions []shedkeel.Decision          `json:"decisions"`
+	Calls     map[shedkeel.StoreCall]int64 `json:"store_calls"`
+	Placement []shedkeel.Placement         `json:"placements"`
 }
 
 func (keeper *Keeper) serveDump(writer http.ResponseWriter, _ *http.Request) {
-	dump := Dump{Status: keeper.status(), Records: map[string]uint64{}, Calls: map[string]int64{}, Table: policy.DefaultTable()}
+	dump := Dump{Status: keeper.status(), Records: map[string]uint64{}, Calls: map[shedkeel.StoreCall]int64{}, Table: policy.DefaultTable()}
 	keeper.mutex.Lock()
 	dump.Config, _ = keeper.table.Config()
 	dump.Config.Accounts = slices.Clone(dump.Config.Accounts)
@@ -337,8 +337,8 @@
 		dump.Table = zone.table
 	}
 	keeper.mutex.Unlock()
-	if counted, ok := keeper.Store.(interface{ Calls() (int64, int64, int64) }); ok {
-		dump.Calls["reads"], dump.Calls["writes"], dump.Calls["watches"] = counted.Calls()
+	if counter, ok := keeper.Store.(shedkeel.CallCounter); ok {
+		dump.Calls = counter.Calls()
 	}
 	writeJSON(writer, http.StatusOK, dump)
 }
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -34,7 +34,7 @@
 		"ratelimit/granter.go", "if delay > ask.Patience {", "if false {", "TestServerLimitHoldsOverAllNodes", "./node",
 	},
 	"rate limits of servers: each half of a cut fleet grants all": {
-		"node/limits.go", "Rate: limit.Rate * part,", "Rate: limit.Rate + 0*part,", "TestHalfOfTheFleetGrantsHalf", "./node",
+		"node/limits.go", "Rate: rate * part,", "Rate: rate + 0*part,", "TestHalfOfTheFleetGrantsHalf", "./node",
 	},
 	"rate limits of servers: repeats need no permit": {
 		"serve/permit.go", "if !choice.Limited ||", "if !patient || !choice.Limited ||", "TestEverySendingTakesAPermit", "./serve",
@@ -45,6 +45,27 @@
 	"rate limits of servers: an answer that comes late lifts a limit": {
 		"ratelimit/book.go", "Lifted: true, At: sent}", "Lifted: true, At: now}", "TestBook", "./ratelimit",
 	},
+	"evacuated zones: they get requests": {
+		"node/fleet.go", "|| fleet.evacuated[instance.Zone]:", ":", "TestEvacuatedZoneGetsNothing", "./node",
+	},
+	"evacuated zones: a lost record ends an evacuation": {
+		"node/evacuation.go", "case record.Lost && before:", "case false && before:", "TestEvacuationsFollowRecords", "./node",
+	},
+	"cold servers: their records are not heeded": {
+		"node/fleet.go", "until := fleet.cold[key]", "until := 0 * fleet.cold[key]", "TestColdServersGetLittle", "./node",
+	},
+	"cold servers: they count as warm after an evacuation": {
+		"node/fleet.go", "until = max(until, returned+service.ColdTime)", "until = max(until, 0*returned)", "TestColdServersGetLittle", "./node",
+	},
+	"start of a fleet: nobody waits for the seeds": {
+		"mirror/start.go", "|| start.first.Load()", "", "TestStartOfAllAtOnce", "./mirror",
+	},
+	"start of a fleet: the first election does not wait": {
+		"node/election.go", "if term.Revision.Exists() {\n\t\treturn place", "if true {\n\t\treturn place", "TestFirstElectionIsOfFew", "./node",
+	},
+	"start of a fleet: each record is written alone": {
+		"node/registrar.go", "timer := time.NewTimer(registerGather)", "timer := time.NewTimer(0)", "TestRegistrationsAreWrittenTogether", "./node",
+	},
 	"restored store: eras are not compared": {
 		"revision.go", "if revision.Era != other.Era {", "if false {", "TestEras|TestRelayOverEras", "./mirror",
 	},
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/platform"
 )
 
 // evacuateTime is within what time all nodes are to know that an availability zone is
@@ -21,12 +22,7 @@
 
 // evacuate has an operator ask that a zone's servers get nothing, or withdraw that.
 func (world *world) evacuate(zone string, begin bool) {
-	key := "op/evacuate/" + zone
-	change := shedkeel.Change{Remove: []string{key}}
-	if begin {
-		change = shedkeel.Change{Put: []shedkeel.Put{{Key: key, Value: []byte("{}")}}}
-	}
-	_, err := world.data.Commit(change)
+	_, err := world.data.Commit(platform.Evacuation(shedkeel.ZoneID(zone), begin))
 	assert.NilError(world.t, err)
 }
 
--- a/node/report.go
+++ b/node/report.go
@@ -35,13 +35,10 @@
 	for state, count := range node.fleet.groupStates() {
 		scope.Tagged(map[string]string{"state": state}).Gauge("groups").Update(float64(count))
 	}
-	if counted, ok := node.Store.(interface {
-		Calls() (reads, writes, watches int64)
-	}); ok {
-		reads, writes, watches := counted.Calls()
-		scope.Gauge("store_reads").Update(float64(reads))
-		scope.Gauge("store_writes").Update(float64(writes))
-		scope.Gauge("store_watches").Update(float64(watches))
+	if counter, ok := node.Store.(shedkeel.CallCounter); ok {
+		for call, count := range counter.Calls() {
+			scope.Tagged(map[string]string{"call": string(call)}).Gauge("store_calls").Update(float64(count))
+		}
 	}
 }
 
--- a/program/operator.go
+++ b/program/operator.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -20,6 +22,7 @@
 	"shedkeel.org/shedkeel/keeper"
 	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/operator"
+	"shedkeel.org/shedkeel/platform"
 	"shedkeel.org/shedkeel/policy"
 )
 
@@ -91,6 +94,10 @@
 			{Name: "request", Usage: "tell what the entry or node at --keeper decided on a request, by its Shedkeel-Request or its own id", ArgsUsage: "ID", Action: explainRequest},
 			{Name: "drain", Usage: "take a box out of service", ArgsUsage: "BOX", Action: drain},
 			{Name: "undrain", Usage: "put a box back into service", ArgsUsage: "BOX", Action: undrain},
+			{Name: "evacuate", Usage: "have the backend servers of an availability zone get no requests, on the users' platform", ArgsUsage: "ZONE", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's key-value service", Required: true},
+				&cli.BoolFlag{Name: "withdraw", Usage: "take the zone back"},
+			}, Action: evacuate},
 			{Name: "dump", Usage: "print the state of the process at --keeper", Action: dump},
 			{Name: "trace", Usage: "tell a request's or a group's story from the logs of nodes", ArgsUsage: "[FILE...]", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "request", Usage: "the request's `ID`, as its caller sent it"},
@@ -287,6 +294,32 @@
 	return send(ctx, command, client, wanted)
 }
 
+// evacuateTimeout bounds the call to the key-value service.
+const evacuateTimeout = 5 * time.Second
+
+// evacuate writes or removes an evacuation. Nodes follow the service, so its answer
+// is the acknowledgement; status tells what a node heeds.
+func evacuate(ctx context.Context, command *cli.Command) error {
+	zone, err := argument(command)
+	if err != nil {
+		return err
+	}
+	if zone == "" || strings.Contains(zone, "/") {
+		return &shedkeel.InvalidError{Where: command.Name, What: "the argument names no availability zone", Remedy: "give a zone as its boxes name it"}
+	}
+	store := &platform.Store{Address: command.String("store"), Timeout: evacuateTimeout}
+	withdraw := command.Bool("withdraw")
+	if _, err := store.Commit(ctx, platform.Evacuation(shedkeel.ZoneID(zone), !withdraw)); err != nil {
+		return err
+	}
+	what := "evacuated"
+	if withdraw {
+		what = "taken back"
+	}
+	_, err = fmt.Fprintf(command.Root().Writer, "zone %s is %s; see status for its servers\n", zone, what)
+	return err
+}
+
 func dump(ctx context.Context, command *cli.Command) error {
 	client, err := clientOf(command)
 	if err != nil {
