Callers that do not read their answers are released a second after their limit

What could happen: a caller that keeps its connection and reads nothing held its answer, the goroutine that writes it and the request's place at its node until its box gave the connection up; a stream's limit was not looked at meanwhile. Cause: nothing bounded a write; the request's own time ends what waits for servers. Change: writes to a caller end a second after the time for which it waits, set anew with each request of a connection.

--- a/serve/front.go
+++ b/serve/front.go
@@ -29,6 +29,9 @@
 	defaultTimeout = 30 * time.Second
 	// maxAnswer bounds an answer that is held until it is whole, in bytes.
 	maxAnswer = 32 << 20
+	// unreadTime is how long after the limit of a request its caller may take to read
+	// what was written. Then the connection is closed, and what is kept for it freed.
+	unreadTime = time.Second
 	// timeoutMargin is how long before the limit of a request its caller gets
 	// its final answer.
 	timeoutMargin = 20 * time.Millisecond
@@ -142,6 +145,7 @@
 	front.served.Add(1)
 	exchange := &exchange{front: front, writer: writer, request: request, began: front.Timers.Now()}
 	exchange.digest = sync.OnceValue(exchange.makeDigest)
+	exchange.boundWrites(defaultTimeout)
 	if front.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -185,9 +189,17 @@
 		exchange.untilOwn = min(exchange.untilOwn, exchange.began+call.Deadline)
 	}
 	exchange.limit = exchange.untilOwn - timeoutMargin
+	exchange.boundWrites(exchange.untilOwn - exchange.front.Timers.Now())
 	return exchange.readBody()
 }
 
+// boundWrites bounds for how long a caller may leave its answer unread that it waits
+// for so long.
+func (exchange *exchange) boundWrites(left time.Duration) {
+	controller := http.NewResponseController(exchange.writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(left + unreadTime)) // recorders in tests have none
+}
+
 // outOfDate reports whether the configuration may have been replaced by one
 // that this process has not heard of.
 func (exchange *exchange) outOfDate() bool { return exchange.age > exchange.front.ProofAge }
--- /dev/null
+++ b/serve/reader_test.go
@@ -0,0 +1,77 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCallersThatDoNotReadAreReleased has callers take their connections up and read
+// nothing. What was kept for each stayed until its box gave the connection up.
+func TestCallersThatDoNotReadAreReleased(t *testing.T) {
+	const callers, deadline = 20, 300 * time.Millisecond
+	cases := map[string]struct {
+		path string
+		step step
+	}{
+		"a long answer": {"/safe/x", step{body: strings.Repeat("x", 8<<20)}},
+		"a long stream": {"/s/x", step{events: 1 << 20}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var steps []step
+			for range callers + 1 {
+				steps = append(steps, test.step)
+			}
+			harness := newHarness(t, steps...)
+			var open atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				open.Add(1)
+				defer open.Add(-1)
+				harness.ServeHTTP(writer, request)
+			}))
+			defer server.CloseClientConnections()
+			for index := range callers {
+				conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+				assert.NilError(t, err)
+				defer func() { _ = conn.Close() }()
+				assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+				_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r%d\r\nKey: k1\r\nModel: m\r\nDeadline: %s\r\nContent-Length: 1\r\n\r\nx", test.path, index, deadline)
+				assert.NilError(t, err)
+			}
+			time.Sleep(deadline / 2)
+			assert.Assert(t, open.Load() > 0, "their answers wait")
+			for end := time.Now().Add(deadline + 2*unreadTime); open.Load() > 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			}
+			assert.Equal(t, open.Load(), int64(0), "nothing is kept for them any more")
+			assert.Equal(t, len(harness.underWay()), 0)
+		})
+	}
+}
+
+// TestConnectionsOutliveDeadlines has a caller rest for longer than the deadline of its
+// request before the next one on the same connection.
+func TestConnectionsOutliveDeadlines(t *testing.T) {
+	harness := newHarness(t)
+	server := httptest.NewServer(harness)
+	defer server.Close()
+	for _, path := range []string{"/safe/x", "/none/x", "/safe/x"} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, nil)
+		assert.NilError(t, err)
+		request.Host = "h"
+		request.Header.Set("Id", "r1")
+		request.Header.Set("Key", "k1")
+		request.Header.Set("Deadline", "100ms")
+		response, err := server.Client().Do(request)
+		assert.NilError(t, err, "the connection is kept and works")
+		assert.NilError(t, response.Body.Close())
+		time.Sleep(100*time.Millisecond + unreadTime + 100*time.Millisecond)
+	}
+}
