--- a/mirror/start.go
+++ b/mirror/start.go
@@ -24,9 +24,8 @@
 	// answers; up to as much again is drawn.
 	startTurn = 100 * time.Millisecond
 	// startPatience is the same where peers answer that they know nothing either, or
-	// the fleet starts for the first time: all have just started. Those that list the service's records, 1.5 MB in a
-	// fleet of 300 boxes, have them in 0.1 to 0.4 s, and tell twenty others each in
-	// a tenth of a second.
+	// the fleet starts for the first time: those that list the service's records are
+	// about to have them.
 	startPatience = 1500 * time.Millisecond
 	// startWindow is within what time a process asks the service again that it
 	// asked in vain; it doubles with each failure up to maxStartWindow. All lists
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -110,8 +110,8 @@
 }
 
 // takeInstance takes in a backend server's record, and reports whether it changes what
-// requests may be sent to. Gone ones are believed a
-// while where the service was away, and never in a state they had left.
+// requests may be sent to. Gone ones are believed a while where the service was away,
+// and never in a state they had left.
 func (fleet *fleet) takeInstance(record shedkeel.Record, now time.Duration) bool {
 	if record.Gone {
 		return fleet.takeGone(record.Key, now, func() { fleet.drop(record.Key, record.Revision.Era, now) })
