Changes of many records are compressed together, once for all that ask for them

Cause: only whole copies and large records were compressed. What changes comes in batches of hundreds of records that are alike, and each asker had its own encoded. Change: from 32 records on a reply is compressed as a whole copy is (the same field, so that former versions read it), and kept for others that ask for the same.

--- a/node/peers.go
+++ b/node/peers.go
@@ -36,8 +36,9 @@
 	// random is not used elsewhere, and only with the mutex held.
 	random shedkeel.Random
 
-	packer transfer.Packer
-	copies transfer.Copies
+	packer  transfer.Packer
+	copies  transfer.Copies
+	batches transfer.Batches
 }
 
 // peer is one other node.
--- a/node/relay.go
+++ b/node/relay.go
@@ -138,12 +138,23 @@
 	}
 	reply := transfer.Reply(update, now)
 	reply.Away, reply.Config = away, config
-	for _, record := range update.Records {
-		reply.Records = append(reply.Records, peers.tell(record, since, call.GetDifferences()))
+	encode := func() []*wire.StoreRecord { return peers.tellAll(update.Records, since, call.GetDifferences()) }
+	if len(update.Records) < transfer.BatchMin {
+		reply.Records = encode()
+	} else {
+		peers.batches.Tell(reply, transfer.Batch{Since: since, At: update.At, Differences: call.GetDifferences()}, encode)
 	}
 	return &wire.Reply{Kind: &wire.Reply_Relay{Relay: reply}}
 }
 
+func (peers *peers) tellAll(records []shedkeel.Record, since shedkeel.Revision, differences bool) []*wire.StoreRecord {
+	var told []*wire.StoreRecord
+	for _, record := range records {
+		told = append(told, peers.tell(record, since, differences))
+	}
+	return told
+}
+
 // heardOf returns of how many nodes this one has heard.
 func (peers *peers) heardOf() uint32 {
 	listed := 0
--- a/transfer/copies.go
+++ b/transfer/copies.go
@@ -51,16 +51,8 @@
 }
 
 func (copies *Copies) pack(update mirror.Update, now time.Duration) {
-	copies.packed = nil
-	text, err := proto.Marshal(&wire.RelayReply{Records: plainRecords(update.Records)})
-	if err != nil {
-		return // it is told as it is
-	}
-	packed, err := Deflate(text)
-	if err != nil {
-		return // memory never fails to be written to, and plain is right too
-	}
-	copies.made, copies.packed = now, packed
+	copies.packed = packRecords(plainRecords(update.Records))
+	copies.made = now
 	copies.kept = mirror.Update{Whole: update.Whole, At: update.At, AsOf: update.AsOf}
 }
 
