--- /dev/null
+++ b/program/evacuate_test.go
@@ -0,0 +1,57 @@
+package program
+
+import (
+	"bytes"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/platform"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
+)
+
+// TestEvacuate has an operator evacuate a zone from the command line and take it back.
+func TestEvacuate(t *testing.T) {
+	data := standin.NewStore()
+	server := httptest.NewServer((&platformstandin.Store{Data: data}).Handler())
+	defer server.Close()
+	store := &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), Timeout: evacuateTimeout}
+	run := func(args ...string) (string, error) {
+		command := operatorCommand()
+		var printed bytes.Buffer
+		command.Writer = &printed
+		err := command.Run(t.Context(), append([]string{"shedkeel", "evacuate", "--store", store.Address}, args...))
+		return printed.String(), err
+	}
+	stands := func() bool {
+		record, err := store.Get(t.Context(), platform.EvacuationPrefix+"zone-1")
+		assert.NilError(t, err)
+		return record.Revision.Exists()
+	}
+	steps := []struct {
+		args  []string
+		says  string
+		after bool // the zone is evacuated
+	}{
+		{[]string{"zone-1"}, "zone zone-1 is evacuated", true},
+		{[]string{"zone-1"}, "zone zone-1 is evacuated", true},
+		{[]string{"--withdraw", "zone-1"}, "zone zone-1 is taken back", false},
+		{[]string{"--withdraw", "zone-1"}, "zone zone-1 is taken back", false},
+	}
+	for _, step := range steps {
+		printed, err := run(step.args...)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(printed, step.says), printed)
+		assert.Equal(t, stands(), step.after)
+	}
+	for _, zone := range []string{"", "zone-1/box-1"} {
+		_, err := run(zone)
+		var invalid *shedkeel.InvalidError
+		assert.Assert(t, errors.As(err, &invalid), "%q: %v", zone, err)
+	}
+}
