Limits are told to operators by one function; an evacuation's end is named for it

Read as a newcomer would: two loops spelled out the granting node and its permits, and fleet.returned did not say of what. No change of behaviour: the tests of evacuations, cold servers and limits pass as they were, and the mutant names its line again.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -55,7 +55,7 @@
 		"node/fleet.go", "until := fleet.cold[key]", "until := 0 * fleet.cold[key]", "TestColdServersGetLittle", "./node",
 	},
 	"cold servers: they count as warm after an evacuation": {
-		"node/fleet.go", "until = max(until, returned+service.ColdTime)", "until = max(until, 0*returned)", "TestColdServersGetLittle", "./node",
+		"node/fleet.go", "until = max(until, since+service.ColdTime)", "until = max(until, 0*since)", "TestColdServersGetLittle", "./node",
 	},
 	"start of a fleet: nobody waits for the seeds": {
 		"mirror/start.go", "|| start.first.Load()", "", "TestStartOfAllAtOnce", "./mirror",
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -27,7 +27,7 @@
 		return false
 	case record.Gone:
 		delete(fleet.evacuated, zone)
-		fleet.returned[zone] = fleet.node.Timers.Now()
+		fleet.takenBack[zone] = fleet.node.Timers.Now()
 		fleet.node.Log.Write(event.EvacuationEnded, fields...)
 	default:
 		fleet.evacuated[zone] = true
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -49,7 +49,7 @@
 	lapsed    map[string]time.Duration          // gone while the service was away, believed until then
 	evacuated map[shedkeel.ZoneID]bool          // their backend servers get nothing
 	cold      map[string]time.Duration          // servers that have said so are cold until then, by key
-	returned  map[shedkeel.ZoneID]time.Duration // when an evacuation was withdrawn last
+	takenBack map[shedkeel.ZoneID]time.Duration // when an evacuation was withdrawn last
 	removed   removals
 	doubted   map[string]time.Duration // servers whose records can't be read, and until when they keep their places
 	unread    atomic.Int64             // records that were not used
@@ -70,7 +70,7 @@
 		fleet.doubted = map[string]time.Duration{}
 		fleet.evacuated = map[shedkeel.ZoneID]bool{}
 		fleet.cold = map[string]time.Duration{}
-		fleet.returned = map[shedkeel.ZoneID]time.Duration{}
+		fleet.takenBack = map[shedkeel.ZoneID]time.Duration{}
 	}
 	now := fleet.node.Timers.Now()
 	servers, nodes := false, false
@@ -283,8 +283,8 @@
 		return
 	}
 	until := fleet.cold[key]
-	if returned, was := fleet.returned[instance.Zone]; was {
-		until = max(until, returned+service.ColdTime)
+	if since, was := fleet.takenBack[instance.Zone]; was {
+		until = max(until, since+service.ColdTime)
 	}
 	if until > fleet.node.Timers.Now() {
 		fleet.node.limits.noteCold(shedkeel.ColdServer{Server: instance.ID, Rate: service.ColdRate, Until: until})
--- a/node/limits.go
+++ b/node/limits.go
@@ -290,29 +290,30 @@
 	_, _ = peer.wire.Do(ctx, &wire.Call{Kind: &wire.Call_Limit{Limit: call}})
 }
 
-// dump returns the servers that limit their rate, for operators.
+// dump returns the servers that limit their rate or are cold, for operators.
 func (limits *limits) dump() []LimitDump {
 	now := limits.node.Timers.Now()
 	found := []LimitDump{}
 	for _, limit := range limits.book.All() {
-		granter, _ := limits.node.peers.granter(limit.Server)
-		usage := limits.granter.Usage(limit.Server)
-		found = append(found, LimitDump{
-			Server: limit.Server, Rate: limit.Rate, For: (now - limit.Since).Round(time.Millisecond).String(),
-			Granter: granter, Granted: usage.Granted, Refused: usage.Refused,
-		})
+		dump := limits.dumpOf(limit.Server, limit.Rate)
+		dump.For = (now - limit.Since).Round(time.Millisecond).String()
+		found = append(found, dump)
 	}
 	for _, cold := range limits.cold.All(now) {
-		granter, _ := limits.node.peers.granter(cold.Server)
-		usage := limits.granter.Usage(cold.Server)
-		found = append(found, LimitDump{
-			Server: cold.Server, Rate: cold.Rate, Cold: (cold.Until - now).Round(time.Millisecond).String(),
-			Granter: granter, Granted: usage.Granted, Refused: usage.Refused,
-		})
+		dump := limits.dumpOf(cold.Server, cold.Rate)
+		dump.Cold = (cold.Until - now).Round(time.Millisecond).String()
+		found = append(found, dump)
 	}
 	return found
 }
 
+// dumpOf returns what operators are told of any server whose permits are granted.
+func (limits *limits) dumpOf(server shedkeel.InstanceID, rate float64) LimitDump {
+	granter, _ := limits.node.peers.granter(server)
+	usage := limits.granter.Usage(server)
+	return LimitDump{Server: server, Rate: rate, Granter: granter, Granted: usage.Granted, Refused: usage.Refused}
+}
+
 // wireLimit is how a limit is told: with ages, since nodes share no clock. It is nil
 // where nothing is known.
 func wireLimit(limit shedkeel.ServerLimit, now time.Duration) *wire.ServerLimit {
