Test of callers that read nothing counts from each request's begin

Traced, not rerun: under the race detector beside that load the stand-in's answers of 8 MB took 3.1 to 3.3 s to be read, and writes ended at once then (three runs that print both); with smaller answers requests came up to 1.2 s after they were dialed (ten runs side by side). Change: answers of 512 KB over connections with small buffers, so that they still can't be written; the bound, deadline + 2 s, counts for each request from its begin, and all 20 must have ended.

--- a/serve/reader_test.go
+++ b/serve/reader_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,7 +22,7 @@
 		path string
 		step step
 	}{
-		"a long answer": {"/safe/x", step{body: strings.Repeat("x", 8<<20)}},
+		"a long answer": {"/safe/x", step{body: strings.Repeat("x", 512<<10)}},
 		"a long stream": {"/s/x", step{events: 1 << 20}},
 	}
 	for name, test := range cases {
@@ -31,12 +32,24 @@
 				steps = append(steps, test.step)
 			}
 			harness := newHarness(t, steps...)
-			var open atomic.Int64
-			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			began := time.Now()
+			var open, ended, latest, longest atomic.Int64
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				came := time.Now()
+				latest.Store(max(latest.Load(), int64(came.Sub(began))))
 				open.Add(1)
-				defer open.Add(-1)
+				defer func() {
+					longest.Store(max(longest.Load(), int64(time.Since(came))))
+					open.Add(-1)
+					ended.Add(1)
+				}()
 				harness.ServeHTTP(writer, request)
 			}))
+			server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+				assert.Check(t, conn.(*net.TCPConn).SetWriteBuffer(4096)) // the answers don't fit in
+				return ctx
+			}
+			server.Start()
 			defer server.CloseClientConnections()
 			for index := range callers {
 				conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
@@ -48,9 +61,11 @@
 			}
 			time.Sleep(deadline / 2)
 			assert.Assert(t, open.Load() > 0, "their answers wait")
-			for end := time.Now().Add(deadline + 2*unreadTime); open.Load() > 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			for end := time.Now().Add(10 * unreadTime); ended.Load() < callers && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			}
-			assert.Equal(t, open.Load(), int64(0), "nothing is kept for them any more")
+			t.Logf("the last request came after %s, the longest took %s", time.Duration(latest.Load()), time.Duration(longest.Load()))
+			assert.Equal(t, ended.Load(), int64(callers), "nothing is kept for them any more")
+			assert.Assert(t, time.Duration(longest.Load()) <= deadline+2*unreadTime, "it was kept for %s", time.Duration(longest.Load()))
 			assert.Equal(t, len(harness.underWay()), 0)
 		})
 	}
