Report which backend servers a box reaches

Whether a box failed at one server or at all of them, by silence or by refusals, and whether connections that were open still delivered, could only be counted afterwards, over the logs of all boxes.

Change: connections to backend servers are opened by reach.Dialer, which counts dials by outcome, the servers whose latest dial failed and the time since any server was heard. Event 659 once a second while dials fail; metrics server_dials, servers_unreachable, servers_heard_seconds. Nothing is decided by it.

Measured: tests of reach, event, engine and node pass.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -30,8 +30,9 @@
 // rewinds, on a closed reused connection, if the method is GET, HEAD, OPTIONS or TRACE or
 // the request has an Idempotency-Key. The zero value is ready to use.
 type Transport struct {
-	DialTimeout time.Duration // zero means one second
-	IdleTimeout time.Duration // after which an idle connection is closed; zero means 30 seconds
+	DialTimeout time.Duration         // zero means one second; ignored if Dialer is set
+	IdleTimeout time.Duration         // after which an idle connection is closed; zero means 30 seconds
+	Dialer      shedkeel.ServerDialer // nil: connections are dialed directly
 
 	once   sync.Once
 	shared *http.Transport // reuses connections
@@ -44,7 +45,10 @@
 	if timeout == 0 {
 		timeout = defaultDialTimeout
 	}
-	dialer := &net.Dialer{Timeout: timeout}
+	var dialer shedkeel.ServerDialer = &net.Dialer{Timeout: timeout}
+	if transport.Dialer != nil {
+		dialer = transport.Dialer
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
--- a/event/event.go
+++ b/event/event.go
@@ -94,6 +94,7 @@
 	GossipFailed          = Event{656, slog.LevelWarn, "datagram between nodes could not be used"}
 	MirrorSourceChanged   = Event{657, slog.LevelInfo, "copy of another process is followed"}
 	NodesRegistered       = Event{658, slog.LevelInfo, "records of nodes that follow this one were written"}
+	DialsFailed           = Event{659, slog.LevelWarn, "connections to backend servers could not be opened"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -106,7 +107,7 @@
 		PlacementFailed, PlannerDecision, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperUnavailable, KeeperAvailable,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
-		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered,
+		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed,
 	}
 }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -169,6 +170,13 @@
 	Send(request *http.Request) (*http.Response, error)
 }
 
+// ServerDialer opens connections to backend servers.
+type ServerDialer interface {
+	// DialContext opens a TCP connection to the backend server at the address, host:port.
+	// Its error means that no connection was opened, so that nothing was sent.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // ServerCheck finds out whether a backend server whose connection broke has
 // terminated.
 type ServerCheck interface {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/reach"
 	"shedkeel.org/shedkeel/serve"
 	"shedkeel.org/shedkeel/wire"
 )
@@ -103,6 +104,7 @@
 	Backend     shedkeel.Backend
 	Check       shedkeel.ServerCheck // finds out whether a server that broke off a request has terminated; nil: no check
 	Engines     shedkeel.GroupEngines
+	Dialer      *reach.Dialer // opens the connections of Backend; nil: its status is not reported
 	Timers      shedkeel.Timers
 	Random      shedkeel.Random
 	Log         *event.Log
@@ -122,6 +124,7 @@
 	guard       guard
 	limits      limits
 	controller  controller
+	reporter    reachReporter
 	stopping    atomic.Bool
 	goroutines  sync.WaitGroup
 }
@@ -163,6 +166,7 @@
 	node.peers.random = rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())
 	node.registrar.node = node
 	node.member.node = node
+	node.reporter.node = node
 	node.gossip.node = node
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
 	node.remover.node = node
--- a/node/report.go
+++ b/node/report.go
@@ -15,6 +15,7 @@
 // per second.
 func (node *Node) report(now time.Duration) {
 	node.Log.Report()
+	node.reporter.report()
 	node.gossip.logExclusions(node.peers.listed())
 	if node.Metrics == nil {
 		return
--- a/program/node.go
+++ b/program/node.go
@@ -20,6 +20,7 @@
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/reach"
 	"shedkeel.org/shedkeel/timer"
 )
 
@@ -76,7 +77,9 @@
 	}
 	values := metrics.New("shedkeel_node")
 	defer values.Close()
-	transport := &engine.Transport{DialTimeout: backendDialTimeout, IdleTimeout: idleTimeout}
+	timers := &timer.System{}
+	dialer := &reach.Dialer{Timers: timers, Timeout: backendDialTimeout}
+	transport := &engine.Transport{Dialer: dialer, IdleTimeout: idleTimeout}
 	defer transport.Close()
 	seed := rand.Uint64()
 	process := &node.Node{
@@ -88,7 +91,8 @@
 		Backend:  transport,
 		Check:    transport,
 		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: newHTTPClient(1)},
-		Timers:   &timer.System{},
+		Dialer:   dialer,
+		Timers:   timers,
 		Random:   rand.NewPCG(seed, seed),
 		Log:      log,
 		Metrics:  values,
