Reproduce the incident of boxes cut off from all backend servers

standin.Link is the network between one box and the backend servers: new connections are dropped or refused, open ones go silent in one or both directions, are reset or live on, for all servers or some.

--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Direction is a set of directions in which a Link carries nothing.
+type Direction int
+
+// The directions, as seen from the box.
+const (
+	Outgoing Direction = 1 << iota
+	Incoming
+	BothDirections = Outgoing | Incoming
+)
+
+// Cut is a fault of a Link. The zero value is no fault.
+type Cut struct {
+	Refuse  bool      // new connections are refused
+	Drop    bool      // new connections are never established
+	Silence Direction // open connections carry nothing in these directions, and deliver it once the cut ends
+	Reset   bool      // open connections are reset when the cut begins
+	// Addresses limits the cut to these addresses of servers. nil: it affects all.
+	Addresses []string
+}
+
+// affects reports whether the cut affects connections to the address.
+func (cut *Cut) affects(address string) bool {
+	if cut.Addresses == nil {
+		return true
+	}
+	for _, other := range cut.Addresses {
+		if other == address {
+			return true
+		}
+	}
+	return false
+}
+
+// Link is a fake of the network between one box and the backend servers. It implements
+// shedkeel.ServerDialer. The zero value has no fault.
+type Link struct {
+	mutex sync.Mutex
+	cut   Cut
+	ended chan struct{} // closed when the cut ends; nil: there is no cut
+	conns map[*linkConn]struct{}
+}
+
+// SetCut replaces the cut. The zero Cut ends it.
+func (link *Link) SetCut(cut Cut) {
+	link.mutex.Lock()
+	if link.ended != nil {
+		close(link.ended)
+	}
+	link.cut, link.ended = cut, make(chan struct{})
+	var affected []*linkConn
+	for conn := range link.conns {
+		affected = append(affected, conn)
+	}
+	link.mutex.Unlock()
+	for _, conn := range affected {
+		if cut.Reset && cut.affects(conn.address) {
+			_ = conn.Close()
+		}
+		conn.flush()
+	}
+}
+
+// state returns the cut as it affects the address, and the channel that is closed when the cut
+// changes.
+func (link *Link) state(address string) (Cut, <-chan struct{}) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	if !link.cut.affects(address) {
+		return Cut{}, link.ended
+	}
+	return link.cut, link.ended
+}
+
+// DialContext opens a connection, unless the cut affects the address: then it is refused, or
+// it waits until the cut or ctx ends.
+func (link *Link) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	for {
+		cut, changed := link.state(address)
+		if cut.Refuse {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		if !cut.Drop {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		case <-changed:
+		}
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	linked := &linkConn{Conn: conn, link: link, address: address, closed: make(chan struct{})}
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	if link.conns == nil {
+		link.conns = map[*linkConn]struct{}{}
+	}
+	link.conns[linked] = struct{}{}
+	return linked, nil
+}
+
+// linkConn is a connection over a Link.
+type linkConn struct {
+	net.Conn
+	link    *Link
+	address string
+	once    sync.Once
+	closed  chan struct{}
+
+	mutex sync.Mutex
+	held  []byte // written, but not yet sent
+}
+
+// Read returns what the server sends, once the link carries it.
+func (conn *linkConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	for {
+		cut, changed := conn.link.state(conn.address)
+		if cut.Silence&Incoming == 0 {
+			return count, err
+		}
+		select {
+		case <-changed:
+		case <-conn.closed:
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Write sends the data, or holds them while the link does not carry them.
+func (conn *linkConn) Write(data []byte) (int, error) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	cut, _ := conn.link.state(conn.address)
+	if cut.Silence&Outgoing != 0 || len(conn.held) > 0 {
+		conn.held = append(conn.held, data...)
+		return len(data), nil
+	}
+	return conn.Conn.Write(data)
+}
+
+// flush sends the held data if the link carries them.
+func (conn *linkConn) flush() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	cut, _ := conn.link.state(conn.address)
+	if cut.Silence&Outgoing != 0 || len(conn.held) == 0 {
+		return
+	}
+	_, _ = conn.Conn.Write(conn.held)
+	conn.held = nil
+}
+
+// Close closes the connection and drops held data. Unlike over a real link, the server notices
+// this even during a cut.
+func (conn *linkConn) Close() error {
+	conn.once.Do(func() { close(conn.closed) })
+	conn.link.mutex.Lock()
+	delete(conn.link.conns, conn)
+	conn.link.mutex.Unlock()
+	return conn.Conn.Close()
+}
--- /dev/null
+++ b/node/cutoff_test.go
@@ -0,0 +1,191 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/internal/standin"
+)
+
+const (
+	// cutGrace is how long after the start of a cut the first tries need not be served.
+	cutGrace = time.Second
+	// cutWatch is for how long after cutGrace the first tries are counted.
+	cutWatch = 3 * time.Second
+	// tryInterval is the time between two tries of the same kind at one node.
+	tryInterval = 100 * time.Millisecond
+	// tryObjective is the latency objective in testConfig.
+	tryObjective = 500 * time.Millisecond
+	// refusalTime is how soon a request that no box can serve must be refused.
+	refusalTime = 500 * time.Millisecond
+)
+
+// firstTry is the result of one request that is sent once.
+type firstTry struct {
+	id     string
+	path   string
+	sent   time.Time
+	took   time.Duration
+	status int
+	body   string
+}
+
+// served reports whether the try got its whole answer in time.
+func (firstTry *firstTry) served() bool {
+	want := "POST " + firstTry.path + " for shop"
+	if strings.HasPrefix(firstTry.path, "/copy/") {
+		want = completeStream(10)
+	}
+	return firstTry.status == http.StatusOK && firstTry.body == want && firstTry.took < tryObjective
+}
+
+// tries sends first tries of all kinds to a node until the deadline, and returns them.
+func (cluster *testCluster) tries(index int, until time.Time) []firstTry {
+	var mutex sync.Mutex
+	var all []firstTry
+	var running sync.WaitGroup
+	for time.Now().Before(until) {
+		for _, path := range []string{"/copy/a", "/look/a", "/fee/a"} {
+			running.Go(func() {
+				try := firstTry{id: shedkeel.NewNonce(), path: path, sent: time.Now()}
+				try.status, try.body = cluster.send(cluster.nodes[index].callers, try.id, path, "key-1", 50) // ten events for 50 tokens
+				try.took = time.Since(try.sent)
+				mutex.Lock()
+				defer mutex.Unlock()
+				all = append(all, try)
+			})
+		}
+		time.Sleep(tryInterval)
+	}
+	running.Wait()
+	return all
+}
+
+// ready waits until the cluster's groups and all its nodes serve.
+func (cluster *testCluster) ready() {
+	cluster.t.Helper()
+	cluster.eventually("two groups serve", func() bool { return len(cluster.fleet.OpenHeads()["m0"]) >= 2 })
+	for index := range cluster.nodes {
+		cluster.eventually("the node serves and knows the others", func() bool {
+			status, body := cluster.send(cluster.nodes[index].callers, shedkeel.NewNonce(), "/copy/a", "key-1", 50)
+			return status == http.StatusOK && body == completeStream(10) && len(cluster.addresses(index)) == len(cluster.nodes)
+		})
+	}
+}
+
+// TestCutOffBoxServes cuts boxes off from all backend servers. From cutGrace on, first tries at
+// these boxes must be served as often as at the others, and no request may run more often than
+// its route allows.
+func TestCutOffBoxServes(t *testing.T) {
+	tests := map[string]struct {
+		cut   standin.Cut
+		boxes []int
+	}{
+		"dropped, part of a zone":                 {standin.Cut{Drop: true, Silence: standin.BothDirections}, []int{0}},
+		"dropped, a whole zone":                   {standin.Cut{Drop: true, Silence: standin.BothDirections}, []int{0, 1}},
+		"dropped, all boxes but one":              {standin.Cut{Drop: true, Silence: standin.BothDirections}, []int{0, 1, 2}},
+		"reset, a whole zone":                     {standin.Cut{Refuse: true, Reset: true}, []int{0, 1}},
+		"nothing goes out, boxes of two zones":    {standin.Cut{Drop: true, Silence: standin.Outgoing}, []int{0, 2}},
+		"nothing comes in, boxes of two zones":    {standin.Cut{Drop: true, Silence: standin.Incoming}, []int{1, 3}},
+		"dropped, open connections live on":       {standin.Cut{Drop: true}, []int{0, 1}},
+		"refused, open connections live on":       {standin.Cut{Refuse: true}, []int{0, 1}},
+		"dropped, open connections are reset":     {standin.Cut{Drop: true, Reset: true}, []int{0, 1}},
+		"refused, open connections carry nothing": {standin.Cut{Refuse: true, Silence: standin.BothDirections}, []int{0, 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t, 4)
+			cluster.ready()
+			cut := map[int]bool{}
+			for _, index := range test.boxes {
+				cut[index] = true
+			}
+			began := time.Now()
+			results := make([][]firstTry, len(cluster.nodes))
+			var running sync.WaitGroup
+			for index := range cluster.nodes {
+				running.Go(func() { results[index] = cluster.tries(index, began.Add(time.Second+cutGrace+cutWatch)) })
+			}
+			time.Sleep(time.Second)
+			for _, index := range test.boxes {
+				cluster.nodes[index].servers.SetCut(test.cut)
+			}
+			cutAt := time.Now()
+			running.Wait()
+			var sent, served [2]int // at the boxes that are not cut off, and at those that are
+			for index, tries := range results {
+				side := 0
+				if cut[index] {
+					side = 1
+				}
+				for _, try := range tries {
+					assert.Assert(t, cluster.fleet.RunCount(try.id) <= maxRuns(try.path), "%s ran %d times", try.path, cluster.fleet.RunCount(try.id))
+					assert.Assert(t, try.status != http.StatusServiceUnavailable || cluster.fleet.RunCount(try.id) == 0, "a request that ran is said not to have run")
+					if try.sent.Sub(cutAt) < cutGrace {
+						continue
+					}
+					sent[side]++
+					if try.served() {
+						served[side]++
+					}
+				}
+			}
+			others, cutOff := float64(served[0])/float64(sent[0]), float64(served[1])/float64(sent[1])
+			t.Logf("served in time: %d of %d at the boxes cut off, %d of %d at the others", served[1], sent[1], served[0], sent[0])
+			assert.Assert(t, cutOff >= others-0.02, "boxes cut off served %.3f, the others %.3f", cutOff, others)
+			assert.Equal(t, len(cluster.fleet.Violations()), 0, "%v", cluster.fleet.Violations())
+		})
+	}
+}
+
+// maxRuns returns how often a request for the path may run, by max_attempts in testConfig.
+func maxRuns(path string) int {
+	if strings.HasPrefix(path, "/fee/") {
+		return 1
+	}
+	return 2
+}
+
+// TestNothingReachesServers cuts all boxes off from all backend servers. Each request must be
+// refused promptly and truthfully, and all boxes must serve soon after the cut.
+func TestNothingReachesServers(t *testing.T) {
+	cluster := newTestCluster(t, 4)
+	cluster.ready()
+	for _, running := range cluster.nodes {
+		running.servers.SetCut(standin.Cut{Drop: true, Silence: standin.BothDirections})
+	}
+	cutAt := time.Now()
+	var running sync.WaitGroup
+	results := make([][]firstTry, len(cluster.nodes))
+	for index := range cluster.nodes {
+		running.Go(func() { results[index] = cluster.tries(index, cutAt.Add(cutGrace+cutWatch)) })
+	}
+	running.Wait()
+	for index, tries := range results {
+		for _, try := range tries {
+			if try.sent.Sub(cutAt) < cutGrace {
+				continue
+			}
+			assert.Equal(t, try.status, http.StatusServiceUnavailable, "node %d, %s: %s", index, try.path, try.body)
+			assert.Assert(t, try.took < refusalTime, "node %d refused %s after %s", index, try.path, try.took)
+			assert.Equal(t, cluster.fleet.RunCount(try.id), 0)
+		}
+	}
+	for _, node := range cluster.nodes {
+		node.servers.SetCut(standin.Cut{})
+	}
+	for index := range cluster.nodes {
+		cluster.eventually(fmt.Sprint("node ", index, " serves after the cut"), func() bool {
+			status, _ := cluster.send(cluster.nodes[index].callers, shedkeel.NewNonce(), "/look/a", "key-1", 0)
+			return status == http.StatusOK
+		})
+	}
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -27,6 +27,7 @@
 	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/platform"
 	platformstandin "shedkeel.org/shedkeel/platform/standin"
+	"shedkeel.org/shedkeel/reach"
 	"shedkeel.org/shedkeel/timer"
 )
 
@@ -46,6 +47,7 @@
 	*node.Node
 	callers   string             // address to which callers send requests
 	control   string             // address of the endpoint for other nodes' calls
+	servers   *standin.Link      // between the node and the backend servers
 	directory string             // address of the endpoint that lists the nodes' addresses
 	readiness string             // address of the endpoint that reports whether the node is ready
 	admin     string             // address of the endpoint for metrics and administration
@@ -56,11 +58,12 @@
 // testConfig is the format of the tests' configuration. Its arguments are the version and
 // the API keys of the only tenant, shop, as JSON strings separated by commas. Requests whose
 // paths begin with /copy/ are streams of the service llm; requests whose paths begin with
-// /look/ go to the service plain.
+// /look/ or, if they must run at most once, with /fee/ go to the service plain.
 const testConfig = `{"version":%d,
  "routes":[
   {"name":"r1","host":"h.example","path_prefix":"/copy/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":2,"resume_streams":true,"service":"llm"},
-  {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"}],
+  {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"},
+  {"name":"r3","host":"h.example","path_prefix":"/fee/","kind":"unsafe","timeout_ms":2000,"max_attempts":1,"service":"plain"}],
  "services":[
   {"name":"llm","health_path":"/health","max_connections":100,"cold_start_s":3,"cold_per_s":4,"engine":{"slots":8,"models":[{"name":"m0","size":2,"share":1,"pace":1,"load_s":0.3,"warmup_s":0.2}],"read_per_s":46000,"loads_per_s":4,"loads_at_once":6,"form_ms":100}},
   {"name":"plain","health_path":"/health","max_connections":50,"cold_start_s":3,"cold_per_s":4}],
@@ -152,12 +155,14 @@
 	listeners := node.Listeners{Callers: listen(t), Directory: listen(t), Readiness: listen(t), Control: listen(t), Gossip: listenDatagrams(t), Metrics: listen(t)}
 	settings := config.DefaultNodeSettings()
 	settings.Node = shedkeel.NodeID(fmt.Sprint("node-", index))
-	settings.Zone = "z"
+	settings.Zone = shedkeel.ZoneID(fmt.Sprint("z", index/2)) // two nodes in each zone
 	settings.Wire.Key = "k"
 	settings.Seeds = seeds
 	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second) // a stopping node accepts requests for 3/8 of this time, 1.1 s
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String(), Gossip: listeners.Gossip.LocalAddr().String()}
-	transport := &engine.Transport{DialTimeout: 250 * time.Millisecond, IdleTimeout: time.Second}
+	servers, timers := &standin.Link{}, &timer.System{}
+	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
+	transport := &engine.Transport{Dialer: dialer, IdleTimeout: time.Second}
 	lines := &bytes.Buffer{}
 	log, err := event.NewBoundedLog(lines, "info")
 	assert.NilError(t, err)
@@ -166,14 +171,14 @@
 		Settings: settings, Incarnation: shedkeel.NewNonce(),
 		Store:   &platform.Store{Address: strings.TrimPrefix(cluster.store.URL, "http://"), Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
 		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: transport,
-		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
-		Timers:  &timer.System{}, Random: rand.NewPCG(uint64(index), 1),
+		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{DialContext: servers.DialContext}}},
+		Dialer:  dialer, Timers: timers, Random: rand.NewPCG(uint64(index), 1),
 		Log: log.With(slog.String("node", string(settings.Node))), Metrics: values,
 	}
 	process.Prepare()
 	ctx, stop := context.WithCancel(context.Background())
 	running := &runningNode{
-		Node: process, stop: stop, callers: listeners.Callers.Addr().String(),
+		Node: process, stop: stop, servers: servers, callers: listeners.Callers.Addr().String(),
 		control: listeners.Control.Addr().String(), directory: listeners.Directory.Addr().String(), readiness: listeners.Readiness.Addr().String(), admin: listeners.Metrics.Addr().String(),
 	}
 	handlers := node.Handlers{
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -51,7 +51,8 @@
 // Dialer is a shedkeel.ServerDialer. Set its exported fields before its first use.
 type Dialer struct {
 	Timers  shedkeel.Timers
-	Timeout time.Duration // bounds a dial; 0: one second
+	Timeout time.Duration         // bounds a dial; 0: one second
+	Network shedkeel.ServerDialer // nil: the operating system's
 
 	paths  paths
 	counts [outcomeCount]atomic.Int64
@@ -66,8 +67,14 @@
 // dialDirect opens a connection over this box's own network path. It records the outcome
 // unless ctx was canceled.
 func (dialer *Dialer) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialer.timeout()}).DialContext(ctx, network, address)
-	if errors.Is(err, context.Canceled) {
+	ctx, cancel := context.WithTimeout(ctx, dialer.timeout())
+	defer cancel()
+	var base shedkeel.ServerDialer = &net.Dialer{}
+	if dialer.Network != nil {
+		base = dialer.Network
+	}
+	conn, err := base.DialContext(ctx, network, address)
+	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
 		return nil, err
 	}
 	now := dialer.Timers.Now()
