wire: carry TCP connections to backend servers over a session

A ConnectCall asks another process to open a connection; its stream then carries the data. The server's data come in frames, so that a reset can be told from a regular end: an answer without a length must not look whole when it is cut off.

--- a/wire/session.go
+++ b/wire/session.go
@@ -184,6 +184,9 @@
 	Key     string      // shared secret of all processes of the fleet
 	TLS     *tls.Config // nil: no TLS
 	Handler Handler
+	// Connector opens the connections that ConnectCalls ask for. nil: they are answered by an
+	// error.
+	Connector Connector
 
 	mutex   sync.Mutex
 	links   map[*link]struct{}
@@ -248,7 +251,7 @@
 	server.mutex.Lock()
 	server.links[link] = struct{}{}
 	server.mutex.Unlock()
-	callServer := &callServer{link: link, key: server.Key, handler: server.Handler}
+	callServer := &callServer{link: link, key: server.Key, handler: server.Handler, connector: server.Connector}
 	server.running.Go(func() {
 		callServer.run()
 		server.mutex.Lock()
@@ -269,9 +272,10 @@
 
 // callServer answers the calls that arrive over one link.
 type callServer struct {
-	link    *link
-	key     string
-	handler Handler
+	link      *link
+	key       string
+	handler   Handler
+	connector Connector // nil: see Server.Connector
 }
 
 // run answers calls until the session ends. It then cancels the context of the calls in
@@ -302,9 +306,13 @@
 		return
 	}
 	reply := &Reply{}
-	if subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.key)) != 1 {
+	switch {
+	case subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.key)) != 1:
 		reply.Error = "wrong wire key; set the same wire.key on all processes of the fleet"
-	} else {
+	case call.GetConnect() != nil && callServer.connector != nil:
+		callServer.serveConnection(ctx, stream, call.GetConnect())
+		return
+	default:
 		reply = callServer.handler.Handle(ctx, call)
 	}
 	_, _ = protodelim.MarshalTo(stream, reply)
--- /dev/null
+++ b/wire/tunnel_test.go
@@ -0,0 +1,131 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+// dialConnector opens the connections that calls ask for.
+type dialConnector struct{}
+
+func (dialConnector) Connect(ctx context.Context, call *ConnectCall) (net.Conn, ConnectReply_Outcome) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", call.GetAddress())
+	if err != nil {
+		return nil, ConnectReply_REFUSED
+	}
+	return conn, ConnectReply_CONNECTED
+}
+
+// serveTunnels starts a process that relays connections, and a server that handles the one
+// connection that is opened to it. It returns a client of the process and the server's address.
+func serveTunnels(t *testing.T, handle func(conn *net.TCPConn)) (*Peer, string) {
+	t.Helper()
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		return listener
+	}
+	relay, target := listen(), listen()
+	server := &Server{Key: "key", Handler: &echo{}, Connector: dialConnector{}}
+	var running sync.WaitGroup
+	running.Go(func() { assert.Check(t, server.Run(relay)) })
+	running.Go(func() {
+		conn, err := target.Accept()
+		if err == nil {
+			handle(conn.(*net.TCPConn))
+		}
+	})
+	peer := &Peer{Address: relay.Addr().String(), Key: "key"}
+	t.Cleanup(func() {
+		peer.Close()
+		_ = relay.Close()
+		_ = target.Close()
+		running.Wait()
+		goleak.VerifyNone(t)
+	})
+	return peer, target.Addr().String()
+}
+
+// TestTunnelEnds checks that the sender can tell the regular end of a server's data from an end
+// that hides missing data, and that data arrive whole in both directions.
+func TestTunnelEnds(t *testing.T) {
+	long := make([]byte, 300<<10) // more than the window of a stream
+	tests := map[string]struct {
+		end  func(conn *net.TCPConn)
+		want error
+	}{
+		"the server closes": {func(conn *net.TCPConn) { _ = conn.Close() }, nil},
+		"the server resets": {func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}, errTunnelBroken},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			read := make(chan struct{})
+			peer, address := serveTunnels(t, func(conn *net.TCPConn) {
+				_, err := io.ReadFull(conn, make([]byte, len(long)))
+				assert.Check(t, err)
+				_, err = conn.Write(long)
+				assert.Check(t, err)
+				<-read
+				test.end(conn)
+			})
+			conn, outcome, err := peer.Connect(t.Context(), &ConnectCall{Address: address})
+			assert.NilError(t, err)
+			assert.Equal(t, outcome, ConnectReply_CONNECTED)
+			_, err = conn.Write(long)
+			assert.NilError(t, err)
+			_, err = io.ReadFull(conn, make([]byte, len(long)))
+			assert.NilError(t, err)
+			close(read)
+			_, err = io.ReadAll(conn)
+			assert.Equal(t, err, test.want)
+			assert.NilError(t, conn.Close())
+		})
+	}
+}
+
+// TestClosedTunnelClosesAtServer checks that the server notices at once that the sender has closed
+// the connection, also while the server writes more than the sender reads.
+func TestClosedTunnelClosesAtServer(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	peer, address := serveTunnels(t, func(conn *net.TCPConn) {
+		for {
+			if _, err := conn.Write(make([]byte, 64<<10)); err != nil {
+				closed <- time.Now()
+				return
+			}
+		}
+	})
+	conn, _, err := peer.Connect(t.Context(), &ConnectCall{Address: address})
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond) // lets the windows fill up
+	began := time.Now()
+	assert.NilError(t, conn.Close())
+	took := (<-closed).Sub(began)
+	assert.Assert(t, took < 200*time.Millisecond, "the server noticed after %s", took)
+}
+
+// TestConnectOutcomes checks the outcomes without a connection.
+func TestConnectOutcomes(t *testing.T) {
+	peer, address := serveTunnels(t, func(conn *net.TCPConn) { _ = conn.Close() })
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, free.Close())
+	conn, outcome, err := peer.Connect(t.Context(), &ConnectCall{Address: free.Addr().String()})
+	assert.NilError(t, err)
+	assert.Assert(t, conn == nil)
+	assert.Equal(t, outcome, ConnectReply_REFUSED)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err = peer.Connect(ended, &ConnectCall{Address: address})
+	assert.ErrorIs(t, err, context.Canceled)
+}
