Reach backend servers through other nodes from a box that is cut off

What callers saw: at boxes that had lost the path to all backend servers, 4 in 100 first tries were served; the rest waited half a second to a second for a 503.

Each server was found out anew by a dial of 250 ms or a silence, for each request, until four servers were used up or all counted as silent. Nothing took a request to a server by another way, and nothing concluded from failures at all servers that the box itself was cut off.

Change: reach.Dialer asks another node for the connection when a direct dial fails or takes over 60 ms, and at once where dials have failed before. The other node dials over its own path only; whether it reaches other servers decides what its failure proves. All else stays with the node that has the request: attempts, budgets, permits, deadlines, what servers say. Open connections are used only while servers are heard over such ones; else a dial shows the path. After three servers that nobody reached, requests are refused within 100 ms each with cause no_path. A refused connection counts as the end of a server only if another node was refused too, or this box hears others.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -33,13 +33,15 @@
 	DialTimeout time.Duration         // zero means one second; ignored if Dialer is set
 	IdleTimeout time.Duration         // after which an idle connection is closed; zero means 30 seconds
 	Dialer      shedkeel.ServerDialer // nil: connections are dialed directly
+	Paths       shedkeel.ServerPaths  // of Dialer; nil: open connections are always reused
 
-	once   sync.Once
-	shared *http.Transport // reuses connections
-	fresh  *http.Transport // uses a new connection for each request
+	once    sync.Once
+	shared  *http.Transport // reuses connections
+	relayed *http.Transport // as shared, for servers whose new connections go through another node
+	fresh   *http.Transport // uses a new connection for each request
 }
 
-// init creates the two HTTP transports: shared reuses connections, fresh does not.
+// init creates the HTTP transports.
 func (transport *Transport) init() {
 	timeout := transport.DialTimeout
 	if timeout == 0 {
@@ -68,6 +70,7 @@
 		WriteBufferSize:     32 << 10,
 		ReadBufferSize:      32 << 10,
 	}
+	transport.relayed = transport.shared.Clone()
 	transport.fresh = transport.shared.Clone()
 	transport.fresh.DisableKeepAlives = true
 }
@@ -100,20 +103,38 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	request.Body = &nonReplayableBody{reader: request.Body}
 	request.GetBody = nil
-	httpTransport := transport.shared
-	if NeedsFreshConnection(request.Context()) {
-		httpTransport = transport.fresh
-	}
-	response, err := httpTransport.RoundTrip(request)
+	response, err := transport.choose(request).RoundTrip(request)
 	if err == nil {
 		return response, nil
 	}
 	if writes.seal() == 0 {
-		return nil, &shedkeel.NotRunError{Reason: "backend server " + request.URL.Host + " could not be reached: " + err.Error(), RetryAfter: unreachableRetryAfter}
+		var noPath *shedkeel.NoPathError
+		return nil, &shedkeel.NotRunError{Reason: "backend server " + request.URL.Host + " could not be reached: " + err.Error(), RetryAfter: unreachableRetryAfter, NoPath: errors.As(err, &noPath)}
 	}
 	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err}
 }
 
+// choose returns the HTTP transport for a request. It first closes idle connections that may be
+// dead: a request over one of them would wait in vain, while a dial shows whether the server can
+// be reached.
+func (transport *Transport) choose(request *http.Request) *http.Transport {
+	if NeedsFreshConnection(request.Context()) {
+		return transport.fresh
+	}
+	if transport.Paths == nil {
+		return transport.shared
+	}
+	chosen := transport.shared
+	relayed, trusted := transport.Paths.Path(request.URL.Host)
+	if relayed {
+		chosen = transport.relayed
+	}
+	if !trusted {
+		chosen.CloseIdleConnections()
+	}
+	return chosen
+}
+
 // Stopped reports whether the address refuses connections, which means that no
 // process listens there. It returns false if the connection is accepted, and after a
 // timeout or any other failure, because a process may then still listen.
@@ -131,6 +152,7 @@
 func (transport *Transport) Close() {
 	transport.once.Do(transport.init)
 	transport.shared.CloseIdleConnections()
+	transport.relayed.CloseIdleConnections()
 	transport.fresh.CloseIdleConnections()
 }
 
--- a/errors.go
+++ b/errors.go
@@ -62,6 +62,7 @@
 	Reason        string
 	RetryAfter    time.Duration // how long to wait before the request is sent again
 	Overloaded    bool          // the cause is the account's rate limit, load shedding or overload, not a fault
+	NoPath        bool          // no node reaches a backend server, as far as this node can tell; other servers need not be tried
 	ReachedServer bool          // the server received the request and reported that it did not run it; otherwise nothing was sent
 }
 
@@ -70,6 +71,19 @@
 	return fmt.Sprintf("not run: %s; come back in %s", err.Reason, err.RetryAfter)
 }
 
+// NoPathError reports that a backend server could not be reached, and that other servers
+// could not be reached before it, neither by this node nor through other nodes.
+type NoPathError struct {
+	Cause error
+}
+
+// Error returns the message, which ends with what the caller can do.
+func (err *NoPathError) Error() string {
+	return fmt.Sprintf("no node reaches a backend server (%v); look at the network between them", err.Cause)
+}
+
+func (err *NoPathError) Unwrap() error { return err.Cause }
+
 // UnknownRunError reports that a request may have run and that its complete answer
 // is not available.
 type UnknownRunError struct {
--- a/interfaces.go
+++ b/interfaces.go
@@ -177,6 +177,14 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// ServerPaths tells how a new request can reach a backend server.
+type ServerPaths interface {
+	// Path returns whether new connections to the server are opened through another node, and
+	// whether connections that are open can be trusted, since servers were heard over
+	// connections of that kind just now.
+	Path(address string) (relayed, trusted bool)
+}
+
 // ServerCheck finds out whether a backend server whose connection broke has
 // terminated.
 type ServerCheck interface {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -401,6 +402,33 @@
 	return highest
 }
 
+// isServerAddress reports whether a listed backend server has the address.
+func (fleet *fleet) isServerAddress(address string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, instance := range fleet.instances {
+		if instance.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// randomServers returns the addresses of up to count listed backend servers, chosen at random from
+// those at other addresses than the excluded one.
+func (fleet *fleet) randomServers(count int, excluded string) []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var found []string
+	for _, instance := range fleet.instances {
+		if instance.Address != excluded {
+			found = append(found, instance.Address)
+		}
+	}
+	rand.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
+	return found[:min(count, len(found))]
+}
+
 // sortedInstances returns the backend servers ordered by ID. The caller holds the mutex.
 func (fleet *fleet) sortedInstances() []shedkeel.Instance {
 	var found []shedkeel.Instance
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	Backend     shedkeel.Backend
 	Check       shedkeel.ServerCheck // finds out whether a server that broke off a request has terminated; nil: no check
 	Engines     shedkeel.GroupEngines
-	Dialer      *reach.Dialer // opens the connections of Backend; nil: its status is not reported
+	Dialer      *reach.Dialer // opens the connections of Backend; nil: no connections are relayed
 	Timers      shedkeel.Timers
 	Random      shedkeel.Random
 	Log         *event.Log
@@ -124,6 +124,7 @@
 	guard       guard
 	limits      limits
 	controller  controller
+	connector   connector
 	reporter    reachReporter
 	stopping    atomic.Bool
 	goroutines  sync.WaitGroup
@@ -166,7 +167,11 @@
 	node.peers.random = rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())
 	node.registrar.node = node
 	node.member.node = node
+	node.connector.node = node
 	node.reporter.node = node
+	if node.Dialer != nil {
+		node.Dialer.Relay = &node.connector
+	}
 	node.gossip.node = node
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
 	node.remover.node = node
@@ -195,7 +200,7 @@
 		servers = append(servers, node.startServer(listeners.Metrics, node.adminHandler()))
 	}
 	node.goroutines.Go(func() { _ = callers.Serve(listeners.Callers) })
-	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers}
+	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers, Connector: &node.connector}
 	node.goroutines.Go(func() { _ = control.Run(listeners.Control) })
 	node.gossip.conn = listeners.Gossip
 	node.goroutines.Go(node.gossip.run)
@@ -246,8 +251,8 @@
 
 // stop announces in this node's record and by gossip that this node stops, and resigns as leader.
 // The node keeps serving while callers may have its address cached, but for at most 3/8 of the
-// grace time. It then waits for the running requests, and aborts them stopMargin before the end
-// of the grace time. stop returns an error only if the server for callers failed to close.
+// grace time. It then waits for the running requests, and for the connections that it relays for
+// other nodes, and aborts them stopMargin before the end of the grace time. stop returns an error only if the server for callers failed to close.
 func (node *Node) stop(callers *http.Server) error {
 	stopStarted := node.Timers.Now()
 	node.Log.Write(event.Stopping)
@@ -264,6 +269,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	err := callers.Shutdown(ctx)
+	node.connector.drain(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = callers.Close()
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -162,7 +162,7 @@
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String(), Gossip: listeners.Gossip.LocalAddr().String()}
 	servers, timers := &standin.Link{}, &timer.System{}
 	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
-	transport := &engine.Transport{Dialer: dialer, IdleTimeout: time.Second}
+	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: time.Second}
 	lines := &bytes.Buffer{}
 	log, err := event.NewBoundedLog(lines, "info")
 	assert.NilError(t, err)
@@ -170,7 +170,7 @@
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewNonce(),
 		Store:   &platform.Store{Address: strings.TrimPrefix(cluster.store.URL, "http://"), Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
-		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: transport,
+		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: dialer,
 		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{DialContext: servers.DialContext}}},
 		Dialer:  dialer, Timers: timers, Random: rand.NewPCG(uint64(index), 1),
 		Log: log.With(slog.String("node", string(settings.Node))), Metrics: values,
--- a/node/peers.go
+++ b/node/peers.go
@@ -48,7 +48,9 @@
 	node          *Node           // this node, not the other one
 	wire          *wire.Peer      // connection for most calls
 	priorityWire  *wire.Peer      // connection for calls that must not wait while wire connects
+	relayWire     *wire.Peer      // connection for the data of relayed connections
 	followFailure failure         // when Relay last found the peer unfit to follow; choose passes over the peer for followBackoff
+	relayFailure  failure         // when the peer last failed to open a connection to a backend server, for a reason of its own
 	spreadFailure failure         // when the peer last failed to answer as a spreader; it is not asked again for spreaderBackoff
 }
 
@@ -67,7 +69,7 @@
 // call.
 func (peers *peers) dial(id shedkeel.NodeID, address string) *peer {
 	key := peers.node.Settings.Wire.Key
-	return &peer{id: id, node: peers.node, wire: &wire.Peer{Address: address, Key: key}, priorityWire: &wire.Peer{Address: address, Key: key}}
+	return &peer{id: id, node: peers.node, wire: &wire.Peer{Address: address, Key: key}, priorityWire: &wire.Peer{Address: address, Key: key}, relayWire: &wire.Peer{Address: address, Key: key}}
 }
 
 // update replaces the listed nodes, which are in the order of compareNodes. It closes the
@@ -264,6 +266,7 @@
 func (peer *peer) close() {
 	peer.wire.Close()
 	peer.priorityWire.Close()
+	peer.relayWire.Close()
 }
 
 // Name returns the node's ID. For a seed or a startup relay, whose ID is not known, it
--- a/node/reach.go
+++ b/node/reach.go
@@ -12,7 +12,7 @@
 // reachReporter reports which backend servers this box reaches. Only Node.report uses it.
 type reachReporter struct {
 	node     *Node
-	reported map[reach.Outcome]int64 // the dials of the status that was last reported
+	reported reach.Status // the status that report was last called with
 }
 
 // report logs the dials since the last call if any of them failed, and exports the status if
@@ -25,27 +25,56 @@
 	status := node.Dialer.Status()
 	if node.Metrics != nil {
 		exportReach(node.Metrics.Scope, status)
+		node.Metrics.Scope.Gauge("connections_relayed").Update(float64(node.connector.relayed.Load()))
 	}
-	failures := int64(0)
+	before := reporter.reported
+	reporter.reported = status
 	fields := []slog.Attr{slog.Int("servers", status.Unreachable), slog.Duration("heard", status.SinceHeard)}
+	failures := int64(0)
 	for outcome, count := range status.Dials {
-		since := count - reporter.reported[outcome]
+		since := count - before.Dials[outcome]
 		fields = append(fields, slog.Int64(outcome.String(), since))
 		if outcome != reach.Connected {
 			failures += since
 		}
 	}
-	reporter.reported = status.Dials
 	if failures > 0 {
 		node.Log.Write(event.DialsFailed, fields...)
 	}
+	if status.CutOff != before.CutOff {
+		reporter.logChange(status.CutOff, event.CutOff, event.CutOffEnded, status)
+	}
+	if status.NoPath != before.NoPath {
+		reporter.logChange(status.NoPath, event.NoPath, event.NoPathEnded, status)
+	}
+}
+
+// logChange logs that a state has begun or ended.
+func (reporter *reachReporter) logChange(begun bool, begin, end event.Event, status reach.Status) {
+	kind := end
+	if begun {
+		kind = begin
+	}
+	reporter.node.Log.Write(kind, slog.Int("servers", status.Unreachable), slog.Duration("heard", status.SinceHeard), slog.Int64("relayed", status.RelayDials[reach.Connected]))
 }
 
 // exportReach exports the status as metrics.
 func exportReach(scope tally.Scope, status reach.Status) {
-	for outcome, count := range status.Dials {
-		scope.Tagged(map[string]string{"outcome": outcome.String()}).Gauge("server_dials").Update(float64(count))
+	for path, dials := range map[string]map[reach.Outcome]int64{"direct": status.Dials, "relayed": status.RelayDials} {
+		for outcome, count := range dials {
+			scope.Tagged(map[string]string{"path": path, "outcome": outcome.String()}).Gauge("server_dials").Update(float64(count))
+		}
 	}
 	scope.Gauge("servers_unreachable").Update(float64(status.Unreachable))
 	scope.Gauge("servers_heard_seconds").Update(status.SinceHeard.Seconds())
+	scope.Gauge("cut_off").Update(gaugeValue(status.CutOff))
+	scope.Gauge("no_path").Update(gaugeValue(status.NoPath))
+}
+
+// gaugeValue returns 1 for true and 0 for false.
+func gaugeValue(state bool) float64 {
+	if state {
+		return 1
+	}
+	return 0
 }
--- a/program/node.go
+++ b/program/node.go
@@ -79,7 +79,7 @@
 	defer values.Close()
 	timers := &timer.System{}
 	dialer := &reach.Dialer{Timers: timers, Timeout: backendDialTimeout}
-	transport := &engine.Transport{Dialer: dialer, IdleTimeout: idleTimeout}
+	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: idleTimeout}
 	defer transport.Close()
 	seed := rand.Uint64()
 	process := &node.Node{
@@ -89,7 +89,7 @@
 		Decoder:  platform.Decoder{},
 		Protocol: platform.HeaderCodec{},
 		Backend:  transport,
-		Check:    transport,
+		Check:    dialer,
 		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: newHTTPClient(1)},
 		Dialer:   dialer,
 		Timers:   timers,
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -1,5 +1,5 @@
-// Package reach opens connections to backend servers and records which servers this box
-// reaches. Times are on the clock of a shedkeel.Timers.
+// Package reach opens connections to backend servers, directly or through another node, and
+// records which servers this box reaches. Times are on the clock of a shedkeel.Timers.
 package reach
 
 import (
@@ -14,8 +14,16 @@
 	"shedkeel.org/shedkeel"
 )
 
-// defaultTimeout bounds a dial if Dialer.Timeout is not set.
-const defaultTimeout = time.Second
+const (
+	// defaultTimeout bounds a dial if Dialer.Timeout is not set.
+	defaultTimeout = time.Second
+	// relayDelay is how long a direct dial may take before a relay is asked as well. A dial
+	// takes milliseconds within a region.
+	relayDelay = 60 * time.Millisecond
+	// noPathTimeout bounds a dial while no server is reached, so that requests are refused
+	// promptly.
+	noPathTimeout = 100 * time.Millisecond
+)
 
 // Outcome is the result of a dial to a backend server.
 type Outcome int
@@ -40,7 +48,7 @@
 	switch {
 	case err == nil:
 		return Connected
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+	case IsRefused(err):
 		return Refused
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 		return TimedOut
@@ -48,25 +56,165 @@
 	return Failed
 }
 
-// Dialer is a shedkeel.ServerDialer. Set its exported fields before its first use.
+// IsRefused reports whether a dial failed because the connection was rejected.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// Dialer is a shedkeel.ServerDialer, ServerPaths and ServerCheck. It dials directly, and through
+// Relay if the direct dial fails or takes long, or if dials to that server or of this box have
+// failed before. Set its exported fields before its first use.
 type Dialer struct {
 	Timers  shedkeel.Timers
 	Timeout time.Duration         // bounds a dial; 0: one second
 	Network shedkeel.ServerDialer // nil: the operating system's
+	// Relay dials through other nodes. Its errors wrap syscall.ECONNREFUSED if another node was
+	// refused. nil: there are no other nodes.
+	Relay shedkeel.ServerDialer
 
-	paths  paths
-	counts [outcomeCount]atomic.Int64
+	paths       paths
+	counts      [outcomeCount]atomic.Int64
+	relayCounts [outcomeCount]atomic.Int64
+}
+
+// dialResult is the result of one of the two ways of a dial.
+type dialResult struct {
+	conn    net.Conn
+	err     error
+	relayed bool
 }
 
 // DialContext opens a connection to the backend server at the address. It implements
-// shedkeel.ServerDialer.
+// shedkeel.ServerDialer. The error is a NoPathError if no server could be reached before either
+// (see NoPath).
 func (dialer *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return dialer.dialDirect(ctx, network, address)
+	now := dialer.Timers.Now()
+	timeout, noPath := dialer.timeout(), dialer.paths.noPath(now)
+	if noPath {
+		timeout = min(timeout, noPathTimeout)
+	}
+	// The way that is not used goes on for its evidence after the caller's context has ended.
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	stop := context.AfterFunc(ctx, cancel)
+	dial := &dial{dialer: dialer, network: network, address: address, results: make(chan dialResult, 2), relayDue: dialer.Relay != nil && dialer.paths.mayRelay(address, now)}
+	conn, err := dial.run(bounded, dialer.relayDelay(address, now))
+	stop()
+	go dial.runRest(cancel)
+	if err != nil && noPath {
+		return nil, &shedkeel.NoPathError{Cause: err}
+	}
+	return conn, err
+}
+
+// relayDelay returns how long a dial waits before it asks a relay as well.
+func (dialer *Dialer) relayDelay(address string, now time.Duration) time.Duration {
+	if dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now) {
+		return 0
+	}
+	return relayDelay
+}
+
+// dial is one call of Dialer.DialContext.
+type dial struct {
+	dialer   *Dialer
+	network  string
+	address  string
+	results  chan dialResult // of the ways that were begun
+	pending  int             // ways without a result so far
+	relayDue bool            // a relay is to be asked, and was not yet
+
+	directEnded atomic.Bool // the direct dial has a result
+}
+
+// run returns the first connection that either way opens. It asks a relay after the delay, or
+// once the direct dial has failed.
+func (dial *dial) run(ctx context.Context, delay time.Duration) (net.Conn, error) {
+	dial.pending = 1
+	go dial.runDirect(ctx)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	var refused, failed error
+	for dial.pending > 0 {
+		select {
+		case <-timer.C:
+			dial.startRelay(ctx)
+		case result := <-dial.results:
+			dial.pending--
+			if result.err == nil {
+				return result.conn, nil
+			}
+			if result.relayed && IsRefused(result.err) {
+				return nil, result.err
+			}
+			if IsRefused(result.err) {
+				refused = result.err
+			} else {
+				failed = result.err
+			}
+			if ctx.Err() == nil {
+				dial.startRelay(ctx)
+			}
+		}
+	}
+	if failed == nil {
+		return nil, refused
+	}
+	return nil, failed
+}
+
+// startRelay asks a relay, unless that was done or is not to be done.
+func (dial *dial) startRelay(ctx context.Context) {
+	if !dial.relayDue {
+		return
+	}
+	dial.relayDue = false
+	dial.pending++
+	go dial.runRelay(ctx)
+}
+
+// runDirect dials over this box's own network path.
+func (dial *dial) runDirect(ctx context.Context) {
+	conn, err := dial.dialer.DialDirect(ctx, dial.network, dial.address)
+	dial.directEnded.Store(true)
+	dial.results <- dialResult{conn: conn, err: err}
+}
+
+// runRelay dials through another node.
+func (dial *dial) runRelay(ctx context.Context) {
+	dialer := dial.dialer
+	conn, err := dialer.Relay.DialContext(ctx, dial.network, dial.address)
+	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
+		dial.results <- dialResult{err: err, relayed: true}
+		return
+	}
+	dialer.relayCounts[outcomeOf(err)].Add(1)
+	now := dialer.Timers.Now()
+	if err != nil {
+		dialer.paths.relayMissed(dial.address, now)
+		dial.results <- dialResult{err: err, relayed: true}
+		return
+	}
+	if !dial.directEnded.Load() {
+		dialer.paths.failed(dial.address, now) // until the direct dial succeeds after all
+	}
+	dialer.paths.relayReached(dial.address, now)
+	dial.results <- dialResult{conn: &heardConn{Conn: conn, timers: dialer.Timers, hearing: &dialer.paths.relayed}, relayed: true}
+}
+
+// runRest waits for the other way, whose outcome is evidence as well, and closes its
+// connection.
+func (dial *dial) runRest(cancel context.CancelFunc) {
+	defer cancel()
+	for ; dial.pending > 0; dial.pending-- {
+		if result := <-dial.results; result.err == nil {
+			_ = result.conn.Close()
+		}
+	}
 }
 
-// dialDirect opens a connection over this box's own network path. It records the outcome
-// unless ctx was canceled.
-func (dialer *Dialer) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+// DialDirect opens a connection over this box's own network path. It records the outcome, unless
+// ctx was canceled.
+func (dialer *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialer.timeout())
 	defer cancel()
 	var base shedkeel.ServerDialer = &net.Dialer{}
@@ -78,14 +226,13 @@
 		return nil, err
 	}
 	now := dialer.Timers.Now()
-	outcome := outcomeOf(err)
-	dialer.counts[outcome].Add(1)
+	dialer.counts[outcomeOf(err)].Add(1)
 	if err != nil {
 		dialer.paths.failed(address, now)
 		return nil, err
 	}
 	dialer.paths.connected(address, now)
-	return &directConn{Conn: conn, dialer: dialer}, nil
+	return &heardConn{Conn: conn, timers: dialer.Timers, hearing: &dialer.paths.direct}, nil
 }
 
 func (dialer *Dialer) timeout() time.Duration {
@@ -95,10 +242,51 @@
 	return dialer.Timeout
 }
 
+// Path implements shedkeel.ServerPaths.
+func (dialer *Dialer) Path(address string) (relayed, trusted bool) {
+	now := dialer.Timers.Now()
+	if dialer.Relay != nil && (dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now)) {
+		return true, dialer.paths.relayed.isRecent(now)
+	}
+	return false, dialer.paths.direct.isRecent(now)
+}
+
+// Stopped reports whether connections to the address are refused, which proves that no process
+// listens there. It implements shedkeel.ServerCheck. A refusal to this box alone proves nothing
+// unless no other node can be asked and this box hears other servers.
+func (dialer *Dialer) Stopped(ctx context.Context, address string) bool {
+	conn, err := dialer.DialDirect(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	if dialer.Relay == nil {
+		return IsRefused(err)
+	}
+	conn, relayErr := dialer.Relay.DialContext(ctx, "tcp", address)
+	if relayErr == nil {
+		_ = conn.Close()
+		return false
+	}
+	return IsRefused(relayErr) || IsRefused(err) && dialer.paths.direct.isRecent(dialer.Timers.Now())
+}
+
+// CutOff reports whether this box is cut off from servers that other nodes reach.
+func (dialer *Dialer) CutOff() bool { return dialer.paths.cutOff(dialer.Timers.Now()) }
+
+// NoPath reports whether neither this box nor other nodes for it reach any server.
+func (dialer *Dialer) NoPath() bool { return dialer.paths.noPath(dialer.Timers.Now()) }
+
+// HearsServers reports whether a server was heard just now over a direct connection.
+func (dialer *Dialer) HearsServers() bool { return dialer.paths.direct.isRecent(dialer.Timers.Now()) }
+
 // Status describes which backend servers this box reaches.
 type Status struct {
 	Dials       map[Outcome]int64 // direct dials so far, by outcome
+	RelayDials  map[Outcome]int64 // dials through other nodes so far, by outcome
 	Unreachable int               // servers whose latest direct dial failed, within the last failureRetention
+	CutOff      bool              // see Dialer.CutOff
+	NoPath      bool              // see Dialer.NoPath
 	// SinceHeard is the time since a server was last heard over a direct connection, by a
 	// completed dial or by data; negative: never.
 	SinceHeard time.Duration
@@ -107,27 +295,34 @@
 // Status returns the present status.
 func (dialer *Dialer) Status() Status {
 	now := dialer.Timers.Now()
-	status := Status{Dials: map[Outcome]int64{}, Unreachable: dialer.paths.unreachable(now), SinceHeard: -1}
-	for outcome := range outcomeCount {
-		status.Dials[outcome] = dialer.counts[outcome].Load()
-	}
-	if heard := dialer.paths.heardAt(); heard != 0 {
+	status := Status{Dials: load(&dialer.counts), RelayDials: load(&dialer.relayCounts), Unreachable: dialer.paths.unreachable(now), CutOff: dialer.CutOff(), NoPath: dialer.NoPath(), SinceHeard: -1}
+	if heard := dialer.paths.direct.time(); heard != 0 {
 		status.SinceHeard = now - heard
 	}
 	return status
 }
 
-// directConn is a direct connection. It records when the server is heard.
-type directConn struct {
+// load returns the counts by outcome.
+func load(counts *[outcomeCount]atomic.Int64) map[Outcome]int64 {
+	found := map[Outcome]int64{}
+	for outcome := range outcomeCount {
+		found[outcome] = counts[outcome].Load()
+	}
+	return found
+}
+
+// heardConn is a connection that records when the server is heard.
+type heardConn struct {
 	net.Conn
-	dialer *Dialer
+	timers  shedkeel.Timers
+	hearing *hearing
 }
 
 // Read reads from the connection.
-func (conn *directConn) Read(buffer []byte) (int, error) {
+func (conn *heardConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	if count > 0 {
-		conn.dialer.paths.heard(conn.dialer.Timers.Now())
+		conn.hearing.record(conn.timers.Now())
 	}
 	return count, err
 }
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -391,7 +391,10 @@
 	if !exchange.guardAllows() {
 		cause = causeQuarantined
 	}
+	var notRun *shedkeel.NotRunError
 	switch {
+	case errors.As(reason, &notRun) && notRun.NoPath:
+		cause = causeNoPath
 	case errors.Is(reason, errLimited):
 		cause = causeLimited
 	case errors.Is(reason, errBackoff):
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -54,7 +54,10 @@
 		reason = err
 		exchange.uncountUnsent(err)
 		var notRun *shedkeel.NotRunError
-		if errors.As(err, &notRun) {
+		if errors.As(err, &notRun) && notRun.NoPath {
+			break
+		}
+		if notRun != nil {
 			continue
 		}
 		exchange.runs++
--- a/serve/retryafter.go
+++ b/serve/retryafter.go
@@ -9,7 +9,7 @@
 	// retrySoon is the shortest Retry-After. It applies when another process can serve
 	// the caller at once, or this process can within milliseconds.
 	retrySoon = 50 * time.Millisecond
-	// retryRepair is the wait for causeNoCapacity, causeNotRun and causeQuarantined. It is
+	// retryRepair is the wait for causeNoCapacity, causeNotRun, causeQuarantined and causeNoPath. It is
 	// about the time in which a failed member of a replica group is replaced, or in which
 	// slots of full servers become free. maxWaitFraction and the jitter may shorten it.
 	retryRepair = 700 * time.Millisecond
@@ -39,10 +39,11 @@
 	causeLimited                  // the servers limit their rate, and no permit is available in time (errLimited)
 	causeBackoff                  // all available servers have asked for a backoff (see noServerError)
 	causeContained                // too many servers terminated while they ran the request; it is not sent again
+	causeNoPath                   // no node reaches a backend server (shedkeel.NoPathError)
 )
 
 // causeNames are the names of the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "no_path"}
 
 // String returns the name of the cause in logs and metrics.
 func (cause cause) String() string { return causeNames[cause] }
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -225,7 +225,7 @@
 	if len(stream.sources) > 0 {
 		return nil
 	}
-	if ctx.Err() != nil || notRun == nil && !stream.mayFailOver() || !stream.guardAllows() || len(stream.tried) >= maxServersTried {
+	if ctx.Err() != nil || notRun == nil && !stream.mayFailOver() || notRun != nil && notRun.NoPath || !stream.guardAllows() || len(stream.tried) >= maxServersTried {
 		return stream.finish(ctx, update.err)
 	}
 	if err := stream.startSource(ctx); err != nil {
