Take no silence of a box's own for that of servers

What callers saw: while a box is cut off, streams that can't be resumed stay silent at every group for as long as their callers wait. Their groups counted as silent all that time, so new streams were refused with "no server may be sent to", though other nodes reach the groups. As nothing was sent, no dial showed the cut either.

Cause: a silence was put down to the server without a look at the path, and was not taken back once the path was found cut.

Change: silences found while no server is heard at all make the box dial up to three of these servers. While it is cut off and hears none, requests that run over direct connections count as lost: they are notified, so that streams go on elsewhere, take no slot and tell nothing of their servers.

Evidence: TestLostStreamsBlockNoServer fails without the last step (503 from 1 s on) and passes.

--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -94,6 +94,9 @@
 	}
 	gap := maxFirstEventTime
 	for choice := range serverState.running {
+		if choice.lost {
+			continue
+		}
 		if choice.responded {
 			// Every step may take as long as one with prefill, because the engine may
 			// prefill prompts of other processes.
@@ -113,7 +116,7 @@
 	defer table.mutex.Unlock()
 	var stalls []Stall
 	for _, state := range table.servers {
-		if len(state.running) == 0 {
+		if state.expecting() == 0 {
 			continue
 		}
 		elapsed := now - state.lastActivity
@@ -127,7 +130,7 @@
 		}
 		if report {
 			state.stallReported = now
-			stalls = append(stalls, Stall{Server: state.Server, Elapsed: elapsed, Running: len(state.running)})
+			stalls = append(stalls, Stall{Server: state.Server, Elapsed: elapsed, Running: state.expecting()})
 		}
 		state.avoidUntil = max(state.avoidUntil, now+avoidDuration)
 	}
@@ -157,6 +160,52 @@
 	}
 }
 
+// LoseRunning records that this process has lost its direct connections to the servers, so that
+// the answers to requests that run over them may not arrive: those chosen until the given time and
+// not marked by SetRelayed. These requests are notified as of a stall, and tell nothing of their
+// servers any more unless an event or answer arrives all the same. Servers that are avoided
+// because of their silence may be chosen again.
+func (table *Table) LoseRunning(until time.Duration) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	for _, state := range table.servers {
+		lost := state.lost
+		for choice := range state.running {
+			if !choice.lost && !choice.relayed && choice.ChosenAt <= until {
+				choice.setLost(true)
+				choice.stallNotified = false
+				choice.notifyStall()
+			}
+		}
+		if state.lost > lost && state.stallReported != 0 {
+			state.avoidUntil, state.stallReported = 0, 0
+		}
+	}
+}
+
+// SetRelayed records that the request is sent through another node.
+func (choice *Choice) SetRelayed() {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	choice.relayed = true
+}
+
+// setLost sets whether the choice is lost. The caller must hold the table's mutex.
+func (choice *Choice) setLost(lost bool) {
+	if choice.lost == lost {
+		return
+	}
+	choice.lost = lost
+	if lost {
+		choice.state.lost++
+	} else {
+		choice.state.lost--
+	}
+}
+
+// expecting returns how many requests run on the server that are not lost.
+func (serverState *serverState) expecting() int { return len(serverState.running) - serverState.lost }
+
 // AvoidGroup keeps new requests from the group of that epoch for the duration, or until the group
 // responds to this process (RecordResponse), and notifies the requests that run there. It is called
 // when a liveness probe or another node has found that the group has lost a member or stalls. It
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -100,6 +100,7 @@
 type serverState struct {
 	Server
 	running       map[*Choice]struct{}
+	lost          int           // how many of running are lost (see Table.LoseRunning)
 	lastActivity  time.Duration // last event or answer, or the choice for the first request after an idle period
 	latencyRatio  float64       // moving average of the ratio of actual to expected response times
 	failureRate   float64       // moving average: share of requests that failed
@@ -176,6 +177,8 @@
 	promptTokens  int
 	late          bool
 	responded     bool // the first event or the answer has arrived
+	relayed       bool // the request is sent through another node
+	lost          bool // the answer may not arrive, for no fault of the server (see Table.LoseRunning)
 	stalled       chan struct{}
 	stallNotified bool // Stalled has received a notice since FindStalled last reported the current stall
 }
@@ -237,13 +240,13 @@
 // and an unanswered probe. The caller must hold table.mutex.
 func (table *Table) cost(candidate *serverState, now time.Duration) float64 {
 	candidate.decayPenalties(now)
-	cost := float64(len(candidate.running)+1) * candidate.latencyRatio
+	cost := float64(candidate.expecting()+1) * candidate.latencyRatio
 	if candidate.Model == "" {
 		cost *= 1 + failureCost*candidate.failureRate
 	} else {
 		cost *= expectedAttempts(candidate.failureRate)
 	}
-	if len(candidate.running) > 0 && now-candidate.lastActivity > candidate.expectedMaxGap()+stallMargin/2 {
+	if candidate.expecting() > 0 && now-candidate.lastActivity > candidate.expectedMaxGap()+stallMargin/2 {
 		cost *= unresponsiveCost
 	}
 	if candidate.Zone != table.Zone {
@@ -267,7 +270,7 @@
 // startChoice records a request as running on the server and returns the choice. If the server
 // was idle, its time without activity counts from now. The caller must hold the table's mutex.
 func (serverState *serverState) startChoice(table *Table, query Query) *Choice {
-	if len(serverState.running) == 0 {
+	if serverState.expecting() == 0 {
 		serverState.lastActivity = query.Now
 		serverState.stallReported = 0
 	}
@@ -285,6 +288,7 @@
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	state := choice.state
+	choice.setLost(false)
 	state.lastActivity = now
 	state.avoidUntil = 0
 	state.stallReported = 0
@@ -311,6 +315,7 @@
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	state := choice.state
+	choice.setLost(false)
 	delete(state.running, choice)
 	state.condition.requestEnded(choice)
 	outcome := 0.0
@@ -326,6 +331,7 @@
 func (choice *Choice) Cancel() {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
+	choice.setLost(false)
 	delete(choice.state.running, choice)
 	choice.state.condition.requestEnded(choice)
 }
@@ -361,6 +367,9 @@
 			continue
 		}
 		for choice := range state.running {
+			if choice.lost {
+				continue
+			}
 			if choice.late {
 				load.Late++
 			} else {
--- a/dispatch/table_test.go
+++ b/dispatch/table_test.go
@@ -227,3 +227,31 @@
 	table.Choose(late)
 	assert.DeepEqual(t, table.Load("llm", "m", 0), Load{RunningRequests: RunningRequests{OnTime: 1, Late: 2}, Groups: map[shedkeel.InstanceID]int{"a": 3}, Slots: 4, Usable: 1})
 }
+
+// TestLostRequestsTellNothingOfServers checks that servers whose requests were declared lost are not
+// avoided for their silence, that these requests are notified, and that an event takes that back.
+func TestLostRequestsTellNothingOfServers(t *testing.T) {
+	table := testTable("a")
+	lost := table.Choose(query)
+	silentAt := maxFirstEventTime + time.Second
+	assert.Equal(t, len(table.FindStalled(silentAt)), 1)
+	<-lost.Stalled
+	assert.Assert(t, table.Choose(at(silentAt)) == nil, "the silent server is avoided")
+
+	table.LoseRunning(lost.ChosenAt)
+	<-lost.Stalled
+	assert.Equal(t, len(table.FindStalled(silentAt+time.Minute)), 0)
+	again := table.Choose(at(silentAt))
+	assert.Assert(t, again != nil, "the server may be chosen again")
+	table.LoseRunning(lost.ChosenAt)
+	again.SetRelayed()
+	table.LoseRunning(silentAt)
+	assert.Equal(t, len(lost.Stalled)+len(again.Stalled), 0, "neither a lost nor a relayed request is lost again")
+	assert.Equal(t, table.Load("llm", "m", silentAt).OnTime, 1, "a lost request takes no slot")
+	lost.RecordResponse(silentAt)
+	assert.Equal(t, table.Load("llm", "m", silentAt).OnTime, 2)
+	lost.End(false, silentAt)
+	assert.Equal(t, len(table.FindStalled(silentAt+time.Minute)), 1, "a request that is not lost tells of the server")
+	again.End(false, silentAt)
+	assert.Equal(t, table.Load("llm", "m", silentAt+time.Hour).OnTime, 0)
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -92,6 +92,18 @@
 	return fresh
 }
 
+// relayedKey is the context key that WithRelayNotice sets.
+type relayedKey struct{}
+
+// WithRelayNotice returns a context with which Send calls notice once the request gets a
+// connection that goes through another node.
+func WithRelayNotice(ctx context.Context, notice func()) context.Context {
+	return context.WithValue(ctx, relayedKey{}, notice)
+}
+
+// relayable is a connection that may go through another node.
+type relayable interface{ Relayed() bool }
+
 // Send sends the request and returns the response, whose body the caller closes.
 // The error is a NotRunError if no byte of the request was written and none can be
 // written later, else an UnknownRunError. On an error Send closes the connections
@@ -99,6 +111,7 @@
 func (transport *Transport) Send(request *http.Request) (*http.Response, error) {
 	transport.once.Do(transport.init)
 	writes := &requestWrites{}
+	writes.onRelayed, _ = request.Context().Value(relayedKey{}).(func())
 	trace := &httptrace.ClientTrace{GotConn: writes.gotConn}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	request.Body = &nonReplayableBody{reader: request.Body}
@@ -222,6 +235,7 @@
 // requestWrites counts the bytes of one request that were written, over all
 // connections on which net/http tried it.
 type requestWrites struct {
+	onRelayed     func() // see WithRelayNotice; nil: none
 	mutex         sync.Mutex
 	conns         []*countingConn
 	writtenBefore []int64 // bytes that earlier requests wrote, per connection
@@ -235,6 +249,9 @@
 	if !ok {
 		return
 	}
+	if relayable, known := conn.Conn.(relayable); known && relayable.Relayed() && writes.onRelayed != nil {
+		writes.onRelayed()
+	}
 	writes.mutex.Lock()
 	defer writes.mutex.Unlock()
 	writes.conns = append(writes.conns, conn)
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// TestLostStreamsBlockNoServer cuts a box off while streams that can't be resumed run there at all
+// groups. Their silence tells nothing of the groups, so later streams must be served.
+func TestLostStreamsBlockNoServer(t *testing.T) {
+	cluster := newTestCluster(t, 4)
+	cluster.ready()
+	address := cluster.nodes[0].callers
+	var long sync.WaitGroup
+	for range 8 {
+		long.Go(func() { _, _ = cluster.send(address, shedkeel.NewNonce(), "/long/a", "key-1", 4000) }) // 800 events, 10 ms apart
+	}
+	time.Sleep(300 * time.Millisecond) // gives the streams time to start
+	cluster.nodes[0].servers.SetCut(standin.Cut{Drop: true, Silence: standin.BothDirections})
+	time.Sleep(cutGrace)
+	for range 20 {
+		began := time.Now()
+		status, body := cluster.send(address, shedkeel.NewNonce(), "/copy/a", "key-1", 50) // ten events for 50 tokens
+		assert.Equal(t, status, http.StatusOK, "%s", body)
+		assert.Equal(t, body, completeStream(10))
+		assert.Assert(t, time.Since(began) < tryObjective, "a stream took %s", time.Since(began))
+	}
+	cluster.nodes[0].servers.SetCut(standin.Cut{})
+	long.Wait()
+}
+
 // maxRuns returns how often a request for the path may run, by max_attempts in testConfig.
 func maxRuns(path string) int {
 	if strings.HasPrefix(path, "/fee/") {
--- a/node/node.go
+++ b/node/node.go
@@ -293,10 +293,13 @@
 	return !node.handler.RefuseStaleKeys || age < node.handler.MaxConfigAge
 }
 
-// reportSilentServers logs backend servers that stopped responding, and reports their groups
+// reportSilentServers finds out whether this box or servers have lost contact. It logs backend servers that stopped responding, and reports their groups
 // as suspected to the leader. A server without a group is only logged.
 func (node *Node) reportSilentServers(now time.Duration) {
-	for _, silence := range node.table.FindStalled(now) {
+	node.reporter.tick()
+	stalls := node.table.FindStalled(now)
+	node.reporter.checkPaths(stalls)
+	for _, silence := range stalls {
 		node.Log.Write(event.ServerUnresponsive, slog.String("server", string(silence.Server.Instance)), slog.String("group", string(silence.Server.Group.Group)),
 			slog.Uint64("epoch", silence.Server.Group.Epoch), slog.Duration("silent", silence.Elapsed), slog.Int("running", silence.Running))
 		if silence.Server.Group.Group == "" {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -57,13 +57,14 @@
 
 // testConfig is the format of the tests' configuration. Its arguments are the version and
 // the API keys of the only tenant, shop, as JSON strings separated by commas. Requests whose
-// paths begin with /copy/ are streams of the service llm; requests whose paths begin with
+// paths begin with /copy/ or, if they may not be resumed, with /long/ are streams of the service llm; requests whose paths begin with
 // /look/ or, if they must run at most once, with /fee/ go to the service plain.
 const testConfig = `{"version":%d,
  "routes":[
   {"name":"r1","host":"h.example","path_prefix":"/copy/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":2,"resume_streams":true,"service":"llm"},
   {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"},
-  {"name":"r3","host":"h.example","path_prefix":"/fee/","kind":"unsafe","timeout_ms":2000,"max_attempts":1,"service":"plain"}],
+  {"name":"r3","host":"h.example","path_prefix":"/fee/","kind":"unsafe","timeout_ms":2000,"max_attempts":1,"service":"plain"},
+  {"name":"r4","host":"h.example","path_prefix":"/long/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":1,"service":"llm"}],
  "services":[
   {"name":"llm","health_path":"/health","max_connections":100,"cold_start_s":3,"cold_per_s":4,"engine":{"slots":8,"models":[{"name":"m0","size":2,"share":1,"pace":1,"load_s":0.3,"warmup_s":0.2}],"read_per_s":46000,"loads_per_s":4,"loads_at_once":6,"form_ms":100}},
   {"name":"plain","health_path":"/health","max_connections":50,"cold_start_s":3,"cold_per_s":4}],
--- a/node/reach.go
+++ b/node/reach.go
@@ -1,18 +1,50 @@
 package node
 
 import (
+	"context"
 	"log/slog"
 
 	"github.com/uber-go/tally/v4"
 
+	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/reach"
 )
 
-// reachReporter reports which backend servers this box reaches. Only Node.report uses it.
+// reachReporter reports which backend servers this box reaches, and acts when it is cut off.
 type reachReporter struct {
 	node     *Node
-	reported reach.Status // the status that report was last called with
+	reported reach.Status // the status that report was last called with; only report uses it
+}
+
+// tick declares the requests lost that run over direct connections while this box is cut off and
+// hears no server over them. What was concluded about servers from their silence is then wrong.
+func (reporter *reachReporter) tick() {
+	dialer := reporter.node.Dialer
+	if dialer != nil && dialer.CutOff() && !dialer.HearsServers() {
+		reporter.node.table.LoseRunning(dialer.TrustedUntil())
+	}
+}
+
+// checkPaths dials some of the silent servers if this box hears no server at all, since the silence
+// may be its own. No request would show this, as none is sent to silent servers.
+func (reporter *reachReporter) checkPaths(stalls []dispatch.Stall) {
+	dialer := reporter.node.Dialer
+	if dialer == nil || dialer.HearsServers() {
+		return
+	}
+	for _, silence := range stalls[:min(len(stalls), witnessCount)] {
+		go reporter.runCheck(silence.Server.Address)
+	}
+}
+
+// runCheck dials a server for the evidence that the dialer records.
+func (reporter *reachReporter) runCheck(address string) {
+	conn, err := reporter.node.Dialer.DialContext(context.Background(), "tcp", address)
+	if err != nil {
+		return // the dialer counts it
+	}
+	_ = conn.Close()
 }
 
 // report logs the dials since the last call if any of them failed, and exports the status if
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -198,7 +198,7 @@
 		dialer.paths.failed(dial.address, now) // until the direct dial succeeds after all
 	}
 	dialer.paths.relayReached(dial.address, now)
-	dial.results <- dialResult{conn: &heardConn{Conn: conn, timers: dialer.Timers, hearing: &dialer.paths.relayed}, relayed: true}
+	dial.results <- dialResult{conn: &heardConn{Conn: conn, timers: dialer.Timers, hearing: &dialer.paths.relayed, relayed: true}, relayed: true}
 }
 
 // runRest waits for the other way, whose outcome is evidence as well, and closes its
@@ -280,6 +280,9 @@
 // HearsServers reports whether a server was heard just now over a direct connection.
 func (dialer *Dialer) HearsServers() bool { return dialer.paths.direct.isRecent(dialer.Timers.Now()) }
 
+// TrustedUntil returns until when open direct connections were trusted last (see Path).
+func (dialer *Dialer) TrustedUntil() time.Duration { return dialer.paths.direct.time() + trustTime }
+
 // Status describes which backend servers this box reaches.
 type Status struct {
 	Dials       map[Outcome]int64 // direct dials so far, by outcome
@@ -316,8 +319,12 @@
 	net.Conn
 	timers  shedkeel.Timers
 	hearing *hearing
+	relayed bool
 }
 
+// Relayed reports whether the connection goes through another node.
+func (conn *heardConn) Relayed() bool { return conn.relayed }
+
 // Read reads from the connection.
 func (conn *heardConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
--- a/serve/send.go
+++ b/serve/send.go
@@ -165,6 +165,7 @@
 	if exchange.route.Kind == shedkeel.RequestOnce || exchange.freshConnection.Load() {
 		ctx = engine.WithFreshConnection(ctx)
 	}
+	ctx = engine.WithRelayNotice(ctx, choice.SetRelayed)
 	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+choice.Address+"/", bytes.NewReader(exchange.body))
 	if err != nil {
 		return nil, err
