Probe and order engines through other nodes from a leader that is cut off

Cause: reports and orders were dialed over the box's own path alone, with no time-out on the dial: it goes on after its call has ended.

Change: the client of engines dials as requests do, by reach.Dialer, with its time-out, and does not use connections that may be dead.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -17,6 +17,7 @@
 const (
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 30 * time.Second
+	defaultMaxIdle     = 256
 	// unreachableRetryAfter is the RetryAfter of the NotRunError for a request of which
 	// no byte was written.
 	unreachableRetryAfter = time.Second
@@ -34,6 +35,7 @@
 	IdleTimeout time.Duration         // after which an idle connection is closed; zero means 30 seconds
 	Dialer      shedkeel.ServerDialer // nil: connections are dialed directly
 	Paths       shedkeel.ServerPaths  // of Dialer; nil: open connections are always reused
+	MaxIdle     int                   // idle connections kept per server; zero means 256
 
 	once    sync.Once
 	shared  *http.Transport // reuses connections
@@ -62,10 +64,14 @@
 	if idle == 0 {
 		idle = defaultIdleTimeout
 	}
+	maxIdle := transport.MaxIdle
+	if maxIdle == 0 {
+		maxIdle = defaultMaxIdle
+	}
 	transport.shared = &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true, // forward answers as the backend server encodes them
-		MaxIdleConnsPerHost: 256,
+		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idle,
 		WriteBufferSize:     32 << 10,
 		ReadBufferSize:      32 << 10,
@@ -127,6 +133,13 @@
 	return nil, &shedkeel.UnknownRunError{Reason: "backend server " + request.URL.Host + " gave no answer", Cause: err}
 }
 
+// RoundTrip implements http.RoundTripper, for calls to servers that are not requests of callers. Like
+// any HTTP client, it may send a call again that has no effect.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	transport.once.Do(transport.init)
+	return transport.choose(request).RoundTrip(request)
+}
+
 // choose returns the HTTP transport for a request. It first closes idle connections that may be
 // dead: a request over one of them would wait in vain, while a dial shows whether the server can
 // be reached.
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -47,8 +48,13 @@
 	cut   Cut
 	ended chan struct{} // closed when the cut ends; nil: there is no cut
 	conns map[*linkConn]struct{}
+
+	dialing atomic.Int64
 }
 
+// Dialing returns the number of dials in progress.
+func (link *Link) Dialing() int { return int(link.dialing.Load()) }
+
 // SetCut replaces the cut. The zero Cut ends it.
 func (link *Link) SetCut(cut Cut) {
 	link.mutex.Lock()
@@ -83,6 +89,8 @@
 // DialContext opens a connection, unless the cut affects the address: then it is refused, or
 // it waits until the cut or ctx ends.
 func (link *Link) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	link.dialing.Add(1)
+	defer link.dialing.Add(-1)
 	for {
 		cut, changed := link.state(address)
 		if cut.Refuse {
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -1,8 +1,10 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +14,8 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/node"
+	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
 const (
@@ -170,6 +174,54 @@
 	long.Wait()
 }
 
+// leader returns the index of the node that leads.
+func (cluster *testCluster) leader() int {
+	cluster.t.Helper()
+	found := -1
+	cluster.eventually("a node leads", func() bool {
+		for index, running := range cluster.nodes {
+			response, err := cluster.client.Get("http://" + running.admin + "/v1/status")
+			if err != nil {
+				continue
+			}
+			var dump node.Dump
+			err = json.NewDecoder(response.Body).Decode(&dump)
+			_ = response.Body.Close()
+			if err == nil && dump.Leads {
+				found = index
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// TestCutOffLeaderRepairsGroups cuts the leader off from all backend servers and kills a member of a
+// group. The leader still hears the key-value service and stays the leader, so it must find the loss
+// and form the group anew through other nodes. No dial may stay open after its time-out.
+func TestCutOffLeaderRepairsGroups(t *testing.T) {
+	cluster := newTestCluster(t, 4)
+	cluster.ready()
+	leader := cluster.leader()
+	cut := cluster.nodes[leader].servers
+	cut.SetCut(standin.Cut{Drop: true, Silence: standin.BothDirections})
+	time.Sleep(cutGrace)
+	victim := cluster.fleet.OpenHeads()["m0"][0].Members()[1] // Members begins with the head
+	cluster.fleet.Kill(victim)
+	other := cluster.nodes[(leader+1)%len(cluster.nodes)].callers
+	began := time.Now()
+	cluster.eventually("the group is formed anew", func() bool {
+		go cluster.send(other, shedkeel.NewNonce(), "/copy/a", "key-1", 50) // makes the loss seen
+		heads := cluster.fleet.OpenHeads()["m0"]
+		return len(heads) >= 2 && !slices.ContainsFunc(heads, func(head *platformstandin.Server) bool { return slices.Contains(head.Members(), victim) })
+	})
+	t.Logf("formed anew %s after the loss", time.Since(began))
+	assert.Equal(t, cluster.leader(), leader)
+	assert.Equal(t, len(cluster.fleet.Violations()), 0, "%v", cluster.fleet.Violations())
+	time.Sleep(time.Second)
+	assert.Assert(t, cut.Dialing() <= 32, "%d dials are in progress", cut.Dialing()) // the prober has 32 probes in progress at most
+}
+
 // maxRuns returns how often a request for the path may run, by max_attempts in testConfig.
 func maxRuns(path string) int {
 	if strings.HasPrefix(path, "/fee/") {
@@ -203,8 +255,8 @@
 			assert.Equal(t, cluster.fleet.RunCount(try.id), 0)
 		}
 	}
-	for _, node := range cluster.nodes {
-		node.servers.SetCut(standin.Cut{})
+	for _, running := range cluster.nodes {
+		running.servers.SetCut(standin.Cut{})
 	}
 	for index := range cluster.nodes {
 		cluster.eventually(fmt.Sprint("node ", index, " serves after the cut"), func() bool {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -164,6 +164,7 @@
 	servers, timers := &standin.Link{}, &timer.System{}
 	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
 	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: time.Second}
+	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: time.Second, MaxIdle: 1}
 	lines := &bytes.Buffer{}
 	log, err := event.NewBoundedLog(lines, "info")
 	assert.NilError(t, err)
@@ -172,7 +173,7 @@
 		Settings: settings, Incarnation: shedkeel.NewNonce(),
 		Store:   &platform.Store{Address: strings.TrimPrefix(cluster.store.URL, "http://"), Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{}}},
 		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: dialer,
-		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: &http.Transport{DialContext: servers.DialContext}}},
+		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: reports}},
 		Dialer:  dialer, Timers: timers, Random: rand.NewPCG(uint64(index), 1),
 		Log: log.With(slog.String("node", string(settings.Node))), Metrics: values,
 	}
@@ -192,6 +193,7 @@
 		stop()
 		running.ended.Wait()
 		transport.Close()
+		reports.Close()
 		values.Close()
 		log.Close()
 		if t.Failed() {
--- a/program/node.go
+++ b/program/node.go
@@ -40,6 +40,8 @@
 	// idleTimeout is how long an idle connection to a backend server, an engine or the
 	// key-value service is kept open.
 	idleTimeout = 4 * time.Second
+	// maxIdleStore is the number of idle connections to the key-value service that are kept.
+	maxIdleStore = 4
 )
 
 // Node runs the program shedkeel-node.
@@ -81,16 +83,18 @@
 	dialer := &reach.Dialer{Timers: timers, Timeout: backendDialTimeout}
 	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: idleTimeout}
 	defer transport.Close()
+	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: idleTimeout, MaxIdle: 1}
+	defer reports.Close()
 	seed := rand.Uint64()
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewIncarnation(time.Now()),
-		Store: &platform.Store{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: newHTTPClient(4),
+		Store: &platform.Store{Address: settings.Store, Timeout: storeTimeout, WatchMargin: watchMargin, Client: newHTTPClient(),
 			OnMalformedEra: func(err error) { log.Write(event.StoreEraInvalid, slog.String("error", err.Error())) }},
 		Decoder:  platform.Decoder{},
 		Protocol: platform.HeaderCodec{},
 		Backend:  transport,
 		Check:    dialer,
-		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: newHTTPClient(1)},
+		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: &http.Client{Transport: reports}},
 		Dialer:   dialer,
 		Timers:   timers,
 		Random:   rand.NewPCG(seed, seed),
@@ -144,10 +148,10 @@
 	}
 }
 
-// newHTTPClient returns an HTTP client that keeps up to maxIdle idle connections to each
-// host for idleTimeout, and does not ask for compressed answers.
-func newHTTPClient(maxIdle int) *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true}}
+// newHTTPClient returns an HTTP client for the key-value service that keeps idle connections for
+// idleTimeout, and does not ask for compressed answers.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStore, IdleConnTimeout: idleTimeout, DisableCompression: true}}
 }
 
 // listenNode opens the sockets that the settings name: UDP for gossip, TCP for the others.
