--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -27,6 +27,9 @@
 	tryInterval = 100 * time.Millisecond
 	// tryObjective is the latency objective in testConfig.
 	tryObjective = 500 * time.Millisecond
+	// idleCut is how long a box without requests is cut off before the first: shorter than the
+	// nodes of the tests keep an idle connection.
+	idleCut = 600 * time.Millisecond
 	// refusalTime is how soon a request that no box can serve must be refused.
 	refusalTime = 500 * time.Millisecond
 )
@@ -222,6 +225,29 @@
 	assert.Assert(t, cut.Dialing() <= 32, "%d dials are in progress", cut.Dialing()) // the prober has 32 probes in progress at most
 }
 
+// TestIdleBoxServesWhenCutOff cuts a box off that has open connections but no requests. The first
+// request of each kind after that must be served in time: it must not wait for an answer over a
+// connection that is dead.
+func TestIdleBoxServesWhenCutOff(t *testing.T) {
+	for _, path := range []string{"/copy/a", "/look/a", "/fee/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t, 3)
+			cluster.ready()
+			for range 8 { // opens a connection to each server
+				status, body := cluster.send(cluster.nodes[0].callers, shedkeel.NewNonce(), path, "key-1", 50)
+				assert.Equal(t, status, http.StatusOK, "%s", body)
+			}
+			cluster.nodes[0].servers.SetCut(standin.Cut{Drop: true, Silence: standin.BothDirections})
+			time.Sleep(idleCut)
+			try := firstTry{path: path, sent: time.Now()}
+			try.status, try.body = cluster.send(cluster.nodes[0].callers, shedkeel.NewNonce(), path, "key-1", 50)
+			try.took = time.Since(try.sent)
+			assert.Assert(t, try.served(), "status %d after %s: %s", try.status, try.took, try.body)
+		})
+	}
+}
+
 // maxRuns returns how often a request for the path may run, by max_attempts in testConfig.
 func maxRuns(path string) int {
 	if strings.HasPrefix(path, "/fee/") {
