--- a/node/admin.go
+++ b/node/admin.go
@@ -17,15 +17,16 @@
 	Node           shedkeel.NodeID    `json:"node"`
 	Incarnation    string             `json:"incarnation"`
 	Stopping       bool               `json:"stopping"`
-	Leads          bool               `json:"leads"`     // this node has been elected leader; its lease may have expired
-	Leader         shedkeel.NodeID    `json:"leader"`    // empty: no leader is known
-	Config         int64              `json:"config"`    // version of the active configuration; 0: none
-	Revision       string             `json:"revision"`  // revision of the key-value service that this node's copy of the records has reached
-	Age            string             `json:"age"`       // how long ago that copy was last proven current
-	Served         int64              `json:"served"`    // requests received since the process started, including refused ones
-	Nodes          []shedkeel.NodeID  `json:"nodes"`     // the listed nodes: those whose records this node has
-	ExcludedNodes  []ExcludedNodeDump `json:"unnamed"`   // listed nodes that the directory does not name to callers
-	Isolated       bool               `json:"isolated"`  // this node receives nothing, neither from other nodes nor from the key-value service, so it declares no node dead
+	Leads          bool               `json:"leads"`    // this node has been elected leader; its lease may have expired
+	Leader         shedkeel.NodeID    `json:"leader"`   // empty: no leader is known
+	Config         int64              `json:"config"`   // version of the active configuration; 0: none
+	Revision       string             `json:"revision"` // revision of the key-value service that this node's copy of the records has reached
+	Age            string             `json:"age"`      // how long ago that copy was last proven current
+	Served         int64              `json:"served"`   // requests received since the process started, including refused ones
+	Nodes          []shedkeel.NodeID  `json:"nodes"`    // the listed nodes: those whose records this node has
+	ExcludedNodes  []ExcludedNodeDump `json:"unnamed"`  // listed nodes that the directory does not name to callers
+	Isolated       bool               `json:"isolated"` // this node receives nothing, neither from other nodes nor from the key-value service, so it declares no node dead
+	Reach          ReachDump          `json:"reach"`
 	BlamedRequests []BlameDump        `json:"judged"`    // quarantined and contained requests
 	Limited        []LimitDump        `json:"limited"`   // servers that limit their request rate or are cold
 	Evacuated      []EvacuationDump   `json:"evacuated"` // availability zones whose servers get no requests
@@ -33,6 +34,15 @@
 	Servers        []ServerDump       `json:"servers"`
 }
 
+// ReachDump tells which backend servers this node reaches, and for whom it opens connections.
+type ReachDump struct {
+	Unreachable int    `json:"unreachable"` // servers whose latest direct dial failed in the last seconds
+	CutOff      bool   `json:"cut_off"`     // one of these servers is reached by another node, which relays the connections of this one
+	NoPath      bool   `json:"no_path"`     // neither this node nor others for it reach a server; requests are refused
+	Heard       string `json:"heard"`       // how long ago a server was last heard over a direct connection; empty: never
+	Relayed     int64  `json:"relayed"`     // connections that are open for other nodes
+}
+
 // BlameDump is a request that may be sent to no server (contained) or to one at a time
 // (quarantined), because servers have terminated while running the request.
 type BlameDump struct {
@@ -107,6 +117,7 @@
 	}
 	node.fleet.addFleet(&dump)
 	dump.Isolated = node.gossip.isolated()
+	dump.Reach = node.reachDump()
 	dump.ExcludedNodes = node.excludedNodes()
 	dump.BlamedRequests = node.guard.judgedRequests()
 	dump.Limited = node.limits.dump()
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -14,7 +13,6 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/internal/standin"
-	"shedkeel.org/shedkeel/node"
 	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
@@ -126,6 +124,9 @@
 				cluster.nodes[index].servers.SetCut(test.cut)
 			}
 			cutAt := time.Now()
+			for _, index := range test.boxes {
+				cluster.eventually("the status names the cut", func() bool { return cluster.status(index).Reach.CutOff })
+			}
 			running.Wait()
 			var sent, served [2]int // at the boxes that are not cut off, and at those that are
 			for index, tries := range results {
@@ -182,15 +183,8 @@
 	cluster.t.Helper()
 	found := -1
 	cluster.eventually("a node leads", func() bool {
-		for index, running := range cluster.nodes {
-			response, err := cluster.client.Get("http://" + running.admin + "/v1/status")
-			if err != nil {
-				continue
-			}
-			var dump node.Dump
-			err = json.NewDecoder(response.Body).Decode(&dump)
-			_ = response.Body.Close()
-			if err == nil && dump.Leads {
+		for index := range cluster.nodes {
+			if cluster.status(index).Leads {
 				found = index
 			}
 		}
@@ -235,7 +229,7 @@
 			cluster := newTestCluster(t, 3)
 			cluster.ready()
 			idle := cluster.nodes[(cluster.leader()+1)%len(cluster.nodes)] // the leader asks engines for reports
-			for range 8 { // opens a connection to each server
+			for range 8 {                                                  // opens a connection to each server
 				status, body := cluster.send(idle.callers, shedkeel.NewNonce(), path, "key-1", 50)
 				assert.Equal(t, status, http.StatusOK, "%s", body)
 			}
--- a/node/reach.go
+++ b/node/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -90,6 +91,19 @@
 	reporter.node.Log.Write(kind, slog.Int("servers", status.Unreachable), slog.Duration("heard", status.SinceHeard), slog.Int64("relayed", status.RelayDials[reach.Connected]))
 }
 
+// reachDump returns which backend servers this node reaches.
+func (node *Node) reachDump() ReachDump {
+	if node.Dialer == nil {
+		return ReachDump{}
+	}
+	status := node.Dialer.Status()
+	dump := ReachDump{Unreachable: status.Unreachable, CutOff: status.CutOff, NoPath: status.NoPath, Relayed: node.connector.relayed.Load()}
+	if status.SinceHeard >= 0 {
+		dump.Heard = status.SinceHeard.Round(time.Millisecond).String()
+	}
+	return dump
+}
+
 // exportReach exports the status as metrics.
 func exportReach(scope tally.Scope, status reach.Status) {
 	for path, dials := range map[string]map[reach.Outcome]int64{"direct": status.Dials, "relayed": status.RelayDials} {
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -21,6 +21,12 @@
 	_, _ = fmt.Fprintf(writer, "groups: %d open, %d forming, %d closing or broken, %d without a listed head\n", states[shedkeel.MemberOpen],
 		states[shedkeel.MemberJoining]+states[shedkeel.MemberReady], states[shedkeel.MemberClosing]+states[shedkeel.MemberBroken], states[""])
 	_, _ = fmt.Fprintf(writer, "%d nodes, planned by %s\n", len(status.Nodes), cmp.Or(string(status.Leader), "nobody"))
+	switch {
+	case status.Reach.NoPath:
+		_, _ = fmt.Fprintf(writer, "node %s reaches no backend server, nor do other nodes for it: it refuses requests\n", status.Node)
+	case status.Reach.CutOff:
+		_, _ = fmt.Fprintf(writer, "node %s reaches backend servers through other nodes: %d out of its own reach, the last one heard %s ago\n", status.Node, status.Reach.Unreachable, cmp.Or(status.Reach.Heard, "never"))
+	}
 	if status.Isolated {
 		_, _ = fmt.Fprintf(writer, "node %s hears no other node and no answer of the store: it judges nobody\n", status.Node)
 	}
