Name a node that reaches servers to those that ask in vain

Cause: where most boxes are cut off, each of them finds one that is not by chance alone.

Change: a node that is cut off names the node that last opened a connection for it; that one is asked next.

--- a/node/connector.go
+++ b/node/connector.go
@@ -64,23 +64,28 @@
 	return conn, err
 }
 
-// candidates returns the nodes to ask, in this order: the one that last opened a connection,
-// then the others at random, and those last that have just failed.
+// candidates returns the nodes to ask for a connection, in the order of orderRelays.
 func (connector *connector) candidates() []*peer {
-	peers := connector.node.peers.alivePeers()
-	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	now, latest := connector.node.Timers.Now(), connector.latest.Load()
-	rank := func(peer *peer) int {
+	now := connector.node.Timers.Now()
+	failed := func(peer *peer) bool { return peer.relayFailure.isRecent(relayBackoff, now) }
+	return orderRelays(connector.node.peers.alivePeers(), connector.latest.Load(), failed)
+}
+
+// orderRelays returns up to maxRelaysAsked of the nodes: the one that last opened a connection, then
+// others at random, and those that have just failed last.
+func orderRelays[Node comparable](nodes []Node, latest Node, failed func(Node) bool) []Node {
+	rand.Shuffle(len(nodes), func(a, b int) { nodes[a], nodes[b] = nodes[b], nodes[a] })
+	rank := func(node Node) int {
 		switch {
-		case peer.relayFailure.isRecent(relayBackoff, now):
+		case failed(node):
 			return 2
-		case peer == latest:
+		case node == latest:
 			return 0
 		}
 		return 1
 	}
-	slices.SortStableFunc(peers, func(a, b *peer) int { return rank(a) - rank(b) })
-	return peers[:min(len(peers), maxRelaysAsked)]
+	slices.SortStableFunc(nodes, func(a, b Node) int { return rank(a) - rank(b) })
+	return nodes[:min(len(nodes), maxRelaysAsked)]
 }
 
 // relayRequest is one call of connector.DialContext.
@@ -88,14 +93,15 @@
 	connector  *connector
 	address    string
 	candidates []*peer // not asked yet
+	asked      []*peer
 	results    chan relayResult
 	pending    int // asked nodes without a result so far
 }
 
 // relayResult is the answer of a node.
 type relayResult struct {
-	conn    net.Conn // nil unless outcome is CONNECTED
-	outcome wire.ConnectReply_Outcome
+	conn  net.Conn           // nil unless the outcome is CONNECTED
+	reply *wire.ConnectReply // nil: none
 }
 
 // run asks one node after the other, each once those before have failed or taken nextRelayDelay,
@@ -114,13 +120,15 @@
 			request.askNext(ctx)
 		case result := <-request.results:
 			request.pending--
-			switch result.outcome {
+			switch result.reply.GetOutcome() {
 			case wire.ConnectReply_CONNECTED:
 				return result.conn, nil
 			case wire.ConnectReply_REFUSED:
 				return nil, fmt.Errorf("dial of %s through another node: %w", request.address, syscall.ECONNREFUSED)
 			case wire.ConnectReply_UNREACHABLE:
 				unreachable++
+			case wire.ConnectReply_CUT_OFF:
+				request.prefer(result.reply.GetRelay())
 			}
 			if unreachable > 1 {
 				return nil, &shedkeel.UnavailableError{What: "server at " + request.address + " for other nodes", RetryAfter: relayBackoff, Cause: syscall.EHOSTUNREACH}
@@ -131,13 +139,26 @@
 	return nil, &shedkeel.UnavailableError{What: "other node that reaches the server at " + request.address, RetryAfter: relayBackoff, Cause: syscall.EHOSTUNREACH}
 }
 
-// askNext asks the next candidate, if there is one.
+// prefer makes the node the next to be asked, unless it was asked already or has just failed. Where
+// most nodes are cut off, one that is not is found through those that have found one.
+func (request *relayRequest) prefer(id string) {
+	connector := request.connector
+	preferred := connector.node.peers.peer(shedkeel.NodeID(id))
+	if preferred == nil || slices.Contains(request.asked, preferred) || preferred.relayFailure.isRecent(relayBackoff, connector.node.Timers.Now()) {
+		return
+	}
+	others := slices.DeleteFunc(request.candidates, func(candidate *peer) bool { return candidate == preferred })
+	request.candidates = slices.Insert(others, 0, preferred)
+}
+
+// askNext asks the next candidate, if there is one and fewer than maxRelaysAsked were asked.
 func (request *relayRequest) askNext(ctx context.Context) {
-	if len(request.candidates) == 0 {
+	if len(request.candidates) == 0 || len(request.asked) == maxRelaysAsked {
 		return
 	}
 	asked := request.candidates[0]
 	request.candidates = request.candidates[1:]
+	request.asked = append(request.asked, asked)
 	request.pending++
 	go request.runAsk(ctx, asked)
 }
@@ -146,7 +167,8 @@
 func (request *relayRequest) runAsk(ctx context.Context, asked *peer) {
 	connector := request.connector
 	call := &wire.ConnectCall{Node: string(connector.node.Settings.Node), Address: request.address, TimeoutMs: uint32(relayDialTimeout.Milliseconds())}
-	conn, outcome, err := asked.relayWire.Connect(ctx, call)
+	conn, reply, err := asked.relayWire.Connect(ctx, call)
+	outcome := reply.GetOutcome()
 	switch {
 	case err != nil && ctx.Err() != nil, outcome == wire.ConnectReply_REFUSED, outcome == wire.ConnectReply_UNREACHABLE:
 	case outcome == wire.ConnectReply_CONNECTED:
@@ -155,7 +177,7 @@
 		asked.relayFailure.record(connector.node.Timers.Now())
 		connector.latest.CompareAndSwap(asked, nil)
 	}
-	request.results <- relayResult{conn: conn, outcome: outcome}
+	request.results <- relayResult{conn: conn, reply: reply}
 }
 
 // runRest closes the connections of nodes that answer too late.
@@ -168,21 +190,25 @@
 }
 
 // Connect opens a connection for another node. It implements wire.Connector.
-func (connector *connector) Connect(ctx context.Context, call *wire.ConnectCall) (net.Conn, wire.ConnectReply_Outcome) {
+func (connector *connector) Connect(ctx context.Context, call *wire.ConnectCall) (net.Conn, *wire.ConnectReply) {
 	node := connector.node
 	if node.Dialer == nil || node.stopping.Load() || !node.fleet.isServerAddress(call.GetAddress()) {
-		return nil, wire.ConnectReply_BUSY
+		return nil, &wire.ConnectReply{Outcome: wire.ConnectReply_BUSY}
 	}
 	if connector.relayed.Add(1) > maxRelayed {
 		connector.relayed.Add(-1)
-		return nil, wire.ConnectReply_BUSY
+		return nil, &wire.ConnectReply{Outcome: wire.ConnectReply_BUSY}
 	}
 	conn, outcome := connector.dial(ctx, call)
-	if conn == nil {
-		connector.relayed.Add(-1)
-		return nil, outcome
+	if conn != nil {
+		return &relayedConn{Conn: conn, connector: connector}, &wire.ConnectReply{Outcome: outcome}
+	}
+	connector.relayed.Add(-1)
+	reply := &wire.ConnectReply{Outcome: outcome}
+	if latest := connector.latest.Load(); outcome == wire.ConnectReply_CUT_OFF && latest != nil {
+		reply.Relay = string(latest.id)
 	}
-	return &relayedConn{Conn: conn, connector: connector}, outcome
+	return nil, reply
 }
 
 // dial opens a connection over this box's own network path, within the time that the call states
--- a/wire/tunnel.go
+++ b/wire/tunnel.go
@@ -31,44 +31,44 @@
 // Connector opens connections for other processes.
 type Connector interface {
 	// Connect opens a connection as the call asks. The connection is nil unless the
-	// outcome is CONNECTED. ctx is that of Handler.Handle.
-	Connect(ctx context.Context, call *ConnectCall) (net.Conn, ConnectReply_Outcome)
+	// reply's outcome is CONNECTED. ctx is that of Handler.Handle.
+	Connect(ctx context.Context, call *ConnectCall) (net.Conn, *ConnectReply)
 }
 
 // Connect asks the other process to open a connection. The connection is nil unless the
-// outcome is CONNECTED, and it outlives ctx. Its Read returns io.EOF only if the server has
+// reply's outcome is CONNECTED, and it outlives ctx. Its Read returns io.EOF only if the server has
 // ended its data regularly. The errors are those of Do.
-func (peer *Peer) Connect(ctx context.Context, call *ConnectCall) (net.Conn, ConnectReply_Outcome, error) {
+func (peer *Peer) Connect(ctx context.Context, call *ConnectCall) (net.Conn, *ConnectReply, error) {
 	link, err := peer.open(ctx)
 	if err != nil {
-		return nil, ConnectReply_UNKNOWN, &shedkeel.UnavailableError{What: "process at " + peer.Address, RetryAfter: time.Second, Cause: err}
+		return nil, nil, &shedkeel.UnavailableError{What: "process at " + peer.Address, RetryAfter: time.Second, Cause: err}
 	}
-	conn, outcome, err := connect(ctx, link, peer.Key, call)
+	conn, reply, err := connect(ctx, link, peer.Key, call)
 	if err != nil {
 		peer.drop(link, err)
-		return nil, ConnectReply_UNKNOWN, &shedkeel.UnknownOutcomeError{What: "call to " + peer.Address, Cause: err}
+		return nil, nil, &shedkeel.UnknownOutcomeError{What: "call to " + peer.Address, Cause: err}
 	}
-	return conn, outcome, nil
+	return conn, reply, nil
 }
 
 // connect sends the call over a new stream, which becomes the connection if the outcome is
 // CONNECTED, and is closed otherwise.
-func connect(ctx context.Context, link *link, key string, call *ConnectCall) (net.Conn, ConnectReply_Outcome, error) {
+func connect(ctx context.Context, link *link, key string, call *ConnectCall) (net.Conn, *ConnectReply, error) {
 	stream, err := link.open()
 	if err != nil {
-		return nil, ConnectReply_UNKNOWN, err
+		return nil, nil, err
 	}
 	conn := &tunnelConn{Stream: stream, link: link, reader: bufio.NewReaderSize(stream, tunnelBufferBytes)}
 	stop := context.AfterFunc(ctx, func() { expireDeadline(stream) })
-	outcome, err := conn.open(key, call)
+	reply, err := conn.open(key, call)
 	if !stop() {
 		err = firstError(err, ctx.Err())
 	}
-	if err != nil || outcome != ConnectReply_CONNECTED {
+	if err != nil || reply.GetOutcome() != ConnectReply_CONNECTED {
 		_ = conn.Close()
-		return nil, outcome, firstError(ctx.Err(), err)
+		return nil, reply, firstError(ctx.Err(), err)
 	}
-	return conn, outcome, nil
+	return conn, reply, nil
 }
 
 // tunnelConn is the side of a relayed connection that asked for it. Writes go to the server as
@@ -83,18 +83,21 @@
 }
 
 // open sends the call and reads its reply.
-func (conn *tunnelConn) open(key string, call *ConnectCall) (ConnectReply_Outcome, error) {
+func (conn *tunnelConn) open(key string, call *ConnectCall) (*ConnectReply, error) {
 	if _, err := protodelim.MarshalTo(conn.Stream, &Call{Key: key, Kind: &Call_Connect{Connect: call}}); err != nil {
-		return ConnectReply_UNKNOWN, err
+		return nil, err
 	}
 	reply := &Reply{}
 	if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessage}).UnmarshalFrom(conn.reader, reply); err != nil {
-		return ConnectReply_UNKNOWN, err
+		return nil, err
 	}
 	if reply.Error != "" {
-		return ConnectReply_UNKNOWN, errors.New(reply.Error)
+		return nil, errors.New(reply.Error)
 	}
-	return reply.GetConnect().GetOutcome(), nil
+	if reply.GetConnect() == nil {
+		return nil, errors.New("the process does not know the call")
+	}
+	return reply.GetConnect(), nil
 }
 
 // Read reads the server's data. It returns io.EOF at their regular end, and errTunnelBroken if
@@ -136,9 +139,8 @@
 // serveConnection opens the connection that the call asks for, replies, and carries the data of
 // the connection until one side closes it.
 func (callServer *callServer) serveConnection(ctx context.Context, stream *yamux.Stream, call *ConnectCall) {
-	conn, outcome := callServer.connector.Connect(ctx, call)
-	reply := &Reply{Kind: &Reply_Connect{Connect: &ConnectReply{Outcome: outcome}}}
-	_, err := protodelim.MarshalTo(stream, reply)
+	conn, reply := callServer.connector.Connect(ctx, call)
+	_, err := protodelim.MarshalTo(stream, &Reply{Kind: &Reply_Connect{Connect: reply}})
 	if conn == nil {
 		return
 	}
--- a/wire/tunnel_test.go
+++ b/wire/tunnel_test.go
@@ -15,12 +15,12 @@
 // dialConnector opens the connections that calls ask for.
 type dialConnector struct{}
 
-func (dialConnector) Connect(ctx context.Context, call *ConnectCall) (net.Conn, ConnectReply_Outcome) {
+func (dialConnector) Connect(ctx context.Context, call *ConnectCall) (net.Conn, *ConnectReply) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", call.GetAddress())
 	if err != nil {
-		return nil, ConnectReply_REFUSED
+		return nil, &ConnectReply{Outcome: ConnectReply_REFUSED}
 	}
-	return conn, ConnectReply_CONNECTED
+	return conn, &ConnectReply{Outcome: ConnectReply_CONNECTED}
 }
 
 // serveTunnels starts a process that relays connections, and a server that handles the one
@@ -78,9 +78,9 @@
 				<-read
 				test.end(conn)
 			})
-			conn, outcome, err := peer.Connect(t.Context(), &ConnectCall{Address: address})
+			conn, reply, err := peer.Connect(t.Context(), &ConnectCall{Address: address})
 			assert.NilError(t, err)
-			assert.Equal(t, outcome, ConnectReply_CONNECTED)
+			assert.Equal(t, reply.GetOutcome(), ConnectReply_CONNECTED)
 			_, err = conn.Write(long)
 			assert.NilError(t, err)
 			_, err = io.ReadFull(conn, make([]byte, len(long)))
@@ -120,10 +120,10 @@
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, free.Close())
-	conn, outcome, err := peer.Connect(t.Context(), &ConnectCall{Address: free.Addr().String()})
+	conn, reply, err := peer.Connect(t.Context(), &ConnectCall{Address: free.Addr().String()})
 	assert.NilError(t, err)
 	assert.Assert(t, conn == nil)
-	assert.Equal(t, outcome, ConnectReply_REFUSED)
+	assert.Equal(t, reply.GetOutcome(), ConnectReply_REFUSED)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, _, err = peer.Connect(ended, &ConnectCall{Address: address})
