Let go of a node that relays connections and stops as planned

What was seen in a test: a node that relays connections of a box that is cut off and is stopped waits for them until the end of its grace time, since that box uses them again and again, and breaks off what runs then.

Cause: only callers were told of the stop.

Change: while a node that has opened connections for this one is stopping, relayed connections that are idle are closed before each request, as those that may be dead; the node itself opens no more.

--- a/node/connector.go
+++ b/node/connector.go
@@ -50,6 +50,9 @@
 	latest  atomic.Pointer[peer] // the node that last opened a connection for this one; nil: none, or it failed since
 	// isolated is when this box last reached no server for another node.
 	isolated failure
+
+	mutex sync.Mutex
+	used  map[shedkeel.NodeID]bool // listed nodes that have opened connections for this one
 }
 
 // DialContext opens a connection to the backend server at the address through another node. It
@@ -172,7 +175,7 @@
 	switch {
 	case err != nil && ctx.Err() != nil, outcome == wire.ConnectReply_REFUSED, outcome == wire.ConnectReply_UNREACHABLE:
 	case outcome == wire.ConnectReply_CONNECTED:
-		connector.latest.Store(asked)
+		connector.recordUse(asked)
 	default:
 		asked.relayFailure.record(connector.node.Timers.Now())
 		connector.latest.CompareAndSwap(asked, nil)
@@ -180,6 +183,37 @@
 	request.results <- relayResult{conn: conn, reply: reply}
 }
 
+// recordUse records that a node has opened a connection for this one.
+func (connector *connector) recordUse(relay *peer) {
+	connector.latest.Store(relay)
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if connector.used == nil {
+		connector.used = map[shedkeel.NodeID]bool{}
+	}
+	connector.used[relay.id] = true
+}
+
+// relaysLeaving reports whether a node that has opened connections for this one is stopping. It
+// forgets nodes that are not listed any more.
+func (connector *connector) relaysLeaving() bool {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if len(connector.used) == 0 {
+		return false
+	}
+	leaving := false
+	listed := map[shedkeel.NodeID]bool{}
+	for _, record := range connector.node.peers.listed() {
+		if connector.used[record.ID] {
+			listed[record.ID] = true
+			leaving = leaving || record.Stopping || connector.node.gossip.liveness(record.ID) == shedkeel.Left
+		}
+	}
+	connector.used = listed
+	return leaving
+}
+
 // runRest closes the connections of nodes that answer too late.
 func (request *relayRequest) runRest() {
 	for ; request.pending > 0; request.pending-- {
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -157,6 +157,7 @@
 // TestLostStreamsBlockNoServer cuts a box off while streams that can't be resumed run there at all
 // groups. Their silence tells nothing of the groups, so later streams must be served.
 func TestLostStreamsBlockNoServer(t *testing.T) {
+	t.Parallel()
 	cluster := newTestCluster(t, 4)
 	cluster.ready()
 	address := cluster.nodes[0].callers
@@ -197,6 +198,7 @@
 // group. The leader still hears the key-value service and stays the leader, so it must find the loss
 // and form the group anew through other nodes. No dial may stay open after its time-out.
 func TestCutOffLeaderRepairsGroups(t *testing.T) {
+	t.Parallel()
 	cluster := newTestCluster(t, 4)
 	cluster.ready()
 	leader := cluster.leader()
@@ -254,6 +256,7 @@
 // TestNothingReachesServers cuts all boxes off from all backend servers. Each request must be
 // refused promptly and truthfully, and all boxes must serve soon after the cut.
 func TestNothingReachesServers(t *testing.T) {
+	t.Parallel()
 	cluster := newTestCluster(t, 4)
 	cluster.ready()
 	for _, running := range cluster.nodes {
--- a/node/reach.go
+++ b/node/reach.go
@@ -18,11 +18,16 @@
 	reported reach.Status // the status that report was last called with; only report uses it
 }
 
-// tick declares the requests lost that run over direct connections while this box is cut off and
-// hears no server over them. What was concluded about servers from their silence is then wrong.
+// tick tells the dialer whether nodes that relay connections are stopping. While this box is cut off
+// and hears no server over direct connections, tick declares the requests lost that run over them:
+// what was concluded about servers from their silence is wrong.
 func (reporter *reachReporter) tick() {
 	dialer := reporter.node.Dialer
-	if dialer != nil && dialer.CutOff() && !dialer.HearsServers() {
+	if dialer == nil {
+		return
+	}
+	dialer.SetRelaysLeaving(reporter.node.connector.relaysLeaving())
+	if dialer.CutOff() && !dialer.HearsServers() {
 		reporter.node.table.LoseRunning(dialer.TrustedUntil())
 	}
 }
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -72,9 +72,10 @@
 	// refused. nil: there are no other nodes.
 	Relay shedkeel.ServerDialer
 
-	paths       paths
-	counts      [outcomeCount]atomic.Int64
-	relayCounts [outcomeCount]atomic.Int64
+	paths         paths
+	relaysLeaving atomic.Bool // see SetRelaysLeaving
+	counts        [outcomeCount]atomic.Int64
+	relayCounts   [outcomeCount]atomic.Int64
 }
 
 // dialResult is the result of one of the two ways of a dial.
@@ -99,7 +100,11 @@
 	dial := &dial{dialer: dialer, network: network, address: address, results: make(chan dialResult, 2), relayDue: dialer.Relay != nil && dialer.paths.mayRelay(address, now)}
 	conn, err := dial.run(bounded, dialer.relayDelay(address, now))
 	stop()
-	go dial.runRest(cancel)
+	if dial.pending == 0 {
+		cancel()
+	} else {
+		go dial.runRest(cancel)
+	}
 	if err != nil && noPath {
 		return nil, &shedkeel.NoPathError{Cause: err}
 	}
@@ -246,11 +251,15 @@
 func (dialer *Dialer) Path(address string) (relayed, trusted bool) {
 	now := dialer.Timers.Now()
 	if dialer.Relay != nil && (dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now)) {
-		return true, dialer.paths.relayed.isRecent(now)
+		return true, dialer.paths.relayed.isRecent(now) && !dialer.relaysLeaving.Load()
 	}
 	return false, dialer.paths.direct.isRecent(now)
 }
 
+// SetRelaysLeaving sets whether a node that has opened connections for this one is stopping. These
+// connections are then not used again, as with those that may be dead (see Path).
+func (dialer *Dialer) SetRelaysLeaving(leaving bool) { dialer.relaysLeaving.Store(leaving) }
+
 // Stopped reports whether connections to the address are refused, which proves that no process
 // listens there. It implements shedkeel.ServerCheck. A refusal to this box alone proves nothing
 // unless no other node can be asked and this box hears other servers.
