--- a/mutants_test.go
+++ b/mutants_test.go
@@ -22,6 +22,24 @@
 }
 
 var mutants = map[string]mutant{
+	"cut-off boxes: no other node is asked": {
+		"node/node.go", "node.Dialer.Relay = &node.connector", "_ = &node.connector", "TestIdleBoxServesWhenCutOff", "./node",
+	},
+	"cut-off boxes: open connections are trusted at any age": {
+		"engine/transport.go", "if !trusted {", "if false {", "TestIdleBoxServesWhenCutOff", "./node",
+	},
+	"cut-off boxes: their silence counts as that of servers": {
+		"node/reach.go", "reporter.node.table.LoseRunning(dialer.TrustedUntil())", "_ = dialer", "TestLostStreamsBlockNoServer", "./node",
+	},
+	"cut-off boxes: a refusal proves a server's end": {
+		"reach/dialer.go", "IsRefused(err) && dialer.paths.direct", "IsRefused(err) || dialer.paths.direct", "TestRefusalToCutOffBoxProvesNothing", "./reach",
+	},
+	"cut-off boxes: a reset at the server looks like the end of the data": {
+		"wire/tunnel.go", "return errTunnelBroken\n", "return io.EOF\n", "TestTunnelEnds", "./wire",
+	},
+	"cut-off boxes: connections through a node that stops are used again": {
+		"reach/dialer.go", " && !dialer.relaysLeaving.Load()", "", "TestRelayStopsAsPlanned", "./node",
+	},
 	"request containment: a request that crashes servers is contained one failure too late": {
 		"contain/ledger.go", "case count >= containThreshold:", "case count > containThreshold:", "TestRequestThatEndsServersIsContained", "./node",
 	},
--- a/node/connector_test.go
+++ b/node/connector_test.go
@@ -149,6 +149,37 @@
 	}
 }
 
+// TestHintedNodeIsAskedNext checks which node is asked next after a node that is cut off has named
+// one.
+func TestHintedNodeIsAskedNext(t *testing.T) {
+	tests := map[string]struct {
+		hint    string
+		prepare func(*relayRequest, *peer) // the hinted node
+		want    shedkeel.NodeID
+	}{
+		"a node among the candidates":   {"c", func(*relayRequest, *peer) {}, "c"},
+		"a node that is no candidate":   {"d", func(*relayRequest, *peer) {}, "d"},
+		"a node that was asked already": {"d", func(request *relayRequest, hinted *peer) { request.asked = append(request.asked, hinted) }, "b"},
+		"a node that has just failed": {"d", func(_ *relayRequest, hinted *peer) {
+			hinted.relayFailure.record(hinted.node.Timers.Now())
+		}, "b"},
+		"an unknown node": {"x", func(*relayRequest, *peer) {}, "b"},
+		"none":            {"", func(*relayRequest, *peer) {}, "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			node, _ := newListedNode(t, "a", fourNodes)
+			request := &relayRequest{connector: &node.connector, candidates: []*peer{node.peers.peer("b"), node.peers.peer("c")}}
+			if hinted := node.peers.peer(shedkeel.NodeID(test.hint)); hinted != nil {
+				test.prepare(request, hinted)
+			}
+			request.prefer(test.hint)
+			assert.Equal(t, request.candidates[0].id, test.want)
+			assert.Equal(t, len(slices.Compact(request.candidates)), len(request.candidates), "no node is asked twice")
+		})
+	}
+}
+
 // TestConnectIsDenied checks for which calls a node opens no connection for another one, without a
 // dial.
 func TestConnectIsDenied(t *testing.T) {
