--- a/event/event.go
+++ b/event/event.go
@@ -95,10 +95,10 @@
 	MirrorSourceChanged   = Event{657, slog.LevelInfo, "copy of another process is followed"}
 	NodesRegistered       = Event{658, slog.LevelInfo, "records of nodes that follow this one were written"}
 	DialsFailed           = Event{659, slog.LevelWarn, "connections to backend servers could not be opened"}
-	CutOff                = Event{660, slog.LevelWarn, "this box reaches no backend server, or not some; other nodes carry its requests"}
-	CutOffEnded           = Event{661, slog.LevelInfo, "this box reaches backend servers again"}
-	NoPath                = Event{662, slog.LevelError, "neither this box nor other nodes for it reach a backend server"}
-	NoPathEnded           = Event{663, slog.LevelInfo, "backend servers can be reached again"}
+	CutOff                = Event{660, slog.LevelWarn, "this box does not reach backend servers that other nodes reach; they carry its connections"}
+	CutOffEnded           = Event{661, slog.LevelInfo, "this box reaches these backend servers again"}
+	NoPath                = Event{662, slog.LevelError, "neither this box nor other nodes for it reach any backend server"}
+	NoPathEnded           = Event{663, slog.LevelInfo, "a backend server was reached again"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
--- a/node/connector.go
+++ b/node/connector.go
@@ -91,6 +91,37 @@
 	return nodes[:min(len(nodes), maxRelaysAsked)]
 }
 
+// recordUse records that a node has opened a connection for this one.
+func (connector *connector) recordUse(relay *peer) {
+	connector.latest.Store(relay)
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if connector.used == nil {
+		connector.used = map[shedkeel.NodeID]bool{}
+	}
+	connector.used[relay.id] = true
+}
+
+// relaysLeaving reports whether a node that has opened connections for this one is stopping. It
+// forgets nodes that are not listed any more.
+func (connector *connector) relaysLeaving() bool {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if len(connector.used) == 0 {
+		return false
+	}
+	leaving := false
+	listed := map[shedkeel.NodeID]bool{}
+	for _, record := range connector.node.peers.listed() {
+		if connector.used[record.ID] {
+			listed[record.ID] = true
+			leaving = leaving || record.Stopping || connector.node.gossip.liveness(record.ID) == shedkeel.Left
+		}
+	}
+	connector.used = listed
+	return leaving
+}
+
 // relayRequest is one call of connector.DialContext.
 type relayRequest struct {
 	connector  *connector
@@ -183,37 +214,6 @@
 	request.results <- relayResult{conn: conn, reply: reply}
 }
 
-// recordUse records that a node has opened a connection for this one.
-func (connector *connector) recordUse(relay *peer) {
-	connector.latest.Store(relay)
-	connector.mutex.Lock()
-	defer connector.mutex.Unlock()
-	if connector.used == nil {
-		connector.used = map[shedkeel.NodeID]bool{}
-	}
-	connector.used[relay.id] = true
-}
-
-// relaysLeaving reports whether a node that has opened connections for this one is stopping. It
-// forgets nodes that are not listed any more.
-func (connector *connector) relaysLeaving() bool {
-	connector.mutex.Lock()
-	defer connector.mutex.Unlock()
-	if len(connector.used) == 0 {
-		return false
-	}
-	leaving := false
-	listed := map[shedkeel.NodeID]bool{}
-	for _, record := range connector.node.peers.listed() {
-		if connector.used[record.ID] {
-			listed[record.ID] = true
-			leaving = leaving || record.Stopping || connector.node.gossip.liveness(record.ID) == shedkeel.Left
-		}
-	}
-	connector.used = listed
-	return leaving
-}
-
 // runRest closes the connections of nodes that answer too late.
 func (request *relayRequest) runRest() {
 	for ; request.pending > 0; request.pending-- {
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -43,7 +43,7 @@
 	mutex       sync.Mutex
 	servers     map[string]evidence // by address; servers whose latest direct dial succeeded are missing
 	connectedAt time.Duration       // when a direct dial last succeeded; 0: never
-	relayedAt   time.Duration       // when a relay last reached one of servers; 0: never
+	relayedAt   time.Duration       // when a relay last reached any of these; 0: never
 }
 
 // evidence holds when attempts to reach a server last ended; 0: never.
