Use no connection after a cut that died in it

Cause: while requests go through other nodes, idle direct connections were not looked at, so those that died in the cut were used again once it was over: a box that sees each cut by a failed dial never closed them.

Change: idle connections of either kind are closed before any request while their kind is not trusted.

Evidence: TestNoDeadConnectionIsUsedAfterCut failed (a stream after 0.99 s, a safe request 504 after 1.98 s) and passes. The nodes of the tests keep idle connections for 4 s, as the program does.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -150,15 +150,17 @@
 	if transport.Paths == nil {
 		return transport.shared
 	}
-	chosen := transport.shared
-	relayed, trusted := transport.Paths.Path(request.URL.Host)
-	if relayed {
-		chosen = transport.relayed
+	direct, relayed := transport.Paths.Trusted()
+	if !direct {
+		transport.shared.CloseIdleConnections()
 	}
-	if !trusted {
-		chosen.CloseIdleConnections()
+	if !relayed {
+		transport.relayed.CloseIdleConnections()
 	}
-	return chosen
+	if transport.Paths.Relayed(request.URL.Host) {
+		return transport.relayed
+	}
+	return transport.shared
 }
 
 // Stopped reports whether the address refuses connections, which means that no
--- a/interfaces.go
+++ b/interfaces.go
@@ -177,12 +177,13 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// ServerPaths tells how a new request can reach a backend server.
+// ServerPaths tells how requests can reach backend servers.
 type ServerPaths interface {
-	// Path returns whether new connections to the server are opened through another node, and
-	// whether connections that are open can be trusted, since servers were heard over
-	// connections of that kind just now.
-	Path(address string) (relayed, trusted bool)
+	// Relayed reports whether new connections to the server are opened through another node.
+	Relayed(address string) bool
+	// Trusted reports whether open connections of each kind can be used: direct ones, and those
+	// through other nodes. Otherwise they may be dead.
+	Trusted() (direct, relayed bool)
 }
 
 // ServerCheck finds out whether a backend server whose connection broke has
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -24,6 +24,7 @@
 	Drop    bool      // new connections are never established
 	Silence Direction // open connections carry nothing in these directions, and deliver it once the cut ends
 	Reset   bool      // open connections are reset when the cut begins
+	Lose    bool      // connections that are open when the cut begins carry nothing any more, also after it
 	// Addresses limits the cut to these addresses of servers. nil: it affects all.
 	Addresses []string
 }
@@ -71,6 +72,9 @@
 		if cut.Reset && cut.affects(conn.address) {
 			_ = conn.Close()
 		}
+		if cut.Lose && cut.affects(conn.address) {
+			conn.lost.Store(true)
+		}
 		conn.flush()
 	}
 }
@@ -126,6 +130,7 @@
 	address string
 	once    sync.Once
 	closed  chan struct{}
+	lost    atomic.Bool // see Cut.Lose
 
 	mutex sync.Mutex
 	held  []byte // written, but not yet sent
@@ -136,6 +141,10 @@
 	count, err := conn.Conn.Read(buffer)
 	for {
 		cut, changed := conn.link.state(conn.address)
+		if conn.lost.Load() {
+			<-conn.closed
+			return 0, net.ErrClosed
+		}
 		if cut.Silence&Incoming == 0 {
 			return count, err
 		}
@@ -152,6 +161,9 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	cut, _ := conn.link.state(conn.address)
+	if conn.lost.Load() {
+		return len(data), nil
+	}
 	if cut.Silence&Outgoing != 0 || len(conn.held) > 0 {
 		conn.held = append(conn.held, data...)
 		return len(data), nil
@@ -164,7 +176,7 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	cut, _ := conn.link.state(conn.address)
-	if cut.Silence&Outgoing != 0 || len(conn.held) == 0 {
+	if cut.Silence&Outgoing != 0 || len(conn.held) == 0 || conn.lost.Load() {
 		return
 	}
 	_, _ = conn.Conn.Write(conn.held)
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -26,7 +26,7 @@
 		"node/node.go", "node.Dialer.Relay = &node.connector", "_ = &node.connector", "TestIdleBoxServesWhenCutOff", "./node",
 	},
 	"cut-off boxes: open connections are trusted at any age": {
-		"engine/transport.go", "if !trusted {", "if false && !trusted {", "TestIdleBoxServesWhenCutOff", "./node",
+		"engine/transport.go", "if !direct {", "if false && !direct {", "TestIdleBoxServesWhenCutOff", "./node",
 	},
 	"cut-off boxes: their silence counts as that of servers": {
 		"node/reach.go", "reporter.node.table.LoseRunning(dialer.TrustedUntil())", "_ = dialer", "TestLostStreamsBlockNoServer", "./node",
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -245,6 +245,30 @@
 	}
 }
 
+// TestNoDeadConnectionIsUsedAfterCut cuts a box off for a short time in which its open connections die
+// without a sign. After the cut none of them may be used.
+func TestNoDeadConnectionIsUsedAfterCut(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3)
+	cluster.ready()
+	box := cluster.nodes[(cluster.leader()+1)%len(cluster.nodes)]
+	serve := func(paths ...string) {
+		for _, path := range paths {
+			try := firstTry{path: path, sent: time.Now()}
+			try.status, try.body = cluster.send(box.callers, shedkeel.NewNonce(), path, "key-1", 50)
+			try.took = time.Since(try.sent)
+			assert.Check(t, try.served(), "%s: status %d after %s: %s", path, try.status, try.took, try.body)
+		}
+	}
+	serve("/copy/a", "/copy/a", "/look/a", "/look/a")
+	box.servers.SetCut(standin.Cut{Drop: true, Lose: true})
+	serve("/fee/a", "/fee/a") // need new connections, so that the cut is found while the others are still trusted
+	time.Sleep(400 * time.Millisecond) // longer than they are trusted
+	serve("/copy/a", "/look/a")
+	box.servers.SetCut(standin.Cut{})
+	serve("/fee/a", "/fee/a", "/copy/a", "/look/a", "/copy/a", "/look/a")
+}
+
 // maxRuns returns how often a request for the path may run, by max_attempts in testConfig.
 func maxRuns(path string) int {
 	if strings.HasPrefix(path, "/fee/") {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -163,8 +163,8 @@
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String(), Gossip: listeners.Gossip.LocalAddr().String()}
 	servers, timers := &standin.Link{}, &timer.System{}
 	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
-	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: time.Second}
-	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: time.Second, MaxIdle: 1}
+	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: 4 * time.Second}
+	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: 4 * time.Second, MaxIdle: 1}
 	lines := &bytes.Buffer{}
 	log, err := event.NewBoundedLog(lines, "info")
 	assert.NilError(t, err)
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -247,17 +247,21 @@
 	return dialer.Timeout
 }
 
-// Path implements shedkeel.ServerPaths.
-func (dialer *Dialer) Path(address string) (relayed, trusted bool) {
+// Relayed implements shedkeel.ServerPaths: a direct dial of the server has failed, or this box is
+// cut off.
+func (dialer *Dialer) Relayed(address string) bool {
 	now := dialer.Timers.Now()
-	if dialer.Relay != nil && (dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now)) {
-		return true, dialer.paths.relayed.isRecent(now) && !dialer.relaysLeaving.Load()
-	}
-	return false, dialer.paths.direct.isRecent(now)
+	return dialer.Relay != nil && (dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now))
+}
+
+// Trusted implements shedkeel.ServerPaths: a server was heard just now over a connection of the kind.
+func (dialer *Dialer) Trusted() (direct, relayed bool) {
+	now := dialer.Timers.Now()
+	return dialer.paths.direct.isRecent(now), dialer.paths.relayed.isRecent(now) && !dialer.relaysLeaving.Load()
 }
 
 // SetRelaysLeaving sets whether a node that has opened connections for this one is stopping. These
-// connections are then not used again, as with those that may be dead (see Path).
+// connections are then not used again, as with those that may be dead (see Trusted).
 func (dialer *Dialer) SetRelaysLeaving(leaving bool) { dialer.relaysLeaving.Store(leaving) }
 
 // Stopped reports whether connections to the address are refused, which proves that no process
@@ -289,7 +293,7 @@
 // HearsServers reports whether a server was heard just now over a direct connection.
 func (dialer *Dialer) HearsServers() bool { return dialer.paths.direct.isRecent(dialer.Timers.Now()) }
 
-// TrustedUntil returns until when open direct connections were trusted last (see Path).
+// TrustedUntil returns until when open direct connections were trusted last (see Trusted).
 func (dialer *Dialer) TrustedUntil() time.Duration { return dialer.paths.direct.time() + trustTime }
 
 // Status describes which backend servers this box reaches.
