--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -262,7 +262,7 @@
 	}
 	serve("/copy/a", "/copy/a", "/look/a", "/look/a")
 	box.servers.SetCut(standin.Cut{Drop: true, Lose: true})
-	serve("/fee/a", "/fee/a") // need new connections, so that the cut is found while the others are still trusted
+	serve("/fee/a", "/fee/a")          // need new connections, so that the cut is found while the others are still trusted
 	time.Sleep(400 * time.Millisecond) // longer than they are trusted
 	serve("/copy/a", "/look/a")
 	box.servers.SetCut(standin.Cut{})
