Use one piece of code for calls, relay choices and first tries

Cause: opening a relayed connection wrote the sending of a call and the reading of its reply again, beside roundTrip; the condition under which a relay is asked at once stood twice; three tests sent a first try in their own lines; a comment told how a count came about.

Change: wire.exchange serves both (readMessage uses a bufio.Reader as it is), Dialer.prefersRelay both, testCluster.try all three. Behaviour is the same.

Measured: wire and reach with the race detector, the tests of idle boxes, dead connections, hints and denied connects in node, and the linter pass.

--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,15 +32,7 @@
 
 // affects reports whether the cut affects connections to the address.
 func (cut *Cut) affects(address string) bool {
-	if cut.Addresses == nil {
-		return true
-	}
-	for _, other := range cut.Addresses {
-		if other == address {
-			return true
-		}
-	}
-	return false
+	return cut.Addresses == nil || slices.Contains(cut.Addresses, address)
 }
 
 // Link is a fake of the network between one box and the backend servers. It implements
--- a/node/connector.go
+++ b/node/connector.go
@@ -21,9 +21,7 @@
 	// nextRelayDelay is how long a node may take to open a connection for this one before
 	// another node is asked as well.
 	nextRelayDelay = 40 * time.Millisecond
-	// maxRelaysAsked is how many nodes are asked for one connection. If half of the nodes are
-	// cut off, one of six is not in all but 1 of 64 cases; nodes that have said that they are
-	// cut off are asked last.
+	// maxRelaysAsked is how many nodes are asked for one connection.
 	maxRelaysAsked = 6
 	// relayBackoff is how long a node that did not open a connection, for a reason of its
 	// own, is asked after all others.
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -51,6 +51,14 @@
 	return firstTry.status == http.StatusOK && firstTry.body == want && firstTry.took < tryObjective
 }
 
+// try sends one first try to a node.
+func (cluster *testCluster) try(running *runningNode, path string) firstTry {
+	try := firstTry{id: shedkeel.NewNonce(), path: path, sent: time.Now()}
+	try.status, try.body = cluster.send(running.callers, try.id, path, "key-1", 50) // ten events for 50 tokens
+	try.took = time.Since(try.sent)
+	return try
+}
+
 // tries sends first tries of all kinds to a node until the deadline, and returns them.
 func (cluster *testCluster) tries(index int, until time.Time) []firstTry {
 	var mutex sync.Mutex
@@ -59,9 +67,7 @@
 	for time.Now().Before(until) {
 		for _, path := range []string{"/copy/a", "/look/a", "/fee/a"} {
 			running.Go(func() {
-				try := firstTry{id: shedkeel.NewNonce(), path: path, sent: time.Now()}
-				try.status, try.body = cluster.send(cluster.nodes[index].callers, try.id, path, "key-1", 50) // ten events for 50 tokens
-				try.took = time.Since(try.sent)
+				try := cluster.try(cluster.nodes[index], path)
 				mutex.Lock()
 				defer mutex.Unlock()
 				all = append(all, try)
@@ -237,9 +243,7 @@
 			}
 			idle.servers.SetCut(standin.Cut{Drop: true, Silence: standin.BothDirections})
 			time.Sleep(idleCut)
-			try := firstTry{path: path, sent: time.Now()}
-			try.status, try.body = cluster.send(idle.callers, shedkeel.NewNonce(), path, "key-1", 50)
-			try.took = time.Since(try.sent)
+			try := cluster.try(idle, path)
 			assert.Assert(t, try.served(), "status %d after %s: %s", try.status, try.took, try.body)
 		})
 	}
@@ -254,9 +258,7 @@
 	box := cluster.nodes[(cluster.leader()+1)%len(cluster.nodes)]
 	serve := func(paths ...string) {
 		for _, path := range paths {
-			try := firstTry{path: path, sent: time.Now()}
-			try.status, try.body = cluster.send(box.callers, shedkeel.NewNonce(), path, "key-1", 50)
-			try.took = time.Since(try.sent)
+			try := cluster.try(box, path)
 			assert.Check(t, try.served(), "%s: status %d after %s: %s", path, try.status, try.took, try.body)
 		}
 	}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -113,7 +113,7 @@
 
 // relayDelay returns how long a dial waits before it asks a relay as well.
 func (dialer *Dialer) relayDelay(address string, now time.Duration) time.Duration {
-	if dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now) {
+	if dialer.prefersRelay(address, now) {
 		return 0
 	}
 	return relayDelay
@@ -247,11 +247,15 @@
 	return dialer.Timeout
 }
 
-// Relayed implements shedkeel.ServerPaths: a direct dial of the server has failed, or this box is
-// cut off.
+// prefersRelay reports whether a relay is asked at once: the latest direct dial of the server has
+// failed, or this box is cut off.
+func (dialer *Dialer) prefersRelay(address string, now time.Duration) bool {
+	return dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now)
+}
+
+// Relayed implements shedkeel.ServerPaths.
 func (dialer *Dialer) Relayed(address string) bool {
-	now := dialer.Timers.Now()
-	return dialer.Relay != nil && (dialer.paths.isFailing(address, now) || dialer.paths.cutOff(now))
+	return dialer.Relay != nil && dialer.prefersRelay(address, dialer.Timers.Now())
 }
 
 // Trusted implements shedkeel.ServerPaths: a server was heard just now over a connection of the kind.
--- a/wire/session.go
+++ b/wire/session.go
@@ -148,13 +148,23 @@
 	defer link.close(stream)
 	stop := context.AfterFunc(ctx, func() { expireDeadline(stream) })
 	defer stop()
-	call.Key = key
-	if _, err := protodelim.MarshalTo(stream, call); err != nil {
+	reply, err := exchange(stream, stream, key, call)
+	if err != nil {
 		return nil, firstError(ctx.Err(), err)
 	}
+	return reply, nil
+}
+
+// exchange sets the call's key, sends the call and reads its reply. The error field of a reply is
+// returned as an error.
+func exchange(writer io.Writer, reader io.Reader, key string, call *Call) (*Reply, error) {
+	call.Key = key
+	if _, err := protodelim.MarshalTo(writer, call); err != nil {
+		return nil, err
+	}
 	reply := &Reply{}
-	if err := readMessage(stream, reply); err != nil {
-		return nil, firstError(ctx.Err(), err)
+	if err := readMessage(reader, reply); err != nil {
+		return nil, err
 	}
 	if reply.Error != "" {
 		return nil, errors.New(reply.Error)
@@ -173,8 +183,8 @@
 }
 
 // readMessage reads one length-delimited message of at most MaxMessage bytes. It may
-// consume more of the stream than the message, so a stream must carry only one message in
-// each direction.
+// consume more of the stream than the message, unless the stream is a bufio.Reader, which it uses
+// as it is.
 func readMessage(stream io.Reader, message proto.Message) error {
 	return protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(bufio.NewReader(stream), message)
 }
--- a/wire/tunnel.go
+++ b/wire/tunnel.go
@@ -84,16 +84,10 @@
 
 // open sends the call and reads its reply.
 func (conn *tunnelConn) open(key string, call *ConnectCall) (*ConnectReply, error) {
-	if _, err := protodelim.MarshalTo(conn.Stream, &Call{Key: key, Kind: &Call_Connect{Connect: call}}); err != nil {
-		return nil, err
-	}
-	reply := &Reply{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessage}).UnmarshalFrom(conn.reader, reply); err != nil {
+	reply, err := exchange(conn.Stream, conn.reader, key, &Call{Kind: &Call_Connect{Connect: call}})
+	if err != nil {
 		return nil, err
 	}
-	if reply.Error != "" {
-		return nil, errors.New(reply.Error)
-	}
 	if reply.GetConnect() == nil {
 		return nil, errors.New("the process does not know the call")
 	}
