Name the client account and the caller's limit in events of requests

No log line of a request named its client account, so that nobody could see who pays under overload, nor how long its caller would still have waited, which tells a first try from a retry. Both are logged with each answered and refused request now. No decision changes.

--- a/serve/handler.go
+++ b/serve/handler.go
@@ -325,7 +325,7 @@
 	case err == nil:
 		count(meter.answered)
 		record(meter.answerTime, took)
-		exchange.log(event.Answered, append(exchange.answerAttrs, slog.Duration("took", took), slog.Int("sendings", exchange.attempts))...)
+		exchange.log(event.Answered, append(exchange.answerAttrs, slog.Duration("took", took), slog.Int("sendings", exchange.attempts), slog.Duration("limit", exchange.callerDeadline-exchange.startedAt))...)
 		return
 	case errors.Is(err, errAborted):
 		count(meter.aborted)
@@ -341,6 +341,9 @@
 	}
 	header := exchange.writer.Header()
 	fields := []slog.Attr{slog.Int("status", refused.status), slog.String("reason", refused.reason), slog.Duration("took", took), slog.Int("sendings", exchange.attempts)}
+	if exchange.callerDeadline > 0 {
+		fields = append(fields, slog.Duration("limit", exchange.callerDeadline-exchange.startedAt))
+	}
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.retryAfter))
 	}
@@ -362,13 +365,16 @@
 	return handler.Meter
 }
 
-// log writes an event with the request's ID and, once the route is known, the route and the
-// configuration version.
+// log writes an event with the request's ID and, once they are known, the route, the
+// configuration version and the client account.
 func (exchange *exchange) log(kind event.Event, fields ...slog.Attr) {
 	fields = append(fields, slog.String("request", exchange.call.ID))
 	if exchange.route != nil {
 		fields = append(fields, slog.String("route", string(exchange.route.ID)), slog.Int64("config", exchange.view.Config.Version))
 	}
+	if exchange.account != nil {
+		fields = append(fields, slog.String("account", string(exchange.account.ID)))
+	}
 	exchange.handler.Log.Write(kind, fields...)
 }
 
