Ask other nodes about silent groups before they count as stalled

Cause: a node whose requests at a group all wait in the engine's queue receives nothing from it for longer than maxFirstEventTime. It counted the group as stalled, avoided it, and its streams requested another group, so that prompts were read twice just when capacity was short.

Change: nodes report with idle_ms in SpreadCall when they last received an event of a group. 40 ms before a silence of waiting requests would count as a stall, a node asks the spreader of the model's first partition (ActivityCall). If another node has received an event of the group within MaxEventGap + 100 ms, the silence is excused, until 1.7 s after the oldest request was sent. It is not excused for streams past their first event, nor while this box has received nothing from the service for 200 ms. Package liveness decides; without an answer the decision is that of before. Event 666 tells of spreaders that give no answer.

--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -77,6 +77,8 @@
 	Running RunningRequests // requests of the process that run on the model, without the new request
 	// Groups counts the process's running requests by the head of their group.
 	Groups map[shedkeel.InstanceID]int
+	// Heard has the time at which the process last received an event, by the head of the group.
+	Heard map[shedkeel.InstanceID]time.Duration
 }
 
 // Recommendation is the answer of Recommend for one request.
@@ -145,6 +147,7 @@
 	previous := table.reports[key][reporter.Process]
 	remaining := remainingShare(now - previous.at)
 	for _, state := range table.pools[key] {
+		state.activity.reported = max(state.activity.reported, reporter.Heard[state.Instance])
 		state.assigned.decay(now)
 		change := float64(reporter.Groups[state.Instance]) - previous.groups[state.Instance]*remaining
 		state.assigned.running = max(state.assigned.running+change, 0)
--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/liveness"
 )
 
 const (
@@ -108,9 +109,10 @@
 }
 
 // FindStalled returns the servers that run requests of this process and have sent nothing for
-// expectedMaxGap plus stallMargin, and avoids them for avoidDuration from now. It returns a
-// continuing stall again, and notifies the requests on the server again, after stallReportInterval;
-// before, it notifies only those that have received no notice.
+// expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity). It avoids them
+// for avoidDuration from now. It returns a continuing stall again, and notifies the requests on the
+// server again, after stallReportInterval; before, it notifies only those that have received no
+// notice.
 func (table *Table) FindStalled(now time.Duration) []Stall {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
@@ -119,8 +121,8 @@
 		if state.expecting() == 0 {
 			continue
 		}
-		elapsed := now - state.lastActivity
-		if elapsed < state.expectedMaxGap()+stallMargin {
+		silence := table.silence(state, now)
+		if silence.Judge() != liveness.Stall {
 			continue
 		}
 		report := state.stallReported == 0 || now-state.stallReported >= stallReportInterval
@@ -130,7 +132,7 @@
 		}
 		if report {
 			state.stallReported = now
-			stalls = append(stalls, Stall{Server: state.Server, Elapsed: elapsed, Running: state.expecting()})
+			stalls = append(stalls, Stall{Server: state.Server, Elapsed: silence.Elapsed, Running: state.expecting()})
 		}
 		state.avoidUntil = max(state.avoidUntil, now+avoidDuration)
 	}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -88,6 +88,8 @@
 	conditions map[shedkeel.InstanceID]*condition
 	reports    map[poolKey]map[string]report // by process, for Recommend
 	demand     map[poolKey]*demand           // of the requests for which Recommend was called
+	// heard holds the time of each service's last event or answer over a direct connection.
+	heard map[shedkeel.ServiceID]time.Duration
 }
 
 // poolKey identifies the servers that serve one model of a service.
@@ -102,6 +104,7 @@
 	running       map[*Choice]struct{}
 	lost          int           // how many of running are lost (see Table.LoseRunning)
 	lastActivity  time.Duration // last event or answer, or the choice for the first request after an idle period
+	activity      activity      // when the server sent events, to this and other processes
 	latencyRatio  float64       // moving average of the ratio of actual to expected response times
 	failureRate   float64       // moving average: share of requests that failed
 	scoresUpdated time.Duration // when latencyRatio or failureRate last changed
@@ -290,6 +293,10 @@
 	state := choice.state
 	choice.setLost(false)
 	state.lastActivity = now
+	state.activity.own = now
+	if !choice.relayed {
+		choice.table.recordHeard(state.Service, now)
+	}
 	state.avoidUntil = 0
 	state.stallReported = 0
 	state.condition.responseReceived(choice)
@@ -348,8 +355,11 @@
 type Load struct {
 	RunningRequests
 	Groups map[shedkeel.InstanceID]int // running requests by server; servers without any are missing
-	Slots  int                         // requests that the usable servers run concurrently, within their rate limits
-	Usable int                         // servers that are not avoided, do not back off and do not drain
+	// Heard has the time of the last event or answer of each server of Groups; those that have sent
+	// none are missing.
+	Heard  map[shedkeel.InstanceID]time.Duration
+	Slots  int // requests that the usable servers run concurrently, within their rate limits
+	Usable int // servers that are not avoided, do not back off and do not drain
 }
 
 // Load returns the load of the listed servers that serve a model of a service. OnTime, Late,
@@ -362,6 +372,7 @@
 	for _, state := range table.pools[poolKey{service, model}] {
 		if len(state.running) > 0 {
 			load.Groups[state.Instance] = len(state.running)
+			load.recordHeard(state)
 		}
 		if state.avoidUntil > now || !state.condition.accepts(now) {
 			continue
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -331,6 +331,12 @@
 	"nodes: a continuing stall is reported only once": {
 		"dispatch/stall.go", "choice.stallNotified = choice.stallNotified && !report", "_ = report", "TestContinuingStallIsNotifiedAgain", "./dispatch",
 	},
+	"nodes: other nodes are not asked about silent groups": {
+		"node/node.go", "node.peers.askActivity(now)\n", "_ = now\n", "TestSlowGroupIsNoStall", "./node",
+	},
+	"nodes: a box that receives nothing excuses the silence of groups": {
+		"liveness/liveness.go", " && silence.Own < cutOffSilence", "", "TestFaultsAreFoundAsBefore", "./dispatch",
+	},
 	"nodes: a stalled stream requests another server only once": {
 		"serve/stream.go", "if err := stream.startSource(ctx); err != nil {\n\t\toutcome", "stalled.hedged = true\n\tif err := stream.startSource(ctx); err != nil {\n\t\toutcome", "TestStalledStreamRetriesHedge", "./serve",
 	},
--- a/node/node.go
+++ b/node/node.go
@@ -293,10 +293,12 @@
 	return !node.handler.RefuseStaleKeys || age < node.handler.MaxConfigAge
 }
 
-// reportSilentServers finds out whether this box or servers have lost contact. It logs backend servers that stopped responding, and reports their groups
-// as suspected to the leader. A server without a group is only logged.
+// reportSilentServers finds out whether this box or servers have lost contact. It asks other nodes
+// about silent groups, logs backend servers that stopped responding, and reports their groups as
+// suspected to the leader. A server without a group is only logged.
 func (node *Node) reportSilentServers(now time.Duration) {
 	node.reporter.tick()
+	node.peers.askActivity(now)
 	stalls := node.table.FindStalled(now)
 	node.reporter.checkPaths(stalls)
 	for _, silence := range stalls {
--- a/node/peers.go
+++ b/node/peers.go
@@ -283,6 +283,8 @@
 		return peers.handleNotice(kind.Notice)
 	case *wire.Call_Spread:
 		return peers.handleSpread(kind.Spread)
+	case *wire.Call_Activity:
+		return peers.handleActivity(kind.Activity)
 	case *wire.Call_Demand:
 		return peers.handleDemand(kind.Demand)
 	case *wire.Call_Blame:
@@ -294,7 +296,7 @@
 	case *wire.Call_Register:
 		return peers.node.registrar.handle(ctx, kind.Register)
 	}
-	return &wire.Reply{Error: "a node answers relays, notices, spreads, demands, blames, permits, limits and registrations only; upgrade one side"}
+	return &wire.Reply{Error: "a node answers relays, notices, spreads, activities, demands, blames, permits, limits and registrations only; upgrade one side"}
 }
 
 // ownIndex returns this node's index among the listed nodes, or the number of listed nodes if
--- a/node/spread.go
+++ b/node/spread.go
@@ -49,7 +49,7 @@
 	peer, own := peers.spreader(query.Partition, query.Now)
 	settings := &peers.node.Settings
 	if own {
-		return peers.node.table.Recommend(query, dispatch.Reporter{Process: string(settings.Node), Zone: settings.Zone, Running: load.RunningRequests, Groups: load.Groups}), true
+		return peers.node.table.Recommend(query, dispatch.Reporter{Process: string(settings.Node), Zone: settings.Zone, Running: load.RunningRequests, Groups: load.Groups, Heard: load.Heard}), true
 	}
 	if peer == nil {
 		return dispatch.Recommendation{}, false
@@ -62,7 +62,7 @@
 		Part:    uint32(query.Partition), Parts: uint32(query.Partitions),
 	}
 	for head, running := range load.Groups {
-		call.Groups = append(call.Groups, &wire.GroupLoad{Instance: string(head), Running: uint32(running)})
+		call.Groups = append(call.Groups, &wire.GroupLoad{Instance: string(head), Running: uint32(running), IdleMs: formatAge(load.Heard[head], query.Now)})
 	}
 	reply, err := peer.priorityWire.Do(callCtx, &wire.Call{Kind: &wire.Call_Spread{Spread: call}})
 	answer := reply.GetSpread()
@@ -120,9 +120,11 @@
 		Service: shedkeel.ServiceID(call.GetService()), Model: shedkeel.ModelID(call.GetModel()), PromptTokens: int(call.GetPrompt()), MaxAnswerTokens: int(call.GetAnswer()), Now: peers.node.Timers.Now(),
 		Partition: int(call.GetPart()), Partitions: int(call.GetParts()),
 	}
-	reporter := dispatch.Reporter{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: parseRunning(call.GetRunning()), Groups: map[shedkeel.InstanceID]int{}}
+	reporter := dispatch.Reporter{Process: call.GetNode(), Zone: shedkeel.ZoneID(call.GetZone()), Running: parseRunning(call.GetRunning()), Groups: map[shedkeel.InstanceID]int{}, Heard: map[shedkeel.InstanceID]time.Duration{}}
 	for _, group := range call.GetGroups() {
-		reporter.Groups[shedkeel.InstanceID(group.GetInstance())] = int(group.GetRunning())
+		head := shedkeel.InstanceID(group.GetInstance())
+		reporter.Groups[head] = int(group.GetRunning())
+		reporter.Heard[head] = parseAge(group.GetIdleMs(), query.Now)
 	}
 	recommendation := peers.node.table.Recommend(query, reporter)
 	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{
