dispatch: learn how long the streams of each pool last

Cause: the running requests that the spreader expects decayed as if each stream lasted 1 s. Between the reports of many boxes, the estimate was wrong by the whole number of running requests for short streams.

Change: the average duration of a pool (service and model) is learned from this process's complete streams and answers, between 0.1 and 10 s, beginning at 1 s. It replaces the constant in the decay of running requests, the predicted wait in a group's queue and the slots of rate-limited servers.

Tests of other packages and whole nodes were not run.

--- a/dispatch/backoff_simulation_test.go
+++ b/dispatch/backoff_simulation_test.go
@@ -14,8 +14,8 @@
 )
 
 // sizes makes TestBackoffStrategies simulate 9 and 66 nodes with ten seeds each, instead of 9
-// nodes with three seeds.
-var sizes = flag.Bool("sizes", false, "compare backoff strategies at all sizes")
+// nodes with three seeds, and TestPlacementPolicies all policies with ten seeds instead of two.
+var sizes = flag.Bool("sizes", false, "compare backoff strategies at all sizes, and all placement policies")
 
 // strategy is how nodes act on a backoff that a server asks for. In all strategies, the
 // request that was rejected is not sent to that server again.
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -101,7 +101,7 @@
 	if serverState.limit == nil {
 		return serverState.Slots
 	}
-	byRate := int(math.Ceil(serverState.limit.rate * meanStreamDuration.Seconds()))
+	byRate := int(math.Ceil(serverState.limit.rate * serverState.duration.value().Seconds()))
 	return min(serverState.Slots, byRate)
 }
 
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -14,9 +14,6 @@
 	// rest the group generates tokens, so its pending prefill work shrinks more slowly than
 	// time passes.
 	prefillShare = 0.5
-	// meanStreamDuration is the assumed mean duration of a stream. The expected number of
-	// running requests decays with this time constant.
-	meanStreamDuration = time.Second
 	// defaultDelayPerRequest is the assumed Server.DelayPerRequest of groups that state
 	// none.
 	defaultDelayPerRequest = time.Millisecond
@@ -48,17 +45,18 @@
 }
 
 // remainingShare returns the share of running requests that are expected to be still running
-// after the elapsed time.
-func remainingShare(elapsed time.Duration) float64 {
-	return math.Exp(-elapsed.Seconds() / meanStreamDuration.Seconds())
+// after the elapsed time, if streams last for the given duration on average.
+func remainingShare(elapsed, duration time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / duration.Seconds())
 }
 
-// decay removes the work that is expected to be done since the last update.
-func (workload *workload) decay(now time.Duration) {
+// decay removes the work that is expected to be done since the last update. duration is the mean
+// duration of a stream.
+func (workload *workload) decay(now, duration time.Duration) {
 	elapsed := max(now-workload.at, 0)
 	workload.at = now
 	workload.prefill = max(workload.prefill-time.Duration(prefillShare*float64(elapsed)), 0)
-	workload.running *= remainingShare(elapsed)
+	workload.running *= remainingShare(elapsed, duration)
 }
 
 // RunningRequests counts the requests that run on a model. A request is late if the model's
@@ -143,9 +141,10 @@
 		table.reports[key] = map[string]report{}
 	}
 	previous := table.reports[key][reporter.Process]
-	remaining := remainingShare(now - previous.at)
+	duration := table.durations[key].value()
+	remaining := remainingShare(now-previous.at, duration)
 	for _, state := range table.pools[key] {
-		state.assigned.decay(now)
+		state.assigned.decay(now, duration)
 		change := float64(reporter.Groups[state.Instance]) - previous.groups[state.Instance]*remaining
 		state.assigned.running = max(state.assigned.running+change, 0)
 	}
@@ -213,14 +212,15 @@
 // request itself. The result is higher for a group that fails requests (expectedAttempts) or is
 // slow (slowThreshold). medianRatio is the median latency ratio of the model's groups.
 func (serverState *serverState) expectedWait(zone shedkeel.ZoneID, medianRatio float64, now time.Duration) float64 {
-	serverState.assigned.decay(now)
+	duration := serverState.duration.value()
+	serverState.assigned.decay(now, duration)
 	delayPerRequest := serverState.DelayPerRequest
 	if delayPerRequest <= 0 {
 		delayPerRequest = defaultDelayPerRequest
 	}
 	wait := idleFirstEventTime + serverState.assigned.prefill + time.Duration(serverState.assigned.running*float64(delayPerRequest))
 	if queued := serverState.assigned.running + 1 - float64(serverState.Slots); serverState.Slots > 0 && queued > 0 {
-		wait += time.Duration(queued / float64(serverState.Slots) * float64(meanStreamDuration))
+		wait += time.Duration(queued / float64(serverState.Slots) * float64(duration))
 	}
 	if serverState.Zone != zone {
 		wait += remoteZoneDelay
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -88,6 +88,7 @@
 	conditions map[shedkeel.InstanceID]*condition
 	reports    map[poolKey]map[string]report // by process, for Recommend
 	demand     map[poolKey]*demand           // of the requests for which Recommend was called
+	durations  map[poolKey]*averageDuration  // of the streams of this process
 }
 
 // poolKey identifies the servers that serve one model of a service.
@@ -108,10 +109,11 @@
 	avoidUntil    time.Duration // the server is avoided before this time; set by FindStalled and AvoidGroup
 	stallReported time.Duration // when FindStalled last returned the current stall; 0: not yet
 	listed        bool
-	assigned      workload   // work of all processes, as estimated by Recommend
-	hash          uint32     // hash of the group's name; selects its partition
-	limit         *limit     // nil: no rate limit
-	condition     *condition // nil: the server has stated no condition
+	assigned      workload         // work of all processes, as estimated by Recommend
+	hash          uint32           // hash of the group's name; selects its partition
+	limit         *limit           // nil: no rate limit
+	condition     *condition       // nil: the server has stated no condition
+	duration      *averageDuration // of the streams of the server's pool
 }
 
 // Replace sets the servers to choose from, the listed ones. It keeps the state of servers that
@@ -125,6 +127,7 @@
 	}
 	if table.servers == nil {
 		table.servers = map[string]*serverState{}
+		table.durations = map[poolKey]*averageDuration{}
 	}
 	table.pools = map[poolKey][]*serverState{}
 	for _, server := range servers {
@@ -138,6 +141,10 @@
 		state.limit = table.limits[server.Instance]
 		state.condition = table.conditions[server.Instance]
 		key := poolKey{server.Service, server.Model}
+		if table.durations[key] == nil {
+			table.durations[key] = &averageDuration{}
+		}
+		state.duration = table.durations[key]
 		table.pools[key] = append(table.pools[key], state)
 	}
 	for key, state := range table.servers {
@@ -310,11 +317,13 @@
 }
 
 // End records that the request no longer runs on the server, and adds to the failure rate
-// whether the request failed.
+// whether the request failed. A complete stream or answer changes the average
+// duration of the server's pool.
 func (choice *Choice) End(failed bool, now time.Duration) {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	state := choice.state
+	choice.recordDuration(failed, now)
 	choice.setLost(false)
 	delete(state.running, choice)
 	state.condition.requestEnded(choice)
