--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -89,7 +89,8 @@
 	reports    map[poolKey]map[string]report // by process, for Recommend
 	demand     map[poolKey]*demand           // of the requests for which Recommend was called
 	// heard holds the time of each service's last event or answer over a direct connection.
-	heard map[shedkeel.ServiceID]time.Duration
+	heard     map[shedkeel.ServiceID]time.Duration
+	durations map[poolKey]*averageDuration // of the streams of this process
 }
 
 // poolKey identifies the servers that serve one model of a service.
@@ -111,10 +112,11 @@
 	avoidUntil    time.Duration // the server is avoided before this time; set by FindStalled and AvoidGroup
 	stallReported time.Duration // when FindStalled last returned the current stall; 0: not yet
 	listed        bool
-	assigned      workload   // work of all processes, as estimated by Recommend
-	hash          uint32     // hash of the group's name; selects its partition
-	limit         *limit     // nil: no rate limit
-	condition     *condition // nil: the server has stated no condition
+	assigned      workload         // work of all processes, as estimated by Recommend
+	hash          uint32           // hash of the group's name; selects its partition
+	limit         *limit           // nil: no rate limit
+	condition     *condition       // nil: the server has stated no condition
+	duration      *averageDuration // of the streams of the server's pool
 }
 
 // Replace sets the servers to choose from, the listed ones. It keeps the state of servers that
@@ -128,6 +130,7 @@
 	}
 	if table.servers == nil {
 		table.servers = map[string]*serverState{}
+		table.durations = map[poolKey]*averageDuration{}
 	}
 	table.pools = map[poolKey][]*serverState{}
 	for _, server := range servers {
@@ -141,6 +144,10 @@
 		state.limit = table.limits[server.Instance]
 		state.condition = table.conditions[server.Instance]
 		key := poolKey{server.Service, server.Model}
+		if table.durations[key] == nil {
+			table.durations[key] = &averageDuration{}
+		}
+		state.duration = table.durations[key]
 		table.pools[key] = append(table.pools[key], state)
 	}
 	for key, state := range table.servers {
@@ -317,11 +324,13 @@
 }
 
 // End records that the request no longer runs on the server, and adds to the failure rate
-// whether the request failed.
+// whether the request failed. A complete stream or answer changes the average
+// duration of the server's pool.
 func (choice *Choice) End(failed bool, now time.Duration) {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	state := choice.state
+	choice.recordDuration(failed, now)
 	choice.setLost(false)
 	delete(state.running, choice)
 	state.condition.requestEnded(choice)
