Admit requests for models by what all boxes observe

The spreader of a partition now decides for all nodes (package overload): a limit on running requests that follows how many of those admitted as on time miss their objective; requests that cannot be on time only get what others leave; accounts beyond their max-min share come after the others (package fairshare); refusals name a time, with a reservation where capacity will be free (package returning). The memory of whom it refused tells how long a caller has waited. A node decides alone, on its share, while no spreader answers. overload.control = "off" admits as before.

--- a/config/node.go
+++ b/config/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -22,10 +23,12 @@
 	// Capacity is the share of a processor core that the box has for the node.
 	// The nodes with the largest capacity watch the key-value service and plan
 	// for the whole fleet.
-	Capacity float64     `toml:"capacity"`
-	Wire     NodeWire    `toml:"wire"`
-	Bounds   NodeBounds  `toml:"bounds"`
-	Log      LogSettings `toml:"log"`
+	Capacity float64    `toml:"capacity"`
+	Wire     NodeWire   `toml:"wire"`
+	Bounds   NodeBounds `toml:"bounds"`
+	// Overload sets how requests for models are admitted.
+	Overload NodeOverload `toml:"overload"`
+	Log      LogSettings  `toml:"log"`
 }
 
 // NodeListen are the addresses on which a node listens, each IP:PORT.
@@ -64,6 +67,18 @@
 	MaxBackoff shedkeel.Duration `toml:"max_backoff"`
 }
 
+// NodeOverload are the settings of the admission of requests for models.
+type NodeOverload struct {
+	Control string `toml:"control"` // OverloadAuto, OverloadOn or OverloadOff
+}
+
+// The values of NodeOverload.Control.
+const (
+	OverloadAuto = "auto" // on for routes that state a latency objective
+	OverloadOn   = "on"
+	OverloadOff  = "off" // requests are admitted by the slots of a model alone
+)
+
 // DefaultNodeSettings returns the values of keys that a file omits.
 func DefaultNodeSettings() NodeSettings {
 	return NodeSettings{
@@ -72,7 +87,8 @@
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 			MaxBackoff: shedkeel.Duration(10 * time.Minute),
 		},
-		Log: LogSettings{Level: "info"},
+		Overload: NodeOverload{Control: OverloadAuto},
+		Log:      LogSettings{Level: "info"},
 	}
 }
 
@@ -122,6 +138,11 @@
 			return &shedkeel.InvalidError{Where: name, What: key + " is no address: " + err.Error(), Remedy: "write it as IP:PORT"}
 		}
 	}
+	switch settings.Overload.Control {
+	case OverloadAuto, OverloadOn, OverloadOff:
+	default:
+		return &shedkeel.InvalidError{Where: name, What: "overload.control is " + strconv.Quote(settings.Overload.Control), Remedy: `write "auto", "on" or "off"`}
+	}
 	if settings.Capacity < 0 {
 		return &shedkeel.InvalidError{Where: name, What: "capacity is negative", Remedy: "write the box's share of a processor core, or leave it out"}
 	}
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/overload"
 )
 
 const (
@@ -83,6 +84,9 @@
 type Recommendation struct {
 	Head    shedkeel.InstanceID // head of the recommended group; empty: fastestGroup found none
 	Running RunningRequests     // of all processes, on all groups of the model
+	// Decision is the admission decision of the process that recommends, if Query.Admission
+	// asks for one; nil: it made none. Recommend itself leaves it nil.
+	Decision *overload.Decision
 }
 
 // report is the last report of a process on its running requests.
@@ -92,8 +96,8 @@
 	at      time.Duration
 }
 
-// Recommend assigns the request to the group that fastestGroup chooses, if any, and returns it. It
-// also records the request as demand and replaces the reporter's last report. One process calls it
+// Recommend assigns the request to the group that fastestGroup chooses, if any and if query.Admit
+// allows it, and returns the group. It also records the request as demand and replaces the reporter's last report. One process calls it
 // for all requests of a partition: each process alone knows few requests of a group, and prompts
 // that a group prefills at the same time delay each other.
 func (table *Table) Recommend(query Query, reporter Reporter) Recommendation {
@@ -104,7 +108,11 @@
 	current := table.recordReport(key, reporter, query.Now)
 	// Running counts the requests of all unexpired reports, without this request.
 	recommendation := Recommendation{Running: table.totalRunning(key, query.Now)}
-	if best := table.fastestGroup(query, reporter.Zone); best != nil {
+	best := table.fastestGroup(query, reporter.Zone)
+	if best != nil && query.Admit != nil && !query.Admit(table.estimate(query, best)) {
+		return recommendation
+	}
+	if best != nil {
 		best.assigned.prefill += best.prefillTime(query.PromptTokens)
 		best.assigned.running++
 		best.limit.recordAssignment(query.Now)
@@ -184,7 +192,7 @@
 	var best *serverState
 	shortest := 0.0
 	for _, candidate := range members {
-		if !candidate.usable(query) || candidate.limit.saturated(query.Now) || candidate.hash%uint32(max(query.Partitions, 1)) != uint32(query.Partition) {
+		if !candidate.usable(query) || candidate.limit.saturated(query.Now) || !candidate.inPartition(query) {
 			continue
 		}
 		wait := candidate.expectedWait(zone, medianRatio, query.Now)
@@ -215,16 +223,7 @@
 // request itself. The result is higher for a group that fails requests (expectedAttempts) or is
 // slow (slowThreshold). medianRatio is the median latency ratio of the model's groups.
 func (serverState *serverState) expectedWait(zone shedkeel.ZoneID, medianRatio float64, now time.Duration) float64 {
-	duration := serverState.duration.value()
-	serverState.assigned.decay(now, duration)
-	delayPerRequest := serverState.DelayPerRequest
-	if delayPerRequest <= 0 {
-		delayPerRequest = defaultDelayPerRequest
-	}
-	wait := idleFirstEventTime + serverState.assigned.prefill + time.Duration(serverState.assigned.running*float64(delayPerRequest))
-	if queued := serverState.assigned.running + 1 - float64(serverState.Slots); serverState.Slots > 0 && queued > 0 {
-		wait += time.Duration(queued / float64(serverState.Slots) * float64(duration))
-	}
+	wait := idleFirstEventTime + serverState.firstEventDelay(now)
 	if serverState.Zone != zone {
 		wait += remoteZoneDelay
 	}
@@ -235,6 +234,22 @@
 	return cost
 }
 
+// firstEventDelay returns by how much the requests that are assigned to the group are expected to
+// delay the first event of another one.
+func (serverState *serverState) firstEventDelay(now time.Duration) time.Duration {
+	duration := serverState.duration.value()
+	serverState.assigned.decay(now, duration)
+	delayPerRequest := serverState.DelayPerRequest
+	if delayPerRequest <= 0 {
+		delayPerRequest = defaultDelayPerRequest
+	}
+	delay := serverState.assigned.prefill + time.Duration(serverState.assigned.running*float64(delayPerRequest))
+	if queued := serverState.assigned.running + 1 - float64(serverState.Slots); serverState.Slots > 0 && queued > 0 {
+		delay += time.Duration(queued / float64(serverState.Slots) * float64(duration))
+	}
+	return delay
+}
+
 // expectedAttempts returns the mean number of attempts until a group with that failure rate
 // answers a request, but at most maxAttempts. With this factor in its cost, a group that fails
 // some of its requests gets fewer requests, but still some when the other groups are full.
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/overload"
 )
 
 const (
@@ -64,6 +65,7 @@
 	Zone            shedkeel.ZoneID
 	Slots           int           // requests that the server runs concurrently
 	PrefillRate     float64       // prompt tokens prefilled per second; 0: not stated
+	TokenTime       time.Duration // time per token of the answer at half load; 0: not stated
 	MaxEventGap     time.Duration // longest time between two events of a working server; 0: not stated
 	DelayPerRequest time.Duration // increase of the time between two events per running request; 0: not stated
 }
@@ -91,6 +93,7 @@
 	// heard holds the time of each service's last event or answer over a direct connection.
 	heard     map[shedkeel.ServiceID]time.Duration
 	durations map[poolKey]*averageDuration // of the streams of this process
+	outcomes  map[poolKey]*Outcomes
 }
 
 // poolKey identifies the servers that serve one model of a service.
@@ -169,6 +172,10 @@
 	UnlimitedOnly   bool                // only servers without a rate limit
 	Partition       int                 // for Recommend: index of the partition of groups to choose from
 	Partitions      int                 // number of partitions; 0 means 1
+	Due             time.Duration       // when the first event is due, which counts in Outcomes; 0: it does not count
+	Queueing        time.Duration       // expected delay of the first event by other requests, which counts in Outcomes
+	Admission       *overload.Request   // what the admission of the request depends on, except for the Estimate; nil: it is not asked for
+	Admit           func(Estimate) bool // for Recommend: whether the request is to be assigned to a group; nil: always
 	Now             time.Duration
 }
 
@@ -185,6 +192,8 @@
 	table         *Table
 	state         *serverState
 	promptTokens  int
+	due           time.Duration // see Query.Due; 0: it does not count, or it has been counted
+	queueing      time.Duration // see Query.Queueing
 	late          bool
 	responded     bool // the first event or the answer has arrived
 	relayed       bool // the request is sent through another node
@@ -285,7 +294,7 @@
 		serverState.stallReported = 0
 	}
 	stalled := make(chan struct{}, 1)
-	choice := &Choice{Server: serverState.Server, Limited: serverState.limit != nil, Stalled: stalled, table: table, state: serverState, ChosenAt: query.Now, promptTokens: query.PromptTokens, late: query.Late, stalled: stalled}
+	choice := &Choice{Server: serverState.Server, Limited: serverState.limit != nil, Stalled: stalled, table: table, state: serverState, ChosenAt: query.Now, promptTokens: query.PromptTokens, due: query.Due, queueing: query.Queueing, late: query.Late, stalled: stalled}
 	serverState.running[choice] = struct{}{}
 	serverState.condition.requestSent(choice)
 	return choice
@@ -312,6 +321,7 @@
 	}
 	if !choice.responded {
 		choice.responded = true
+		choice.countOutcome(now)
 		state.recordLatency(float64(now-choice.ChosenAt)/float64(choice.expectedResponseTime()), now)
 	}
 }
@@ -363,6 +373,7 @@
 // Load describes the requests of this process that run on the servers of a model.
 type Load struct {
 	RunningRequests
+	Outcomes
 	Groups map[shedkeel.InstanceID]int // running requests by server; servers without any are missing
 	// Heard has the time of the last event or answer of each server of Groups; those that have sent
 	// none are missing.
@@ -383,6 +394,11 @@
 			load.Groups[state.Instance] = len(state.running)
 			load.recordHeard(state)
 		}
+		for choice := range state.running {
+			if now > choice.due {
+				choice.countOutcome(now)
+			}
+		}
 		if state.avoidUntil > now || !state.condition.accepts(now) {
 			continue
 		}
@@ -399,5 +415,8 @@
 		load.Slots += state.concurrency()
 		load.Usable++
 	}
+	if outcomes := table.outcomes[poolKey{service, model}]; outcomes != nil {
+		load.Outcomes = *outcomes
+	}
 	return load
 }
--- a/event/event.go
+++ b/event/event.go
@@ -99,6 +99,8 @@
 	CutOffEnded           = Event{661, slog.LevelInfo, "this box reaches these backend servers again"}
 	NoPath                = Event{662, slog.LevelError, "neither this box nor other nodes for it reach any backend server"}
 	NoPathEnded           = Event{663, slog.LevelInfo, "a backend server was reached again"}
+	ShortageBegun         = Event{664, slog.LevelWarn, "model is short of capacity; requests for it are rejected"}
+	ShortageEnded         = Event{665, slog.LevelInfo, "model has capacity again"}
 	ActivityUnknown       = Event{666, slog.LevelInfo, "spreading node did not tell whether other nodes hear silent groups"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
@@ -112,7 +114,7 @@
 		PlacementFailed, PlannerDecision, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperUnavailable, KeeperAvailable,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
-		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ActivityUnknown,
+		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown,
 	}
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -30,6 +30,7 @@
 	BlamedRequests []BlameDump        `json:"judged"`    // quarantined and contained requests
 	Limited        []LimitDump        `json:"limited"`   // servers that limit their request rate or are cold
 	Evacuated      []EvacuationDump   `json:"evacuated"` // availability zones whose servers get no requests
+	Overload       []OverloadDump     `json:"overload"`  // of the models whose requests this node spreads
 	Groups         []GroupDump        `json:"groups"`
 	Servers        []ServerDump       `json:"servers"`
 }
@@ -122,6 +123,7 @@
 	dump.BlamedRequests = node.guard.judgedRequests()
 	dump.Limited = node.limits.dump()
 	dump.Evacuated = node.fleet.evacuations()
+	dump.Overload = node.admissions.dump(node.Timers.Now())
 	return dump
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -339,6 +339,7 @@
 		return server
 	}
 	server.MaxEventGap = engine.LongestPass(model)
+	server.TokenTime = time.Duration(model.EffectiveSlowdown() * float64(engine.StepTime+time.Duration(engine.Slots/2)*engine.StepPerRequest))
 	server.DelayPerRequest = time.Duration(engine.StepsPerPass) * engine.StepPerRequest
 	server.PrefillRate /= model.EffectiveSlowdown()
 	server.DelayPerRequest = time.Duration(float64(server.DelayPerRequest) * model.EffectiveSlowdown())
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,7 @@
 	registrar   registrar
 	guard       guard
 	limits      limits
+	admissions  admissions
 	controller  controller
 	connector   connector
 	reporter    reachReporter
@@ -158,6 +159,10 @@
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
 	}
+	if control := node.Settings.Overload.Control; control != config.OverloadOff {
+		node.handler.AdmitAlone = node.admissions.decideAlone
+		node.handler.ControlAllRoutes = control == config.OverloadOn
+	}
 	if node.Metrics != nil {
 		node.handler.Meter = serve.NewMeter(node.Metrics.Scope)
 	}
@@ -176,6 +181,7 @@
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
 	node.remover.node = node
 	node.limits.node = node
+	node.admissions.node = node
 	node.guard.node = node
 	node.guard.prepare()
 	node.member.lease = lease{node: node, ttl: largeFleetTTL}
--- a/node/report.go
+++ b/node/report.go
@@ -17,6 +17,7 @@
 	node.Log.Report()
 	node.reporter.report()
 	node.gossip.logExclusions(node.peers.listed())
+	node.admissions.report(now)
 	if node.Metrics == nil {
 		return
 	}
--- a/node/spread.go
+++ b/node/spread.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/overload"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -43,13 +45,18 @@
 // spreadTimeout. The load is that of this node's running requests on the model's groups.
 func (peers *peers) recommendGroup(ctx context.Context, query dispatch.Query, load dispatch.Load) (dispatch.Recommendation, bool) {
 	query.Partitions = peers.node.table.Partitions(query.Service, query.Model)
-	if query.Partitions > 1 {
+	switch {
+	case query.Partitions <= 1:
+	case query.Admission != nil: // all attempts of a caller reach the controller that may have promised it capacity
+		query.Partition = peers.node.table.PartitionAt(query.Service, query.Model, float64(query.Admission.Digest)/math.MaxUint64)
+	default:
 		query.Partition = peers.randomPartition(query.Partitions)
 	}
 	peer, own := peers.spreader(query.Partition, query.Now)
 	settings := &peers.node.Settings
 	if own {
-		return peers.node.table.Recommend(query, dispatch.Reporter{Process: string(settings.Node), Zone: settings.Zone, Running: load.RunningRequests, Groups: load.Groups, Heard: load.Heard}), true
+		reporter := dispatch.Reporter{Process: string(settings.Node), Zone: settings.Zone, Running: load.RunningRequests, Groups: load.Groups, Heard: load.Heard}
+		return peers.recommendFor(query, reporter, load.Outcomes), true
 	}
 	if peer == nil {
 		return dispatch.Recommendation{}, false
@@ -61,6 +68,9 @@
 		Running: &wire.Running{OnTime: uint32(load.OnTime), Late: uint32(load.Late)},
 		Part:    uint32(query.Partition), Parts: uint32(query.Partitions),
 	}
+	if query.Admission != nil {
+		call.Admission = admissionCall(query.Admission, load.Outcomes)
+	}
 	for head, running := range load.Groups {
 		call.Groups = append(call.Groups, &wire.GroupLoad{Instance: string(head), Running: uint32(running), IdleMs: formatAge(load.Heard[head], query.Now)})
 	}
@@ -72,7 +82,25 @@
 		}
 		return dispatch.Recommendation{}, false
 	}
-	return dispatch.Recommendation{Head: shedkeel.InstanceID(answer.GetInstance()), Running: parseRunning(answer.GetRunning())}, true
+	return dispatch.Recommendation{Head: shedkeel.InstanceID(answer.GetInstance()), Running: parseRunning(answer.GetRunning()), Decision: parseDecision(answer.GetAdmission())}, true
+}
+
+// recommendFor recommends a group for a request of any node. If the query asks for admission, it decides
+// on that too, and assigns no group to a rejected request.
+func (peers *peers) recommendFor(query dispatch.Query, reporter dispatch.Reporter, outcomes dispatch.Outcomes) dispatch.Recommendation {
+	if query.Admission == nil {
+		return peers.node.table.Recommend(query, reporter)
+	}
+	var decision *overload.Decision
+	query.Admit = func(estimate dispatch.Estimate) bool {
+		key := admissionKey{query.Service, query.Model, query.Partition}
+		decided := peers.node.admissions.decide(key, admissionReport{shedkeel.NodeID(reporter.Process), outcomes}, *query.Admission, estimate, query.Now)
+		decision = &decided
+		return decided.Class != overload.Reject
+	}
+	recommendation := peers.node.table.Recommend(query, reporter)
+	recommendation.Decision = decision
+	return recommendation
 }
 
 // parseRunning converts the numbers of running requests from their wire form.
@@ -126,8 +154,13 @@
 		reporter.Groups[head] = int(group.GetRunning())
 		reporter.Heard[head] = parseAge(group.GetIdleMs(), query.Now)
 	}
-	recommendation := peers.node.table.Recommend(query, reporter)
+	if admission := call.GetAdmission(); admission != nil {
+		request := parseAdmission(admission)
+		query.Admission = &request
+	}
+	recommendation := peers.recommendFor(query, reporter, parseOutcomes(call.GetAdmission()))
 	return &wire.Reply{Kind: &wire.Reply_Spread{Spread: &wire.SpreadReply{
 		Instance: string(recommendation.Head), Running: &wire.Running{OnTime: uint32(recommendation.Running.OnTime), Late: uint32(recommendation.Running.Late)},
+		Admission: admissionReply(recommendation.Decision),
 	}}}
 }
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -26,6 +26,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/overload"
 )
 
 const (
@@ -66,6 +67,11 @@
 	// that distributes the requests of all processes over the groups, and returns false if
 	// that process does not answer. nil: there is no such process.
 	Recommend func(context.Context, dispatch.Query, dispatch.Load) (dispatch.Recommendation, bool)
+	// AdmitAlone decides on the admission of a request for a model while Recommend does not
+	// answer. nil: requests are admitted by the slots of the model alone (see admitBySlots).
+	AdmitAlone func(dispatch.Query, dispatch.Load) overload.Decision
+	// ControlAllRoutes applies the overload control also to routes without a latency objective.
+	ControlAllRoutes bool
 	// MaxConfigAge is the age above which a configuration counts as out of date, counted
 	// from when it was last proven current. A configuration that is out of date may contain
 	// keys that have been removed, and lack new keys and routes.
@@ -100,6 +106,7 @@
 	refusing     atomic.Bool  // new requests are refused
 	received     atomic.Int64 // requests received, including refused ones
 	endedServers endedServers
+	deadlines    deadlines
 	digesters    digesterPool
 
 	mutex     sync.Mutex
@@ -156,7 +163,7 @@
 	abort           context.CancelCauseFunc       // cancels all attempts of the request
 	// retryIn is how long until a server that limits its rate or asked for a backoff
 	// accepts a request again, as of the latest choice that failed with errLimited or
-	// errBackoff.
+	// errBackoff; after a rejection by the overload control, when the caller should return.
 	retryIn time.Duration
 }
 
@@ -398,7 +405,10 @@
 		cause = causeQuarantined
 	}
 	var notRun *shedkeel.NotRunError
+	var rejected *rejectedError
 	switch {
+	case errors.As(reason, &rejected):
+		cause = rejected.cause()
 	case errors.As(reason, &notRun) && notRun.NoPath:
 		cause = causeNoPath
 	case errors.Is(reason, errLimited):
--- a/serve/retryafter.go
+++ b/serve/retryafter.go
@@ -40,10 +40,13 @@
 	causeBackoff                  // all available servers have asked for a backoff (see noServerError)
 	causeContained                // too many servers terminated while they ran the request; it is not sent again
 	causeNoPath                   // no node reaches a backend server (shedkeel.NoPathError)
+	causeFull                     // the overload control rejected the request: the model has no capacity left for it
+	causeLate                     // the overload control rejected the request: it cannot be on time, and no capacity is left over
+	causeOverShare                // the overload control rejected the request: its client account has its share
 )
 
 // causeNames are the names of the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "no_path"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "no_path", "full", "late", "over_share"}
 
 // String returns the name of the cause in logs and metrics.
 func (cause cause) String() string { return causeNames[cause] }
@@ -59,6 +62,8 @@
 		wait = retrySoon
 	case causeLimited, causeBackoff:
 		return exchange.retryWhenFree()
+	case causeFull, causeLate, causeOverShare: // the overload control has spread the times already
+		return max(exchange.retryIn, retrySoon)
 	case causeStaleConfig:
 		wait = exchange.handler.retryStaleConfig(exchange.handler.Timers.Now())
 	}
--- a/serve/send.go
+++ b/serve/send.go
@@ -83,15 +83,48 @@
 )
 
 // admitToModel is the admission control of a model. It sets exchange.late, and query.Preferred if
-// Recommend answers. It returns errFull for a late request if the late requests reach lateFraction,
-// and the error of noServerError if no group is usable. Engines serve late requests last: if all
-// waited in one queue under overload, all would be late.
+// Recommend answers. It returns a rejectedError if the overload control rejects the request, and the
+// error of noServerError if no group is usable.
 func (exchange *exchange) admitToModel(query *dispatch.Query) error {
 	load := exchange.handler.Table.Load(query.Service, query.Model, query.Now)
-	running, capacity := exchange.modelCapacity(query, load) // even if no group is usable, because Recommend also reports the demand for the model
+	query.Admission = exchange.admissionRequest()
+	recommendation, known := exchange.recommend(query, load) // even if no group is usable, because Recommend also reports the demand for the model
 	if load.Usable == 0 {
 		return exchange.noServerError(*query)
 	}
+	if query.Admission == nil {
+		return exchange.admitBySlots(recommendation, known, load)
+	}
+	decision := recommendation.Decision
+	if decision == nil {
+		alone := exchange.handler.AdmitAlone(*query, load)
+		decision = &alone
+	}
+	return exchange.applyDecision(query, decision)
+}
+
+// recommend asks Recommend for a group. If it answers, query.Preferred is set to that group.
+func (exchange *exchange) recommend(query *dispatch.Query, load dispatch.Load) (recommendation dispatch.Recommendation, known bool) {
+	if exchange.handler.Recommend == nil {
+		return recommendation, false
+	}
+	recommendation, known = exchange.handler.Recommend(exchange.request.Context(), *query, load)
+	if !known {
+		count(exchange.handler.meter().noRecommendation)
+	}
+	query.Preferred = recommendation.Head
+	return recommendation, known
+}
+
+// admitBySlots admits a request by the slots of its model. It returns errFull for a late request if
+// the late requests reach lateFraction. Engines serve late requests last: if all waited in one
+// queue under overload, all would be late. The requests are those of all processes, on all slots, if
+// there is a recommendation; otherwise those of this process, on its equal share of the slots.
+func (exchange *exchange) admitBySlots(recommendation dispatch.Recommendation, known bool, load dispatch.Load) error {
+	running, capacity := recommendation.Running, float64(load.Slots)
+	if !known {
+		running, capacity = load.RunningRequests, float64(load.Slots)/float64(max(exchange.handler.ServingNodes(), 1))
+	}
 	// However few the slots are, one request on time and one late request are admitted.
 	exchange.late = float64(running.OnTime) >= max(onTimeFraction*capacity, 1)
 	if exchange.late && float64(running.Late) >= max(lateFraction*capacity, 1) {
@@ -100,21 +133,6 @@
 	return nil
 }
 
-// modelCapacity returns the number of requests that run on a model and of the slots of the
-// model's usable groups. If Recommend answers, these are the requests of all processes and all
-// slots, and query.Preferred is set to the recommended group. Otherwise they are the requests
-// of this process on usable groups and this process's equal share of the slots.
-func (exchange *exchange) modelCapacity(query *dispatch.Query, load dispatch.Load) (dispatch.RunningRequests, float64) {
-	if exchange.handler.Recommend != nil {
-		if recommendation, known := exchange.handler.Recommend(exchange.request.Context(), *query, load); known {
-			query.Preferred = recommendation.Head
-			return recommendation.Running, float64(load.Slots)
-		}
-		count(exchange.handler.meter().noRecommendation)
-	}
-	return load.RunningRequests, float64(load.Slots) / float64(max(exchange.handler.ServingNodes(), 1))
-}
-
 // priority returns the request's priority at an engine: latePriority for a late request,
 // otherwise that of the client account or route. 0 is most urgent.
 func (exchange *exchange) priority() int {
