--- a/overload/limit.go
+++ b/overload/limit.go
@@ -12,8 +12,8 @@
 	maxFraction = 1.5
 	// maxMissedShare is the share of requests admitted as on time that may miss their objective
 	// before the limit falls, and minMissedShare the share below which it rises.
-	maxMissedShare = 0.12
-	minMissedShare = 0.06
+	maxMissedShare = 0.10
+	minMissedShare = 0.05
 	// decrease is the factor by which the limit falls, and increase the step by which it rises.
 	decrease = 0.93
 	increase = 0.02
