--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -153,9 +153,9 @@
 }
 
 // exceedsByChance reports whether a demand above the level may be due to the random arrival of
-// requests. A history shorter than the window tells nothing about the average.
+// requests. The average of a history shorter than two windows is no better known than the demand.
 func (shares *Shares) exceedsByChance(asking *entry, demand rate, level float64) bool {
-	usual := shares.now-shares.since < averageTime || asking.average <= shares.averageLevels.of(asking.rank)
+	usual := shares.now-shares.since < 2*window || asking.average <= shares.averageLevels.of(asking.rank)
 	return usual && level > 0 && demand.work-tolerance*demand.deviation <= level
 }
 
