Bound the bytes that a node keeps for slow readers

A stream buffered up to six events for a caller that does not read, and a plain answer was read whole up to 32 MiB, whatever the other requests kept. 1,000 callers that read nothing could take more memory than a small box has.

serve.ReaderBudget counts these bytes for the process, bounded by [limits] unread_bytes (16 MB by default). Above the bound, a stream reads its next event only when its caller has taken the one before; answers over 64 KiB wait for their turn until their deadline. The end of a request releases all that it keeps. The server of an answer that waits does not count as stalled.

--- a/config/node.go
+++ b/config/node.go
@@ -25,6 +25,7 @@
 	Capacity float64     `toml:"capacity"`
 	Wire     NodeWire    `toml:"wire"`
 	Bounds   NodeBounds  `toml:"bounds"`
+	Limits   NodeLimits  `toml:"limits"`
 	Log      LogSettings `toml:"log"`
 }
 
@@ -64,6 +65,15 @@
 	MaxBackoff shedkeel.Duration `toml:"max_backoff"`
 }
 
+// NodeLimits bound the memory that a node uses.
+type NodeLimits struct {
+	// UnreadBytes bounds the bytes that wait for callers that read slowly. 0: defaultUnreadBytes.
+	UnreadBytes int64 `toml:"unread_bytes"`
+}
+
+// defaultUnreadBytes is about a tenth of the memory of a small box, 184 MB.
+const defaultUnreadBytes = 16 << 20
+
 // DefaultNodeSettings returns the values of keys that a file omits.
 func DefaultNodeSettings() NodeSettings {
 	return NodeSettings{
@@ -72,12 +82,14 @@
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 			MaxBackoff: shedkeel.Duration(10 * time.Minute),
 		},
-		Log: LogSettings{Level: "info"},
+		Limits: NodeLimits{UnreadBytes: defaultUnreadBytes},
+		Log:    LogSettings{Level: "info"},
 	}
 }
 
 // ReadNodeSettings reads and validates a settings file. The error is an
-// InvalidError. An empty Listen.Gossip is set to Listen.Control.
+// InvalidError. An empty Listen.Gossip is set to Listen.Control, and a Limits.UnreadBytes of 0
+// to its default.
 func ReadNodeSettings(path string) (NodeSettings, error) {
 	text, err := ReadFile(path)
 	if err != nil {
@@ -93,6 +105,9 @@
 	if settings.Listen.Gossip == "" {
 		settings.Listen.Gossip = settings.Listen.Control
 	}
+	if settings.Limits.UnreadBytes == 0 {
+		settings.Limits.UnreadBytes = defaultUnreadBytes
+	}
 	return settings, nil
 }
 
@@ -125,6 +140,9 @@
 	if settings.Capacity < 0 {
 		return &shedkeel.InvalidError{Where: name, What: "capacity is negative", Remedy: "write the box's share of a processor core, or leave it out"}
 	}
+	if settings.Limits.UnreadBytes < 0 {
+		return &shedkeel.InvalidError{Where: name, What: "limits.unread_bytes is negative", Remedy: "write a tenth of the box's memory in bytes, or leave it out"}
+	}
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
 		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -28,7 +28,7 @@
 `
 
 // TestNodeSettings checks that ReadNodeSettings accepts nodeText and valid changes of it,
-// with the default of RetryRatio, which they omit, and rejects each faulty change with an
+// with the defaults of RetryRatio and UnreadBytes, which they omit or set to 0, and rejects each faulty change with an
 // error that says what is wrong.
 func TestNodeSettings(t *testing.T) {
 	cases := map[string]struct {
@@ -48,6 +48,8 @@
 		"wrong type of a flag":  {func(text string) string { return text + "refuse_stale_keys = \"no\"\n" }, "refuse_stale_keys"},
 		"seeds":                 {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2:5\"]\n" + text }, ""},
 		"a seed without a port": {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2\"]\n" + text }, "seeds[1] is no address"},
+		"no unread bytes":       {func(text string) string { return text + "[limits]\nunread_bytes = 0\n" }, ""},
+		"negative unread bytes": {func(text string) string { return text + "[limits]\nunread_bytes = -1\n" }, "limits.unread_bytes is negative; write a tenth of the box's memory"},
 		"truncated file":        {func(text string) string { return text[:40] }, "correct that line"}, // ends within the value of store
 	}
 	for name, test := range cases {
@@ -61,6 +63,7 @@
 			}
 			assert.NilError(t, err)
 			assert.Equal(t, settings.Bounds.Grace, shedkeel.Duration(9*time.Second)) // from nodeText
+			assert.Equal(t, settings.Limits.UnreadBytes, int64(16<<20))
 			assert.Equal(t, settings.Bounds.RetryRatio, DefaultNodeSettings().Bounds.RetryRatio)
 		})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -157,6 +157,7 @@
 		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryBudgetNodes: node.fleet.nodeCount, ServingNodes: node.fleet.servingCount,
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
+		ReaderBudget: serve.ReaderBudget{Limit: node.Settings.Limits.UnreadBytes},
 	}
 	if node.Metrics != nil {
 		node.handler.Meter = serve.NewMeter(node.Metrics.Scope)
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -95,6 +95,8 @@
 	// as far as this process can tell, and since when. nil: this is not known, and the
 	// key-value service counts as available.
 	StoreOutage func() (since time.Duration, unavailable bool)
+	// ReaderBudget bounds the bytes that are kept for callers that read slowly.
+	ReaderBudget ReaderBudget
 
 	stopping     atomic.Bool  // answers to requests received from now on ask the callers to close their connections
 	refusing     atomic.Bool  // new requests are refused
@@ -151,6 +153,7 @@
 	answerAttrs     []slog.Attr                   // log attributes of the answer
 	digest          func() shedkeel.RequestDigest // returns the request's digest; computes it at the first call
 	quarantined     bool                          // the request may run on one server only
+	unread          unreadBytes                   // bytes kept for the caller until it reads them
 	answerStarted   atomic.Bool                   // of a stream: writing the answer to the caller has started
 	freshConnection atomic.Bool                   // a server of an attempt has terminated: later attempts use new connections, which a terminated server refuses
 	abort           context.CancelCauseFunc       // cancels all attempts of the request
@@ -167,6 +170,7 @@
 	handler.received.Add(1)
 	exchange := &exchange{handler: handler, writer: writer, request: request, startedAt: handler.Timers.Now()}
 	exchange.digest = sync.OnceValue(exchange.computeDigest)
+	exchange.unread.budget = &handler.ReaderBudget
 	exchange.setWriteDeadline(defaultTimeout)
 	if handler.stopping.Load() {
 		writer.Header().Set("Connection", "close")
@@ -291,6 +295,7 @@
 // serve asks the guard whether the prepared request may be sent, and sends it to servers
 // until its deadline. It returns nil if an answer was written.
 func (exchange *exchange) serve() error {
+	defer exchange.unread.end()
 	exchange.handler.Budget.CountRequest(exchange.service, exchange.startedAt)
 	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.deadline-exchange.handler.Timers.Now())
 	defer cancel()
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -92,9 +92,17 @@
 		return bufferedAnswer{}, err
 	}
 	choice.RecordResponse(exchange.handler.Timers.Now())
-	body, err := readWhole(response)
-	failed := err != nil || response.StatusCode >= http.StatusInternalServerError
-	choice.End(failed, exchange.handler.Timers.Now())
+	ended := false
+	end := func(failed bool) {
+		if !ended {
+			choice.End(failed, exchange.handler.Timers.Now())
+		}
+		ended = true
+	}
+	failed := response.StatusCode >= http.StatusInternalServerError
+	// While an answer waits to be read, its server must not count as stalled.
+	body, err := exchange.readWhole(ctx, response, func() { end(failed) })
+	end(failed || err != nil)
 	if err != nil && ctx.Err() == nil {
 		exchange.reportServerEnd(choice, err)
 	}
--- a/serve/send.go
+++ b/serve/send.go
@@ -280,18 +280,59 @@
 	return errBackoff
 }
 
-// readWhole reads the body of a response completely and closes it. It returns an
-// UnknownRunError if the body breaks off or is longer than maxAnswerBytes.
-func readWhole(response *http.Response) ([]byte, error) {
+// readWhole reads the body of a response completely and closes it. If ReaderBudget requires the
+// answer to wait, it calls beforeWait first, and waits until ctx ends at most. It returns an
+// UnknownRunError if the wait does not end in time, or if the body breaks off or is longer than
+// maxAnswerBytes.
+func (exchange *exchange) readWhole(ctx context.Context, response *http.Response, beforeWait func()) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	var body bytes.Buffer
+	size, err := exchange.readStart(response, &body)
 	if err != nil {
 		return nil, &shedkeel.UnknownRunError{Reason: "the answer broke off", Cause: err}
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, &shedkeel.UnknownRunError{Reason: "the answer is too long to be held", Cause: errIncomplete}
+	if size > maxAnswerBytes {
+		return nil, errAnswerTooLong
 	}
-	return body, nil
+	reserved, err := exchange.unread.reserveAnswer(ctx, size, beforeWait)
+	if err != nil {
+		return nil, &shedkeel.UnknownRunError{Reason: "the answer was not read, because other callers leave too many bytes unread", Cause: err}
+	}
+	defer func() { exchange.unread.keep(reserved, int64(body.Len())) }()
+	body.Grow(int(size) - body.Len() + bytes.MinRead) // ReadFrom would double the buffer until it fits
+	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxAnswerBytes+1-int64(body.Len()))); err != nil {
+		body.Reset()
+		return nil, &shedkeel.UnknownRunError{Reason: "the answer broke off", Cause: err}
+	}
+	if body.Len() > maxAnswerBytes {
+		body.Reset()
+		return nil, errAnswerTooLong
+	}
+	return body.Bytes(), nil
+}
+
+// errAnswerTooLong is the UnknownRunError for an answer that is longer than maxAnswerBytes.
+var errAnswerTooLong = &shedkeel.UnknownRunError{Reason: "the answer is too long to be held", Cause: errIncomplete}
+
+// unstatedAnswerBytes is the size that is reserved for an answer without a stated length that is
+// longer than smallAnswerBytes.
+const unstatedAnswerBytes = 1 << 20
+
+// readStart returns the size of the body in bytes. If the response does not state a length, it
+// reads up to smallAnswerBytes into body, and returns unstatedAnswerBytes if that is not the whole
+// body. The error is that of the connection.
+func (exchange *exchange) readStart(response *http.Response, body *bytes.Buffer) (int64, error) {
+	if exchange.request.Method == http.MethodHead {
+		return 0, nil
+	}
+	if response.ContentLength >= 0 {
+		return response.ContentLength, nil
+	}
+	size, err := io.CopyN(body, response.Body, smallAnswerBytes)
+	if errors.Is(err, io.EOF) {
+		return size, nil
+	}
+	return unstatedAnswerBytes, err
 }
 
 // writeHead writes the status and header of a backend server's answer to the caller. A
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -62,6 +62,8 @@
 	err        error // the request fails with this error, without an answer
 	status     int   // below 200: 200
 	body       string
+	padding    string        // data added to each event of the stream
+	unstated   bool          // the answer states no length of its body
 	events     int           // number of the stream's last event; 0: no stream
 	cutAfter   int           // the connection fails inside the event after this one; 0: never
 	stallAfter int           // nothing more is sent after this event; 0: never
@@ -131,6 +133,9 @@
 		header.Set("Limit", fmt.Sprint(step.limit))
 	}
 	response := &http.Response{StatusCode: max(step.status, 200), Header: header, ContentLength: int64(len(step.body))}
+	if step.unstated {
+		response.ContentLength = -1
+	}
 	if step.events == 0 {
 		response.Body = io.NopCloser(strings.NewReader(step.body))
 		return response
@@ -154,7 +159,7 @@
 		first++
 	}
 	for number := first; number <= step.events; number++ {
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %d\n\n", number, number); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %d%s\n\n", number, number, step.padding); err != nil {
 			return // the handler has closed the response body
 		}
 		switch number {
--- a/serve/source.go
+++ b/serve/source.go
@@ -55,7 +55,7 @@
 }
 
 // read sends the request, and delivers the events until the stream ends, fails or the source
-// is canceled. It returns errStreamEnd if the stream was received completely, errIncomplete if
+// is canceled. It reads an event only when ReaderBudget allows it. It returns errStreamEnd if the stream was received completely, errIncomplete if
 // the end of the answer does not show whether it was, and a statusError if the status is not
 // 200.
 func (source *source) read() error {
@@ -71,8 +71,14 @@
 	}
 	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
-	for {
+	for size := int64(0); ; {
+		reserved, err := stream.unread.reserveEvent(source.context, size)
+		if err != nil {
+			return err
+		}
 		message, err := engine.ReadEvent(reader)
+		size = int64(len(message)) // also the expected size of the next event
+		stream.unread.keep(reserved, size)
 		if errors.Is(err, io.EOF) && unframed {
 			// In an answer without a length or chunks, a lost connection looks like
 			// the end of the stream.
@@ -87,6 +93,7 @@
 		source.choice.RecordResponse(stream.handler.Timers.Now())
 		number, id := eventID(message)
 		if !source.deliver(update{source: source, event: message, number: number, id: id}) {
+			stream.unread.release(size)
 			return source.context.Err()
 		}
 	}
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -13,7 +13,7 @@
 )
 
 // updateBuffer is the number of updates, one for each event, that are buffered for a caller
-// that reads slowly.
+// that reads slowly. ReaderBudget may allow fewer.
 const updateBuffer = 4
 
 // stream forwards a stream of events to its caller. Each attempt is a source. A source that fails
@@ -67,6 +67,7 @@
 			return stream.finish(ctx, firstError(stream.lastErr, ctx.Err()))
 		case update := <-stream.updates:
 			done, err := stream.handle(ctx, update)
+			stream.unread.release(int64(len(update.event)))
 			if done || err != nil {
 				return err
 			}
