--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryBudgetNodes: node.fleet.nodeCount, ServingNodes: node.fleet.servingCount,
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
+		ReaderBudget: serve.ReaderBudget{Limit: node.Settings.Limits.UnreadBytes},
 	}
 	if control := node.Settings.Overload.Control; control != config.OverloadOff {
 		node.handler.AdmitAlone = node.admissions.decideAlone
