Hold requests back for a short time where their callers would not return

The overload control now has the node hold such requests back, for 1.5 s at most, while the shortage is younger than 4 s or the controller has no history, and asks again; they get what is left over.

--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -104,7 +104,9 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	key := poolKey{query.Service, query.Model}
-	table.recordDemand(query)
+	if query.Admission == nil || query.Admission.Held == 0 { // a request that was held back has been counted
+		table.recordDemand(query)
+	}
 	current := table.recordReport(key, reporter, query.Now)
 	// Running counts the requests of all unexpired reports, without this request.
 	recommendation := Recommendation{Running: table.totalRunning(key, query.Now)}
--- a/node/admission.go
+++ b/node/admission.go
@@ -144,7 +144,7 @@
 	}
 	admissions.node.Log.Write(kind, slog.String("service", string(key.service)), slog.String("model", string(key.model)), slog.Int("partition", key.partition),
 		slog.Float64("limit", status.Limit), slog.Float64("running", math.Round(model.load.Running)), slog.Float64("slots", model.load.Slots),
-		slog.Int64("on_time", status.Counts.OnTime), slog.Int64("leftover", status.Counts.Leftover), slog.Int64("returned", status.Counts.Returned),
+		slog.Int64("on_time", status.Counts.OnTime), slog.Int64("leftover", status.Counts.Leftover), slog.Int64("returned", status.Counts.Returned), slog.Int64("held", status.Counts.Held),
 		slog.Any("rejected", rejected), slog.Int64("promised", status.Counts.Promised), slog.Any("over", overShare(status)))
 }
 
@@ -214,6 +214,7 @@
 	return &wire.Admission{
 		Account: string(request.Account), Rank: uint32(max(request.Rank, 0)), ObjectiveMs: milliseconds(request.Objective), WaitedMs: milliseconds(request.Waited),
 		RemainingMs: milliseconds(request.Remaining), Digest: request.Digest, Met: outcomes.Met, Missed: outcomes.Missed,
+		HeldMs: milliseconds(request.Held), MaxHoldMs: milliseconds(request.MaxHold),
 		ExpectedMs: uint64(outcomes.Expected.Milliseconds()), ActualMs: uint64(outcomes.Actual.Milliseconds()),
 	}
 }
@@ -229,6 +230,7 @@
 		Account: shedkeel.AccountID(admission.GetAccount()), Rank: int(admission.GetRank()), Digest: admission.GetDigest(),
 		Objective: time.Duration(admission.GetObjectiveMs()) * time.Millisecond, Waited: time.Duration(admission.GetWaitedMs()) * time.Millisecond,
 		Remaining: time.Duration(admission.GetRemainingMs()) * time.Millisecond,
+		Held:      time.Duration(admission.GetHeldMs()) * time.Millisecond, MaxHold: time.Duration(admission.GetMaxHoldMs()) * time.Millisecond,
 	}
 }
 
@@ -247,7 +249,7 @@
 	}
 	return &wire.AdmissionReply{
 		Class: wire.AdmissionReply_Class(decision.Class), Reason: uint32(decision.Reason),
-		RetryAfterMs: milliseconds(decision.RetryAfter), Promised: decision.Promised, DueMs: milliseconds(decision.Due), QueueingMs: milliseconds(decision.Queueing),
+		RetryAfterMs: milliseconds(decision.RetryAfter), Promised: decision.Promised, DueMs: milliseconds(decision.Due), QueueingMs: milliseconds(decision.Queueing), WaitedMs: milliseconds(decision.Waited),
 	}
 }
 
@@ -260,5 +262,6 @@
 		Class: overload.Class(reply.GetClass()), Reason: overload.Reason(reply.GetReason()),
 		RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond, Promised: reply.GetPromised(),
 		Due: time.Duration(reply.GetDueMs()) * time.Millisecond, Queueing: time.Duration(reply.GetQueueingMs()) * time.Millisecond,
+		Waited: time.Duration(reply.GetWaitedMs()) * time.Millisecond,
 	}
 }
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -19,6 +19,8 @@
 	// leftoverReserve is the fraction of the slots that requests which cannot be on time leave
 	// free for those that can.
 	leftoverReserve = 0.06
+	// heldReserve is the same for requests that are held back.
+	heldReserve = 0.04
 	// uncoveredReserve is the fraction that requests beyond the share of their client account
 	// leave free for those within their share.
 	uncoveredReserve = 0.03
@@ -33,6 +35,19 @@
 	// maxWaitFraction is the longest Retry-After, as a fraction of the time that the caller still
 	// waits. Callers honor a Retry-After of at most a third of that time.
 	maxWaitFraction = 0.3
+	// maxHoldShortage is how long after the start of a shortage requests are held back. A longer
+	// one does not end while they wait.
+	maxHoldShortage = 4 * time.Second
+	// historyTime is how long a controller cannot tell who returns, so that it holds back all
+	// that it would reject. After a loss of all boxes most callers return for the last time.
+	historyTime = 2 * time.Second
+	// maxHeldFraction bounds the requests that are held back, as a fraction of the slots: more would
+	// not be served before their callers give up.
+	maxHeldFraction = 0.5
+	// holdInterval is after what time a node asks again about a request that is held back, and
+	// holdSpread the largest addition, by the request's digest.
+	holdInterval = 250 * time.Millisecond
+	holdSpread   = 150 * time.Millisecond
 	// shortageHold is how long after the last rejection a model counts as short of room.
 	shortageHold = time.Second
 )
@@ -45,6 +60,7 @@
 	Reject   Class = iota // refused at once
 	Leftover              // sent, but engines serve it after requests that can be on time
 	OnTime                // sent
+	Wait                  // held back by the node that asks, which asks again
 )
 
 // Reason says why a request got its class.
@@ -78,6 +94,8 @@
 	Remaining time.Duration      // for which the caller still waits
 	Queueing  time.Duration      // expected delay of the first event by requests that are sent already
 	Work      float64            // expected slot time in seconds
+	Held      time.Duration      // for how long the request has been held back; 0: this is its first decision
+	MaxHold   time.Duration      // for how long it may be held back
 }
 
 // canBeOnTime reports whether the first event may still come within the objective: the caller has not
@@ -100,8 +118,9 @@
 type Decision struct {
 	Class      Class
 	Reason     Reason
-	RetryAfter time.Duration // of a rejected request: when its caller should return
+	RetryAfter time.Duration // of a rejected request: when its caller should return; on Wait, when to ask again
 	Promised   bool          // capacity is reserved for the caller at that time
+	Waited     time.Duration // since the caller's first attempt, as far as is known
 	Queueing   time.Duration // Request.Queueing as the caller of Decide estimated it
 	Due        time.Duration // of a request on time: how long after its arrival the first event is due
 }
@@ -114,17 +133,38 @@
 	shares   fairshare.Shares
 	returns  returning.Ledger
 	memory   memory
-	admitted rate // requests admitted
-	fresh    rate // requests that could be on time when they came, without returning callers
-	short    time.Duration
+	began    time.Duration // first decision; 0: none
+	held     rate          // decisions to hold a request back
+	admitted rate          // requests admitted
+	fresh    rate          // requests that could be on time when they came, without returning callers
+	shortage shortage
 	counts   Counts
 }
 
+// shortage is the time in which requests are rejected.
+type shortage struct {
+	since, latest time.Duration // first and latest rejection; 0: none
+}
+
+// active reports whether a request was rejected within shortageHold.
+func (shortage *shortage) active(now time.Duration) bool {
+	return shortage.latest > 0 && now-shortage.latest < shortageHold
+}
+
+// extend records a rejection.
+func (shortage *shortage) extend(now time.Duration) {
+	if !shortage.active(now) {
+		shortage.since = now
+	}
+	shortage.latest = now
+}
+
 // Counts are totals since the start, by class and, for rejected requests, by reason.
 type Counts struct {
 	OnTime   int64
 	Leftover int64
 	Returned int64 // of OnTime: callers that returned as promised
+	Held     int64 // of Leftover: requests that were held back before
 	Rejected [len(reasonNames)]int64
 	Promised int64 // of Rejected: with a promise
 }
@@ -143,22 +183,28 @@
 
 // Decide decides on a request under the load of the model.
 func (controller *Controller) Decide(request Request, load Load, now time.Duration) Decision {
-	controller.shares.Ask(request.Account, request.Rank, request.Work, now)
-	returned := controller.returns.Redeem(request.Digest, now)
-	request.Waited = max(request.Waited, controller.memory.recall(request.Digest, now))
+	if controller.began == 0 {
+		controller.began = now
+	}
 	queueing := request.Queueing
 	request.Queueing = controller.delays.apply(queueing, now)
-	if !returned && request.canBeOnTime() {
-		controller.fresh.add(1, now)
+	returned, rejected := false, request.Held > 0
+	if request.Held == 0 {
+		returned, rejected = controller.receive(&request, now)
 	}
 	decision := controller.classify(&request, returned, load, now)
-	decision.Queueing = queueing
-	decision.Due = request.due()
+	decision.Queueing, decision.Waited, decision.Due = queueing, request.Waited, request.due()
+	if decision.Class == Reject && controller.mayHold(&request, rejected, load, now) {
+		decision.Class = Wait
+	}
 	switch decision.Class {
 	case OnTime, Leftover:
 		controller.admit(&request, decision, returned, now)
+	case Wait:
+		controller.held.add(1, now)
+		decision.RetryAfter = holdInterval + time.Duration(request.Digest%uint64(holdSpread))
 	case Reject:
-		controller.short = now
+		controller.shortage.extend(now)
 		controller.counts.Rejected[decision.Reason]++
 		controller.memory.remember(request.Digest, now-request.Waited, now)
 		controller.setRetry(&request, &decision, now)
@@ -166,6 +212,31 @@
 	return decision
 }
 
+// receive records a new request. It reports whether the caller returned as promised, and whether
+// it was rejected before, and sets request.Waited if so.
+func (controller *Controller) receive(request *Request, now time.Duration) (returned, rejected bool) {
+	controller.shares.Ask(request.Account, request.Rank, request.Work, now)
+	returned = controller.returns.Redeem(request.Digest, now)
+	waited := controller.memory.recall(request.Digest, now)
+	request.Waited = max(request.Waited, waited)
+	if !returned && request.canBeOnTime() {
+		controller.fresh.add(1, now)
+	}
+	return returned, waited > 0
+}
+
+// mayHold reports whether a request may be held back instead of being rejected: it was rejected before, so
+// that its caller would not return, or that cannot be known; the shortage has begun recently, so that it may
+// end in time; and few others wait.
+func (controller *Controller) mayHold(request *Request, rejected bool, load Load, now time.Duration) bool {
+	if !rejected && now-controller.began > historyTime {
+		return false
+	}
+	waiting := controller.held.perSecond(now) * (holdInterval + holdSpread/2).Seconds()
+	recent := !controller.shortage.active(now) || now-controller.shortage.since < maxHoldShortage
+	return recent && request.Held < request.MaxHold && waiting < maxHeldFraction*load.Slots
+}
+
 // classify compares the running requests with the limit of the request's kind: callers that return as
 // promised, requests within the share of their account, those beyond it, and late ones.
 func (controller *Controller) classify(request *Request, returned bool, load Load, now time.Duration) Decision {
@@ -173,7 +244,11 @@
 	slots := max(load.Slots, 1)
 	below := func(reserve float64) bool { return load.Running < max((fraction-reserve)*slots, 1) }
 	if !returned && !request.canBeOnTime() {
-		if below(leftoverReserve) {
+		reserve := leftoverReserve
+		if request.Held > 0 {
+			reserve = heldReserve
+		}
+		if below(reserve) {
 			return Decision{Class: Leftover, Reason: Late}
 		}
 		return Decision{Class: Reject, Reason: Late}
@@ -205,6 +280,9 @@
 	controller.admitted.add(1, now)
 	if decision.Class == Leftover {
 		controller.counts.Leftover++
+		if request.Held > 0 {
+			controller.counts.Held++
+		}
 		return
 	}
 	controller.counts.OnTime++
@@ -243,7 +321,7 @@
 // Status returns the state of the controller.
 func (controller *Controller) Status(now time.Duration) Status {
 	return Status{
-		Limit: controller.limit.Fraction(), Short: controller.short > 0 && now-controller.short < shortageHold, Promises: controller.returns.Len(),
+		Limit: controller.limit.Fraction(), Short: controller.shortage.active(now), Promises: controller.returns.Len(),
 		Counts: controller.counts, Usage: controller.shares.Usage(now),
 	}
 }
--- a/serve/admission.go
+++ b/serve/admission.go
@@ -1,12 +1,15 @@
 package serve
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/hex"
+	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/overload"
+	"shedkeel.org/shedkeel/timer"
 )
 
 // rejectedError reports that the overload control has rejected a request.
@@ -44,6 +47,7 @@
 	request := &overload.Request{
 		Rank: requestPriority(exchange.route, exchange.account), Digest: shortDigest(exchange.digest()), Objective: exchange.route.Objective,
 		Waited: exchange.handler.deadlines.observe(exchange.route, exchange.call.Deadline, exchange.startedAt), Remaining: exchange.remaining(),
+		MaxHold: min(maxHold, exchange.remaining()/3),
 	}
 	if exchange.account != nil {
 		request.Account = exchange.account.ID
@@ -51,6 +55,24 @@
 	return request
 }
 
+// maxHold is how long the overload control may hold a request back. Callers give up a stream that has
+// sent no event after some two seconds.
+const maxHold = 1500 * time.Millisecond
+
+// holdBack waits until the overload control is to be asked again. It returns an error if the caller
+// leaves or the request's time ends first.
+func (exchange *exchange) holdBack(ctx context.Context, query *dispatch.Query, decision *overload.Decision) error {
+	timer.Sleep(ctx, decision.RetryAfter)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	query.Now = exchange.handler.Timers.Now()
+	query.Admission.Waited = decision.Waited + decision.RetryAfter
+	query.Admission.Held = query.Now - exchange.startedAt
+	query.Admission.Remaining = exchange.remaining()
+	return nil
+}
+
 // shortDigest returns the first 64 bits of a digest.
 func shortDigest(digest shedkeel.RequestDigest) uint64 {
 	var bytes [8]byte
--- a/serve/send.go
+++ b/serve/send.go
@@ -16,6 +16,7 @@
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/overload"
 )
 
 // Reasons why no attempt can be made, or why one fails. Their texts are part of answers to
@@ -48,7 +49,7 @@
 	}
 	query := dispatch.Query{Service: exchange.service, Model: model, Exclude: exchange.tried, PromptTokens: exchange.call.PromptTokens, MaxAnswerTokens: exchange.call.AnswerTokens, Now: now}
 	if model != "" && !retry {
-		if err := exchange.admitToModel(&query); err != nil {
+		if err := exchange.admitToModel(ctx, &query); err != nil {
 			return nil, err
 		}
 	}
@@ -84,23 +85,30 @@
 
 // admitToModel is the admission control of a model. It sets exchange.late, and query.Preferred if
 // Recommend answers. It returns a rejectedError if the overload control rejects the request, and the
-// error of noServerError if no group is usable.
-func (exchange *exchange) admitToModel(query *dispatch.Query) error {
-	load := exchange.handler.Table.Load(query.Service, query.Model, query.Now)
+// error of noServerError if no group is usable. It may hold the request back for up to maxHold.
+func (exchange *exchange) admitToModel(ctx context.Context, query *dispatch.Query) error {
 	query.Admission = exchange.admissionRequest()
-	recommendation, known := exchange.recommend(query, load) // even if no group is usable, because Recommend also reports the demand for the model
-	if load.Usable == 0 {
-		return exchange.noServerError(*query)
-	}
-	if query.Admission == nil {
-		return exchange.admitBySlots(recommendation, known, load)
-	}
-	decision := recommendation.Decision
-	if decision == nil {
-		alone := exchange.handler.AdmitAlone(*query, load)
-		decision = &alone
+	for {
+		load := exchange.handler.Table.Load(query.Service, query.Model, query.Now)
+		recommendation, known := exchange.recommend(query, load) // even if no group is usable, because Recommend also reports the demand for the model
+		if load.Usable == 0 {
+			return exchange.noServerError(*query)
+		}
+		if query.Admission == nil {
+			return exchange.admitBySlots(recommendation, known, load)
+		}
+		decision := recommendation.Decision
+		if decision == nil {
+			alone := exchange.handler.AdmitAlone(*query, load)
+			decision = &alone
+		}
+		if decision.Class != overload.Wait {
+			return exchange.applyDecision(query, decision)
+		}
+		if err := exchange.holdBack(ctx, query, decision); err != nil {
+			return err
+		}
 	}
-	return exchange.applyDecision(query, decision)
 }
 
 // recommend asks Recommend for a group. If it answers, query.Preferred is set to that group.
