Count outcomes only with an objective; drop controllers of unlisted models

With overload.control = "on", a request on a route without an objective was due at its arrival. Each first event counted as missed, so that the limit of the model fell to its minimum under load. Such requests now do not count. admissions.retain was never called: controllers of models that have left the configuration stayed. The fleet now calls it when it rebuilds the dispatch table.

--- a/node/admission.go
+++ b/node/admission.go
@@ -104,7 +104,7 @@
 	return admissions.decide(key, admissionReport{node.Settings.Node, load.Outcomes}, *query.Admission, estimate, query.Now)
 }
 
-// retain drops the controllers of models that the dispatch table no longer lists.
+// retain drops the controllers of models that the configuration no longer lists.
 func (admissions *admissions) retain(listed func(shedkeel.ServiceID, shedkeel.ModelID) bool) {
 	admissions.mutex.Lock()
 	defer admissions.mutex.Unlock()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -276,6 +276,10 @@
 	}
 	isListed := func(server shedkeel.InstanceID) bool { return listed[server] }
 	fleet.node.limits.retain(isListed)
+	fleet.node.admissions.retain(func(service shedkeel.ServiceID, model shedkeel.ModelID) bool {
+		routed := view.Service(service)
+		return routed != nil && routed.Engine != nil && slices.ContainsFunc(routed.Engine.Models, func(listed shedkeel.Model) bool { return listed.ID == model })
+	})
 	fleet.node.table.RetainConditions(isListed, fleet.node.Timers.Now())
 	epochs := formation.LatestEpochs(maps.Values(fleet.instances))
 	var servers []dispatch.Server
--- a/serve/admission.go
+++ b/serve/admission.go
@@ -71,8 +71,10 @@
 	case overload.Leftover:
 		exchange.late = true
 	case overload.OnTime:
-		query.Due = exchange.startedAt + decision.Due
-		query.Queueing = decision.Queueing
+		if decision.Due > 0 { // without an objective, the outcome says nothing about the limit
+			query.Due = exchange.startedAt + decision.Due
+			query.Queueing = decision.Queueing
+		}
 	}
 	return nil
 }
