Test the overload control; describe its failures and the ways weighed

Package overload had no tests. Unit tests cover limit, memory, correction, classify and setRetry; serve and node test that decisions are carried out, by the spreader and alone, and that off admits as before. Four mutants of the control fail their tests.

--- a/config/node_test.go
+++ b/config/node_test.go
@@ -48,6 +48,11 @@
 		"wrong type of a flag":  {func(text string) string { return text + "refuse_stale_keys = \"no\"\n" }, "refuse_stale_keys"},
 		"seeds":                 {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2:5\"]\n" + text }, ""},
 		"a seed without a port": {func(text string) string { return "seeds = [\"127.0.0.1:5\", \"127.0.0.2\"]\n" + text }, "seeds[1] is no address"},
+		"control off":           {func(text string) string { return text + "[overload]\ncontrol = \"off\"\n" }, ""},
+		"control on":            {func(text string) string { return text + "[overload]\ncontrol = \"on\"\n" }, ""},
+		"unknown control":       {func(text string) string { return text + "[overload]\ncontrol = \"Off\"\n" }, `overload.control is "Off"; write "auto", "on" or "off"`},
+		"empty control":         {func(text string) string { return text + "[overload]\ncontrol = \"\"\n" }, `overload.control is ""; write "auto", "on" or "off"`},
+		"control of wrong type": {func(text string) string { return text + "[overload]\ncontrol = false\n" }, "overload.control"},
 		"truncated file":        {func(text string) string { return text[:40] }, "correct that line"}, // ends within the value of store
 	}
 	for name, test := range cases {
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -361,6 +361,18 @@
 	"nodes: former formations are kept far too long": {
 		"formation/planner.go", "if now-at <= retentionTime {", "if now-at <= 1000*retentionTime {", "TestFormerFormationsAreForgotten", "./formation",
 	},
+	"overload control: the limit never falls": {
+		"overload/limit.go", "case share > maxMissedShare && binding:", "case false && share > maxMissedShare && binding:", "TestLimitOverTime", "./overload",
+	},
+	"overload control: rejections are not remembered": {
+		"overload/memory.go", "return now - began", "return 0 * began", "TestMemory", "./overload",
+	},
+	"overload control: leftovers take the same limit": {
+		"overload/controller.go", "if below(leftoverReserve) {", "if below(0) {", "TestClassify", "./overload",
+	},
+	"overload control: promises are never redeemed": {
+		"overload/controller.go", "returned := controller.returns.Redeem(request.Digest, now)", "returned := controller.returns.Redeem(request.Digest, now) && false", "TestPromiseIsRedeemed", "./overload",
+	},
 }
 
 // TestMutants applies each mutant in turn to a copy of the files that git tracks, and checks
