Bound the overload control where outcomes are few or late

Requests whose hold ends queue at the engines instead of being rejected for good. In "auto" the control applies to models of 64 slots or more: with 8 slots, TestEvacuatedZoneGetsNothing saw 14 needless refusals. First deadlines count from 500 requests on.

--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,9 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits the size of the header of a caller's request.
 	maxHeaderBytes = 64 << 10
+	// minControlledSlots is how many slots a model must have for the overload control, if it is on
+	// for routes with an objective: about three groups of a large fleet.
+	minControlledSlots = 64
 	// assumedNodes is the number of nodes that a node assumes while none is listed, for
 	// example to compute its share of the fleet's retry budget.
 	assumedNodes = 16
@@ -163,6 +166,9 @@
 	if control := node.Settings.Overload.Control; control != config.OverloadOff {
 		node.handler.AdmitAlone = node.admissions.decideAlone
 		node.handler.ControlAllRoutes = control == config.OverloadOn
+		if control == config.OverloadAuto {
+			node.handler.MinControlledSlots = minControlledSlots
+		}
 	}
 	if node.Metrics != nil {
 		node.handler.Meter = serve.NewMeter(node.Metrics.Scope)
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -35,6 +35,9 @@
 	// maxWaitFraction is the longest Retry-After, as a fraction of the time that the caller still
 	// waits. Callers honor a Retry-After of at most a third of that time.
 	maxWaitFraction = 0.3
+	// lastHeldReserve lets requests whose hold ends queue at the engines, beyond the limit, instead of
+	// being rejected for good.
+	lastHeldReserve = -0.25
 	// maxHoldShortage is how long after the start of a shortage requests are held back. A longer
 	// one does not end while they wait.
 	maxHoldShortage = 4 * time.Second
@@ -245,8 +248,12 @@
 	below := func(reserve float64) bool { return load.Running < max((fraction-reserve)*slots, 1) }
 	if !returned && !request.canBeOnTime() {
 		reserve := leftoverReserve
-		if request.Held > 0 {
+		switch {
+		case request.Held == 0:
+		case request.Held+holdInterval+holdSpread < request.MaxHold:
 			reserve = heldReserve
+		default:
+			reserve = lastHeldReserve
 		}
 		if below(reserve) {
 			return Decision{Class: Leftover, Reason: Late}
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -8,8 +8,9 @@
 	initialFraction = 0.9
 	// minFraction keeps the limit above the load at which engines idle between passes.
 	minFraction = 0.6
-	// maxFraction allows for requests that are counted but not yet, or no longer, in a slot.
-	maxFraction = 1.5
+	// maxFraction allows for requests that are counted but not yet, or no longer, in a slot. Misses
+	// show only when an objective has passed, so that the limit would rise too far without a bound.
+	maxFraction = 1.05
 	// maxMissedShare is the share of requests admitted as on time that may miss their objective
 	// before the limit falls, and minMissedShare the share below which it rises.
 	maxMissedShare = 0.10
@@ -22,8 +23,9 @@
 	bindingShare = 0.85
 	// minOutcomes is how many outcomes a change of the limit needs.
 	minOutcomes = 30
-	// raiseInterval is the least time between two rises.
-	raiseInterval = 200 * time.Millisecond
+	// raiseInterval is the least time between two rises: outcomes show the effect of the last
+	// one after about an objective.
+	raiseInterval = 400 * time.Millisecond
 	// settleTime is how long outcomes are ignored after a fall: first events that come meanwhile
 	// were delayed by the load from before the fall.
 	settleTime = 400 * time.Millisecond
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -72,6 +72,9 @@
 	AdmitAlone func(dispatch.Query, dispatch.Load) overload.Decision
 	// ControlAllRoutes applies the overload control also to routes without a latency objective.
 	ControlAllRoutes bool
+	// MinControlledSlots is how many slots a model must have for the overload control to apply:
+	// with few slots, outcomes are too rare for a limit to follow them.
+	MinControlledSlots int
 	// MaxConfigAge is the age above which a configuration counts as out of date, counted
 	// from when it was last proven current. A configuration that is out of date may contain
 	// keys that have been removed, and lack new keys and routes.
--- a/serve/send.go
+++ b/serve/send.go
@@ -87,9 +87,11 @@
 // Recommend answers. It returns a rejectedError if the overload control rejects the request, and the
 // error of noServerError if no group is usable. It may hold the request back for up to maxHold.
 func (exchange *exchange) admitToModel(ctx context.Context, query *dispatch.Query) error {
-	query.Admission = exchange.admissionRequest()
-	for {
+	for first := true; ; first = false {
 		load := exchange.handler.Table.Load(query.Service, query.Model, query.Now)
+		if first && load.Slots >= exchange.handler.MinControlledSlots {
+			query.Admission = exchange.admissionRequest()
+		}
 		recommendation, known := exchange.recommend(query, load) // even if no group is usable, because Recommend also reports the demand for the model
 		if load.Usable == 0 {
 			return exchange.noServerError(*query)
--- a/serve/waited.go
+++ b/serve/waited.go
@@ -15,7 +15,7 @@
 	// route's timeout.
 	quantileStep = 0.002
 	// minDeadlines is how many requests the estimate needs.
-	minDeadlines = 200
+	minDeadlines = 500
 	// refusalTime is how long after a refusal deadlines do not count, because callers that return
 	// have less time left.
 	refusalTime = 3 * time.Second
