--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -49,6 +49,15 @@
 	outcomes.Actual += max(now-choice.ChosenAt-choice.expectedResponseTime(), 0)
 }
 
+// countOverdue counts the requests whose first event is overdue. The caller must hold the table's mutex.
+func (serverState *serverState) countOverdue(now time.Duration) {
+	for choice := range serverState.running {
+		if now > choice.due {
+			choice.countOutcome(now)
+		}
+	}
+}
+
 // estimate returns what is expected of a request that is sent to the given group, the best of the
 // query's partition. The caller must hold table.mutex.
 func (table *Table) estimate(query Query, best *serverState) Estimate {
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -394,11 +394,7 @@
 			load.Groups[state.Instance] = len(state.running)
 			load.recordHeard(state)
 		}
-		for choice := range state.running {
-			if now > choice.due {
-				choice.countOutcome(now)
-			}
-		}
+		state.countOverdue(now)
 		if state.avoidUntil > now || !state.condition.accepts(now) {
 			continue
 		}
