--- a/overload/controller.go
+++ b/overload/controller.go
@@ -37,7 +37,7 @@
 	maxWaitFraction = 0.3
 	// lastHeldReserve lets requests whose hold ends queue at the engines, beyond the limit, instead of
 	// being rejected for good.
-	lastHeldReserve = -0.25
+	lastHeldReserve = -0.10
 	// maxHoldShortage is how long after the start of a shortage requests are held back. A longer
 	// one does not end while they wait.
 	maxHoldShortage = 4 * time.Second
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -10,7 +10,7 @@
 	minFraction = 0.6
 	// maxFraction allows for requests that are counted but not yet, or no longer, in a slot. Misses
 	// show only when an objective has passed, so that the limit would rise too far without a bound.
-	maxFraction = 1.05
+	maxFraction = 1.25
 	// maxMissedShare is the share of requests admitted as on time that may miss their objective
 	// before the limit falls, and minMissedShare the share below which it rises.
 	maxMissedShare = 0.10
@@ -25,7 +25,7 @@
 	minOutcomes = 30
 	// raiseInterval is the least time between two rises: outcomes show the effect of the last
 	// one after about an objective.
-	raiseInterval = 400 * time.Millisecond
+	raiseInterval = 200 * time.Millisecond
 	// settleTime is how long outcomes are ignored after a fall: first events that come meanwhile
 	// were delayed by the load from before the fall.
 	settleTime = 400 * time.Millisecond
