--- a/overload/controller.go
+++ b/overload/controller.go
@@ -35,9 +35,6 @@
 	// maxWaitFraction is the longest Retry-After, as a fraction of the time that the caller still
 	// waits. Callers honor a Retry-After of at most a third of that time.
 	maxWaitFraction = 0.3
-	// lastHeldReserve lets requests whose hold ends queue at the engines, beyond the limit, instead of
-	// being rejected for good.
-	lastHeldReserve = -0.10
 	// maxHoldShortage is how long after the start of a shortage requests are held back. A longer
 	// one does not end while they wait.
 	maxHoldShortage = 4 * time.Second
@@ -248,12 +245,8 @@
 	below := func(reserve float64) bool { return load.Running < max((fraction-reserve)*slots, 1) }
 	if !returned && !request.canBeOnTime() {
 		reserve := leftoverReserve
-		switch {
-		case request.Held == 0:
-		case request.Held+holdInterval+holdSpread < request.MaxHold:
+		if request.Held > 0 {
 			reserve = heldReserve
-		default:
-			reserve = lastHeldReserve
 		}
 		if below(reserve) {
 			return Decision{Class: Leftover, Reason: Late}
