--- a/node/admission.go
+++ b/node/admission.go
@@ -77,14 +77,18 @@
 	return model
 }
 
-// newOutcomes returns the outcomes since the node's last report, and whether there are any. Totals that
-// are lower than before are those of a node that has restarted. The first report of a node only sets the
-// totals to compare with.
+// newOutcomes returns the outcomes since the node's last report, and whether there are any. Totals of less
+// than half of those before are those of a node that has restarted; other lower ones come from a report
+// that another one has overtaken. The first report of a node only sets the totals to compare with.
 func (modelAdmission *modelAdmission) newOutcomes(report admissionReport) (outcomes overload.Outcomes, found bool) {
 	before, known := modelAdmission.outcomes[report.node]
 	total := report.outcomes
-	modelAdmission.outcomes[report.node] = total
-	if !known || total.Met < before.Met || total.Missed < before.Missed {
+	overtaken := total.Met < before.Met || total.Missed < before.Missed
+	restarted := overtaken && 2*(total.Met+total.Missed) < before.Met+before.Missed
+	if !overtaken || restarted {
+		modelAdmission.outcomes[report.node] = total
+	}
+	if !known || overtaken {
 		return overload.Outcomes{}, false
 	}
 	outcomes = overload.Outcomes{
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -36,6 +36,9 @@
 	for _, blamed := range status.BlamedRequests {
 		_, _ = fmt.Fprintf(writer, "request %s is %s: servers ended under it: %s\n", blamed.Request, blamed.Judgment, joinNames(blamed.Servers))
 	}
+	for _, overload := range status.Overload {
+		printOverload(writer, overload)
+	}
 	for _, evacuation := range status.Evacuated {
 		_, _ = fmt.Fprintf(writer, "zone %s is evacuated: its %d listed servers get no requests\n", evacuation.Zone, evacuation.Servers)
 	}
@@ -129,3 +132,15 @@
 	}
 	return cmp.Or(strings.Join(found, ", "), "-")
 }
+
+// printOverload prints the admission of requests for a model.
+func printOverload(writer io.Writer, overload node.OverloadDump) {
+	state := "has capacity"
+	if overload.Short {
+		state = "is short of capacity"
+	}
+	_, _ = fmt.Fprintf(writer, "model %s of %s (partition %d) %s: %.0f requests on %.0f slots, limit %.2f of them\n", overload.Model, overload.Service, overload.Partition, state, overload.Running, overload.Slots, overload.Limit)
+	if len(overload.Over) > 0 {
+		_, _ = fmt.Fprintf(writer, "  accounts over their share: %v\n", overload.Over)
+	}
+}
