--- a/node/activity.go
+++ b/node/activity.go
@@ -12,13 +12,14 @@
 	"shedkeel.org/shedkeel/wire"
 )
 
-// askActivity asks about the silent groups of this node that would soon count as stalled. The
-// spreader of each model's first partition knows when any node last received events of them, from
-// the reports in SpreadCalls: nodes report to the spreaders of all partitions.
+// askActivity asks about the silent groups of this node that would soon count as stalled. Each
+// spreader of a model knows when any node last received events of them, from the reports in
+// SpreadCalls. The partition is drawn at random, so that no node answers for the whole model.
 func (peers *peers) askActivity(now time.Duration) {
 	table := &peers.node.table
 	for _, inquiry := range table.Inquiries(now) {
-		spreader, own := peers.spreader(0, now)
+		partition := peers.randomPartition(max(table.Partitions(inquiry.Service, inquiry.Model), 1))
+		spreader, own := peers.spreader(partition, now)
 		switch {
 		case own:
 			table.RecordActivity(inquiry, table.Activity(inquiry))
