--- a/overload/controller.go
+++ b/overload/controller.go
@@ -48,7 +48,7 @@
 	// holdSpread the largest addition, by the request's digest.
 	holdInterval = 250 * time.Millisecond
 	holdSpread   = 150 * time.Millisecond
-	// shortageHold is how long after the last rejection a model counts as short of room.
+	// shortageHold is how long after the last rejection a model counts as short of capacity.
 	shortageHold = time.Second
 )
 
