--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -81,7 +81,7 @@
 	return serverState.hash%uint32(max(query.Partitions, 1)) == uint32(query.Partition)
 }
 
-// PartitionAt returns the partition of a model's groups that a point from 0 to 1 falls on, if each
+// PartitionAt returns the partition of a model's groups that a point between 0 and 1 falls on, if each
 // partition has a part of that range in proportion to its groups. A change of the groups moves few
 // points to another partition.
 func (table *Table) PartitionAt(service shedkeel.ServiceID, model shedkeel.ModelID, point float64) int {
