--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint
 
-.PHONY: demo test check unit build generate bench measure capacity mutants fuzz
+.PHONY: demo test check unit packages timed scenarios soak build generate bench measure capacity mutants fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,15 +17,23 @@
 	go vet ./...
 	$(LINT) run ./...
 
-# Tests of whole nodes that measure how soon requests are served.
-TIMED := ^(TestCutOffBoxServes|TestCutOffLeaderRepairsGroups|TestIdleBoxServesWhenCutOff|TestLostStreamsBlockNoServer|TestNoDeadConnectionIsUsedAfterCut|TestNothingReachesServers|TestRandomCuts|TestRelayStopsAsPlanned)$$
+# Tests that measure how soon something happens, or whose answers have 20 ms of real time.
+TIMED := ^(TestControlOff|TestCutOffBoxServes|TestCutOffLeaderRepairsGroups|TestIdleBoxServesWhenCutOff|TestLostStreamsBlockNoServer|TestNoDeadConnectionIsUsedAfterCut|TestNothingReachesServers|TestRandomCuts|TestRelayStopsAsPlanned|TestReportsTellOfEvents|TestSlowGroupIsNoStall|TestSpreaderRejects|TestUnreadBytesAreBounded)$$
 
 # The timed tests, the scenarios and the soak run by themselves, so that no other test's load
 # becomes theirs.
-unit:
+unit: packages timed scenarios soak
+
+packages:
 	go test -race -timeout 20m -skip '$(TIMED)' $$(go list ./... | grep -v -e '^shedkeel.org/shedkeel$$' -e '/soak$$')
-	go test -race -timeout 10m -parallel 3 -run '$(TIMED)' ./node
+
+timed:
+	go test -race -timeout 10m -p 1 -parallel 3 -run '$(TIMED)' ./node ./serve
+
+scenarios:
 	go test -race -timeout 20m .
+
+soak:
 	go test -timeout 10m ./soak
 
 $(LINT):
