overload: one function for exponential decay

The rate and the correction of delays computed the same decay each for themselves, and the export of rejections built the scope of its model a second time.

--- a/node/admission.go
+++ b/node/admission.go
@@ -175,7 +175,7 @@
 	scope.Gauge("overload_promises").Update(float64(status.Promises))
 	for reason, count := range status.Counts.Rejected {
 		if count > 0 {
-			admissions.node.Metrics.Scope.Tagged(tags).Tagged(map[string]string{"reason": overload.Reason(reason).String()}).Counter("overload_rejected").Inc(count - model.before.Rejected[reason])
+			scope.Tagged(map[string]string{"reason": overload.Reason(reason).String()}).Counter("overload_rejected").Inc(count - model.before.Rejected[reason])
 		}
 	}
 	model.before = status.Counts
--- a/overload/correction.go
+++ b/overload/correction.go
@@ -1,9 +1,6 @@
 package overload
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// correctionTime is the time constant with which observed delays are forgotten.
@@ -38,7 +35,7 @@
 }
 
 func (correction *correction) decay(now time.Duration) {
-	share := math.Exp(-max(now-correction.at, 0).Seconds() / correctionTime.Seconds())
+	share := remainingShare(now-correction.at, correctionTime)
 	correction.at = now
 	correction.expected *= share
 	correction.actual *= share
--- a/overload/rate.go
+++ b/overload/rate.go
@@ -27,7 +27,12 @@
 }
 
 func (rate *rate) decay(now time.Duration) {
-	elapsed := max(now-rate.at, 0)
+	rate.sum *= remainingShare(now-rate.at, rateTime)
 	rate.at = now
-	rate.sum *= math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+}
+
+// remainingShare returns the share of an amount that is left after the elapsed time, if it decays
+// exponentially with the time constant. Times that go back count as none.
+func remainingShare(elapsed, constant time.Duration) float64 {
+	return math.Exp(-max(elapsed, 0).Seconds() / constant.Seconds())
 }
