Log the parts of the prompts under which a backend server ended

An on-call engineer could not tell requests that share one part of their prompts from passengers: line 615 named the whole request's digest only.

The parts that other requests may share are read at the boundary and named in line 615, with the model. Unreadable parts are skipped, at most 16 count.

--- a/Makefile
+++ b/Makefile
@@ -71,4 +71,5 @@
 	go test -run '^$$' -fuzz FuzzCall -fuzztime 20s ./wire
 	go test -run '^$$' -fuzz FuzzGossip -fuzztime 20s ./wire
 	go test -run '^$$' -fuzz FuzzServerLimit -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz FuzzSharedParts -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzAnswer -fuzztime 20s ./platform
--- a/call.go
+++ b/call.go
@@ -15,6 +15,7 @@
 	KeyCount     int           // number of keys that the caller sent
 	Deadline     time.Duration // time that the caller waits for the answer; 0: not stated
 	Model        ModelID       // "" if none
+	SharedParts  []PartID      // parts of the prompt that other requests may share, in order; the last part, which is the request's own, is left out
 	PromptTokens int           // as stated by the caller; 0: not stated
 	AnswerTokens int           // maximum that the caller states; 0: not stated
 	LastEventID  string        // the caller resumes a stream after the event with this ID; "": none
@@ -43,6 +44,9 @@
 	HeaderError error // names those header fields of Backoff and Draining that cannot be parsed and are ignored; nil: none. For the field of Limit see StatedLimit.Err
 }
 
+// PartID identifies a part of a prompt. Requests with the same ID have that part in common.
+type PartID string
+
 // RequestDigest is a digest of the content of a request: its method, host, target,
 // client account and body. A RequestGuard treats requests with the same digest as one
 // request, whatever their IDs and whichever process receives them.
