Test that fails: one part of many prompts ends server after server

Stand-in engines crash 60 ms after they have begun to answer a request with a deadly part. Requests with that part come at all nodes, no two alike, beside sound ones that share key, first part and other parts.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -212,12 +213,17 @@
 
 // sendBody does the same as send, with the argument sent as the request's body.
 func (cluster *testCluster) sendBody(address, id, path, key, sent string, tokens int) (int, string) {
+	return cluster.sendRequest(address, path, sent, http.Header{"X-Shedkeel-Attempt-Id": {id}, "X-Shedkeel-Key": {key}, "X-Shedkeel-Token-Usage": {fmt.Sprint("100,", tokens)}}) // 100 prompt tokens
+}
+
+// sendRequest sends a request with the body and headers given, and returns the same as send. Headers
+// that are not given have the usual values; a stream then has ten events.
+func (cluster *testCluster) sendRequest(address, path, sent string, header http.Header) (int, string) {
 	request, err := http.NewRequestWithContext(cluster.t.Context(), http.MethodPost, "http://"+address+path, strings.NewReader(sent))
 	assert.NilError(cluster.t, err)
 	request.Host = "h.example"
-	for name, value := range map[string]string{"X-Shedkeel-Attempt-Id": id, "X-Shedkeel-Key": key, "X-Shedkeel-Deadline-Ms": "8000", "X-Shedkeel-Model": "m0", "X-Shedkeel-Token-Usage": fmt.Sprint("100,", tokens)} { // 100 prompt tokens
-		request.Header.Set(name, value)
-	}
+	request.Header = http.Header{"X-Shedkeel-Deadline-Ms": {"8000"}, "X-Shedkeel-Model": {"m0"}, "X-Shedkeel-Token-Usage": {"100,50"}}
+	maps.Copy(request.Header, header)
 	response, err := cluster.client.Do(request)
 	if err != nil {
 		return 0, err.Error()
--- /dev/null
+++ b/node/part_test.go
@@ -0,0 +1,126 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/platform/standin"
+)
+
+const (
+	// deadlyPart is the ID of the part that crashes engines, and sharedPart that of the first part
+	// of all prompts.
+	deadlyPart, sharedPart = "dead", "5a"
+	// maxEndedByPart is how many servers one part may terminate.
+	maxEndedByPart = 5
+	// partKnown is how long after the maxEndedByPart-th termination requests with the part may
+	// still reach servers.
+	partKnown = time.Second
+)
+
+// newPartCluster returns a test cluster whose engines crash on deadlyPart. All its nodes serve.
+func newPartCluster(t *testing.T, nodes int) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t, nodes)
+	cluster.fleet.CrashParts, cluster.fleet.CrashDelay, cluster.fleet.Answer = []string{deadlyPart}, 60*time.Millisecond, 150*time.Millisecond
+	cluster.eventually("all nodes are in the directory", func() bool { return len(cluster.addresses(0)) == nodes })
+	for index := range nodes {
+		cluster.waitServing(index)
+	}
+	return cluster
+}
+
+// sendParts sends a stream of 40 events whose prompt has the given shared parts and a part of its own. It returns
+// the status and whether the answer is complete.
+func (cluster *testCluster) sendParts(index int, key string, shared ...string) (status int, whole bool) {
+	id := shedkeel.NewNonce()
+	parts := strings.Join(append(shared, id+":20"), ":40,")
+	status, body := cluster.sendRequest(cluster.nodes[index].callers, "/copy/a", id, http.Header{"X-Shedkeel-Attempt-Id": {id}, "X-Shedkeel-Key": {key}, "X-Shedkeel-Prompt-Prefix": {parts}, "X-Shedkeel-Token-Usage": {"100,200"}})
+	return status, status == http.StatusOK && body == completeStream(40)
+}
+
+// partLoad counts requests of one kind and those that were answered completely.
+type partLoad struct {
+	mutex       sync.Mutex
+	sent, whole int
+}
+
+// sendPartLoad sends the requests of send, one each pause, for the given length, to all nodes in
+// turn, and waits until all have ended.
+func (cluster *testCluster) sendPartLoad(pause, length time.Duration, send func(number int) bool) *partLoad {
+	load, running := &partLoad{}, sync.WaitGroup{}
+	began := time.Now()
+	for number := 0; time.Since(began) < length; number++ {
+		running.Go(func() {
+			whole := send(number)
+			load.mutex.Lock()
+			defer load.mutex.Unlock()
+			load.sent++
+			if whole {
+				load.whole++
+			}
+		})
+		time.Sleep(time.Until(began.Add(time.Duration(number+1) * pause)))
+	}
+	running.Wait()
+	return load
+}
+
+// sendSound sends sound requests that share their key, their first part and, in turn, four other
+// parts, one each 40 ms.
+func (cluster *testCluster) sendSound(length time.Duration) *partLoad {
+	return cluster.sendPartLoad(40*time.Millisecond, length, func(number int) bool {
+		_, whole := cluster.sendParts(number%len(cluster.nodes), "key-1", sharedPart, fmt.Sprintf("%x", 0xc0+number%4))
+		return whole
+	})
+}
+
+// endings returns when each server terminated under deadlyPart.
+func endings(runs []standin.PartRun) []time.Time {
+	var ended []time.Time
+	for _, run := range runs {
+		if run.Crashed {
+			ended = append(ended, run.At)
+		}
+	}
+	return ended
+}
+
+// TestPartEndsServerAfterServer sends requests that have nothing in common but deadlyPart, a key and
+// a sound first part, to all nodes in turn, beside sound requests.
+func TestPartEndsServerAfterServer(t *testing.T) {
+	cases := map[string]time.Duration{"2 a second": 500 * time.Millisecond, "10 a second": 100 * time.Millisecond, "50 a second": 20 * time.Millisecond}
+	for name, pause := range cases {
+		t.Run(name, func(t *testing.T) {
+			cluster := newPartCluster(t, 3)
+			calm := cluster.sendSound(2 * time.Second)
+			var sound *partLoad
+			running := sync.WaitGroup{}
+			running.Go(func() {
+				time.Sleep(4 * time.Second) // until the part is known
+				sound = cluster.sendSound(3 * time.Second)
+			})
+			deadly := cluster.sendPartLoad(pause, 7*time.Second, func(number int) bool {
+				_, whole := cluster.sendParts(number%3, "key-1", sharedPart, deadlyPart, fmt.Sprintf("%x", 0xc0+number%4))
+				return whole
+			})
+			running.Wait()
+			runs := cluster.fleet.PartRuns()
+			ended := endings(runs)
+			t.Logf("calm: %d of %d answered; beside the part: %d of %d; %d requests with the part, %d of them reached servers, %d servers ended", calm.whole, calm.sent, sound.whole, sound.sent, deadly.sent, len(runs), len(ended))
+			assert.Equal(t, deadly.whole, 0)
+			assert.Assert(t, len(ended) <= maxEndedByPart, "%d servers ended under one part", len(ended))
+			if len(ended) == maxEndedByPart {
+				assert.Assert(t, !runs[len(runs)-1].At.After(ended[maxEndedByPart-1].Add(partKnown)), "requests with the part reach servers after it is known")
+			}
+			assert.Assert(t, float64(sound.whole)/float64(sound.sent) >= 0.95*float64(calm.whole)/float64(calm.sent), "sound requests are answered less often than on a calm day")
+		})
+	}
+}
