Find parts of prompts that end backend servers, over all requests

Callers saw 502 and 503 on a whole route for as long as requests with one part in their prompts came: 38 and 32 servers ended under two parts.

Cause: what servers ended under was held against the digest of the whole request. Requests that share one part and nothing else have as many digests as there are, so no count passed 2, while sound requests that were moved from one ended server to the next were contained.

Change: blames are about subjects, a digest or a part of prompts for a model. A part is suspected from the first ended server on, unless an answer with it has proven it harmless, at any node; suspects are tried one request at a time, on a server without another trial; a part is contained once three servers have ended and a trial, or what all ends have in common, shows that it is the cause. Servers that a contained part explains no longer count against others. A collector for each model takes the reports and tells all nodes; records are stored as those of digests are. A resumed attempt that completes clears nothing any more: it may end before its server does. Status, event 667, metrics parts_judged and requests_refused by cause part_quarantined and part_contained show it; shedkeel release lets it go.

--- a/contain/bench_test.go
+++ b/contain/bench_test.go
@@ -13,7 +13,7 @@
 	ledger := &Ledger{}
 	for index := range 1000 {
 		for _, server := range []shedkeel.InstanceID{"a", "b", "c"} { // containThreshold servers
-			ledger.RecordFailure(shedkeel.RequestDigest(fmt.Sprint(index)), server)
+			ledger.RecordFailure(shedkeel.Subject(fmt.Sprint(index)), server)
 		}
 	}
 	b.ReportAllocs()
--- a/contain/ledger_test.go
+++ b/contain/ledger_test.go
@@ -50,7 +50,7 @@
 	assert.Equal(t, len(before.Servers), 2)
 	assert.Equal(t, after.Round, uint32(1))
 	assert.Assert(t, ledger.Idle())
-	_, changed := ledger.Merge(shedkeel.Blame{Request: "r", Servers: []shedkeel.InstanceID{"a", "b", "c"}})
+	_, changed := ledger.Merge(shedkeel.Blame{Subject: "r", Servers: []shedkeel.InstanceID{"a", "b", "c"}})
 	assert.Assert(t, !changed, "a record of an earlier round was merged")
 	assert.Equal(t, Judge(ledger.Blame("r")), shedkeel.Unblamed)
 	for _, server := range []shedkeel.InstanceID{"d", "e", "f"} {
@@ -96,12 +96,12 @@
 	for _, server := range []shedkeel.InstanceID{"a", "b", "c"} {
 		ledger.RecordFailure("deadly", server)
 	}
-	for index := range 3 * maxRequests {
-		ledger.RecordFailure(shedkeel.RequestDigest(fmt.Sprint(index)), "a")
+	for index := range 3 * maxSubjects {
+		ledger.RecordFailure(shedkeel.Subject(fmt.Sprint(index)), "a")
 		ledger.Blame("0") // counts as a use
 	}
-	assert.Equal(t, len(ledger.All()), maxRequests)
+	assert.Equal(t, len(ledger.All()), maxSubjects)
 	assert.Equal(t, Judge(ledger.Blame("deadly")), shedkeel.Contained)
 	assert.Equal(t, len(ledger.Blame("0").Servers), 1, "the entry that is read often was evicted")
-	assert.Equal(t, ledger.withServers.Load(), int64(maxRequests), "not all remaining entries have servers, or withServers counts them wrong")
+	assert.Equal(t, ledger.withServers.Load(), int64(maxSubjects), "not all remaining entries have servers, or withServers counts them wrong")
 }
--- a/contain/simulation_test.go
+++ b/contain/simulation_test.go
@@ -65,7 +65,7 @@
 }
 
 const (
-	request = shedkeel.RequestDigest("deadly")
+	request = shedkeel.Subject("deadly")
 	// Copies of the request arrive until requestDuration. The simulation ends at simDuration.
 	requestDuration = 10 * time.Second
 	simDuration     = 20 * time.Second
@@ -146,7 +146,7 @@
 // the request arrive as a Poisson process with a rate of perSecond.
 func simulate(strategy strategy, nodes, heads int, perSecond float64, fault fault, seed uint64) *simulation {
 	simulation := &simulation{strategy: strategy, fault: fault, random: rand.New(rand.NewPCG(seed, uint64(nodes)))}
-	simulation.stored.Request = request
+	simulation.stored.Subject = request
 	for index := range nodes {
 		simulation.nodes = append(simulation.nodes, &simNode{ledger: &Ledger{}, partition: index % 2})
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -27,7 +27,7 @@
 	ExcludedNodes  []ExcludedNodeDump `json:"unnamed"`  // listed nodes that the directory does not name to callers
 	Isolated       bool               `json:"isolated"` // this node receives nothing, neither from other nodes nor from the key-value service, so it declares no node dead
 	Reach          ReachDump          `json:"reach"`
-	BlamedRequests []BlameDump        `json:"judged"`    // quarantined and contained requests
+	BlamedRequests []BlameDump        `json:"judged"`    // quarantined and contained digests and parts of prompts
 	Limited        []LimitDump        `json:"limited"`   // servers that limit their request rate or are cold
 	Evacuated      []EvacuationDump   `json:"evacuated"` // availability zones whose servers get no requests
 	Overload       []OverloadDump     `json:"overload"`  // of the models whose requests this node spreads
@@ -44,12 +44,18 @@
 	Relayed     int64  `json:"relayed"`     // connections that are open for other nodes
 }
 
-// BlameDump is a request that may be sent to no server (contained) or to one at a time
-// (quarantined), because servers have terminated while running the request.
+// BlameDump is a digest or a part of prompts whose requests may be sent to no server (contained) or
+// to one at a time (quarantined), because servers have terminated while running them.
 type BlameDump struct {
-	Request  shedkeel.RequestDigest `json:"request"`
-	Judgment string                 `json:"judgment"` // "quarantined" or "contained"
-	Servers  []shedkeel.InstanceID  `json:"servers"`  // the instances that terminated while running the request
+	Request         shedkeel.Subject      `json:"request"`
+	Model           shedkeel.ModelID      `json:"model,omitempty"`  // of a part of prompts
+	Part            shedkeel.PartID       `json:"part,omitempty"`   // empty: a digest
+	Judgment        string                `json:"judgment"`         // "quarantined" or "contained"
+	Servers         []shedkeel.InstanceID `json:"servers"`          // the instances that terminated while running the requests
+	Since           time.Time             `json:"since,omitzero"`   // when the first of the servers terminated, if known
+	Recorded        bool                  `json:"recorded"`         // the key-value service has a record, which operators can remove
+	Refused         int64                 `json:"refused"`          // requests that this node has refused because of it
+	RefusedAccounts []shedkeel.AccountID  `json:"refused_accounts"` // client accounts of these, at most maxRefusedAccounts
 }
 
 // LimitDump is a server whose request rate is limited: the server states a limit in its
@@ -120,7 +126,7 @@
 	dump.Isolated = node.gossip.isolated()
 	dump.Reach = node.reachDump()
 	dump.ExcludedNodes = node.excludedNodes()
-	dump.BlamedRequests = node.guard.judgedRequests()
+	dump.BlamedRequests = node.guard.judgedSubjects()
 	dump.Limited = node.limits.dump()
 	dump.Evacuated = node.fleet.evacuations()
 	dump.Overload = node.admissions.dump(node.Timers.Now())
--- a/node/contain_test.go
+++ b/node/contain_test.go
@@ -88,7 +88,7 @@
 	operator.PrintStatus(&printed, answer)
 	assert.Assert(t, strings.Contains(printed.String(), "request "+digest[1]+" is contained"), printed.String())
 
-	_, err = cluster.data.Commit(shedkeel.Transaction{Remove: []string{"shedkeel/blames/" + digest[1]}}) // the key of the blame's record (blamePrefix)
+	_, err = cluster.data.Commit(shedkeel.Transaction{Remove: []string{"shedkeel/blames/" + digest[1]}}) // the key of the blame's record (BlamePrefix)
 	assert.NilError(t, err)
 	cluster.eventually("the request is released", func() bool {
 		answer, err := client.Status(t.Context())
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -87,7 +87,7 @@
 			serversChanged = fleet.applyInstance(record, now) || serversChanged
 		case strings.HasPrefix(record.Key, nodePrefix):
 			nodesChanged = fleet.applyNode(record, now) || nodesChanged
-		case strings.HasPrefix(record.Key, blamePrefix):
+		case strings.HasPrefix(record.Key, BlamePrefix):
 			fleet.node.guard.applyRecord(record)
 		default:
 			if zone, found := fleet.node.Decoder.EvacuatedZone(record.Key); found {
--- a/node/guard_test.go
+++ b/node/guard_test.go
@@ -32,7 +32,7 @@
 
 // newBlame returns a blame of the request "r".
 func newBlame(round uint32, servers ...shedkeel.InstanceID) shedkeel.Blame {
-	return shedkeel.Blame{Request: "r", Round: round, Servers: servers}
+	return shedkeel.Blame{Subject: "r", Round: round, Servers: servers}
 }
 
 // blameRecord returns the record of a blame in the key-value service, at revision 5.
@@ -40,7 +40,7 @@
 	t.Helper()
 	value, err := json.Marshal(blame)
 	assert.NilError(t, err)
-	return shedkeel.Record{Key: blamePrefix + string(blame.Request), Value: value, Revision: shedkeel.Revision{Number: 5}}
+	return shedkeel.Record{Key: BlamePrefix + string(blame.Subject), Value: value, Revision: shedkeel.Revision{Number: 5}}
 }
 
 // TestRecordChange guards against blames of quarantined or contained requests whose records in
@@ -64,8 +64,8 @@
 		"cleared, older record":            {newBlame(1), blameRecord(t, newBlame(0, "a", "b", "c")), 0, 1},
 		"cleared, record of a later round": {newBlame(1), blameRecord(t, newBlame(2, "a", "b", "c")), 0, 0},
 		"cleared, then two, older record":  {newBlame(1, "d", "e"), blameRecord(t, newBlame(0, "a", "b", "c")), 1, 0},
-		"three, corrupt record":            {newBlame(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte("{"), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
-		"three, record of another request": {newBlame(0, "a", "b", "c"), shedkeel.Record{Key: blamePrefix + "r", Value: []byte(`{"request":"q"}`), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
+		"three, corrupt record":            {newBlame(0, "a", "b", "c"), shedkeel.Record{Key: BlamePrefix + "r", Value: []byte("{"), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
+		"three, record of another request": {newBlame(0, "a", "b", "c"), shedkeel.Record{Key: BlamePrefix + "r", Value: []byte(`{"request":"q"}`), Revision: shedkeel.Revision{Number: 5}}, 1, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -74,7 +74,7 @@
 			if needed {
 				assert.Equal(t, len(change.Put), test.puts)
 				assert.Equal(t, len(change.Remove), test.removes)
-				assert.DeepEqual(t, change.If, []shedkeel.Condition{{Key: blamePrefix + "r", Revision: test.record.Revision}})
+				assert.DeepEqual(t, change.If, []shedkeel.Condition{{Key: BlamePrefix + "r", Revision: test.record.Revision}})
 			}
 		})
 	}
@@ -89,7 +89,7 @@
 	node.Store = store
 	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	for _, server := range []shedkeel.InstanceID{"a", "b", "c"} {
-		node.guard.ServerEnded("r", server)
+		node.guard.ServerEnded(shedkeel.GuardedRequest{Digest: "r"}, server)
 	}
 	node.guard.writePending(t.Context(), timers.Now())
 	assert.Equal(t, len(store.changes), 0)
@@ -99,10 +99,10 @@
 		node.guard.writePending(t.Context(), timers.Now())
 	}
 	assert.Equal(t, len(store.changes), 1)
-	assert.Equal(t, node.guard.Judge("r"), shedkeel.Contained)
+	assert.Equal(t, node.guard.Judge(shedkeel.GuardedRequest{Digest: "r"}).Judgment, shedkeel.Contained)
 
-	node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + "r", Removed: true, Revision: shedkeel.Revision{Number: 2000}})) // later than the revision of the blame's record (see blameStore)
-	assert.Equal(t, node.guard.Judge("r"), shedkeel.Unblamed, "the request is judged although an operator has released it")
+	node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: BlamePrefix + "r", Removed: true, Revision: shedkeel.Revision{Number: 2000}})) // later than the revision of the blame's record (see blameStore)
+	assert.Equal(t, node.guard.Judge(shedkeel.GuardedRequest{Digest: "r"}).Judgment, shedkeel.Unblamed, "the request is judged although an operator has released it")
 	for range 5 {
 		timers.Advance(writeInterval)
 		node.guard.writePending(t.Context(), timers.Now())
@@ -118,11 +118,11 @@
 	store := &blameStore{}
 	node.Store = store
 	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
-	node.guard.ServerEnded("r", "a")
-	node.guard.ServerEnded("r", "b")
+	node.guard.ServerEnded(shedkeel.GuardedRequest{Digest: "r"}, "a")
+	node.guard.ServerEnded(shedkeel.GuardedRequest{Digest: "r"}, "b")
 	changedAt := node.guard.unwrittenBlames()["r"]
 	timers.Advance(time.Millisecond)
-	node.guard.ServerEnded("r", "c")
+	node.guard.ServerEnded(shedkeel.GuardedRequest{Digest: "r"}, "c")
 	node.guard.markWritten("r", changedAt)
 	node.guard.writePending(t.Context(), timers.Now())
 	assert.Equal(t, len(store.changes), 1)
@@ -151,8 +151,8 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			node, _ := newTestNode(t)
-			node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: blamePrefix + test.key, Value: []byte(test.value), Revision: shedkeel.Revision{Number: 7}}))
-			assert.Equal(t, node.guard.Judge("r"), test.judgment)
+			node.mirror.Apply(mirrorUpdate(shedkeel.Record{Key: BlamePrefix + test.key, Value: []byte(test.value), Revision: shedkeel.Revision{Number: 7}}))
+			assert.Equal(t, node.guard.Judge(shedkeel.GuardedRequest{Digest: "r"}).Judgment, test.judgment)
 			assert.Equal(t, node.fleet.skippedRecords.Load(), test.skipped)
 		})
 	}
@@ -168,13 +168,13 @@
 		return node.guard.handle(&wire.BlameCall{Kind: kind, Request: "r", Servers: servers}).GetBlame().GetAllowed()
 	}
 	assert.Assert(t, ask(wire.BlameCall_TRY, "a", "b"))
-	assert.Equal(t, node.guard.Judge("r"), shedkeel.Quarantined, "the blame that the call carries was not merged")
+	assert.Equal(t, node.guard.Judge(shedkeel.GuardedRequest{Digest: "r"}).Judgment, shedkeel.Quarantined, "the blame that the call carries was not merged")
 	assert.Assert(t, !ask(wire.BlameCall_TRY, "a", "b"))
 	ask(wire.BlameCall_DONE)
-	done, allowed := node.guard.AcquireAttempt(t.Context(), "r") // this node is the only decider
+	trial, allowed := node.guard.AcquireAttempt(t.Context(), shedkeel.GuardedRequest{Digest: "r"}) // this node is the only decider
 	assert.Assert(t, allowed)
 	assert.Assert(t, !ask(wire.BlameCall_TRY, "a", "b"))
-	done()
+	trial.Done()
 	assert.Assert(t, ask(wire.BlameCall_TRY, "a", "b"))
 	timers.Advance(trialExpiry + time.Millisecond)
 	assert.Assert(t, ask(wire.BlameCall_TRY, "a", "b"), "no trial is allowed although the last one has expired")
@@ -187,7 +187,7 @@
 func TestDecidersAgree(t *testing.T) {
 	firstDeciders := map[shedkeel.NodeID]int{}
 	for range 40 { // about ten requests for each of the four nodes as the first decider
-		request := shedkeel.RequestDigest(shedkeel.NewNonce())
+		request := shedkeel.Subject(shedkeel.NewNonce())
 		var agreed []shedkeel.NodeID
 		for _, record := range fourNodes {
 			node, _ := newListedNode(t, record.ID, fourNodes)
--- a/node/peers.go
+++ b/node/peers.go
@@ -289,6 +289,8 @@
 		return peers.handleDemand(kind.Demand)
 	case *wire.Call_Blame:
 		return peers.node.guard.handle(kind.Blame)
+	case *wire.Call_Parts:
+		return peers.node.guard.handleParts(kind.Parts)
 	case *wire.Call_Permit:
 		return peers.node.limits.handlePermit(kind.Permit)
 	case *wire.Call_Limit:
@@ -296,7 +298,7 @@
 	case *wire.Call_Register:
 		return peers.node.registrar.handle(ctx, kind.Register)
 	}
-	return &wire.Reply{Error: "a node answers relays, notices, spreads, activities, demands, blames, permits, limits and registrations only; upgrade one side"}
+	return &wire.Reply{Error: "a node answers relays, notices, spreads, activities, demands, blames, parts, permits, limits and registrations only; upgrade one side"}
 }
 
 // ownIndex returns this node's index among the listed nodes, or the number of listed nodes if
--- a/node/report.go
+++ b/node/report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -31,13 +32,7 @@
 	scope.Gauge("unread_bytes").Update(float64(node.handler.ReaderBudget.Held()))
 	node.reportLimits(scope)
 	scope.Gauge("zones_evacuated").Update(float64(len(node.fleet.evacuations())))
-	judged := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
-	for _, blame := range node.guard.judgedRequests() {
-		judged[blame.Judgment]++
-	}
-	for judgment, count := range judged {
-		scope.Tagged(map[string]string{"judgment": judgment}).Gauge("requests_judged").Update(float64(count))
-	}
+	node.reportJudged(scope)
 	for state, count := range node.fleet.groupStates() {
 		scope.Tagged(map[string]string{"state": state}).Gauge("groups").Update(float64(count))
 	}
@@ -48,6 +43,24 @@
 	}
 }
 
+// reportJudged exports how many digests and parts of prompts are quarantined and contained.
+func (node *Node) reportJudged(scope tally.Scope) {
+	requests := map[string]int{shedkeel.Quarantined.String(): 0, shedkeel.Contained.String(): 0}
+	parts := maps.Clone(requests)
+	for _, blame := range node.guard.judgedSubjects() {
+		if blame.Part != "" {
+			parts[blame.Judgment]++
+		} else {
+			requests[blame.Judgment]++
+		}
+	}
+	for judgment := range requests {
+		tagged := scope.Tagged(map[string]string{"judgment": judgment})
+		tagged.Gauge("requests_judged").Update(float64(requests[judgment]))
+		tagged.Gauge("parts_judged").Update(float64(parts[judgment]))
+	}
+}
+
 // reportLimits exports how many servers limit their rate, back off, or drain according to
 // their answers, and how many permits of limited servers this node granted and refused.
 func (node *Node) reportLimits(scope tally.Scope) {
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -147,7 +147,7 @@
 	node.Store = store
 	node.peers.update([]nodeRecord{node.ownRecord()})
 	for _, server := range []shedkeel.InstanceID{"a", "b", "c"} { // three servers terminate, so the request is contained
-		node.guard.ServerEnded("r", server)
+		node.guard.ServerEnded(shedkeel.GuardedRequest{Digest: "r"}, server)
 	}
 	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	writeBlames := func() { // the second call of writePending must not write the blame once more
@@ -160,7 +160,7 @@
 	assert.Equal(t, len(store.changes), 1, "writes before the restore")
 	store.era = 1
 	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Era: 1, Number: 1}, AsOf: timers.Now()})
-	assert.Equal(t, node.guard.Judge("r"), shedkeel.Contained)
+	assert.Equal(t, node.guard.Judge(shedkeel.GuardedRequest{Digest: "r"}).Judgment, shedkeel.Contained)
 	writeBlames()
 	assert.Equal(t, len(store.changes), 2, "the blame is written again")
 }
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/node"
@@ -34,7 +35,7 @@
 		_, _ = fmt.Fprintf(writer, "callers are not sent to %s: %s\n", excluded.Node, excluded.Reason)
 	}
 	for _, blamed := range status.BlamedRequests {
-		_, _ = fmt.Fprintf(writer, "request %s is %s: servers ended under it: %s\n", blamed.Request, blamed.Judgment, joinNames(blamed.Servers))
+		printBlamed(writer, status.Node, blamed)
 	}
 	for _, overload := range status.Overload {
 		printOverload(writer, overload)
@@ -69,6 +70,25 @@
 	_ = table.Flush()
 }
 
+// printBlamed prints what is held against a request or a part of prompts, and how to release it.
+func printBlamed(writer io.Writer, observer shedkeel.NodeID, blamed node.BlameDump) {
+	name, release := "request "+string(blamed.Request), "shedkeel release --store ADDRESS "+string(blamed.Request)
+	if blamed.Part != "" {
+		name = fmt.Sprintf("part %s of prompts for model %s", blamed.Part, blamed.Model)
+		release = fmt.Sprintf("shedkeel release --store ADDRESS --model %s %s", blamed.Model, blamed.Part)
+	}
+	_, _ = fmt.Fprintf(writer, "%s is %s: servers ended under it: %s\n", name, blamed.Judgment, joinNames(blamed.Servers))
+	if !blamed.Since.IsZero() {
+		_, _ = fmt.Fprintf(writer, "  since %s\n", blamed.Since.UTC().Format(time.RFC3339))
+	}
+	if blamed.Refused > 0 {
+		_, _ = fmt.Fprintf(writer, "  node %s has refused %d requests for it; client accounts: %s\n", observer, blamed.Refused, cmp.Or(joinNames(blamed.RefusedAccounts), "none"))
+	}
+	if blamed.Recorded {
+		_, _ = fmt.Fprintf(writer, "  to let it go: %s\n", release)
+	}
+}
+
 // joinNames joins names with commas.
 func joinNames[Name ~string](names []Name) string {
 	texts := make([]string, len(names))
--- a/program/operator.go
+++ b/program/operator.go
@@ -100,6 +100,10 @@
 				&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's key-value service", Required: true},
 				&cli.BoolFlag{Name: "withdraw", Usage: "end the evacuation of the zone"},
 			}, Action: evacuate},
+			{Name: "release", Usage: "send requests to backend servers again although servers have ended under them (fleets of nodes only)", ArgsUsage: "DIGEST or, with --model, PART", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's key-value service", Required: true},
+				&cli.StringFlag{Name: "model", Usage: "release a part of the prompts for the `MODEL`; left out: a request, by its digest"},
+			}, Action: release},
 			{Name: "dump", Usage: "print the state of the process at --keeper", Action: dump},
 			{Name: "trace", Usage: "print the events of a request or a replica group from the logs of nodes", ArgsUsage: "[FILE...]", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "request", Usage: "the request's `ID`, as its caller sent it"},
@@ -320,6 +324,32 @@
 // evacuateTimeout bounds the write to the key-value service.
 const evacuateTimeout = 5 * time.Second
 
+// release removes the record of what is held against a request or a part of prompts. The nodes watch
+// these records, and send such requests again at once. Without a record it returns an InvalidError.
+func release(ctx context.Context, command *cli.Command) error {
+	name, err := argument(command)
+	if err != nil {
+		return err
+	}
+	subject := shedkeel.DigestSubject(shedkeel.RequestDigest(name))
+	if model := command.String("model"); model != "" {
+		subject = shedkeel.PartSubject(shedkeel.ModelID(model), shedkeel.PartID(strings.ToLower(name)))
+	}
+	store := &platform.Store{Address: command.String("store"), Timeout: evacuateTimeout}
+	record, err := store.Get(ctx, node.BlamePrefix+string(subject))
+	if err != nil {
+		return err
+	}
+	if !record.Revision.Exists() {
+		return &shedkeel.InvalidError{Where: command.Name, What: "nothing is recorded against " + name, Remedy: "give a name that status shows as recorded; what has no record is let go within a minute without evidence"}
+	}
+	if _, err := store.Commit(ctx, shedkeel.Transaction{Remove: []string{record.Key}}); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(command.Root().Writer, "%s is released; see status\n", name)
+	return err
+}
+
 // evacuate writes the evacuation record of an availability zone, or removes the record with
 // --withdraw. It succeeds once the key-value service has accepted the change, also if the
 // record existed before or was already removed. The nodes watch these records; the status
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -91,7 +91,7 @@
 	exchange.log(event.ServerEnded, slog.String("server", string(choice.Instance)), slog.String("digest", string(exchange.digest())),
 		slog.String("model", string(exchange.call.Model)), slog.Any("parts", exchange.call.SharedParts))
 	if exchange.handler.Guard != nil {
-		exchange.handler.Guard.ServerEnded(exchange.digest(), choice.Instance)
+		exchange.handler.Guard.ServerEnded(exchange.guarded(), choice.Instance)
 	}
 }
 
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -3,58 +3,135 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"shedkeel.org/shedkeel"
 )
 
+// harmlessAfter is how long after its first event a stream proves the parts of its prompt harmless.
+const harmlessAfter = time.Second
+
 // errServersEnded is the cancellation cause of a request if servers have terminated while
-// they ran requests with the same digest. Its text is part of refusals.
-var errServersEnded = errors.New("backend servers have ended under this very request")
+// they ran requests with the same digest, or with a part of its prompt. Its text is part of refusals.
+var errServersEnded = errors.New("backend servers have ended under this very request, or under a part of its prompt")
 
 // guardActive reports whether there is a guard that has records of servers that terminated
 // while they ran requests. Otherwise the handler does not ask the guard about requests, and so
 // computes no digests for that.
 func (handler *Handler) guardActive() bool { return handler.Guard != nil && !handler.Guard.Idle() }
 
-// checkGuard asks the guard whether the request may be sent. If so, the caller must call done
-// when the request is over; otherwise err is the refusal. A contained request may not be
-// sent. A quarantined request may be sent if the guard allows an attempt now: checkGuard then
-// sets exchange.quarantined, so that the request runs on one server only.
-func (exchange *exchange) checkGuard(ctx context.Context) (done func(), err error) {
+// servedModel returns the model that the request is for, or "" if the service does not have it: callers
+// choose the names of models.
+func (exchange *exchange) servedModel() shedkeel.ModelID {
+	if exchange.call.Model == "" {
+		return ""
+	}
+	service := exchange.view.Service(exchange.service)
+	if service == nil || service.Engine == nil || service.Engine.Model(exchange.call.Model) == nil {
+		return ""
+	}
+	return exchange.call.Model
+}
+
+// sharedParts returns the parts of the request's prompt that other requests may share, for the guard.
+func (exchange *exchange) sharedParts() []shedkeel.Subject {
+	if exchange.handler.Guard == nil || len(exchange.call.SharedParts) == 0 || exchange.servedModel() == "" {
+		return nil
+	}
+	parts := make([]shedkeel.Subject, len(exchange.call.SharedParts))
+	for index, part := range exchange.call.SharedParts {
+		parts[index] = shedkeel.PartSubject(exchange.call.Model, part)
+	}
+	return parts
+}
+
+// guarded returns what the guard needs to know of the request.
+func (exchange *exchange) guarded() shedkeel.GuardedRequest {
+	guarded := shedkeel.GuardedRequest{Digest: shedkeel.DigestSubject(exchange.digest()), Parts: exchange.parts, Model: exchange.servedModel(), OnTrial: exchange.onTrial.Load()}
+	if exchange.account != nil {
+		guarded.Account = exchange.account.ID
+	}
+	return guarded
+}
+
+// checkGuard asks the guard whether the request may be sent; otherwise it returns the refusal.
+// A contained request may not be sent. A quarantined request may be sent if the guard allows an
+// attempt now.
+func (exchange *exchange) checkGuard(ctx context.Context) error {
 	if !exchange.handler.guardActive() {
-		return func() {}, nil
-	}
-	switch exchange.handler.Guard.Judge(exchange.digest()) {
-	case shedkeel.Contained:
-		return nil, exchange.refuse(causeContained, errServersEnded.Error()+", so it is sent to none any more")
-	case shedkeel.Quarantined:
-		done, allowed := exchange.handler.Guard.AcquireAttempt(ctx, exchange.digest())
-		if !allowed {
-			return nil, exchange.refuse(causeQuarantined, errServersEnded.Error()+", and one try of it at a time is made")
-		}
-		exchange.quarantined = true
-		return done, nil
+		return nil
+	}
+	ruling := exchange.handler.Guard.Judge(exchange.guarded())
+	switch {
+	case ruling.Judgment == shedkeel.Contained:
+		return exchange.refuseGuarded(ruling, "it is sent to none any more")
+	case ruling.Judgment == shedkeel.Quarantined && !exchange.acquireTrial(ctx):
+		return exchange.refuseGuarded(exchange.handler.Guard.Judge(exchange.guarded()), "one try of it at a time is made")
+	}
+	return nil
+}
+
+// refuseGuarded returns the refusal of a request that the guard does not allow.
+func (exchange *exchange) refuseGuarded(ruling shedkeel.Ruling, consequence string) error {
+	exchange.handler.Guard.Refused(exchange.guarded(), ruling.Subject)
+	_, part, isPart := ruling.Subject.Part()
+	cause, reason := causeQuarantined, errServersEnded.Error()
+	switch {
+	case isPart && ruling.Judgment == shedkeel.Contained:
+		cause, reason = causePartContained, "backend servers have ended under part "+string(part)+" of its prompt"
+	case isPart:
+		cause, reason = causePartQuarantined, "a backend server has ended under part "+string(part)+" of its prompt"
+	case ruling.Judgment == shedkeel.Contained:
+		cause = causeContained
+	}
+	exchange.refusedFor = ruling.Subject
+	return exchange.refuse(cause, reason+", so "+consequence)
+}
+
+// acquireTrial asks the guard to allow an attempt of the quarantined request. If so, it sets
+// exchange.onTrial, so that the request runs on one server only.
+func (exchange *exchange) acquireTrial(ctx context.Context) bool {
+	trial, allowed := exchange.handler.Guard.AcquireAttempt(ctx, exchange.guarded())
+	if allowed {
+		exchange.trial = trial
+		exchange.onTrial.Store(true)
+	}
+	return allowed
+}
+
+// endTrial ends the attempt that the guard has allowed, if any.
+func (exchange *exchange) endTrial() {
+	if exchange.trial.Done != nil {
+		exchange.trial.Done()
 	}
-	return func() {}, nil
 }
 
 // guardAllows reports whether the guard still allows another attempt. Since checkGuard was
 // called, servers may have terminated while they ran this request or others with the same
-// digest.
+// digest or with a part of its prompt.
 func (exchange *exchange) guardAllows() bool {
 	if !exchange.handler.guardActive() {
 		return true
 	}
-	judgment := exchange.handler.Guard.Judge(exchange.digest())
-	return judgment == shedkeel.Unblamed || exchange.quarantined && judgment == shedkeel.Quarantined
+	judgment := exchange.handler.Guard.Judge(exchange.guarded()).Judgment
+	return judgment == shedkeel.Unblamed || exchange.onTrial.Load() && judgment == shedkeel.Quarantined
 }
 
 // reportAnswer reports to the guard that a server has answered the request completely, which
-// clears all requests with the same digest. It reports nothing while the guard has no records.
+// clears all requests with the same digest. It reports no digest while the guard has no records.
 func (exchange *exchange) reportAnswer() {
 	if exchange.handler.guardActive() {
-		exchange.handler.Guard.RequestAnswered(exchange.digest())
+		exchange.handler.Guard.RequestAnswered(exchange.guarded())
+	}
+}
+
+// reportHarmless reports to the guard that the parts of the prompt do not terminate servers, once for
+// the request.
+func (exchange *exchange) reportHarmless() {
+	if len(exchange.parts) > 0 && !exchange.partsHarmless {
+		exchange.partsHarmless = true
+		exchange.handler.Guard.PartsHarmless(exchange.parts)
 	}
 }
 
@@ -76,16 +153,27 @@
 	delete(handler.exchanges, exchange)
 }
 
-// CancelCopies cancels the active requests with the given digest: requests that are queued at
+// CancelCopies cancels the active requests of a subject: requests that are queued at
 // servers would crash these servers too when they run. It spares a stream whose answer has
-// started, because a complete answer clears the digest, and a request with
-// exchange.quarantined set, because the guard has allowed its attempt.
-func (handler *Handler) CancelCopies(request shedkeel.RequestDigest) {
+// started, because a complete answer clears the subject, and a request with
+// exchange.onTrial set, because the guard has allowed its attempt. It returns the servers that
+// the requests had been sent to last.
+func (handler *Handler) CancelCopies(subject shedkeel.Subject) (servers []shedkeel.InstanceID) {
+	_, _, isPart := subject.Part()
 	for _, exchange := range handler.activeExchanges() {
-		if !exchange.quarantined && !exchange.answerStarted.Load() && exchange.digest() == request {
-			exchange.abort(errServersEnded)
+		if exchange.onTrial.Load() || exchange.answerStarted.Load() {
+			continue
+		}
+		concerned := isPart && slices.Contains(exchange.parts, subject) || !isPart && shedkeel.DigestSubject(exchange.digest()) == subject
+		if !concerned {
+			continue
+		}
+		exchange.abort(errServersEnded)
+		if server := exchange.latestServer.Load(); server != nil {
+			servers = append(servers, *server)
 		}
 	}
+	return servers
 }
 
 // CancelOverdue cancels the active requests whose deadline has passed by the clock of Timers.
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -37,39 +37,43 @@
 	return guard.idle && len(guard.ended) == 0
 }
 
-func (guard *fixedGuard) Judge(shedkeel.RequestDigest) shedkeel.Judgment {
+func (guard *fixedGuard) Judge(request shedkeel.GuardedRequest) shedkeel.Ruling {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	if guard.worsens && len(guard.ended) > 0 {
-		return shedkeel.Quarantined
+		return shedkeel.Ruling{Judgment: shedkeel.Quarantined, Subject: request.Digest}
 	}
-	return guard.judgment
+	return shedkeel.Ruling{Judgment: guard.judgment, Subject: request.Digest}
 }
 
-func (guard *fixedGuard) ServerEnded(_ shedkeel.RequestDigest, server shedkeel.InstanceID) {
+func (guard *fixedGuard) Refused(shedkeel.GuardedRequest, shedkeel.Subject) {}
+
+func (guard *fixedGuard) PartsHarmless([]shedkeel.Subject) {}
+
+func (guard *fixedGuard) ServerEnded(_ shedkeel.GuardedRequest, server shedkeel.InstanceID) {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	guard.ended = append(guard.ended, server)
 }
 
-func (guard *fixedGuard) RequestAnswered(shedkeel.RequestDigest) {
+func (guard *fixedGuard) RequestAnswered(shedkeel.GuardedRequest) {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	guard.answers++
 }
 
-func (guard *fixedGuard) AcquireAttempt(context.Context, shedkeel.RequestDigest) (func(), bool) {
+func (guard *fixedGuard) AcquireAttempt(context.Context, shedkeel.GuardedRequest) (shedkeel.Trial, bool) {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	if guard.refuses {
-		return nil, false
+		return shedkeel.Trial{}, false
 	}
 	guard.attempts++
-	return func() {
+	return shedkeel.Trial{Placed: func(shedkeel.InstanceID) {}, Done: func() {
 		guard.mutex.Lock()
 		defer guard.mutex.Unlock()
 		guard.endedAttempts++
-	}, true
+	}}, true
 }
 
 // fixedCheck is a fake shedkeel.ServerCheck that reports all servers as stopped if its value is
@@ -221,7 +225,7 @@
 			}
 			go func() {
 				time.Sleep(60 * time.Millisecond) // until the request waits for its answer, or part of the stream has been forwarded
-				harness.CancelCopies(digested.computeDigest())
+				harness.CancelCopies(shedkeel.DigestSubject(digested.computeDigest()))
 			}()
 			if name == "stream started" {
 				harness.Backend = slowBackend{harness.backend} // otherwise the stream would end before CancelCopies is called
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -153,20 +153,25 @@
 	body            []byte
 	configAge       time.Duration // time from when the configuration was last proven current to startedAt
 	startedAt       time.Duration
-	deadline        time.Duration                 // when the request ends: callerDeadline less answerMargin
-	callerDeadline  time.Duration                 // until when the caller waits: by the route's timeout or the caller's own, whichever ends first
-	tried           []shedkeel.InstanceID         // servers chosen so far
-	runs            int                           // attempts that have run or may have run
-	mayHaveRun      bool                          // an attempt that gave the caller no answer may have run
-	attempts        int                           // attempts that may have reached a server
-	late            bool                          // requests on time already use onTimeFraction of the model's slots: the request gets latePriority (see admitToModel)
-	answerAttrs     []slog.Attr                   // log attributes of the answer
-	digest          func() shedkeel.RequestDigest // returns the request's digest; computes it at the first call
-	quarantined     bool                          // the request may run on one server only
-	unread          unreadBytes                   // bytes kept for the caller until it reads them
-	answerStarted   atomic.Bool                   // of a stream: writing the answer to the caller has started
-	freshConnection atomic.Bool                   // a server of an attempt has terminated: later attempts use new connections, which a terminated server refuses
-	abort           context.CancelCauseFunc       // cancels all attempts of the request
+	deadline        time.Duration                       // when the request ends: callerDeadline less answerMargin
+	callerDeadline  time.Duration                       // until when the caller waits: by the route's timeout or the caller's own, whichever ends first
+	tried           []shedkeel.InstanceID               // servers chosen so far
+	runs            int                                 // attempts that have run or may have run
+	mayHaveRun      bool                                // an attempt that gave the caller no answer may have run
+	attempts        int                                 // attempts that may have reached a server
+	late            bool                                // requests on time already use onTimeFraction of the model's slots: the request gets latePriority (see admitToModel)
+	answerAttrs     []slog.Attr                         // log attributes of the answer
+	digest          func() shedkeel.RequestDigest       // returns the request's digest; computes it at the first call
+	parts           []shedkeel.Subject                  // parts of the prompt that other requests may share
+	partsHarmless   bool                                // the parts have been reported as harmless
+	onTrial         atomic.Bool                         // the guard has allowed an attempt as a trial: the request may run on one server only
+	trial           shedkeel.Trial                      // the attempt that the guard has allowed, if any
+	refusedFor      shedkeel.Subject                    // the subject for which the guard does not allow the request; "": it does
+	latestServer    atomic.Pointer[shedkeel.InstanceID] // the server chosen last; nil: none yet
+	unread          unreadBytes                         // bytes kept for the caller until it reads them
+	answerStarted   atomic.Bool                         // of a stream: writing the answer to the caller has started
+	freshConnection atomic.Bool                         // a server of an attempt has terminated: later attempts use new connections, which a terminated server refuses
+	abort           context.CancelCauseFunc             // cancels all attempts of the request
 	// retryIn is how long until a server that limits its rate or asked for a backoff
 	// accepts a request again, as of the latest choice that failed with errLimited or
 	// errBackoff; after a rejection by the overload control, when the caller should return.
@@ -311,17 +316,17 @@
 	defer cancel()
 	ctx, exchange.abort = context.WithCancelCause(ctx)
 	defer exchange.abort(nil)
+	exchange.parts = exchange.sharedParts()
 	exchange.handler.track(exchange)
 	defer exchange.handler.untrack(exchange)
 	// A caller whose request has crashed servers sends the same request again, under other
 	// IDs and to other nodes. A bound on the attempts of each request does not suffice: with
 	// a bound of two, each request that is sent again crashes two more servers. The guard
 	// recognizes such requests by their digest.
-	done, err := exchange.checkGuard(ctx)
-	if err != nil {
+	if err := exchange.checkGuard(ctx); err != nil {
 		return err
 	}
-	defer done()
+	defer exchange.endTrial()
 	if exchange.route.Kind == shedkeel.RequestStream {
 		stream := &stream{exchange: exchange, updates: make(chan update, updateBuffer)}
 		return stream.run(ctx)
@@ -362,7 +367,9 @@
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.retryAfter))
 	}
-	if refused.cause == causeContained || refused.cause == causeQuarantined {
+	if model, part, isPart := exchange.refusedFor.Part(); isPart {
+		fields = append(fields, slog.String("part", string(part)), slog.String("model", string(model)))
+	} else if refused.cause == causeContained || refused.cause == causeQuarantined {
 		fields = append(fields, slog.String("digest", string(exchange.digest())))
 	}
 	if refused.retryAfter > 0 {
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -42,6 +42,9 @@
 		// last run that MaxRuns allows is forwarded after the loop.
 		if err == nil && (answer.response.StatusCode < http.StatusInternalServerError || !exchange.mayRetry()) {
 			exchange.reportAnswer()
+			if answer.response.StatusCode < http.StatusMultipleChoices {
+				exchange.reportHarmless()
+			}
 			exchange.answerAttrs = []slog.Attr{slog.String("server", string(choice.Instance))}
 			exchange.writeAnswer(answer)
 			return nil
@@ -76,7 +79,7 @@
 // mayRetry reports whether the request may run on another server although it may have run
 // already: the route allows a further run, and the request is not quarantined.
 func (exchange *exchange) mayRetry() bool {
-	return exchange.route.Repeatable() && exchange.runs < exchange.route.MaxRuns && !exchange.quarantined
+	return exchange.route.Repeatable() && exchange.runs < exchange.route.MaxRuns && !exchange.onTrial.Load()
 }
 
 // tryServer sends the request to the chosen server, reads the answer completely and ends the
--- a/serve/retryafter.go
+++ b/serve/retryafter.go
@@ -9,7 +9,8 @@
 	// retrySoon is the shortest Retry-After. It applies when another process can serve
 	// the caller at once, or this process can within milliseconds.
 	retrySoon = 50 * time.Millisecond
-	// retryRepair is the wait for causeNoCapacity, causeNotRun, causeQuarantined and causeNoPath. It is
+	// retryRepair is the wait for causeNoCapacity, causeNotRun, causeQuarantined,
+	// causePartQuarantined and causeNoPath. It is
 	// about the time in which a failed member of a replica group is replaced, or in which
 	// slots of full servers become free. maxWaitFraction and the jitter may shorten it.
 	retryRepair = 700 * time.Millisecond
@@ -31,32 +32,34 @@
 type cause int
 
 const (
-	causeStopping    cause = iota // this process is stopping; other processes serve
-	causeStaleConfig              // this process has no configuration, or one that is out of date
-	causeNoCapacity               // no server is available, or too many late requests wait for the model (errFull)
-	causeNotRun                   // any other reason why no attempt ran, such as that all servers tried refused the request
-	causeQuarantined              // servers terminated while they ran the request, and the guard allows no attempt now
-	causeLimited                  // the servers limit their rate, and no permit is available in time (errLimited)
-	causeBackoff                  // all available servers have asked for a backoff (see noServerError)
-	causeContained                // too many servers terminated while they ran the request; it is not sent again
-	causeNoPath                   // no node reaches a backend server (shedkeel.NoPathError)
-	causeFull                     // the overload control rejected the request: the model has no capacity left for it
-	causeLate                     // the overload control rejected the request: it cannot be on time, and no capacity is left over
-	causeOverShare                // the overload control rejected the request: its client account has its share
+	causeStopping        cause = iota // this process is stopping; other processes serve
+	causeStaleConfig                  // this process has no configuration, or one that is out of date
+	causeNoCapacity                   // no server is available, or too many late requests wait for the model (errFull)
+	causeNotRun                       // any other reason why no attempt ran, such as that all servers tried refused the request
+	causeQuarantined                  // servers terminated while they ran the request, and the guard allows no attempt now
+	causeLimited                      // the servers limit their rate, and no permit is available in time (errLimited)
+	causeBackoff                      // all available servers have asked for a backoff (see noServerError)
+	causeContained                    // too many servers terminated while they ran the request; it is not sent again
+	causePartQuarantined              // servers terminated under a part of the prompt, and another request with it is being tried
+	causePartContained                // a part of the prompt terminates servers; no request with it is sent
+	causeNoPath                       // no node reaches a backend server (shedkeel.NoPathError)
+	causeFull                         // the overload control rejected the request: the model has no capacity left for it
+	causeLate                         // the overload control rejected the request: it cannot be on time, and no capacity is left over
+	causeOverShare                    // the overload control rejected the request: its client account has its share
 )
 
 // causeNames are the names of the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "no_path", "full", "late", "over_share"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "part_quarantined", "part_contained", "no_path", "full", "late", "over_share"}
 
 // String returns the name of the cause in logs and metrics.
 func (cause cause) String() string { return causeNames[cause] }
 
 // retryAfter returns how long the caller should wait before it retries after a refusal, at
-// least retrySoon. It returns 0 for causeContained, because a retry cannot succeed.
+// least retrySoon. It returns 0 for causeContained and causePartContained, because a retry cannot succeed.
 func (exchange *exchange) retryAfter(cause cause) time.Duration {
 	wait := retryRepair
 	switch cause {
-	case causeContained:
+	case causeContained, causePartContained:
 		return 0
 	case causeStopping:
 		wait = retrySoon
--- a/serve/send.go
+++ b/serve/send.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,7 +48,7 @@
 	if service := exchange.view.Service(exchange.service); service == nil || service.Engine == nil {
 		model = ""
 	}
-	query := dispatch.Query{Service: exchange.service, Model: model, Exclude: exchange.tried, PromptTokens: exchange.call.PromptTokens, MaxAnswerTokens: exchange.call.AnswerTokens, Now: now}
+	query := dispatch.Query{Service: exchange.service, Model: model, Exclude: slices.Concat(exchange.tried, exchange.trial.Avoid), PromptTokens: exchange.call.PromptTokens, MaxAnswerTokens: exchange.call.AnswerTokens, Now: now}
 	if model != "" && !retry {
 		if err := exchange.admitToModel(ctx, &query); err != nil {
 			return nil, err
@@ -63,6 +64,10 @@
 		return nil, err
 	}
 	exchange.tried = append(exchange.tried, choice.Instance)
+	exchange.latestServer.Store(&choice.Instance)
+	if exchange.trial.Placed != nil {
+		exchange.trial.Placed(choice.Instance)
+	}
 	exchange.attempts++
 	return choice, nil
 }
--- a/serve/source.go
+++ b/serve/source.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
@@ -26,6 +27,7 @@
 	cancel      context.CancelFunc
 	response    *http.Response // nil until send has returned the answer
 	resumeAfter string         // ID of the event after which the server is to resume; "": it starts at the beginning
+	firstAt     time.Duration  // when the source's first event was forwarded; 0: none yet
 	hedged      bool           // a second source was started because this source stalled
 	lastNumber  int64          // number of the source's last event that was forwarded, 0 if its ID is not a number; at first stream.lastNumber
 }
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -89,11 +89,15 @@
 }
 
 // mayFailOver reports whether the route, MaxRuns and the guard allow the stream to run on
-// another server too. A quarantined stream may run on one server only. Every source counts
+// another server too.
+func (stream *stream) mayFailOver() bool { return stream.mayRepeat() && stream.guardAllows() }
+
+// mayRepeat reports whether the route and MaxRuns allow the stream to run on another server too. A
+// quarantined stream may run on one server only. Every source counts
 // towards MaxRuns unless its server refused the stream or was not reached: a server whose source
 // was canceled may already have started to run the stream.
-func (stream *stream) mayFailOver() bool {
-	return stream.route.Repeatable() && stream.runs < stream.route.MaxRuns && !stream.quarantined && stream.guardAllows()
+func (stream *stream) mayRepeat() bool {
+	return stream.route.Repeatable() && stream.runs < stream.route.MaxRuns && !stream.onTrial.Load()
 }
 
 // hedge starts a second source beside the only source, which has stalled. If no server can be
@@ -147,7 +151,14 @@
 	if err := stream.write(update.event); err != nil {
 		return false, errAborted
 	}
-	stream.timing.observe(stream.startedAt, stream.handler.Timers.Now())
+	now := stream.handler.Timers.Now()
+	stream.timing.observe(stream.startedAt, now)
+	if update.source.firstAt == 0 {
+		update.source.firstAt = now
+	}
+	if now-update.source.firstAt >= harmlessAfter {
+		stream.reportHarmless()
+	}
 	stream.lastNumber = max(stream.lastNumber, update.number)
 	if update.id != "" {
 		stream.lastID = update.id
@@ -197,7 +208,11 @@
 		if !stream.answerStarted.Load() {
 			stream.writeHead(update.source.response, -1)
 		}
-		stream.reportAnswer()
+		// A resumed attempt may end before its server does.
+		if update.source.resumeAfter == "" {
+			stream.reportAnswer()
+			stream.reportHarmless()
+		}
 		record(stream.handler.meter().firstEvent, stream.timing.firstDelay)
 		record(stream.handler.meter().longestPause, stream.timing.longestPause)
 		stream.answerAttrs = []slog.Attr{
@@ -211,7 +226,7 @@
 
 // failOver records the failure of a source and starts another source, unless a second source
 // is still running. It ends the stream if no further attempt is allowed or possible. After a
-// source that did not run, mayFailOver does not apply, but the guard and maxServersTried do.
+// source that did not run, mayRepeat does not apply, but the guard and maxServersTried do.
 func (stream *stream) failOver(ctx context.Context, update update) error {
 	stream.lastErr = update.err
 	stream.uncountUnsent(update.err)
@@ -226,7 +241,7 @@
 	if len(stream.sources) > 0 {
 		return nil
 	}
-	if ctx.Err() != nil || notRun == nil && !stream.mayFailOver() || notRun != nil && notRun.NoPath || !stream.guardAllows() || len(stream.tried) >= maxServersTried {
+	if ctx.Err() != nil || notRun == nil && !stream.mayRepeat() || notRun != nil && notRun.NoPath || len(stream.tried) >= maxServersTried || !stream.guardAdmits(ctx) {
 		return stream.finish(ctx, update.err)
 	}
 	if err := stream.startSource(ctx); err != nil {
@@ -235,6 +250,18 @@
 	return nil
 }
 
+// guardAdmits reports whether the guard allows another attempt, if need be as a trial: the servers that
+// have ended may have done so under a part of the prompt that is harmless. A stream whose digest is
+// quarantined gets no trial, as it would end a second server.
+func (stream *stream) guardAdmits(ctx context.Context) bool {
+	if stream.guardAllows() {
+		return true
+	}
+	ruling := stream.handler.Guard.Judge(stream.guarded())
+	_, _, isPart := ruling.Subject.Part()
+	return isPart && ruling.Judgment == shedkeel.Quarantined && !stream.onTrial.Load() && stream.acquireTrial(ctx)
+}
+
 // finish ends a stream that cannot be completed. If events were forwarded, it returns
 // errAborted, so that the connection is aborted. If the reason is a statusError, it forwards
 // the server's status and header, without the body, and returns nil. Otherwise it returns the
