Tests of the detection of parts that end servers

With real nodes: operators' view, loss of all nodes, release, crashes by another cause (no part contained).

--- a/node/part_test.go
+++ b/node/part_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/node"
+	"shedkeel.org/shedkeel/operator"
 	"shedkeel.org/shedkeel/platform/standin"
 )
 
@@ -124,3 +127,80 @@
 		})
 	}
 }
+
+// TestContainedPartIsKnownAndReleased checks that operators see a contained part, on what evidence and
+// for whom requests are refused, that new nodes refuse it after the loss of all nodes, and that
+// requests with it are sent again once its record is removed.
+func TestContainedPartIsKnownAndReleased(t *testing.T) {
+	cluster := newPartCluster(t, 2)
+	cluster.sendSound(time.Second)
+	cluster.sendPartLoad(100*time.Millisecond, 4*time.Second, func(number int) bool {
+		_, whole := cluster.sendParts(number%2, "key-1", sharedPart, deadlyPart)
+		return whole
+	})
+	status := cluster.printStatus(0)
+	for _, text := range []string{"part dead of prompts for model m0 is contained", "since 20", "client accounts: shop", "to let it go: shedkeel release --store ADDRESS --model m0 dead"} {
+		assert.Assert(t, strings.Contains(status, text), "%q is missing in:\n%s", text, status)
+	}
+	for _, node := range cluster.nodes {
+		node.stop()
+		node.ended.Wait()
+	}
+	before := len(cluster.fleet.PartRuns())
+	for index := range 2 {
+		cluster.start(2 + index) // nodes 0 and 1 have stopped
+	}
+	for index := range 4 {
+		cluster.waitServing(2 + index%2)
+		code, _ := cluster.sendParts(2+index%2, "key-1", sharedPart, deadlyPart)
+		assert.Equal(t, code, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(cluster.fleet.PartRuns()), before, "requests with a contained part reach servers after all nodes were replaced")
+
+	cluster.fleet.CrashParts = nil // the engines have other weights now
+	_, err := cluster.data.Commit(shedkeel.Transaction{Remove: []string{node.BlamePrefix + string(shedkeel.PartSubject("m0", deadlyPart))}})
+	assert.NilError(t, err)
+	cluster.eventually("requests with the released part are answered", func() bool {
+		_, whole := cluster.sendParts(2, "key-1", sharedPart, deadlyPart)
+		return whole
+	})
+	assert.Assert(t, !strings.Contains(cluster.printStatus(2), "part dead"))
+}
+
+// printStatus returns the status of a node as operators see it.
+func (cluster *testCluster) printStatus(index int) string {
+	answer, err := (&operator.Client{Address: cluster.nodes[index].admin}).Status(cluster.t.Context())
+	assert.NilError(cluster.t, err)
+	var printed bytes.Buffer
+	operator.PrintStatus(&printed, answer)
+	return printed.String()
+}
+
+// TestOtherCrashesContainNoPart lets heads of groups terminate by themselves while sound requests run,
+// some of them with parts that are not known yet. No part may be contained.
+func TestOtherCrashesContainNoPart(t *testing.T) {
+	cluster := newPartCluster(t, 3)
+	running := sync.WaitGroup{}
+	running.Go(func() {
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			for _, head := range cluster.fleet.OpenHeads()["m0"] {
+				cluster.fleet.Crash(head.ID)
+				break
+			}
+		}
+	})
+	load := cluster.sendPartLoad(40*time.Millisecond, 4*time.Second, func(number int) bool {
+		_, whole := cluster.sendParts(number%3, "key-1", sharedPart, fmt.Sprintf("%x", 0xd000+number/3)) // three requests have each second part
+		return whole
+	})
+	running.Wait()
+	t.Logf("%d of %d answered", load.whole, load.sent)
+	for index := range cluster.nodes {
+		assert.Assert(t, !strings.Contains(cluster.printStatus(index), "is contained"), "%s", cluster.printStatus(index))
+	}
+	cluster.eventually("sound requests are answered", func() bool {
+		_, whole := cluster.sendParts(0, "key-1", sharedPart, "d000")
+		return whole
+	})
+}
