contain: conclude on a part whose record of servers is full

Found by TestPartStrategies -sizes (300 nodes, 50 a second, a third of the heads lost at once): 20 to 26 servers ended, 14 to 19 requests sent over a second after the fifth. The record of the part was full of servers that had been lost by the common cause, so that the ends of its trials had no place there and proved nothing, for ever.

Proof now goes by the reports in which the part was present, of the same round, not by the servers in its record. Table row 'tried with a full record' failed before. In the simulation, a request for a trial now carries the node's records, as it does between real nodes.

--- a/contain/detector.go
+++ b/contain/detector.go
@@ -80,8 +80,9 @@
 
 // presence says how a part was present at a server that terminated.
 type presence struct {
-	suspect bool // the part was not known to be harmless
-	tried   bool // a request was a trial of the part
+	suspect bool   // the part was not known to be harmless
+	tried   bool   // a request was a trial of the part
+	round   uint32 // of the part's record
 }
 
 // others reports whether a server ran parts that were not known to be harmless, other than the given one.
@@ -239,6 +240,7 @@
 		present := ending.parts[part]
 		present.tried = present.tried || part == report.Tried
 		present.suspect = present.suspect || slices.Contains(suspects, part)
+		present.round = detector.Ledger.Blame(part).Round
 		ending.parts[part] = present
 	}
 	return withdrawn
@@ -250,7 +252,7 @@
 	ending := &ending{server: server, at: now, parts: map[shedkeel.Subject]presence{}}
 	for _, withdrawal := range detector.withdrawals {
 		if withdrawal.server == server && now-withdrawal.at <= withdrawalTime {
-			ending.parts[withdrawal.part] = presence{suspect: true}
+			ending.parts[withdrawal.part] = presence{suspect: true, round: detector.Ledger.Blame(withdrawal.part).Round}
 		}
 	}
 	return ending
@@ -267,7 +269,8 @@
 	}
 	for _, ending := range detector.endings {
 		if ending.server == server && now-ending.at <= withdrawalTime {
-			ending.parts[part] = presence{suspect: true, tried: ending.parts[part].tried} // the reports came first
+			// The reports came first.
+			ending.parts[part] = presence{suspect: true, tried: ending.parts[part].tried, round: detector.Ledger.Blame(part).Round}
 		}
 	}
 }
@@ -294,10 +297,11 @@
 	defer detector.mutex.Unlock()
 	known, first, last, tried := 0, time.Duration(0), time.Duration(0), false
 	for _, ending := range detector.endings {
-		if !slices.Contains(blame.Servers, ending.server) {
+		present, ran := ending.parts[blame.Subject]
+		if !ran || present.round != blame.Round {
 			continue
 		}
-		if ending.parts[blame.Subject].tried {
+		if present.tried {
 			tried = tried || len(blame.Servers) > containThreshold || !ending.others(blame.Subject)
 		}
 		if known == 0 {
--- a/contain/detector_test.go
+++ b/contain/detector_test.go
@@ -47,6 +47,13 @@
 	}
 	with := func(parts ...shedkeel.Subject) []shedkeel.Subject { return parts }
 	second := time.Second
+	// lostAtOnce returns the loss of that many servers at once, half of which run a request with the parts.
+	lostAtOnce := func(parts []shedkeel.Subject, count int) (lost []ended) {
+		for range count / 2 {
+			lost = append(lost, ended{0, false, [][]shedkeel.Subject{parts}}, ended{0, false, [][]shedkeel.Subject{nil}})
+		}
+		return lost
+	}
 	cases := map[string]struct {
 		ends    []ended
 		d, u, k shedkeel.Judgment
@@ -60,6 +67,7 @@
 		"two deadly ones, each tried":        {[]ended{{0, false, [][]shedkeel.Subject{with(d)}}, {second, false, [][]shedkeel.Subject{with(u)}}, {second, true, [][]shedkeel.Subject{with(d)}}, {second, true, [][]shedkeel.Subject{with(u)}}, {second, true, [][]shedkeel.Subject{with(d)}}, {second, true, [][]shedkeel.Subject{with(u)}}}, shedkeel.Contained, shedkeel.Contained, shedkeel.Unblamed},
 		"tried beside another suspect":       {[]ended{{0, false, [][]shedkeel.Subject{with(k)}}, {0, false, [][]shedkeel.Subject{with(d)}}, {second, false, [][]shedkeel.Subject{with(d)}}, {second, true, [][]shedkeel.Subject{with(d), with(u)}}}, shedkeel.Quarantined, shedkeel.Quarantined, shedkeel.Unblamed},
 		"tried beside it, four servers":      {[]ended{{0, false, [][]shedkeel.Subject{with(k)}}, {0, false, [][]shedkeel.Subject{with(d)}}, {second, false, [][]shedkeel.Subject{with(d)}}, {second, true, [][]shedkeel.Subject{with(d), with(u)}}, {second, true, [][]shedkeel.Subject{with(d)}}}, shedkeel.Contained, shedkeel.Unblamed, shedkeel.Unblamed},
+		"tried with a full record":           {append(lostAtOnce(with(d), 2*maxPartServers), ended{second, true, [][]shedkeel.Subject{with(d)}}), shedkeel.Contained, shedkeel.Unblamed, shedkeel.Unblamed},
 		"harmless before, one server":        {[]ended{{0, false, [][]shedkeel.Subject{with(k)}}}, shedkeel.Unblamed, shedkeel.Unblamed, shedkeel.Unblamed},
 		"harmless before, three at once":     {[]ended{{0, false, [][]shedkeel.Subject{with(k)}}, {0, false, [][]shedkeel.Subject{with(k)}}, {0, false, [][]shedkeel.Subject{with(k)}}}, shedkeel.Unblamed, shedkeel.Unblamed, shedkeel.Unblamed},
 		"harmless before, three in turn":     {[]ended{{0, false, [][]shedkeel.Subject{with(k)}}, {second, false, [][]shedkeel.Subject{with(k)}}, {second, false, [][]shedkeel.Subject{with(k)}}}, shedkeel.Unblamed, shedkeel.Unblamed, shedkeel.Contained},
--- a/contain/part_simulation_test.go
+++ b/contain/part_simulation_test.go
@@ -237,6 +237,11 @@
 func (simulation *partSimulation) askTrial(request *partRequest) {
 	simulation.messages += 2
 	collector := simulation.collector(request.node)
+	for _, part := range request.parts {
+		if blame := simulation.detectors[request.node].Ledger.Blame(part); len(blame.Servers) > 0 {
+			simulation.merge(collector, blame)
+		}
+	}
 	simulation.tell(collector, simulation.detectors[collector].Conclude(simulation.now))
 	decision := simulation.detectors[collector].AllowTrial(request.parts, simulation.now)
 	switch {
