Show how late a process is woken by its own timers

Beside load, boxes that nothing ailed held their own lateness against servers and other boxes, and no log line, metric or status told the two apart.

Each node now measures how late its 50 ms ticks come: metric wakeup_delay_seconds, event 668 from 50 ms on. No verdict depends on it yet.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	ServerEnded           = Event{615, slog.LevelWarn, "backend server ended under a request"}
 	RequestJudged         = Event{616, slog.LevelWarn, "request under which servers ended is judged anew"}
 	BlameWriteFailed      = Event{617, slog.LevelWarn, "what is held against a request was not written"}
+	WokenLate             = Event{668, slog.LevelWarn, "this process is woken late; it lacks processor time"}
 	PartJudged            = Event{667, slog.LevelWarn, "part of prompts under which servers ended is judged anew"}
 	LimitChanged          = Event{618, slog.LevelInfo, "backend server limits the rate of its requests otherwise than before"}
 	LimitInvalid          = Event{619, slog.LevelWarn, "backend server states a limit that cannot be read; the former one stays"}
@@ -114,7 +115,7 @@
 		KeeperSynced, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, PlannerDecision, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperUnavailable, KeeperAvailable,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
-		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, PartJudged, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
+		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, PartJudged, WokenLate, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
 		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown,
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -125,6 +125,7 @@
 	subscribers subscribers
 	registrar   registrar
 	guard       guard
+	wakeups     wakeups
 	limits      limits
 	admissions  admissions
 	controller  controller
@@ -227,6 +228,7 @@
 	node.goroutines.Go(func() { node.controller.runLease(workCtx) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.reportSilentServers)
 	cancelReport := node.Timers.Subscribe(time.Second, node.report)
+	cancelWakeups := node.Timers.Subscribe(wakeupInterval, node.wakeups.tick)
 	cancelPaces := node.Timers.Subscribe(paceInterval/paceBatches, node.controller.paces.tick)
 	cancelDemand := node.Timers.Subscribe(demandInterval, node.controller.demand.tick)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
@@ -244,6 +246,7 @@
 	cancelPaces()
 	cancelSilence()
 	cancelReport()
+	cancelWakeups()
 	cancelWork()
 	for _, server := range servers {
 		_ = server.Close()
--- a/node/report.go
+++ b/node/report.go
@@ -20,9 +20,11 @@
 	node.gossip.logExclusions(node.peers.listed())
 	node.admissions.report(now)
 	if node.Metrics == nil {
+		node.wakeups.report(node.Log, nil)
 		return
 	}
 	scope := node.Metrics.Scope
+	node.wakeups.report(node.Log, scope)
 	scope.Gauge("store_era").Update(float64(node.mirror.State().At.Era))
 	scope.Gauge("mirror_age_seconds").Update((now - node.mirror.State().AsOf).Seconds())
 	scope.Gauge("records_skipped").Update(float64(node.fleet.skippedRecords.Load()))
