Refusals name the part; only its deciders tell a part again

A request that was withdrawn before it reached a server was refused with cause quarantined although a part of its prompt was the reason, and was not counted in the status. While the store is away each node told all others of each part once a second: 90,000 calls a second at 300 nodes (reading, not measured); its three deciders do so now. Reviews copy the records of parts only, not those of all digests.

--- a/contain/detector.go
+++ b/contain/detector.go
@@ -277,9 +277,8 @@
 
 // Conclude contains the parts that are shown to terminate servers, and returns their records.
 func (detector *PartDetector) Conclude(now time.Duration) (contained []shedkeel.Blame) {
-	for _, blame := range detector.Ledger.All() {
-		_, _, isPart := blame.Subject.Part()
-		if !isPart || blame.Contained || len(blame.Servers) < containThreshold || !detector.isConclusive(blame, now) {
+	for _, blame := range detector.Ledger.parts() {
+		if blame.Contained || len(blame.Servers) < containThreshold || !detector.isConclusive(blame, now) {
 			continue
 		}
 		if after, changed := detector.Ledger.Contain(blame.Subject); changed {
@@ -446,10 +445,7 @@
 // Review clears suspected parts and releases contained ones whose latest evidence is old, and returns
 // their records. owns says of which parts this node decides.
 func (detector *PartDetector) Review(owns func(shedkeel.Subject) bool, now time.Duration) (changed []shedkeel.Blame) {
-	for _, blame := range detector.Ledger.All() {
-		if _, _, isPart := blame.Subject.Part(); !isPart || len(blame.Servers) == 0 {
-			continue
-		}
+	for _, blame := range detector.Ledger.parts() {
 		endedAt, _ := detector.History.EndedAt(blame.Subject)
 		age := now - endedAt
 		switch {
--- a/contain/ledger.go
+++ b/contain/ledger.go
@@ -134,6 +134,19 @@
 	return blames
 }
 
+// parts returns the records of the parts of prompts under which servers have terminated.
+func (ledger *Ledger) parts() []shedkeel.Blame {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	var blames []shedkeel.Blame
+	for subject, entry := range ledger.entries {
+		if _, _, isPart := subject.Part(); isPart && len(entry.blame.Servers) > 0 {
+			blames = append(blames, entry.copy())
+		}
+	}
+	return blames
+}
+
 // RecordFailure records that a server terminated while it ran a request of a subject, unless
 // that server or the maximum of servers are recorded already. It returns the record of the
 // subject and whether the record changed.
--- a/node/part_test.go
+++ b/node/part_test.go
@@ -42,10 +42,10 @@
 
 // sendParts sends a stream of 40 events whose prompt has the given shared parts and a part of its own. It returns
 // the status and whether the answer is complete.
-func (cluster *testCluster) sendParts(index int, key string, shared ...string) (status int, whole bool) {
+func (cluster *testCluster) sendParts(index int, shared ...string) (status int, whole bool) {
 	id := shedkeel.NewNonce()
 	parts := strings.Join(append(shared, id+":20"), ":40,")
-	status, body := cluster.sendRequest(cluster.nodes[index].callers, "/copy/a", id, http.Header{"X-Shedkeel-Attempt-Id": {id}, "X-Shedkeel-Key": {key}, "X-Shedkeel-Prompt-Prefix": {parts}, "X-Shedkeel-Token-Usage": {"100,200"}})
+	status, body := cluster.sendRequest(cluster.nodes[index].callers, "/copy/a", id, http.Header{"X-Shedkeel-Attempt-Id": {id}, "X-Shedkeel-Key": {"key-1"}, "X-Shedkeel-Prompt-Prefix": {parts}, "X-Shedkeel-Token-Usage": {"100,200"}})
 	return status, status == http.StatusOK && body == completeStream(40)
 }
 
@@ -80,7 +80,7 @@
 // parts, one each 40 ms.
 func (cluster *testCluster) sendSound(length time.Duration) *partLoad {
 	return cluster.sendPartLoad(40*time.Millisecond, length, func(number int) bool {
-		_, whole := cluster.sendParts(number%len(cluster.nodes), "key-1", sharedPart, fmt.Sprintf("%x", 0xc0+number%4))
+		_, whole := cluster.sendParts(number%len(cluster.nodes), sharedPart, fmt.Sprintf("%x", 0xc0+number%4))
 		return whole
 	})
 }
@@ -111,7 +111,7 @@
 				sound = cluster.sendSound(3 * time.Second)
 			})
 			deadly := cluster.sendPartLoad(pause, 7*time.Second, func(number int) bool {
-				_, whole := cluster.sendParts(number%3, "key-1", sharedPart, deadlyPart, fmt.Sprintf("%x", 0xc0+number%4))
+				_, whole := cluster.sendParts(number%3, sharedPart, deadlyPart, fmt.Sprintf("%x", 0xc0+number%4))
 				return whole
 			})
 			running.Wait()
@@ -135,7 +135,7 @@
 	cluster := newPartCluster(t, 2)
 	cluster.sendSound(time.Second)
 	cluster.sendPartLoad(100*time.Millisecond, 4*time.Second, func(number int) bool {
-		_, whole := cluster.sendParts(number%2, "key-1", sharedPart, deadlyPart)
+		_, whole := cluster.sendParts(number%2, sharedPart, deadlyPart)
 		return whole
 	})
 	status := cluster.printStatus(0)
@@ -152,7 +152,7 @@
 	}
 	for index := range 4 {
 		cluster.waitServing(2 + index%2)
-		code, _ := cluster.sendParts(2+index%2, "key-1", sharedPart, deadlyPart)
+		code, _ := cluster.sendParts(2+index%2, sharedPart, deadlyPart)
 		assert.Equal(t, code, http.StatusServiceUnavailable)
 	}
 	assert.Equal(t, len(cluster.fleet.PartRuns()), before, "requests with a contained part reach servers after all nodes were replaced")
@@ -161,7 +161,7 @@
 	_, err := cluster.data.Commit(shedkeel.Transaction{Remove: []string{node.BlamePrefix + string(shedkeel.PartSubject("m0", deadlyPart))}})
 	assert.NilError(t, err)
 	cluster.eventually("requests with the released part are answered", func() bool {
-		_, whole := cluster.sendParts(2, "key-1", sharedPart, deadlyPart)
+		_, whole := cluster.sendParts(2, sharedPart, deadlyPart)
 		return whole
 	})
 	assert.Assert(t, !strings.Contains(cluster.printStatus(2), "part dead"))
@@ -191,7 +191,7 @@
 		}
 	})
 	load := cluster.sendPartLoad(40*time.Millisecond, 4*time.Second, func(number int) bool {
-		_, whole := cluster.sendParts(number%3, "key-1", sharedPart, fmt.Sprintf("%x", 0xd000+number/3)) // three requests have each second part
+		_, whole := cluster.sendParts(number%3, sharedPart, fmt.Sprintf("%x", 0xd000+number/3)) // three requests have each second part
 		return whole
 	})
 	running.Wait()
@@ -200,7 +200,7 @@
 		assert.Assert(t, !strings.Contains(cluster.printStatus(index), "is contained"), "%s", cluster.printStatus(index))
 	}
 	cluster.eventually("sound requests are answered", func() bool {
-		_, whole := cluster.sendParts(0, "key-1", sharedPart, "d000")
+		_, whole := cluster.sendParts(0, sharedPart, "d000")
 		return whole
 	})
 }
--- a/node/parts.go
+++ b/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -150,10 +151,13 @@
 	_, _ = peer.priorityWire.Do(ctx, &wire.Call{Kind: &wire.Call_Parts{Parts: call}})
 }
 
-// sendAgain sends a blame to all nodes that may have missed it.
+// sendAgain sends a blame to all nodes that may have missed it. A blame of a part is sent by the deciders
+// of the part alone: all nodes hold it as unwritten.
 func (guard *guard) sendAgain(blame shedkeel.Blame) {
 	if _, _, isPart := blame.Subject.Part(); isPart {
-		guard.tellParts([]shedkeel.Blame{blame})
+		if slices.Contains(guard.node.peers.deciders(blame.Subject), guard.node.Settings.Node) {
+			guard.tellParts([]shedkeel.Blame{blame})
+		}
 		return
 	}
 	guard.send(blame, true)
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -74,21 +75,41 @@
 
 // refuseGuarded returns the refusal of a request that the guard does not allow.
 func (exchange *exchange) refuseGuarded(ruling shedkeel.Ruling, consequence string) error {
-	exchange.handler.Guard.Refused(exchange.guarded(), ruling.Subject)
-	_, part, isPart := ruling.Subject.Part()
 	cause, reason := causeQuarantined, errServersEnded.Error()
-	switch {
-	case isPart && ruling.Judgment == shedkeel.Contained:
-		cause, reason = causePartContained, "backend servers have ended under part "+string(part)+" of its prompt"
-	case isPart:
-		cause, reason = causePartQuarantined, "a backend server has ended under part "+string(part)+" of its prompt"
-	case ruling.Judgment == shedkeel.Contained:
+	if ruling.Judgment == shedkeel.Contained {
 		cause = causeContained
 	}
-	exchange.refusedFor = ruling.Subject
+	if _, part, isPart := ruling.Subject.Part(); isPart {
+		cause, reason = partCause(ruling), "backend servers have ended under part "+string(part)+" of its prompt"
+	}
+	exchange.noteRefused(ruling)
 	return exchange.refuse(cause, reason+", so "+consequence)
 }
 
+// guardCause returns the cause of the refusal of a request that the guard no longer allows.
+func (exchange *exchange) guardCause() cause {
+	ruling := exchange.handler.Guard.Judge(exchange.guarded())
+	exchange.noteRefused(ruling)
+	if _, _, isPart := ruling.Subject.Part(); isPart {
+		return partCause(ruling)
+	}
+	return causeQuarantined
+}
+
+// partCause returns the cause of a refusal because of a part of the prompt.
+func partCause(ruling shedkeel.Ruling) cause {
+	if ruling.Judgment == shedkeel.Contained {
+		return causePartContained
+	}
+	return causePartQuarantined
+}
+
+// noteRefused records for which subject the request is refused.
+func (exchange *exchange) noteRefused(ruling shedkeel.Ruling) {
+	exchange.refusedFor = ruling.Subject
+	exchange.handler.Guard.Refused(exchange.guarded(), ruling.Subject)
+}
+
 // acquireTrial asks the guard to allow an attempt of the quarantined request. If so, it sets
 // exchange.onTrial, so that the request runs on one server only.
 func (exchange *exchange) acquireTrial(ctx context.Context) bool {
@@ -126,6 +147,15 @@
 	}
 }
 
+// reportPlainAnswer reports to the guard a complete answer that is no stream. Only a success shows that
+// the server has read the prompt.
+func (exchange *exchange) reportPlainAnswer(status int) {
+	exchange.reportAnswer()
+	if status < http.StatusMultipleChoices {
+		exchange.reportHarmless()
+	}
+}
+
 // reportHarmless reports to the guard that the parts of the prompt do not terminate servers, once for
 // the request.
 func (exchange *exchange) reportHarmless() {
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -417,7 +417,7 @@
 	}
 	cause := causeNotRun
 	if !exchange.guardAllows() {
-		cause = causeQuarantined
+		cause = exchange.guardCause()
 	}
 	var notRun *shedkeel.NotRunError
 	var rejected *rejectedError
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -41,10 +41,7 @@
 		// quarantined. exchange.runs does not count this attempt yet, so the 5xx answer of the
 		// last run that MaxRuns allows is forwarded after the loop.
 		if err == nil && (answer.response.StatusCode < http.StatusInternalServerError || !exchange.mayRetry()) {
-			exchange.reportAnswer()
-			if answer.response.StatusCode < http.StatusMultipleChoices {
-				exchange.reportHarmless()
-			}
+			exchange.reportPlainAnswer(answer.response.StatusCode)
 			exchange.answerAttrs = []slog.Attr{slog.String("server", string(choice.Instance))}
 			exchange.writeAnswer(answer)
 			return nil
