--- a/contain/ledger.go
+++ b/contain/ledger.go
@@ -1,14 +1,14 @@
 // Package contain finds what terminates servers: requests that are sent again and again, by their
-// digests, and parts of prompts that requests with nothing else in common share. It records which
-// servers have terminated (crashed or stopped) while they ran requests of such a subject, and judges
-// whether requests of the subject may still be sent. It sends nothing: its users exchange the
-// records of their ledgers. Ledgers that have merged the same records reach the same judgments,
-// whatever the order.
+// digests, and parts of prompts that many requests share. It judges whether requests of such a
+// subject may still be sent. It sends nothing: its users exchange the records of their ledgers, and
+// ledgers that have merged the same records judge alike, whatever the order.
 //
-// A digest stands for all requests with that digest, a part for all requests with that part in
-// their prompts. A record is a shedkeel.Blame: the terminated servers of a subject, each instance of
-// a server separately, and the round of the subject, which increases each time that the subject
-// is cleared. PartDetector decides what is recorded about parts.
+// A record is a shedkeel.Blame: the servers that have terminated (crashed or stopped) while they ran
+// requests of a subject, and the round of the subject, which increases each time that it is cleared.
+//
+// A part is suspected when a server has terminated while it ran a request with the part, unless an
+// answer to another request has proven the part harmless. Suspects are tried, one request at a time,
+// until an answer clears them or they are shown to be the cause (see PartDetector.Conclude).
 package contain
 
 import (
