--- a/node/guard.go
+++ b/node/guard.go
@@ -167,13 +167,24 @@
 	accounts map[shedkeel.AccountID]bool // at most maxRefusedAccounts of them
 }
 
-// maxRefusedAccounts is how many refused client accounts are remembered for operators, by subject.
-const maxRefusedAccounts = 8
+const (
+	// maxRefusedAccounts is how many refused client accounts are remembered for operators, by subject.
+	maxRefusedAccounts = 8
+	// maxRefusedSubjects bounds the subjects whose refusals are counted. Beyond it, counting begins anew.
+	maxRefusedSubjects = 4096
+)
 
-// Refused records that this node has refused a request because of a subject, for operators.
+// Refused records that this node has refused a request because of a subject, for operators. It ignores
+// "": the subject was let go meanwhile.
 func (guard *guard) Refused(request shedkeel.GuardedRequest, subject shedkeel.Subject) {
+	if subject == "" {
+		return
+	}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
+	if len(guard.refusals) >= maxRefusedSubjects {
+		clear(guard.refusals)
+	}
 	found := guard.refusals[subject]
 	if found == nil {
 		found = &refusals{accounts: map[shedkeel.AccountID]bool{}}
