serve: TestServerEndBlamesEarlierAttemptsOnly runs in fake time

Trace: the harness searches for stalled servers each 10 ms of real time, by its own clock, while the test's choices are at seconds 1 to 3 of a manual clock; where a search falls between two of them, the server counts as stalled since long and is avoided.

--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -158,8 +159,13 @@
 
 // TestServerEndBlamesEarlierAttemptsOnly checks that the termination of a server is reported to
 // the guard only for attempts that began before the first attempt failed there, and only while
-// the server is listed.
+// the server is listed. In fake time, the harness's search for stalled servers does not run meanwhile.
 func TestServerEndBlamesEarlierAttemptsOnly(t *testing.T) {
+	synctest.Test(t, checkEarlierAttemptsBlamed)
+}
+
+// checkEarlierAttemptsBlamed is the body of TestServerEndBlamesEarlierAttemptsOnly.
+func checkEarlierAttemptsBlamed(t *testing.T) {
 	harness := newHarness(t)
 	timers := &timer.Manual{}
 	guard := &fixedGuard{idle: true}
