dispatch: a process that is delayed holds no server for silent

Callers saw: beside load, nodes that nothing ails refused requests with 503 "no server may be sent to".

Cause: a server counts as stalled when it has sent nothing for 180 to 860 ms by the clock. A process that is woken late has not read what was sent meanwhile, and measures its own delay. Class: a failure detector that does not know that its own process is slow.

Change: liveness.Delays records the delays of a 20 ms timer, also one that still lasts; Running is the time between two moments without them. Table measures a server's silence, and how long ago any server was heard, by it. The timer replaces the one of 50 ms behind wakeup_delay_seconds.

--- a/dispatch/activity.go
+++ b/dispatch/activity.go
@@ -90,9 +90,12 @@
 // silence describes how long the server has sent nothing. The caller must hold the table's mutex.
 func (table *Table) silence(state *serverState, now time.Duration) liveness.Silence {
 	silence := liveness.Silence{
-		Elapsed: now - state.lastActivity, Limit: state.expectedMaxGap() + stallMargin, MaxGap: state.maxEventGap(),
+		Elapsed: table.sinceActivity(state, now), Limit: state.expectedMaxGap() + stallMargin, MaxGap: state.maxEventGap(),
 		Responded: state.Model == "", // the silence of plain servers is never excused
-		Elsewhere: timeSince(state.activity.answered, now), Own: timeSince(table.heard[state.Service], now),
+		Elsewhere: timeSince(state.activity.answered, now), Own: -1,
+	}
+	if heard := table.heard[state.Service]; heard != 0 {
+		silence.Own = max(table.Delays.Running(heard, now), 0)
 	}
 	for choice := range state.running {
 		if !choice.lost {
@@ -103,6 +106,12 @@
 	return silence
 }
 
+// sinceActivity returns for how long this process has run since the server's last event or answer.
+// The caller must hold the table's mutex.
+func (table *Table) sinceActivity(state *serverState, now time.Duration) time.Duration {
+	return table.Delays.Running(state.lastActivity, now)
+}
+
 // timeSince returns the time since at, or -1 if at is 0, that is, not known.
 func timeSince(at, now time.Duration) time.Duration {
 	if at == 0 {
--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -108,8 +108,8 @@
 	return gap
 }
 
-// FindStalled returns the servers that run requests of this process and have sent nothing for
-// expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity). It avoids them
+// FindStalled returns the servers that run requests of this process and have sent nothing while it
+// ran for expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity). It avoids them
 // for avoidDuration from now. It returns a continuing stall again, and notifies the requests on the
 // server again, after stallReportInterval; before, it notifies only those that have received no
 // notice.
@@ -216,7 +216,7 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	for _, state := range table.servers {
-		if state.Group != group || now-state.lastActivity < maxDecodeGap {
+		if state.Group != group || table.sinceActivity(state, now) < maxDecodeGap {
 			continue // another group, or a group that may be responding to this process
 		}
 		state.avoidUntil = max(state.avoidUntil, now+duration)
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/overload"
 )
 
@@ -81,6 +82,7 @@
 type Table struct {
 	Zone   shedkeel.ZoneID // zone of this process
 	Random shedkeel.Random
+	Delays *liveness.Delays // of this process, which are no silence of the servers; nil: not known
 
 	mutex   sync.Mutex
 	servers map[string]*serverState
@@ -265,7 +267,7 @@
 	} else {
 		cost *= expectedAttempts(candidate.failureRate)
 	}
-	if candidate.expecting() > 0 && now-candidate.lastActivity > candidate.expectedMaxGap()+stallMargin/2 {
+	if candidate.expecting() > 0 && table.sinceActivity(candidate, now) > candidate.expectedMaxGap()+stallMargin/2 {
 		cost *= unresponsiveCost
 	}
 	if candidate.Zone != table.Zone {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/reach"
@@ -155,6 +156,7 @@
 func (node *Node) Prepare() {
 	node.table.Zone = node.Settings.Zone
 	node.table.Random = node.Random
+	node.table.Delays = &node.wakeups.delays
 	bounds := node.Settings.Bounds
 	node.handler = serve.Handler{
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
@@ -228,7 +230,7 @@
 	node.goroutines.Go(func() { node.controller.runLease(workCtx) })
 	cancelSilence := node.Timers.Subscribe(silenceTick, node.reportSilentServers)
 	cancelReport := node.Timers.Subscribe(time.Second, node.report)
-	cancelWakeups := node.Timers.Subscribe(wakeupInterval, node.wakeups.tick)
+	cancelWakeups := node.Timers.Subscribe(liveness.TickInterval, node.wakeups.tick)
 	cancelPaces := node.Timers.Subscribe(paceInterval/paceBatches, node.controller.paces.tick)
 	cancelDemand := node.Timers.Subscribe(demandInterval, node.controller.demand.tick)
 	cancelFleet := node.Timers.Subscribe(fleetTick, node.fleet.tick)
--- a/node/wakeups.go
+++ b/node/wakeups.go
@@ -8,33 +8,27 @@
 	"github.com/uber-go/tally/v4"
 
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/liveness"
 )
 
-const (
-	// wakeupInterval is the time between two ticks by which the delay of this process's wake-ups is
-	// measured.
-	wakeupInterval = 50 * time.Millisecond
-	// lateWakeup is the delay from which the wake-ups of a process are logged as late: an
-	// appreciable part of the shortest time-outs, dials and probes of 100 to 250 ms.
-	lateWakeup = 50 * time.Millisecond
-)
+// lateWakeup is the delay from which the wake-ups of a process are logged as late: an appreciable
+// part of the shortest time-outs, those of dials and probes.
+const lateWakeup = 50 * time.Millisecond
 
 // wakeups measures how late this process is woken by its own timers. A process that lacks processor
 // time notices answers late, and takes others for silent that have answered in time.
 type wakeups struct {
+	delays  liveness.Delays
 	mutex   sync.Mutex
-	last    time.Duration // when tick was called last; 0: never
 	longest time.Duration // the longest delay since the last call of report
 }
 
-// tick records a wake-up that was due wakeupInterval after the last one.
+// tick records a wake-up that was due liveness.TickInterval after the last one.
 func (wakeups *wakeups) tick(now time.Duration) {
+	late := wakeups.delays.Tick(now)
 	wakeups.mutex.Lock()
 	defer wakeups.mutex.Unlock()
-	if wakeups.last != 0 {
-		wakeups.longest = max(wakeups.longest, now-wakeups.last-wakeupInterval)
-	}
-	wakeups.last = now
+	wakeups.longest = max(wakeups.longest, late)
 }
 
 // report logs and exports the longest delay since the last call. scope may be nil.
--- a/node/wakeups_test.go
+++ b/node/wakeups_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/liveness"
 )
 
 // TestLateWakeupsAreLogged checks that late wake-ups are logged with the longest delay, and others not.
@@ -29,7 +30,7 @@
 			wakeups, now := &wakeups{}, time.Hour
 			wakeups.tick(now)
 			for _, delay := range test.delays {
-				now += wakeupInterval + delay
+				now += liveness.TickInterval + delay
 				wakeups.tick(now)
 			}
 			wakeups.report(log, nil)
