reach: time-outs of a delayed process are no evidence about servers

Cause: a dial that ends after 250 ms, or a relay that answers before the direct dial, counted against the server and this box, also when the process was not woken to see the answer. Same class as in dispatch: a failure detector that does not know that its own process is slow.

Change: a time-out with over a quarter of its time in delays of this process (liveness.Delays.Proves) has the outcome "delayed" and is no evidence. A relay that is served first is none either then. Connections are trusted for 300 ms for which the process ran. Refusals count as before.

The tests of cut-off boxes in ./node pass with the race detector (55 s).

--- a/node/node.go
+++ b/node/node.go
@@ -186,6 +186,7 @@
 	node.reporter.node = node
 	if node.Dialer != nil {
 		node.Dialer.Relay = &node.connector
+		node.Dialer.Delays = &node.wakeups.delays
 	}
 	node.gossip.node = node
 	node.gossip.prepare(rand.NewPCG(node.Random.Uint64(), node.Random.Uint64()))
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/liveness"
 )
 
 const (
@@ -34,11 +35,12 @@
 	Refused           // the server's box, or the network, rejected the connection
 	TimedOut          // nothing was received in time
 	Failed            // any other error, such as a lack of descriptors
+	Delayed           // timed out while this process was delayed, which proves nothing
 	outcomeCount
 )
 
 // outcomeNames are the names of the outcomes in logs and metrics.
-var outcomeNames = [...]string{"connected", "refused", "timed_out", "failed"}
+var outcomeNames = [...]string{"connected", "refused", "timed_out", "failed", "delayed"}
 
 // String returns the name of the outcome in logs and metrics.
 func (outcome Outcome) String() string { return outcomeNames[outcome] }
@@ -71,6 +73,8 @@
 	// Relay dials through other nodes. Its errors wrap syscall.ECONNREFUSED if another node was
 	// refused. nil: there are no other nodes.
 	Relay shedkeel.ServerDialer
+	// Delays holds the delays of this process, in which it may not notice an answer. nil: not known.
+	Delays *liveness.Delays
 
 	paths         paths
 	relaysLeaving atomic.Bool // see SetRelaysLeaving
@@ -97,7 +101,7 @@
 	// The way that is not used goes on for its evidence after the caller's context has ended.
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	stop := context.AfterFunc(ctx, cancel)
-	dial := &dial{dialer: dialer, network: network, address: address, results: make(chan dialResult, 2), relayDue: dialer.Relay != nil && dialer.paths.mayRelay(address, now)}
+	dial := &dial{dialer: dialer, network: network, address: address, began: now, results: make(chan dialResult, 2), relayDue: dialer.Relay != nil && dialer.paths.mayRelay(address, now)}
 	conn, err := dial.run(bounded, dialer.relayDelay(address, now))
 	stop()
 	if dial.pending == 0 {
@@ -124,6 +128,7 @@
 	dialer   *Dialer
 	network  string
 	address  string
+	began    time.Duration
 	results  chan dialResult // of the ways that were begun
 	pending  int             // ways without a result so far
 	relayDue bool            // a relay is to be asked, and was not yet
@@ -187,19 +192,23 @@
 // runRelay dials through another node.
 func (dial *dial) runRelay(ctx context.Context) {
 	dialer := dial.dialer
+	began := dialer.Timers.Now()
 	conn, err := dialer.Relay.DialContext(ctx, dial.network, dial.address)
 	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
 		dial.results <- dialResult{err: err, relayed: true}
 		return
 	}
-	dialer.relayCounts[outcomeOf(err)].Add(1)
 	now := dialer.Timers.Now()
+	outcome := dialer.judge(err, began, now)
+	dialer.relayCounts[outcome].Add(1)
 	if err != nil {
-		dialer.paths.relayMissed(dial.address, now)
+		if outcome != Delayed {
+			dialer.paths.relayMissed(dial.address, now)
+		}
 		dial.results <- dialResult{err: err, relayed: true}
 		return
 	}
-	if !dial.directEnded.Load() {
+	if !dial.directEnded.Load() && dialer.Delays.Proves(dial.began, now) {
 		dialer.paths.failed(dial.address, now) // until the direct dial succeeds after all
 	}
 	dialer.paths.relayReached(dial.address, now)
@@ -226,20 +235,33 @@
 	if dialer.Network != nil {
 		base = dialer.Network
 	}
+	began := dialer.Timers.Now()
 	conn, err := base.DialContext(ctx, network, address)
 	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
 		return nil, err
 	}
 	now := dialer.Timers.Now()
-	dialer.counts[outcomeOf(err)].Add(1)
+	outcome := dialer.judge(err, began, now)
+	dialer.counts[outcome].Add(1)
 	if err != nil {
-		dialer.paths.failed(address, now)
+		if outcome != Delayed {
+			dialer.paths.failed(address, now)
+		}
 		return nil, err
 	}
 	dialer.paths.connected(address, now)
 	return &heardConn{Conn: conn, timers: dialer.Timers, hearing: &dialer.paths.direct}, nil
 }
 
+// judge returns the outcome of a dial that lasted from began until now.
+func (dialer *Dialer) judge(err error, began, now time.Duration) Outcome {
+	outcome := outcomeOf(err)
+	if outcome == TimedOut && !dialer.Delays.Proves(began, now) {
+		return Delayed
+	}
+	return outcome
+}
+
 func (dialer *Dialer) timeout() time.Duration {
 	if dialer.Timeout == 0 {
 		return defaultTimeout
@@ -260,8 +282,7 @@
 
 // Trusted implements shedkeel.ServerPaths: a server was heard just now over a connection of the kind.
 func (dialer *Dialer) Trusted() (direct, relayed bool) {
-	now := dialer.Timers.Now()
-	return dialer.paths.direct.isRecent(now), dialer.paths.relayed.isRecent(now) && !dialer.relaysLeaving.Load()
+	return dialer.hears(&dialer.paths.direct), dialer.hears(&dialer.paths.relayed) && !dialer.relaysLeaving.Load()
 }
 
 // SetRelaysLeaving sets whether a node that has opened connections for this one is stopping. These
@@ -285,7 +306,7 @@
 		_ = conn.Close()
 		return false
 	}
-	return IsRefused(relayErr) || IsRefused(err) && dialer.paths.direct.isRecent(dialer.Timers.Now())
+	return IsRefused(relayErr) || IsRefused(err) && dialer.hears(&dialer.paths.direct)
 }
 
 // CutOff reports whether this box is cut off from servers that other nodes reach.
@@ -295,7 +316,14 @@
 func (dialer *Dialer) NoPath() bool { return dialer.paths.noPath(dialer.Timers.Now()) }
 
 // HearsServers reports whether a server was heard just now over a direct connection.
-func (dialer *Dialer) HearsServers() bool { return dialer.paths.direct.isRecent(dialer.Timers.Now()) }
+func (dialer *Dialer) HearsServers() bool { return dialer.hears(&dialer.paths.direct) }
+
+// hears reports whether a server was heard over a connection of the kind while this process ran for
+// the last trustTime.
+func (dialer *Dialer) hears(kind *hearing) bool {
+	at := kind.time()
+	return at != 0 && dialer.Delays.Running(at, dialer.Timers.Now()) < trustTime
+}
 
 // TrustedUntil returns until when open direct connections were trusted last (see Trusted).
 func (dialer *Dialer) TrustedUntil() time.Duration { return dialer.paths.direct.time() + trustTime }
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -28,12 +28,6 @@
 
 func (hearing *hearing) time() time.Duration { return time.Duration(hearing.at.Load()) }
 
-// isRecent reports whether a server was heard within the last trustTime.
-func (hearing *hearing) isRecent(now time.Duration) bool {
-	at := hearing.time()
-	return at != 0 && now-at < trustTime
-}
-
 // paths holds the evidence of which servers this box reaches, directly and through relays. The
 // zero value has none.
 type paths struct {
