node: a probe of a delayed process proves no server dead

Cause: a probe counted as inconclusive only if it overran its 200 ms by 60 ms. A process that was not woken for most of the 200 ms and then on time took a server that had answered for dead, and all nodes then avoid its group.

Change: a probe with over a quarter of its time in delays of this process is inconclusive, as dials are. A refused connection proves what it says, however late it is noticed.

--- a/node/controller.go
+++ b/node/controller.go
@@ -66,7 +66,7 @@
 	controller.noticedAt = map[shedkeel.Assignment]time.Duration{}
 	controller.probing = map[shedkeel.InstanceID]bool{}
 	controller.storedLoads = map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID{}
-	controller.prober = prober{Engines: controller.node.Engines, Timers: controller.node.Timers}
+	controller.prober = prober{Engines: controller.node.Engines, Timers: controller.node.Timers, Delays: &controller.node.wakeups.delays}
 	controller.paces = paces{controller: controller, slow: map[shedkeel.InstanceID]float64{}}
 	controller.demand = demands{controller: controller}
 	controller.dead = map[shedkeel.InstanceID]time.Duration{}
--- a/node/prober.go
+++ b/node/prober.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/liveness"
+	"shedkeel.org/shedkeel/reach"
 )
 
 const (
@@ -42,6 +44,7 @@
 type prober struct {
 	Engines shedkeel.GroupEngines
 	Timers  shedkeel.Timers
+	Delays  *liveness.Delays // of this process; nil: not known
 
 	once  sync.Once
 	slots chan struct{} // semaphore: holds one element for each probe in progress
@@ -63,7 +66,9 @@
 	if err == nil {
 		return nil
 	}
-	if prober.Timers.Now()-began > probeTimeout+maxProbeOverrun || !prober.reachesAny(ctx, witnesses) {
+	now := prober.Timers.Now()
+	delayed := now-began > probeTimeout+maxProbeOverrun || !prober.Delays.Proves(began, now)
+	if delayed && !reach.IsRefused(err) || !prober.reachesAny(ctx, witnesses) {
 		return errors.Join(errInconclusive, err)
 	}
 	return err
