standin: a network in memory, and nodes that dial over it

Change: standin.Network has listeners, connections with bounded buffers and deadlines, and datagrams in memory, which a synctest bubble can run in fake time. A Link can use it. Node.DialNode and wire.Peer.Dial say how nodes reach each other; unset, nothing changes.

--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -38,6 +38,8 @@
 // Link is a fake of the network between one box and the backend servers. It implements
 // shedkeel.ServerDialer. The zero value has no fault.
 type Link struct {
+	Network *Network // nil: the operating system's
+
 	mutex sync.Mutex
 	cut   Cut
 	ended chan struct{} // closed when the cut ends; nil: there is no cut
@@ -91,18 +93,22 @@
 	for {
 		cut, changed := link.state(address)
 		if cut.Refuse {
-			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			return nil, dialError(network, syscall.ECONNREFUSED)
 		}
 		if !cut.Drop {
 			break
 		}
 		select {
 		case <-ctx.Done():
-			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+			return nil, dialError(network, ctx.Err())
 		case <-changed:
 		}
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	dial := (&net.Dialer{}).DialContext
+	if link.Network != nil {
+		dial = link.Network.DialContext
+	}
+	conn, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -113,6 +113,8 @@
 	Random      shedkeel.Random
 	Log         *event.Log
 	Metrics     *metrics.Metrics // nil: none are exported
+	// DialNode opens connections to other nodes. nil: the operating system does.
+	DialNode func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mirror      mirror.Mirror
 	follower    mirror.Follower
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,8 +68,10 @@
 // dial returns a new client of the node at the address. The client connects at its first
 // call.
 func (peers *peers) dial(id shedkeel.NodeID, address string) *peer {
-	key := peers.node.Settings.Wire.Key
-	return &peer{id: id, node: peers.node, wire: &wire.Peer{Address: address, Key: key}, priorityWire: &wire.Peer{Address: address, Key: key}, relayWire: &wire.Peer{Address: address, Key: key}}
+	client := func() *wire.Peer {
+		return &wire.Peer{Address: address, Key: peers.node.Settings.Wire.Key, Dial: peers.node.DialNode}
+	}
+	return &peer{id: id, node: peers.node, wire: client(), priorityWire: client(), relayWire: client()}
 }
 
 // update replaces the listed nodes, which are in the order of compareNodes. It closes the
--- a/wire/session.go
+++ b/wire/session.go
@@ -59,6 +59,8 @@
 	Key     string      // shared secret of all processes of the fleet
 	TLS     *tls.Config // nil: no TLS
 	Handler Handler
+	// Dial opens connections to Address without TLS. nil: the operating system does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mutex sync.Mutex
 	link  *link
@@ -101,13 +103,14 @@
 		return peer.link, nil
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	var conn net.Conn
-	var err error
+	dial := dialer.DialContext
+	if peer.Dial != nil {
+		dial = peer.Dial
+	}
 	if peer.TLS != nil {
-		conn, err = (&tls.Dialer{NetDialer: dialer, Config: peer.TLS}).DialContext(ctx, "tcp", peer.Address)
-	} else {
-		conn, err = dialer.DialContext(ctx, "tcp", peer.Address)
+		dial = (&tls.Dialer{NetDialer: dialer, Config: peer.TLS}).DialContext
 	}
+	conn, err := dial(ctx, "tcp", peer.Address)
 	if err != nil {
 		return nil, err
 	}
