serve: the test of slow readers uses the network in memory

Change: TestUnreadBytesAreBounded runs over standin.Network; bounds and callers are the same, and pipeListener is gone.

--- a/serve/reader_test.go
+++ b/serve/reader_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -19,6 +18,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/internal/standin"
 )
 
 // TestSlowReadersAreDisconnected lets callers send requests and read nothing of the answers. It
@@ -101,51 +101,10 @@
 	assert.NilError(t, err)
 }
 
-// pipeListener is a net.Listener whose connections are pipes in memory: a write waits until the
-// other end reads. In a synctest bubble, its connections use the fake clock.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (listener *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-listener.accepted:
-		return conn, nil
-	case <-listener.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (listener *pipeListener) Close() error {
-	listener.once.Do(func() { close(listener.closed) })
-	return nil
-}
-
-func (*pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "unix"} }
-
-// dial returns the caller's end of a new connection. The error is net.ErrClosed, or that of ctx.
-func (listener *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case listener.accepted <- far:
-		return near, nil
-	case <-listener.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// startOnPipes starts a server whose connections buffer nothing.
-func startOnPipes(t *testing.T, handler http.HandlerFunc) *pipeListener {
+// startInMemory starts a server on the network. It returns the address.
+func startInMemory(t *testing.T, network *standin.Network, handler http.HandlerFunc) string {
 	t.Helper()
-	listener := newPipeListener()
+	listener := network.Listen()
 	server := &http.Server{Handler: handler}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -153,7 +112,7 @@
 		assert.Check(t, server.Close())
 		assert.ErrorIs(t, <-served, http.ErrServerClosed)
 	})
-	return listener
+	return listener.Addr().String()
 }
 
 // byCaller is a fake shedkeel.Backend that answers the requests with the ID prompt by one step
@@ -215,7 +174,8 @@
 			view.route("h", "/safe/x").Timeout = deadline
 			harness.CurrentConfig = func() ConfigState { return ConfigState{View: view, ProvenAt: harness.clock.Now()} }
 			var arrived, ended atomic.Int64
-			listener := startOnPipes(t, func(writer http.ResponseWriter, request *http.Request) {
+			network := &standin.Network{Buffer: 4096}
+			address := startInMemory(t, network, func(writer http.ResponseWriter, request *http.Request) {
 				arrived.Add(1)
 				defer ended.Add(1)
 				harness.ServeHTTP(writer, request)
@@ -224,7 +184,7 @@
 			cancel := harness.clock.Subscribe(time.Millisecond, func(time.Duration) { most.Store(max(most.Load(), harness.ReaderBudget.Held())) })
 			defer cancel()
 			for index := range test.callers {
-				conn, err := listener.dial(t.Context(), "", "")
+				conn, err := network.DialContext(t.Context(), "tcp", address)
 				assert.NilError(t, err)
 				sendWithoutReading(t, conn, test.path, fmt.Sprint("r", index), deadline)
 				if index%2 == 0 {
@@ -236,7 +196,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			began := time.Now()
-			assert.NilError(t, readPromptly(t, listener, test.path))
+			assert.NilError(t, readPromptly(t, network, address, test.path))
 			took := time.Since(began)
 			assert.Assert(t, harness.ReaderBudget.Held() > 0, "the slow readers have ended already")
 			for end := time.Now().Add(10 * unreadTimeout); ended.Load() <= int64(test.callers) && time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -252,12 +212,13 @@
 
 // readPromptly sends the request with the ID prompt and reads its answer at once. The error says
 // why the answer is not a complete one of the server.
-func readPromptly(t *testing.T, listener *pipeListener, path string) error {
+func readPromptly(t *testing.T, network *standin.Network, address, path string) error {
 	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DialContext: listener.dial}}
+	client := &http.Client{Transport: &http.Transport{DialContext: network.DialContext}}
 	defer client.CloseIdleConnections()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h"+path, nil)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+path, nil)
 	assert.NilError(t, err)
+	request.Host = "h"
 	request.Header = http.Header{"Id": {"prompt"}, "Key": {"k1"}, "Model": {"m"}}
 	response, err := client.Do(request)
 	if err != nil {
