reach: a server that is heard proves that there is a path

Callers saw: while all groups of a model were down, refusals and event 662 said that no node reaches any backend server, though other servers answered all the while. Dials were cut to 100 ms then.

Cause: the state ended only with a new connection. A box whose requests use open connections opens none for seconds, so three servers that are down, or refuse, were enough.

Change: evidence against servers counts for this state only if no server was heard after it, over any connection, direct or relayed.

Measured: TestHeardServerProvesAPath fails without the change and passes with it; the tests of cut-off boxes in ./node pass with the race detector.

--- a/reach/paths.go
+++ b/reach/paths.go
@@ -37,7 +37,6 @@
 	mutex       sync.Mutex
 	servers     map[string]evidence // by address; servers whose latest direct dial succeeded are missing
 	connectedAt time.Duration       // when a direct dial last succeeded; 0: never
-	relayedAt   time.Duration       // when a relay last reached any of these; 0: never
 }
 
 // evidence holds when attempts to reach a server last ended; 0: never.
@@ -76,7 +75,6 @@
 	paths.relayed.record(now)
 	paths.update(address, now, func(evidence *evidence) {
 		evidence.relayReached, evidence.relayFailed = now, 0
-		paths.relayedAt = now
 	})
 }
 
@@ -141,9 +139,10 @@
 }
 
 // noPath reports whether neither this box nor a relay has reached any of the last noPathServers
-// servers that were dialed.
+// servers that were dialed, and no server was heard since over an open connection.
 func (paths *paths) noPath(now time.Duration) bool {
+	heard := max(paths.direct.time(), paths.relayed.time())
 	return paths.count(now, func(evidence evidence) bool {
-		return min(evidence.failed, evidence.relayFailed) > max(paths.connectedAt, paths.relayedAt)
+		return min(evidence.failed, evidence.relayFailed) > heard
 	}) >= noPathServers
 }
--- a/reach/relay_test.go
+++ b/reach/relay_test.go
@@ -136,6 +136,37 @@
 	assert.Assert(t, !dialer.NoPath())
 }
 
+// TestHeardServerProvesAPath checks that this box counts as without a path to any server only while
+// it hears none over its open connections either. Three servers that are down are no lack of paths.
+func TestHeardServerProvesAPath(t *testing.T) {
+	for _, hears := range []bool{false, true} {
+		dialer, link, relay, timers := newRelayedDialer()
+		listener := listenHere(t)
+		open, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		server, err := listener.Accept()
+		assert.NilError(t, err)
+		down := standin.Cut{Refuse: true, Addresses: []string{"a:1", "b:1", "c:1", "d:1"}}
+		link.SetCut(down)
+		relay.SetCut(down)
+		for _, address := range down.Addresses {
+			timers.Advance(time.Millisecond)
+			_, err := dialOnce(t, dialer, address)
+			assert.Assert(t, err != nil)
+			if hears {
+				timers.Advance(time.Millisecond)
+				_, err = server.Write([]byte("x"))
+				assert.NilError(t, err)
+				_, err = open.Read(make([]byte, 1))
+				assert.NilError(t, err)
+			}
+		}
+		assert.Equal(t, dialer.NoPath(), !hears)
+		assert.NilError(t, open.Close())
+		assert.NilError(t, server.Close())
+	}
+}
+
 // TestRefusalToCutOffBoxProvesNothing checks when a server counts as stopped.
 func TestRefusalToCutOffBoxProvesNothing(t *testing.T) {
 	refuse, drop := standin.Cut{Refuse: true}, standin.Cut{Drop: true}
