node, serve, program: one copy of what the guard repeated

Blame calls converted names by loops of their own beside textsOf and namesOf; a stream judged a request twice after a failed attempt; `release` used a bound named for another command; a comment named another function.

Measured: tests of program, contain, serve, and those of node's guard and parts (with the race detector) pass.

--- a/contain/part_simulation_test.go
+++ b/contain/part_simulation_test.go
@@ -206,7 +206,7 @@
 	simulation.admit(&partRequest{node: simulation.random.IntN(len(simulation.nodes)), parts: []shedkeel.Subject{simulation.firstPart(), deadly}, deadly: true})
 }
 
-// judge returns the judgment of a part at a node.
+// judgePart returns the judgment of a part at a node.
 func (simulation *partSimulation) judgePart(node int, part shedkeel.Subject) shedkeel.Judgment {
 	ledger := simulation.detectors[node].Ledger
 	judgment := ledger.Judge(part)
--- a/node/guard.go
+++ b/node/guard.go
@@ -233,20 +233,14 @@
 
 // newBlameCall returns the call of the kind that carries a blame.
 func (peer *peer) newBlameCall(kind wire.BlameCall_Kind, blame shedkeel.Blame) *wire.Call {
-	call := &wire.BlameCall{Kind: kind, Node: string(peer.node.Settings.Node), Request: string(blame.Subject), Round: blame.Round}
-	for _, server := range blame.Servers {
-		call.Servers = append(call.Servers, string(server))
-	}
+	call := &wire.BlameCall{Kind: kind, Node: string(peer.node.Settings.Node), Request: string(blame.Subject), Round: blame.Round, Servers: textsOf(blame.Servers)}
 	return &wire.Call{Kind: &wire.Call_Blame{Blame: call}}
 }
 
 // handle answers a blame call of another node. BlameCall_TELL sends a blame, BlameCall_TRY
 // sends a blame and asks for a trial, and BlameCall_DONE reports the end of a trial.
 func (guard *guard) handle(call *wire.BlameCall) *wire.Reply {
-	blame := shedkeel.Blame{Subject: shedkeel.Subject(call.GetRequest()), Round: call.GetRound()}
-	for _, server := range call.GetServers() {
-		blame.Servers = append(blame.Servers, shedkeel.InstanceID(server))
-	}
+	blame := shedkeel.Blame{Subject: shedkeel.Subject(call.GetRequest()), Round: call.GetRound(), Servers: namesOf[shedkeel.InstanceID](call.GetServers())}
 	allowed := false
 	switch call.GetKind() {
 	case wire.BlameCall_TELL:
--- a/program/evacuate_test.go
+++ b/program/evacuate_test.go
@@ -21,7 +21,7 @@
 	data := standin.NewStore()
 	server := httptest.NewServer((&platformstandin.Store{Data: data}).Handler())
 	defer server.Close()
-	store := &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), Timeout: evacuateTimeout}
+	store := &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), Timeout: commandTimeout}
 	run := func(args ...string) (string, error) {
 		command := operatorCommand()
 		var printed bytes.Buffer
--- a/program/operator.go
+++ b/program/operator.go
@@ -321,8 +321,8 @@
 	return applyConfig(ctx, command, client, wanted)
 }
 
-// evacuateTimeout bounds the write to the key-value service.
-const evacuateTimeout = 5 * time.Second
+// commandTimeout bounds a call of a command to the key-value service.
+const commandTimeout = 5 * time.Second
 
 // release removes the record of what is held against a request or a part of prompts. The nodes watch
 // these records, and send such requests again at once. Without a record it returns an InvalidError.
@@ -335,7 +335,7 @@
 	if model := command.String("model"); model != "" {
 		subject = shedkeel.PartSubject(shedkeel.ModelID(model), shedkeel.PartID(strings.ToLower(name)))
 	}
-	store := &platform.Store{Address: command.String("store"), Timeout: evacuateTimeout}
+	store := &platform.Store{Address: command.String("store"), Timeout: commandTimeout}
 	record, err := store.Get(ctx, node.BlamePrefix+string(subject))
 	if err != nil {
 		return err
@@ -362,7 +362,7 @@
 	if zone == "" || strings.Contains(zone, "/") {
 		return &shedkeel.InvalidError{Where: command.Name, What: "the argument names no availability zone: it is empty or contains a slash", Remedy: "give the zone as its servers' records state it"}
 	}
-	store := &platform.Store{Address: command.String("store"), Timeout: evacuateTimeout}
+	store := &platform.Store{Address: command.String("store"), Timeout: commandTimeout}
 	withdraw := command.Bool("withdraw")
 	if _, err := store.Commit(ctx, platform.EvacuationChange(shedkeel.ZoneID(zone), !withdraw)); err != nil {
 		return err
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -132,11 +132,12 @@
 // called, servers may have terminated while they ran this request or others with the same
 // digest or with a part of its prompt.
 func (exchange *exchange) guardAllows() bool {
-	if !exchange.handler.guardActive() {
-		return true
-	}
-	judgment := exchange.handler.Guard.Judge(exchange.guarded()).Judgment
-	return judgment == shedkeel.Unblamed || exchange.onTrial.Load() && judgment == shedkeel.Quarantined
+	return !exchange.handler.guardActive() || exchange.permits(exchange.handler.Guard.Judge(exchange.guarded()))
+}
+
+// permits reports whether a ruling allows another attempt without a further trial.
+func (exchange *exchange) permits(ruling shedkeel.Ruling) bool {
+	return ruling.Judgment == shedkeel.Unblamed || exchange.onTrial.Load() && ruling.Judgment == shedkeel.Quarantined
 }
 
 // reportAnswer reports to the guard that a server has answered the request completely, which
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -254,10 +254,13 @@
 // have ended may have done so under a part of the prompt that is harmless. A stream whose digest is
 // quarantined gets no trial, as it would end a second server.
 func (stream *stream) guardAdmits(ctx context.Context) bool {
-	if stream.guardAllows() {
+	if !stream.handler.guardActive() {
 		return true
 	}
 	ruling := stream.handler.Guard.Judge(stream.guarded())
+	if stream.permits(ruling) {
+		return true
+	}
 	_, _, isPart := ruling.Subject.Part()
 	return isPart && ruling.Judgment == shedkeel.Quarantined && !stream.onTrial.Load() && stream.acquireTrial(ctx)
 }
