serve: a stream without length or chunks that may run once ends whole

Callers saw: a stream with neither a length nor chunks on a route that may run a request only once was broken off at its very end.

Cause: the end of such a connection looks like a lost one, so the stream was resumed at another server to be confirmed; where no further run is allowed, or no server is left, it counted as broken.

Change: if nothing can confirm it, a stream that ended after a complete event is complete, unless the check of ended servers finds that its server has terminated. It still is resumed where the route allows it, and it proves no part of a prompt harmless.

--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -462,6 +462,44 @@
 	}
 }
 
+// TestUnframedStreamEnds checks what the end of the connection means to a stream with neither length
+// nor chunks whose route allows one run: a complete answer after a complete event, and a broken one
+// inside an event, without any event, or if the server has terminated.
+func TestUnframedStreamEnds(t *testing.T) {
+	cases := map[string]struct {
+		step    step
+		stopped bool // the server has terminated
+		want    string
+		status  int
+		broken  bool
+	}{
+		"after an event":                 {step{events: 5, unframed: true}, false, events(1, 5), 200, false},
+		"after an event, by termination": {step{events: 5, unframed: true}, true, events(1, 5), 200, true},
+		"inside an event":                {step{events: 5, unframed: true, cutAfter: 3}, false, events(1, 3), 200, true},
+		"without an event":               {step{unframed: true, unstated: true}, false, "", 502, false},
+		"in chunks":                      {step{events: 5}, true, events(1, 5), 200, false},
+	}
+	for name, test := range cases {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t, test.step)
+			harness.ServerCheck = fixedCheck(test.stopped)
+			config := testConfig()
+			config.Routes[0].Resumable, config.Routes[0].MaxRuns = false, 1
+			view := NewView(config)
+			harness.CurrentConfig = func() ConfigState { return ConfigState{View: view, ProvenAt: harness.clock.Now()} }
+			got := harness.post("/s/x", "prompt", "Model", "m")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Equal(t, got.broken, test.broken)
+			if test.status == 200 {
+				assert.Equal(t, got.Body.String(), test.want)
+			}
+			harness.backend.mutex.Lock()
+			defer harness.backend.mutex.Unlock()
+			assert.Equal(t, len(harness.backend.requests), 1)
+		})
+	}
+}
+
 // TestStalledStreamRetriesHedge lets a stream stall while all other groups are avoided for
 // half a second, so that the first hedge finds no server. Without another try at a later stall
 // signal, the stream would not resume at another group and would end at its deadline, the route's
--- a/serve/source.go
+++ b/serve/source.go
@@ -39,10 +39,8 @@
 	err := source.read()
 	failed := !errors.Is(err, errStreamEnd) && source.context.Err() == nil
 	source.choice.End(failed, source.stream.handler.Timers.Now())
-	if failed {
-		source.stream.reportServerEnd(source.choice, err)
-	}
-	source.deliver(update{source: source, err: err})
+	ended := failed && source.stream.reportServerEnd(source.choice, err)
+	source.deliver(update{source: source, err: err, serverEnded: ended})
 }
 
 // deliver passes an update to the stream. It returns false if the source is canceled
@@ -108,6 +106,8 @@
 	number int64  // the event's ID as a number; 0: the ID is not a number
 	id     string // the event's ID; "": the event has none
 	err    error  // not nil: the source has ended, and there is no event; errStreamEnd: the server has sent the last event
+	// serverEnded states that the server has terminated. It is only set with err.
+	serverEnded bool
 }
 
 // errStreamEnd reports that a stream was received completely. It is distinct from io.EOF,
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -203,8 +203,7 @@
 	if !active {
 		return false, nil
 	}
-	complete := errors.Is(update.err, errStreamEnd) && update.source.lastNumber == stream.lastNumber
-	if complete {
+	if errors.Is(update.err, errStreamEnd) && update.source.lastNumber == stream.lastNumber {
 		if !stream.answerStarted.Load() {
 			stream.writeHead(update.source.response, -1)
 		}
@@ -213,21 +212,27 @@
 			stream.reportAnswer()
 			stream.reportHarmless()
 		}
-		record(stream.handler.meter().firstEvent, stream.timing.firstDelay)
-		record(stream.handler.meter().longestPause, stream.timing.longestPause)
-		stream.answerAttrs = []slog.Attr{
-			slog.Duration("first", stream.timing.firstDelay), slog.Duration("pause", stream.timing.longestPause), slog.Int("moves", stream.timing.hedges),
-			slog.String("server", string(update.source.choice.Instance)), slog.String("group", string(update.source.choice.Group.Group)),
-		}
+		stream.complete(update.source)
 		return true, nil
 	}
-	return false, stream.failOver(ctx, update)
+	return stream.failOver(ctx, update)
+}
+
+// complete records the end of a complete stream.
+func (stream *stream) complete(source *source) {
+	record(stream.handler.meter().firstEvent, stream.timing.firstDelay)
+	record(stream.handler.meter().longestPause, stream.timing.longestPause)
+	stream.answerAttrs = []slog.Attr{
+		slog.Duration("first", stream.timing.firstDelay), slog.Duration("pause", stream.timing.longestPause), slog.Int("moves", stream.timing.hedges),
+		slog.String("server", string(source.choice.Instance)), slog.String("group", string(source.choice.Group.Group)),
+	}
 }
 
 // failOver records the failure of a source and starts another source, unless a second source
-// is still running. It ends the stream if no further attempt is allowed or possible. After a
-// source that did not run, mayRepeat does not apply, but the guard and maxServersTried do.
-func (stream *stream) failOver(ctx context.Context, update update) error {
+// is still running. It ends the stream if no further attempt is allowed or possible, and returns
+// true if the stream is then complete. After a source that did not run, mayRepeat does not apply, but
+// the guard and maxServersTried do.
+func (stream *stream) failOver(ctx context.Context, update update) (bool, error) {
 	stream.lastErr = update.err
 	stream.uncountUnsent(update.err)
 	var notRun *shedkeel.NotRunError
@@ -239,15 +244,27 @@
 	count(stream.handler.meter().failedAttempts)
 	stream.log(event.AttemptFailed, slog.String("server", string(update.source.choice.Instance)), slog.Int64("after", stream.lastNumber), slog.String("reason", update.err.Error()))
 	if len(stream.sources) > 0 {
-		return nil
+		return false, nil
 	}
 	if ctx.Err() != nil || notRun == nil && !stream.mayRepeat() || notRun != nil && notRun.NoPath || len(stream.tried) >= maxServersTried || !stream.guardAdmits(ctx) {
-		return stream.finish(ctx, update.err)
+		return stream.finishUnconfirmed(ctx, update, update.err)
 	}
 	if err := stream.startSource(ctx); err != nil {
-		return stream.finish(ctx, errors.Join(err, update.err))
+		return stream.finishUnconfirmed(ctx, update, errors.Join(err, update.err))
 	}
-	return nil
+	return false, nil
+}
+
+// finishUnconfirmed ends a stream that no other server can complete or confirm. A stream with neither
+// length nor chunks that ended after a complete event is then complete, unless its server has
+// terminated.
+func (stream *stream) finishUnconfirmed(ctx context.Context, update update, reason error) (bool, error) {
+	whole := errors.Is(update.err, errIncomplete) && !update.serverEnded && stream.answerStarted.Load() && update.source.lastNumber == stream.lastNumber
+	if whole && ctx.Err() == nil {
+		stream.complete(update.source)
+		return true, nil
+	}
+	return false, stream.finish(ctx, reason)
 }
 
 // guardAdmits reports whether the guard allows another attempt, if need be as a trial: the servers that
