--- a/mutants_test.go
+++ b/mutants_test.go
@@ -32,7 +32,7 @@
 		"node/reach.go", "reporter.node.table.LoseRunning(dialer.TrustedUntil())", "_ = dialer", "TestLostStreamsBlockNoServer", "./node",
 	},
 	"cut-off boxes: a refusal proves a server's end": {
-		"reach/dialer.go", "IsRefused(err) && dialer.paths.direct", "IsRefused(err) || dialer.paths.direct", "TestRefusalToCutOffBoxProvesNothing", "./reach",
+		"reach/dialer.go", "IsRefused(err) && dialer.hears", "IsRefused(err) || dialer.hears", "TestRefusalToCutOffBoxProvesNothing", "./reach",
 	},
 	"cut-off boxes: a reset at the server looks like the end of the data": {
 		"wire/tunnel.go", "return errTunnelBroken\n", "return io.EOF\n", "TestTunnelEnds", "./wire",
@@ -40,6 +40,33 @@
 	"cut-off boxes: connections through a node that stops are used again": {
 		"reach/dialer.go", " && !dialer.relaysLeaving.Load()", "", "TestRelayStopsAsPlanned", "./node",
 	},
+	"cut-off boxes: servers that are heard are no path": {
+		"reach/paths.go", "heard := max(paths.direct.time(), paths.relayed.time())", "heard := time.Duration(0)", "TestHeardServerProvesAPath", "./reach",
+	},
+	"own delays: they count as silence of servers": {
+		"dispatch/activity.go", "table.Delays.Running(state.lastActivity, now)", "now - state.lastActivity", "TestOwnDelaysAreNoSilence", "./dispatch",
+	},
+	"own delays: a delay that lasts is not counted": {
+		"liveness/delays.go", "if late <= normalDelay {", "if true || late <= normalDelay {", "TestRunning|TestDelayStrategies", "./liveness",
+	},
+	"own delays: a dial that timed out in them is evidence": {
+		"reach/dialer.go", "outcome == TimedOut && !dialer.Delays.Proves(began, now)", "false", "TestDelayedDialsProveNothing", "./reach",
+	},
+	"own delays: a probe that timed out in them is conclusive": {
+		"node/prober.go", "|| !prober.Delays.Proves(began, now)", "", "TestProbe", "./node",
+	},
+	"parts of prompts: answers do not prove parts harmless": {
+		"contain/history.go", "found.proven, found.provenAt = true, now", "found.provenAt = now", "TestDetection", "./contain",
+	},
+	"parts of prompts: nothing is held against a part": {
+		"contain/detector.go", "report.Suspects = append(report.Suspects, detector.record(part, server, clock))", "", "TestPartEndsServerAfterServer", "./node",
+	},
+	"streams: one without length or chunks that nothing confirms is broken": {
+		"serve/stream.go", "if whole && ctx.Err() == nil {", "if false && whole {", "TestUnframedStreamEnds", "./serve",
+	},
+	"streams: the end of a terminated server is that of the stream": {
+		"serve/stream.go", "!update.serverEnded && ", "", "TestUnframedStreamEnds", "./serve",
+	},
 	"request containment: a request that crashes servers is contained one failure too late": {
 		"contain/ledger.go", "case count >= containThreshold:", "case count > containThreshold:", "TestRequestThatEndsServersIsContained", "./node",
 	},
@@ -368,10 +395,10 @@
 		"overload/memory.go", "return now - began", "return 0 * began", "TestMemory", "./overload",
 	},
 	"overload control: leftovers take the same limit": {
-		"overload/controller.go", "if below(leftoverReserve) {", "if below(0) {", "TestClassify", "./overload",
+		"overload/controller.go", "reserve := leftoverReserve", "reserve := 0.0", "TestClassify", "./overload",
 	},
 	"overload control: promises are never redeemed": {
-		"overload/controller.go", "returned := controller.returns.Redeem(request.Digest, now)", "returned := controller.returns.Redeem(request.Digest, now) && false", "TestPromiseIsRedeemed", "./overload",
+		"overload/controller.go", "returned = controller.returns.Redeem(request.Digest, now)", "returned = controller.returns.Redeem(request.Digest, now) && false", "TestPromiseIsRedeemed", "./overload",
 	},
 }
 
