--- a/liveness/delays_test.go
+++ b/liveness/delays_test.go
@@ -66,3 +66,23 @@
 	assert.Assert(t, len(delays.delays) <= int(delayRetention/(TickInterval+20*time.Millisecond))+1, "%d delays are kept", len(delays.delays))
 	assert.Equal(t, delays.Running(now-time.Second, now), 500*time.Millisecond)
 }
+
+// BenchmarkDelays measures a tick, and a question while 200 delays are kept.
+func BenchmarkDelays(b *testing.B) {
+	delays, now := &Delays{}, time.Hour
+	for range 200 {
+		now += 3 * TickInterval
+		delays.Tick(now)
+	}
+	b.Run("question", func(b *testing.B) {
+		for b.Loop() {
+			delays.Running(now-time.Second, now)
+		}
+	})
+	b.Run("tick on time", func(b *testing.B) {
+		for b.Loop() {
+			now += TickInterval
+			delays.Tick(now)
+		}
+	})
+}
