serve: requests wait for the check of an ended server without a lock

Cause: requests whose server has broken off share one check, behind a sync.Once.

Change: the first request checks, the others wait for a channel.

--- a/serve/ended.go
+++ b/serve/ended.go
@@ -31,7 +31,7 @@
 // endCheck is the check of one server.
 type endCheck struct {
 	firstFailure time.Duration // when the failure that led to the check was reported
-	once         sync.Once     // calls probe
+	done         chan struct{} // closed when ended is known
 	ended        bool          // the server is known to have terminated
 }
 
@@ -40,26 +40,32 @@
 // concurrent callers. Only a positive result is cached: after a negative result, the next call
 // probes again.
 func (endedServers *endedServers) endedSince(server shedkeel.InstanceID, now time.Duration, probe func() bool) (firstFailureAt time.Duration, ended bool) {
-	check := endedServers.entry(server, now)
-	check.once.Do(func() { check.ended = probe() })
-	if !check.ended {
-		endedServers.forget(server, check)
+	check, isNew := endedServers.entry(server, now)
+	if isNew {
+		check.ended = probe()
+		if !check.ended {
+			endedServers.forget(server, check)
+		}
+		close(check.done)
 	}
+	<-check.done // probe returns within endCheckTimeout
 	return check.firstFailure, check.ended
 }
 
-// entry returns the check of the server, and creates it if there is none. If there are
+// entry returns the check of the server, and creates it if there is none, with isNew. If there are
 // maxEndedServers checks already, it first drops all of them, also that of the server.
-func (endedServers *endedServers) entry(server shedkeel.InstanceID, now time.Duration) *endCheck {
+func (endedServers *endedServers) entry(server shedkeel.InstanceID, now time.Duration) (check *endCheck, isNew bool) {
 	endedServers.mutex.Lock()
 	defer endedServers.mutex.Unlock()
 	if endedServers.checks == nil || len(endedServers.checks) >= maxEndedServers {
 		endedServers.checks = map[shedkeel.InstanceID]*endCheck{}
 	}
-	if endedServers.checks[server] == nil {
-		endedServers.checks[server] = &endCheck{firstFailure: now}
+	check = endedServers.checks[server]
+	if check == nil {
+		check, isNew = &endCheck{firstFailure: now, done: make(chan struct{})}, true
+		endedServers.checks[server] = check
 	}
-	return endedServers.checks[server]
+	return check, isNew
 }
 
 // forget removes the check unless a newer one has replaced it.
