--- a/node/cutoffs_test.go
+++ b/node/cutoffs_test.go
@@ -19,6 +19,9 @@
 var (
 	cutSeeds = flag.Int("cut-seeds", 2, "number of seeds of TestRandomCuts")
 	firstCut = flag.Uint64("first-cut", 1, "the first seed of TestRandomCuts")
+
+	fakeCutSeeds = flag.Int("fake-cut-seeds", 5, "number of seeds of TestRandomCutsInFakeTime")
+	firstFakeCut = flag.Uint64("first-fake-cut", 21, "the first seed of TestRandomCutsInFakeTime")
 )
 
 const (
@@ -39,37 +42,53 @@
 		seed := *firstCut + uint64(offset)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			cluster := newTestCluster(t, 4)
-			cluster.ready()
-			random := rand.New(rand.NewPCG(seed, 5))
-			ended := time.Now().Add(cutsPerSeed*time.Second + settleTime)
-			results := make([][]firstTry, len(cluster.nodes))
-			var running sync.WaitGroup
-			for index := range cluster.nodes {
-				running.Go(func() { results[index] = cluster.tries(index, ended.Add(time.Second)) })
-			}
-			for range cutsPerSeed {
-				cluster.randomCut(random)
-				time.Sleep(time.Duration(random.IntN(int(2 * time.Second))))
-				if time.Now().After(ended.Add(-settleTime)) {
-					break
-				}
-			}
-			for _, node := range cluster.nodes {
-				node.servers.SetCut(standin.Cut{})
-			}
-			settled := time.Now().Add(settleTime)
-			running.Wait()
-			for index, tries := range results {
-				for _, try := range tries {
-					cluster.checkTry(index, &try, try.sent.After(settled))
-				}
-			}
-			assert.Equal(t, len(cluster.fleet.Violations()), 0, "%v", cluster.fleet.Violations())
+			testRandomCuts(t, newTestCluster(t, 4), seed)
 		})
 	}
 }
 
+// TestRandomCutsInFakeTime does the same as TestRandomCuts with other seeds, on a network in memory.
+//
+//	go test ./node -run TestRandomCutsInFakeTime -first-fake-cut 1 -fake-cut-seeds 150
+func TestRandomCutsInFakeTime(t *testing.T) {
+	for offset := range *fakeCutSeeds {
+		seed := *firstFakeCut + uint64(offset)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			inFakeTime(t, func(t *testing.T) { testRandomCuts(t, newFakeTimeCluster(t, 4), seed) })
+		})
+	}
+}
+
+// testRandomCuts runs one seed of TestRandomCuts on the cluster.
+func testRandomCuts(t *testing.T, cluster *testCluster, seed uint64) {
+	cluster.ready()
+	random := rand.New(rand.NewPCG(seed, 5))
+	ended := time.Now().Add(cutsPerSeed*time.Second + settleTime)
+	results := make([][]firstTry, len(cluster.nodes))
+	var running sync.WaitGroup
+	for index := range cluster.nodes {
+		running.Go(func() { results[index] = cluster.tries(index, ended.Add(time.Second)) })
+	}
+	for range cutsPerSeed {
+		cluster.randomCut(random)
+		time.Sleep(time.Duration(random.IntN(int(2 * time.Second))))
+		if time.Now().After(ended.Add(-settleTime)) {
+			break
+		}
+	}
+	for _, node := range cluster.nodes {
+		node.servers.SetCut(standin.Cut{})
+	}
+	settled := time.Now().Add(settleTime)
+	running.Wait()
+	for index, tries := range results {
+		for _, try := range tries {
+			cluster.checkTry(index, &try, try.sent.After(settled))
+		}
+	}
+	assert.Equal(t, len(cluster.fleet.Violations()), 0, "%v", cluster.fleet.Violations())
+}
+
 // randomCut changes the cut of a random box.
 func (cluster *testCluster) randomCut(random *rand.Rand) {
 	cut := standin.Cut{}
