--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -108,9 +108,9 @@
 	return gap
 }
 
-// FindStalled returns the servers that run requests of this process and have sent nothing while it
-// ran for expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity). It avoids them
-// for avoidDuration from now. It returns a continuing stall again, and notifies the requests on the
+// FindStalled returns the servers that run requests of this process and have sent nothing while this
+// process ran for expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity).
+// It avoids them for avoidDuration from now. It returns a continuing stall again, and notifies the requests on the
 // server again, after stallReportInterval; before, it notifies only those that have received no
 // notice.
 func (table *Table) FindStalled(now time.Duration) []Stall {
--- a/serve/source.go
+++ b/serve/source.go
@@ -55,9 +55,9 @@
 }
 
 // read sends the request, and delivers the events until the stream ends, fails or the source
-// is canceled. It reads an event only when ReaderBudget allows it. It returns errStreamEnd if the stream was received completely, errIncomplete if
-// the end of the answer does not show whether it was, and a statusError if the status is not
-// 200.
+// is canceled. It reads an event only when ReaderBudget allows it. It returns errStreamEnd if the
+// stream was received completely, errIncomplete if the end of the answer does not show whether it
+// was, and a statusError if the status is not 200.
 func (source *source) read() error {
 	stream := source.stream
 	response, err := stream.send(source.context, source.choice, source.resumeAfter)
