node: each test in fake time has a process of its own

Emptying the pool before a bubble does not keep others from using it meanwhile.

Change: inFakeTime runs the test binary again for the one test, with GOMAXPROCS=1. No pool is shared, and nothing has to be emptied.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,7 +12,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime"
+	"os"
+	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -81,21 +84,35 @@
 	return startTestCluster(t, nodes, nil)
 }
 
+// fakeTimeTest is the environment variable that names the test which inFakeTime runs in a process.
+const fakeTimeTest = "SHEDKEEL_FAKE_TIME_TEST"
+
 // inFakeTime runs a test in a synctest bubble: time advances only while all goroutines wait, so
-// delays of the machine cannot pass for those of nodes or servers. The test must not be parallel.
+// delays of the machine cannot pass for those of nodes or servers. The bubble has a process of its
+// own, since yamux pools timers, and those of a bubble must not be used outside.
 func inFakeTime(t *testing.T, test func(*testing.T)) {
 	t.Helper()
-	// yamux pools timers, and those of one bubble must not be used in another. Two
-	// collections empty a pool.
-	emptyPools := func() {
-		runtime.GC()
-		runtime.GC()
-	}
-	emptyPools()
-	defer emptyPools()
+	if os.Getenv(fakeTimeTest) == t.Name() {
+		synctest.Test(t, test)
+		return
+	}
+	parts := strings.Split(t.Name(), "/")
+	for index, part := range parts {
+		parts[index] = "^" + regexp.QuoteMeta(part) + "$"
+	}
+	arguments := []string{"-test.v", "-test.timeout=5m", "-test.run=" + strings.Join(parts, "/")}
+	flag.Visit(func(flag *flag.Flag) {
+		if !strings.HasPrefix(flag.Name, "test.") {
+			arguments = append(arguments, "-"+flag.Name+"="+flag.Value.String())
+		}
+	})
+	command := exec.CommandContext(t.Context(), os.Args[0], arguments...)
 	// The race detector crashes where two threads run timers of a bubble at the same time.
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	synctest.Test(t, test)
+	command.Env = append(os.Environ(), fakeTimeTest+"="+t.Name(), "GOMAXPROCS=1")
+	output, err := command.CombinedOutput()
+	t.Logf("%s", output)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Contains(output, []byte("--- PASS: "+t.Name()+" ")), "the process has not run the test")
 }
 
 // newFakeTimeCluster does the same as newTestCluster in a synctest bubble.
