standin: one clock for the tests that run in fake time

Change: standin.Clock takes their place. A comment of node's wakeups said what no longer holds.

Measured: serve, reach and internal/standin pass with the race detector, in node TestCutOffBoxServes, TestNothingReachesServers, TestProbe and TestLateWakeupsAreLogged; check passes.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -225,20 +225,10 @@
 	return (&net.Dialer{}).DialContext
 }
 
-// processClock is a shedkeel.Timers on the clock of package time, which is a fake inside a synctest
-// bubble.
-type processClock struct{ timer.System }
-
-func (*processClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
-func (clock *processClock) Subscribe(interval time.Duration, tick func(now time.Duration)) (cancel func()) {
-	return clock.System.Subscribe(interval, func(time.Duration) { tick(clock.Now()) })
-}
-
 // timers returns the clock of a node.
 func (cluster *testCluster) timers() shedkeel.Timers {
 	if cluster.network != nil {
-		return &processClock{}
+		return &standin.Clock{}
 	}
 	return &timer.System{}
 }
--- a/node/wakeups.go
+++ b/node/wakeups.go
@@ -16,7 +16,7 @@
 const lateWakeup = 50 * time.Millisecond
 
 // wakeups measures how late this process is woken by its own timers. A process that lacks processor
-// time notices answers late, and takes others for silent that have answered in time.
+// time notices answers late; its delays tell how late.
 type wakeups struct {
 	delays  liveness.Delays
 	mutex   sync.Mutex
--- a/reach/delays_test.go
+++ b/reach/delays_test.go
@@ -10,15 +10,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"shedkeel.org/shedkeel/internal/standin"
 	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/timer"
 )
 
-// fakeClock reads the clock of package time, which is a fake inside a synctest bubble.
-type fakeClock struct{ timer.System }
-
-func (*fakeClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // fakeNetwork is a shedkeel.ServerDialer whose dials end as err says after a time, or earlier with
 // their context. nil: they succeed.
 type fakeNetwork struct {
@@ -67,7 +63,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				delays := &liveness.Delays{}
-				dialer := &Dialer{Timers: &fakeClock{}, Timeout: 250 * ms, Network: test.direct, Relay: test.relay, Delays: delays}
+				dialer := &Dialer{Timers: &standin.Clock{}, Timeout: 250 * ms, Network: test.direct, Relay: test.relay, Delays: delays}
 				for _, address := range []string{"a:1", "b:1", "c:1", "d:1"} {
 					began := time.Now()
 					cancel := dialer.Timers.Subscribe(liveness.TickInterval, func(time.Duration) {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -18,7 +18,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
-	"shedkeel.org/shedkeel/timer"
+	"shedkeel.org/shedkeel/internal/standin"
 )
 
 // testProtocol is a shedkeel.CallerProtocol in which each field is a header field of its own.
@@ -182,14 +182,9 @@
 	*Handler
 	backend  *backend
 	provenAt atomic.Int64 // ConfigState.ProvenAt
-	clock    testClock
+	clock    standin.Clock
 }
 
-// testClock reads the clock of package time, which is a fake inside a synctest bubble.
-type testClock struct{ timer.System }
-
-func (*testClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // runFakeTime runs a subtest in a synctest bubble: time advances only while all
 // goroutines wait, so delays of the machine cannot pass for those of a server.
 func runFakeTime(t *testing.T, name string, test func(*testing.T)) {
