--- a/event/event.go
+++ b/event/event.go
@@ -104,6 +104,8 @@
 	ShortageBegun         = Event{664, slog.LevelWarn, "model is short of capacity; requests for it are rejected"}
 	ShortageEnded         = Event{665, slog.LevelInfo, "model has capacity again"}
 	ActivityUnknown       = Event{666, slog.LevelInfo, "spreading node did not tell whether other nodes hear silent groups"}
+	AnswerEndJudged       = Event{669, slog.LevelInfo, "end of an answer that states none was judged"}
+	StreamEventDropped    = Event{670, slog.LevelInfo, "event of an attempt was not forwarded"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -116,7 +118,7 @@
 		PlacementFailed, PlannerDecision, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperUnavailable, KeeperAvailable,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, PartJudged, WokenLate, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
-		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown,
+		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown, AnswerEndJudged, StreamEventDropped,
 	}
 }
 
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -103,6 +103,9 @@
 	// While an answer waits to be read, its server must not count as stalled.
 	body, err := exchange.readWhole(ctx, response, func() { end(failed) })
 	end(failed || err != nil)
+	if err == nil && closeDelimited(response) {
+		exchange.log(event.AnswerEndJudged, slog.String("server", string(choice.Instance)), slog.String("outcome", "whole"), slog.String("evidence", "end of the connection"), slog.Int("bytes", len(body)))
+	}
 	if err != nil && ctx.Err() == nil {
 		exchange.reportServerEnd(choice, err)
 	}
--- a/serve/source.go
+++ b/serve/source.go
@@ -69,7 +69,7 @@
 	if response.StatusCode != http.StatusOK {
 		return &statusError{response: response}
 	}
-	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	unframed := closeDelimited(response)
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
 	for size := int64(0); ; {
 		reserved, err := stream.unread.reserveEvent(source.context, size)
@@ -99,6 +99,12 @@
 	}
 }
 
+// closeDelimited reports whether only the end of the connection ends the answer: it states neither
+// a length nor chunks.
+func closeDelimited(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // update is an event of a source, or the end of the source.
 type update struct {
 	source *source
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -141,7 +142,11 @@
 		return stream.sourceEnded(ctx, update)
 	}
 	if update.number <= stream.lastNumber && update.number > 0 {
-		return false, nil // the event has been forwarded already, or the caller resumes after it
+		stream.logEvent(update, "dropped: it was forwarded before, or the caller resumes after it")
+		return false, nil
+	}
+	if !slices.Contains(stream.sources, update.source) {
+		stream.logEvent(update, "forwarded although its attempt was canceled")
 	}
 	update.source.lastNumber = update.number
 	stream.cancelOthers(update.source)
@@ -166,6 +171,16 @@
 	return false, nil
 }
 
+// logEvent logs what became of an event that was not simply forwarded.
+func (stream *stream) logEvent(update update, outcome string) {
+	attempts := make([]string, len(stream.sources))
+	for index, source := range stream.sources {
+		attempts[index] = string(source.choice.Instance)
+	}
+	stream.log(event.StreamEventDropped, slog.String("server", string(update.source.choice.Instance)), slog.Int64("number", update.number),
+		slog.Int64("after", stream.lastNumber), slog.String("outcome", outcome), slog.Any("live", attempts))
+}
+
 // write forwards an event to the caller and flushes it.
 func (stream *stream) write(message []byte) error {
 	if _, err := stream.writer.Write(message); err != nil {
@@ -260,6 +275,13 @@
 // terminated.
 func (stream *stream) finishUnconfirmed(ctx context.Context, update update, reason error) (bool, error) {
 	whole := errors.Is(update.err, errIncomplete) && !update.serverEnded && stream.answerStarted.Load() && update.source.lastNumber == stream.lastNumber
+	if errors.Is(update.err, errIncomplete) {
+		outcome := "not known"
+		if whole {
+			outcome = "whole"
+		}
+		stream.log(event.AnswerEndJudged, slog.String("server", string(update.source.choice.Instance)), slog.String("outcome", outcome), slog.Bool("server_ended", update.serverEnded))
+	}
 	if whole && ctx.Err() == nil {
 		stream.complete(update.source)
 		return true, nil
