serve: a close-delimited answer is complete only if its server's process outlives it

A stream of a draining server that ended within it ended as complete (ORDER). Cause: an answer with neither length nor chunks ends with its connection, and the kernel closes the connections of a process that dies as the process does itself. Three readers drew three conclusions: plain answers took any end, streams asked whether the address refuses connections and took 'not known' and 'planned' for whole, the entry refused all. Change: completeness.Judge is the one place for plain answers, streams and the entry: complete, incomplete, not known. A close-delimited answer is complete only after a health check, sent after its end, was answered by the same process: over a connection older than the request, or with the same name and start. Not known: a repeatable request runs elsewhere or resumes, another gets 502, a stream is broken off. Checks of a server are shared. The question whether a server's end is held against a request (reportServerEnd) no longer answers whether its answer is whole. Why it works: the dead process can't answer a request that was sent after its connection had ended. TestStreams: a sound close-delimited stream runs once now (it was run twice to confirm it), a new row has the server killed.

--- /dev/null
+++ b/completeness/completeness.go
@@ -0,0 +1,78 @@
+// Package completeness decides whether the body of a backend server's answer is complete. It
+// handles servers, boxes and links that fail while answers are sent, many at a time.
+//
+// An answer with a length or chunks states its end. Any other answer is close-delimited: it ends
+// with its connection. The operating system closes the connections of a process that dies just as
+// the process closes them itself, so the end of such a connection proves nothing. It takes a sign of
+// the same process from after the end to show that the process ended the answer.
+package completeness
+
+import (
+	"net/http"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// Verdict says whether an answer is complete.
+type Verdict int
+
+// The verdicts. Only a Complete answer may reach a caller as a complete one.
+const (
+	Unknown    Verdict = iota // the answer ended regularly, and its server may have died in it
+	Complete                  // the answer is what the server sent
+	Incomplete                // a part of the answer is missing
+)
+
+var verdictNames = [...]string{"not_known", "complete", "incomplete"}
+
+// String returns the name of the verdict in logs and metrics.
+func (verdict Verdict) String() string { return verdictNames[verdict] }
+
+// Process says what became of the process that sent an answer, judged after the end of the answer.
+type Process int
+
+// The states of a process.
+const (
+	ProcessUnknown Process = iota // nothing was heard of it after the end
+	ProcessRuns                   // it has sent something after the end
+	ProcessEnded                  // another process, or none, is at its address
+)
+
+var processNames = [...]string{"not_known", "runs", "ended"}
+
+// String returns the name of the state in logs and metrics.
+func (process Process) String() string { return processNames[process] }
+
+// CloseDelimited reports whether the answer to a request with the method states neither a length
+// nor chunks. Answers without a body are not close-delimited.
+func CloseDelimited(method string, response *http.Response) bool {
+	return method != http.MethodHead && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// Judge returns the verdict on an answer. readErr is the error with which the read of its body ended;
+// nil means that the end that the answer states, or else the end of its connection, was reached.
+func Judge(closeDelimited bool, readErr error, process Process) Verdict {
+	switch {
+	case readErr != nil:
+		return Incomplete
+	case !closeDelimited, process == ProcessRuns:
+		return Complete
+	}
+	return Unknown
+}
+
+// JudgeProcess returns what a health check, sent after an answer of the instance had ended, tells
+// about the process that sent the answer. sinceRequest is the time from the request for that answer until
+// the health check was sent.
+func JudgeProcess(instance shedkeel.InstanceID, health shedkeel.Health, sinceRequest time.Duration) Process {
+	switch {
+	case health.Server != "" && health.Server != instance.Server(), health.Born != 0 && instance.Born() != 0 && health.Born != instance.Born():
+		return ProcessEnded
+	case health.ConnectionAge > 0 && health.ConnectionAge >= sinceRequest:
+		return ProcessRuns // no connection outlives its process
+	case health.Server == "", instance.Born() != 0 && health.Born == 0:
+		return ProcessUnknown // a server that restarts may keep its name
+	}
+	return ProcessRuns
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: conn, openedAt: time.Now()}, nil
 	}
 	idle := transport.IdleTimeout
 	if idle == 0 {
@@ -210,11 +210,15 @@
 // After seal every write fails.
 type countingConn struct {
 	net.Conn
-	mutex   sync.Mutex
-	written int64
-	sealed  bool
+	openedAt time.Time
+	mutex    sync.Mutex
+	written  int64
+	sealed   bool
 }
 
+// Age returns how long the connection has been open.
+func (conn *countingConn) Age() time.Duration { return time.Since(conn.openedAt) }
+
 // Write writes, or returns errConnSealed if the connection is sealed. It holds the
 // mutex during the write, so that no byte is written after seal has returned. A write
 // to a full socket buffer can block for long with the mutex held. Closing the
--- a/entry/send.go
+++ b/entry/send.go
@@ -12,6 +12,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/admit"
+	"shedkeel.org/shedkeel/completeness"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/route"
@@ -218,9 +219,8 @@
 // maxAnswerBytes. readAnswer closes the body.
 func (try *try) readAnswer(response *http.Response) (answer, error) {
 	defer func() { _ = response.Body.Close() }()
-	// Without length or chunked encoding, a truncated answer looks complete.
-	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && try.call.method != http.MethodHead
-	if unframed {
+	// Servers of other services have no health check that names their process.
+	if completeness.Judge(completeness.CloseDelimited(try.call.method, response), nil, completeness.ProcessUnknown) != completeness.Complete {
 		return answer{}, &shedkeel.UnknownRunError{Reason: "backend server " + try.choice.Name + " gave an answer without length", Cause: errNoEnd}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
--- a/interfaces.go
+++ b/interfaces.go
@@ -194,6 +194,13 @@
 	Stopped(ctx context.Context, address string) bool
 }
 
+// HealthCheck asks backend servers for a sign of life.
+type HealthCheck interface {
+	// Health sends a health check with the path to the address. The error means that no
+	// answer came.
+	Health(ctx context.Context, address, path string) (Health, error)
+}
+
 // Timers is a clock with periodic timers. Times are durations on a monotonic
 // clock that also advances while the machine is suspended.
 type Timers interface {
--- a/node/node.go
+++ b/node/node.go
@@ -107,6 +107,7 @@
 	Protocol    shedkeel.CallerProtocol
 	Backend     shedkeel.Backend
 	Check       shedkeel.ServerCheck // finds out whether a server that broke off a request has terminated; nil: no check
+	Health      shedkeel.HealthCheck // see serve.Handler.Health
 	Engines     shedkeel.GroupEngines
 	Dialer      *reach.Dialer // opens the connections of Backend; nil: no connections are relayed
 	Timers      shedkeel.Timers
@@ -164,7 +165,7 @@
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
 		Budget:        &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), FixedRetries: bounds.RetrySlack, SafetyFactor: retryBudgetFraction, StartedAt: node.Timers.Now(), RandomOffset: rand.New(node.Random).Float64()},
 		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryBudgetNodes: node.fleet.nodeCount, ServingNodes: node.fleet.servingCount,
-		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, DigestKey: []byte(node.Settings.Wire.Key),
+		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, Health: node.Health, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
 		ReaderBudget: serve.ReaderBudget{Limit: node.Settings.Limits.UnreadBytes},
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -257,7 +257,7 @@
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewNonce(),
 		Store:   &platform.Store{Address: cluster.store, Timeout: 700 * time.Millisecond, WatchMargin: 400 * time.Millisecond, Client: &http.Client{Transport: storeTransport}},
-		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: dialer,
+		Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{}, Backend: transport, Check: dialer, Health: &platform.HealthClient{Transport: transport},
 		Engines: &platform.EngineClient{Timeout: 300 * time.Millisecond, Client: &http.Client{Transport: reports}},
 		Dialer:  dialer, Timers: timers, Random: rand.NewPCG(uint64(index), 1),
 		Log: log.With(slog.String("node", string(settings.Node))), Metrics: values, DialNode: cluster.dial(),
--- a/program/node.go
+++ b/program/node.go
@@ -94,6 +94,7 @@
 		Protocol: platform.HeaderCodec{},
 		Backend:  transport,
 		Check:    dialer,
+		Health:   &platform.HealthClient{Transport: transport},
 		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: &http.Client{Transport: reports}},
 		Dialer:   dialer,
 		Timers:   timers,
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -80,27 +80,25 @@
 // reportServerEnd checks, after an attempt has failed by a disconnect, whether the server has
 // terminated. If so, later attempts use new connections, and it logs the termination and reports it
 // to the guard, unless the server had already terminated when it was chosen. It ignores servers
-// that are unlisted or drain, because their termination is planned. It returns whether the server has
-// terminated.
-func (exchange *exchange) reportServerEnd(choice *dispatch.Choice, failure error) bool {
+// that are unlisted or drain, because their termination is planned.
+func (exchange *exchange) reportServerEnd(choice *dispatch.Choice, failure error) {
 	now := exchange.handler.Timers.Now()
 	if exchange.handler.ServerCheck == nil || !isDisconnect(failure) || !choice.Listed() {
-		return false
+		return
 	}
 	firstFailureAt, ended := exchange.handler.endedServers.endedSince(choice.Instance, now, func() bool { return exchange.handler.serverEnded(choice.Address) })
 	if !ended {
-		return false
+		return
 	}
 	exchange.freshConnection.Store(true)
 	if choice.ChosenAt > firstFailureAt {
-		return true
+		return
 	}
 	exchange.log(event.ServerEnded, slog.String("server", string(choice.Instance)), slog.String("digest", string(exchange.digest())),
 		slog.String("model", string(exchange.call.Model)), slog.Any("parts", exchange.call.SharedParts))
 	if exchange.handler.Guard != nil {
 		exchange.handler.Guard.ServerEnded(exchange.guarded(), choice.Instance)
 	}
-	return true
 }
 
 // serverEnded reports whether it is proven within endCheckTimeout that no server listens at
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -89,6 +89,9 @@
 	// ServerCheck finds out, after an attempt has failed, whether the server has terminated.
 	// nil: no check is made.
 	ServerCheck shedkeel.ServerCheck
+	// Health checks whether a server runs on after an answer that states no end. nil: such answers
+	// are never known to be complete.
+	Health shedkeel.HealthCheck
 	// Limits grants the permits for servers that limit the rate of their requests.
 	// nil: no permits are needed.
 	Limits shedkeel.ServerLimits
@@ -111,6 +114,7 @@
 	refusing     atomic.Bool  // new requests are refused
 	received     atomic.Int64 // requests received, including refused ones
 	endedServers endedServers
+	healthChecks healthChecks
 	deadlines    deadlines
 	digesters    digesterPool
 
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"shedkeel.org/shedkeel/completeness"
 )
 
 // Meter holds the metrics of request handling. The zero value records nothing.
@@ -21,6 +23,8 @@
 	firstEvent       tally.Histogram                // of completed streams: time from the request to the first event; 0: no event
 	longestPause     tally.Histogram                // of completed streams: longest time between two forwarded events; 0: fewer than two
 	answerTime       tally.Histogram                // of the requests in answered: time from the request to the end of the answer
+	endsJudged       [3]tally.Counter               // close-delimited answers, by completeness.Verdict
+	endJudgment      tally.Histogram                // of the answers in endsJudged: time that the judgment took
 }
 
 // NewMeter returns a meter that reports to the scope. Its histogram buckets are densest around
@@ -37,6 +41,10 @@
 		noRecommendation: scope.Counter("requests_not_spread"), backoffs: scope.Counter("backoffs_stated"),
 		firstEvent: scope.Histogram("first_event", buckets), longestPause: scope.Histogram("longest_pause", buckets), answerTime: scope.Histogram("answer_time", buckets),
 	}
+	meter.endJudgment = scope.Histogram("answer_end_judgment", buckets)
+	for _, verdict := range []completeness.Verdict{completeness.Unknown, completeness.Complete, completeness.Incomplete} {
+		meter.endsJudged[verdict] = scope.Tagged(map[string]string{"outcome": verdict.String()}).Counter("answer_ends_judged")
+	}
 	for cause, name := range causeNames {
 		meter.refused[cause] = scope.Tagged(map[string]string{"cause": name}).Counter("requests_refused")
 	}
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/completeness"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
 )
@@ -80,7 +81,8 @@
 }
 
 // tryServer sends the request to the chosen server, reads the answer completely and ends the
-// choice. An answer with a 5xx status is not an error, but counts as a failure of the server.
+// choice. An answer with a 5xx status is not an error, but counts as a failure of the server. An answer
+// that is not known to be complete gives errUnproven.
 // After an error, tryServer checks whether the server has terminated, unless ctx has ended.
 func (exchange *exchange) tryServer(ctx context.Context, choice *dispatch.Choice) (bufferedAnswer, error) {
 	response, err := exchange.send(ctx, choice, "") //nolint:bodyclose // readWhole closes it
@@ -102,10 +104,11 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	// While an answer waits to be read, its server must not count as stalled.
 	body, err := exchange.readWhole(ctx, response, func() { end(failed) })
-	end(failed || err != nil)
-	if err == nil && closeDelimited(response) {
-		exchange.log(event.AnswerEndJudged, slog.String("server", string(choice.Instance)), slog.String("outcome", "whole"), slog.String("evidence", "end of the connection"), slog.Int("bytes", len(body)))
+	if err == nil && exchange.judgeEnd(ctx, choice, response) != completeness.Complete {
+		exchange.unread.release(int64(len(body)))
+		body, err = nil, errUnproven
 	}
+	end(failed || err != nil)
 	if err != nil && ctx.Err() == nil {
 		exchange.reportServerEnd(choice, err)
 	}
--- a/serve/send.go
+++ b/serve/send.go
@@ -29,7 +29,7 @@
 	errFull          = errors.New("all servers have more requests than they can answer in time")                     // see admitToModel
 	errNoBudget      = errors.New("no more repeats are allowed now")                                                 // the retry budget is used up
 	errForeignAnswer = errors.New("the answer belongs to another request or is not the server's own")                // see checkAnswer
-	errIncomplete    = errors.New("the answer did not come whole")                                                   // it may be incomplete (source.read), or is longer than maxAnswerBytes (readWhole)
+	errIncomplete    = errors.New("the answer did not come whole")                                                   // see errUnproven and errAnswerTooLong
 	errServerFailed  = errors.New("the server failed")                                                               // its answer has a 5xx status
 )
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -68,6 +69,7 @@
 	cutAfter   int           // the connection fails inside the event after this one; 0: never
 	stallAfter int           // nothing more is sent after this event; 0: never
 	unframed   bool          // the answer has neither length nor chunks
+	killed     bool          // the server's process ends within the answer
 	delay      time.Duration // before the answer
 	wrongID    bool          // the answer has the ID of another request
 	unsigned   bool          // the answer has no signature of the server
@@ -84,6 +86,7 @@
 	steps    []step
 	requests []*http.Request
 	bodies   []string
+	killed   bool // the latest server to answer has ended
 }
 
 func (backend *backend) Send(request *http.Request) (*http.Response, error) {
@@ -107,6 +110,9 @@
 	if next.err != nil {
 		return nil, next.err
 	}
+	backend.mutex.Lock()
+	backend.killed = next.killed
+	backend.mutex.Unlock()
 	return next.response(request), nil
 }
 
@@ -176,6 +182,18 @@
 	_ = writer.Close()
 }
 
+// Health is a shedkeel.HealthCheck of the server that answered last, for tests with one request at a
+// time.
+func (backend *backend) Health(ctx context.Context, address, path string) (shedkeel.Health, error) {
+	backend.mutex.Lock()
+	killed := backend.killed
+	backend.mutex.Unlock()
+	if killed {
+		return noProcess.Health(ctx, address, path)
+	}
+	return survivor.Health(ctx, address, path)
+}
+
 // harness is a Handler with a scripted backend, three servers of the service plain (p0 to p2) and
 // three groups of the service llm (g0 to g2).
 type harness struct {
@@ -204,7 +222,7 @@
 			{ID: "once", Host: "h", Prefix: "/once/", Kind: shedkeel.RequestOnce, Timeout: time.Second, MaxRuns: 1, Targets: []shedkeel.Target{{Service: "plain", Weight: 1}}},
 			{ID: "longer", Host: "h", Prefix: "/safe/open/", Kind: shedkeel.RequestSafe, Public: true, Timeout: 200 * time.Millisecond, MaxRuns: 2, Targets: []shedkeel.Target{{Service: "plain", Weight: 1}}},
 		},
-		Services: []shedkeel.RoutedService{{ID: "plain"}, {ID: "llm", Engine: &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2}}, Slots: 8}}},
+		Services: []shedkeel.RoutedService{{ID: "plain", HealthPath: "/health"}, {ID: "llm", HealthPath: "/health", Engine: &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2}}, Slots: 8}}},
 		Accounts: []shedkeel.KeyedAccount{{ID: "clerk", Keys: []string{"k1", "k2"}, Priority: &one}},
 	}
 }
@@ -226,7 +244,7 @@
 	view := NewView(testConfig())
 	harness.provenAt.Store(int64(harness.clock.Now()))
 	harness.Handler = &Handler{
-		Protocol: testProtocol{}, Backend: harness.backend, Table: table, Timers: &harness.clock,
+		Protocol: testProtocol{}, Backend: harness.backend, Table: table, Timers: &harness.clock, Health: harness.backend,
 		Budget:           &Budget{Ratio: 0.2, Window: 10 * time.Second, FixedRetries: 10, SafetyFactor: 1}, // allows 10 retries and one for every five requests
 		CurrentConfig:    func() ConfigState { return ConfigState{View: view, ProvenAt: time.Duration(harness.provenAt.Load())} },
 		RetryBudgetNodes: func() int { return 1 }, ServingNodes: func() int { return 1 }, MaxConfigAge: time.Second,
@@ -246,7 +264,12 @@
 // post serves one request with ID r1 and key k1. The header is a list of names and values, which
 // may replace these.
 func (harness *harness) post(path, body string, header ...string) result {
-	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	return harness.send(http.MethodPost, path, body, header...)
+}
+
+// send is post with another method.
+func (harness *harness) send(method, path, body string, header ...string) result {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Host = "h"
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Key", "k1")
@@ -433,7 +456,8 @@
 		"cut off twice":                       {[]step{{events: 5, cutAfter: 2}, {events: 5, cutAfter: 4}, {events: 5}}, "", events(1, 4), 200, true, 2},
 		"answer lost, then resumed":           {[]step{{err: errAnswerLost}, {events: 5}}, "", events(1, 5), 200, false, 2},
 		"cut off, then answer lost":           {[]step{{events: 5, cutAfter: 2}, {err: errAnswerLost}, {events: 5}}, "", events(1, 2), 200, true, 2},
-		"neither length nor chunks":           {[]step{{events: 5, unframed: true}, {events: 5}}, "", events(1, 5), 200, false, 2},
+		"neither length nor chunks":           {[]step{{events: 5, unframed: true}, {events: 5}}, "", events(1, 5), 200, false, 1},
+		"neither, cut off, then resumed":      {[]step{{events: 3, unframed: true, killed: true}, {events: 5}}, "", events(1, 5), 200, false, 2},
 		"refused, then served":                {[]step{{status: 503, notRun: true}, {events: 5}}, "", events(1, 5), 200, false, 2},
 		"refused by all":                      {[]step{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}, "", "", 503, false, 3},
 		"the servers' failure is forwarded":   {[]step{{status: 500}, {status: 500}}, "", "", 500, false, 2},
@@ -458,8 +482,8 @@
 }
 
 // TestUnframedStreamEnds checks what the end of the connection means to a stream with neither length
-// nor chunks whose route allows one run: a complete answer after a complete event, and a broken one
-// inside an event, without any event, or if the server has terminated.
+// nor chunks whose route allows one run: a complete answer after a complete event if the server runs
+// on, and a broken one inside an event, without any event, or if the server has terminated.
 func TestUnframedStreamEnds(t *testing.T) {
 	cases := map[string]struct {
 		step    step
@@ -478,6 +502,9 @@
 		runFakeTime(t, name, func(t *testing.T) {
 			harness := newHarness(t, test.step)
 			harness.ServerCheck = fixedCheck(test.stopped)
+			if test.stopped {
+				harness.Health = noProcess
+			}
 			config := testConfig()
 			config.Routes[0].Resumable, config.Routes[0].MaxRuns = false, 1
 			view := NewView(config)
--- a/serve/source.go
+++ b/serve/source.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"shedkeel.org/shedkeel/completeness"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
 )
@@ -39,8 +40,10 @@
 	err := source.read()
 	failed := !errors.Is(err, errStreamEnd) && source.context.Err() == nil
 	source.choice.End(failed, source.stream.handler.Timers.Now())
-	ended := failed && source.stream.reportServerEnd(source.choice, err)
-	source.deliver(update{source: source, err: err, serverEnded: ended})
+	if failed {
+		source.stream.reportServerEnd(source.choice, err)
+	}
+	source.deliver(update{source: source, err: err})
 }
 
 // deliver passes an update to the stream. It returns false if the source is canceled
@@ -56,8 +59,8 @@
 
 // read sends the request, and delivers the events until the stream ends, fails or the source
 // is canceled. It reads an event only when ReaderBudget allows it. It returns errStreamEnd if the
-// stream was received completely, errIncomplete if the end of the answer does not show whether it
-// was, and a statusError if the status is not 200.
+// stream was received completely, errUnproven if it is not known whether it was, and a statusError
+// if the status is not 200.
 func (source *source) read() error {
 	stream := source.stream
 	response, err := stream.send(source.context, source.choice, source.resumeAfter)
@@ -69,8 +72,8 @@
 	if response.StatusCode != http.StatusOK {
 		return &statusError{response: response}
 	}
-	unframed := closeDelimited(response)
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
+	events := 0
 	for size := int64(0); ; {
 		reserved, err := stream.unread.reserveEvent(source.context, size)
 		if err != nil {
@@ -79,17 +82,13 @@
 		message, err := engine.ReadEvent(reader)
 		size = int64(len(message)) // also the expected size of the next event
 		stream.unread.keep(reserved, size)
-		if errors.Is(err, io.EOF) && unframed {
-			// In an answer without a length or chunks, a lost connection looks like
-			// the end of the stream.
-			return errIncomplete
-		}
 		if errors.Is(err, io.EOF) {
-			return errStreamEnd
+			return source.end(response, events)
 		}
 		if err != nil {
 			return err
 		}
+		events++
 		source.choice.RecordResponse(stream.handler.Timers.Now())
 		number, id := eventID(message)
 		if !source.deliver(update{source: source, event: message, number: number, id: id}) {
@@ -99,10 +98,14 @@
 	}
 }
 
-// closeDelimited reports whether only the end of the connection ends the answer: it states neither
-// a length nor chunks.
-func closeDelimited(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+// end returns errStreamEnd if the answer is known to be complete, and otherwise errUnproven. A
+// close-delimited answer without events is complete only if the server was to resume the stream.
+func (source *source) end(response *http.Response, events int) error {
+	noStream := events == 0 && source.resumeAfter == "" && completeness.CloseDelimited(source.stream.request.Method, response)
+	if noStream || source.stream.judgeEnd(source.context, source.choice, response) != completeness.Complete {
+		return errUnproven
+	}
+	return errStreamEnd
 }
 
 // update is an event of a source, or the end of the source.
@@ -112,8 +115,6 @@
 	number int64  // the event's ID as a number; 0: the ID is not a number
 	id     string // the event's ID; "": the event has none
 	err    error  // not nil: the source has ended, and there is no event; errStreamEnd: the server has sent the last event
-	// serverEnded states that the server has terminated. It is only set with err.
-	serverEnded bool
 }
 
 // errStreamEnd reports that a stream was received completely. It is distinct from io.EOF,
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -244,9 +244,8 @@
 }
 
 // failOver records the failure of a source and starts another source, unless a second source
-// is still running. It ends the stream if no further attempt is allowed or possible, and returns
-// true if the stream is then complete. After a source that did not run, mayRepeat does not apply, but
-// the guard and maxServersTried do.
+// is still running. It ends the stream if no further attempt is allowed or possible. After a source
+// that did not run, mayRepeat does not apply, but the guard and maxServersTried do.
 func (stream *stream) failOver(ctx context.Context, update update) (bool, error) {
 	stream.lastErr = update.err
 	stream.uncountUnsent(update.err)
@@ -262,33 +261,14 @@
 		return false, nil
 	}
 	if ctx.Err() != nil || notRun == nil && !stream.mayRepeat() || notRun != nil && notRun.NoPath || len(stream.tried) >= maxServersTried || !stream.guardAdmits(ctx) {
-		return stream.finishUnconfirmed(ctx, update, update.err)
+		return false, stream.finish(ctx, update.err)
 	}
 	if err := stream.startSource(ctx); err != nil {
-		return stream.finishUnconfirmed(ctx, update, errors.Join(err, update.err))
+		return false, stream.finish(ctx, errors.Join(err, update.err))
 	}
 	return false, nil
 }
 
-// finishUnconfirmed ends a stream that no other server can complete or confirm. A stream with neither
-// length nor chunks that ended after a complete event is then complete, unless its server has
-// terminated.
-func (stream *stream) finishUnconfirmed(ctx context.Context, update update, reason error) (bool, error) {
-	whole := errors.Is(update.err, errIncomplete) && !update.serverEnded && stream.answerStarted.Load() && update.source.lastNumber == stream.lastNumber
-	if errors.Is(update.err, errIncomplete) {
-		outcome := "not known"
-		if whole {
-			outcome = "whole"
-		}
-		stream.log(event.AnswerEndJudged, slog.String("server", string(update.source.choice.Instance)), slog.String("outcome", outcome), slog.Bool("server_ended", update.serverEnded))
-	}
-	if whole && ctx.Err() == nil {
-		stream.complete(update.source)
-		return true, nil
-	}
-	return false, stream.finish(ctx, reason)
-}
-
 // guardAdmits reports whether the guard allows another attempt, if need be as a trial: the servers that
 // have ended may have done so under a part of the prompt that is harmless. A stream whose digest is
 // quarantined gets no trial, as it would end a second server.
--- a/serving.go
+++ b/serving.go
@@ -265,6 +265,16 @@
 	Born     int64   // time of the engine's start in Unix milliseconds; 0: not reported
 }
 
+// Health is what the process at a backend server's address states in its answer to a health check,
+// whatever the status of that answer.
+type Health struct {
+	Server ServerID // empty: not stated
+	Born   int64    // time of the process's start in Unix milliseconds; 0: not stated
+	// ConnectionAge is how long the connection of the health check had been open when the check
+	// was sent; 0: not known.
+	ConnectionAge time.Duration
+}
+
 // From reports whether the report can be from the instance with the ID, rather than from
 // another instance of the same server. It returns true if the report or the ID does
 // not state the time of the start.
