wire: test that a killed relay is no end of the server's data

Cause: none; the question whether the end of a relay's connection can pass for the end of a close-delimited answer had a test for a server that resets, and none for a relaying process that dies. Change: TestKilledRelayIsNoEnd. It holds on the code as it was: the regular end is marked by a frame.

--- a/wire/tunnel_test.go
+++ b/wire/tunnel_test.go
@@ -24,8 +24,9 @@
 }
 
 // serveTunnels starts a process that relays connections, and a server that handles the one
-// connection that is opened to it. It returns a client of the process and the server's address.
-func serveTunnels(t *testing.T, handle func(conn *net.TCPConn)) (*Peer, string) {
+// connection that is opened to it. It returns a client of the process, the server's address, and a
+// function that closes the process's connections to its clients, as the operating system does when the process dies.
+func serveTunnels(t *testing.T, handle func(conn *net.TCPConn)) (peer *Peer, address string, kill func()) {
 	t.Helper()
 	listen := func() net.Listener {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -35,14 +36,15 @@
 	relay, target := listen(), listen()
 	server := &Server{Key: "key", Handler: &echo{}, Connector: dialConnector{}}
 	var running sync.WaitGroup
-	running.Go(func() { assert.Check(t, server.Run(relay)) })
+	accepted := &acceptedConns{Listener: relay}
+	running.Go(func() { assert.Check(t, server.Run(accepted)) })
 	running.Go(func() {
 		conn, err := target.Accept()
 		if err == nil {
 			handle(conn.(*net.TCPConn))
 		}
 	})
-	peer := &Peer{Address: relay.Addr().String(), Key: "key"}
+	peer = &Peer{Address: relay.Addr().String(), Key: "key"}
 	t.Cleanup(func() {
 		peer.Close()
 		_ = relay.Close()
@@ -50,7 +52,33 @@
 		running.Wait()
 		goleak.VerifyNone(t)
 	})
-	return peer, target.Addr().String()
+	return peer, target.Addr().String(), accepted.closeAll
+}
+
+// acceptedConns is a listener that keeps its connections.
+type acceptedConns struct {
+	net.Listener
+	mutex sync.Mutex
+	conns []net.Conn
+}
+
+func (accepted *acceptedConns) Accept() (net.Conn, error) {
+	conn, err := accepted.Listener.Accept()
+	if err == nil {
+		accepted.mutex.Lock()
+		defer accepted.mutex.Unlock()
+		accepted.conns = append(accepted.conns, conn)
+	}
+	return conn, err
+}
+
+// closeAll closes all connections.
+func (accepted *acceptedConns) closeAll() {
+	accepted.mutex.Lock()
+	defer accepted.mutex.Unlock()
+	for _, conn := range accepted.conns {
+		_ = conn.Close()
+	}
 }
 
 // TestTunnelEnds checks that the sender can tell the regular end of a server's data from an end
@@ -70,7 +98,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			read := make(chan struct{})
-			peer, address := serveTunnels(t, func(conn *net.TCPConn) {
+			peer, address, _ := serveTunnels(t, func(conn *net.TCPConn) {
 				_, err := io.ReadFull(conn, make([]byte, len(long)))
 				assert.Check(t, err)
 				_, err = conn.Write(long)
@@ -93,11 +121,32 @@
 	}
 }
 
+// TestKilledRelayIsNoEnd guards against the end of the relaying process, within a server's data, passing
+// for the regular end of the data.
+func TestKilledRelayIsNoEnd(t *testing.T) {
+	sent := make(chan struct{})
+	peer, address, kill := serveTunnels(t, func(conn *net.TCPConn) {
+		_, err := conn.Write([]byte("the first par"))
+		assert.Check(t, err)
+		close(sent)
+		_, _ = io.Copy(io.Discard, conn) // until the relay is gone
+	})
+	conn, _, err := peer.Connect(t.Context(), &ConnectCall{Address: address})
+	assert.NilError(t, err)
+	<-sent
+	_, err = io.ReadFull(conn, make([]byte, len("the first par")))
+	assert.NilError(t, err)
+	kill()
+	_, err = io.ReadAll(conn)
+	assert.Assert(t, err != nil, "the part passed for the data of the server")
+	assert.NilError(t, conn.Close())
+}
+
 // TestClosedTunnelClosesAtServer checks that the server notices at once that the sender has closed
 // the connection, also while the server writes more than the sender reads.
 func TestClosedTunnelClosesAtServer(t *testing.T) {
 	closed := make(chan time.Time, 1)
-	peer, address := serveTunnels(t, func(conn *net.TCPConn) {
+	peer, address, _ := serveTunnels(t, func(conn *net.TCPConn) {
 		for {
 			if _, err := conn.Write(make([]byte, 64<<10)); err != nil {
 				closed <- time.Now()
@@ -116,7 +165,7 @@
 
 // TestConnectOutcomes checks the outcomes without a connection.
 func TestConnectOutcomes(t *testing.T) {
-	peer, address := serveTunnels(t, func(conn *net.TCPConn) { _ = conn.Close() })
+	peer, address, _ := serveTunnels(t, func(conn *net.TCPConn) { _ = conn.Close() })
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, free.Close())
