serve: updates of a stream are received from its live attempts only

A stream whose servers answered with a failure held its caller until the deadline (1.98 of 2 s). Cause: all attempts put their events into one channel. Canceling an attempt ended its context, but what lay in the channel, or was in the select of deliver, still came through, and only its number was checked. The canceled attempt then became the only one and canceled the live one. The end of a canceled attempt had no effect, so a stream could be left without an attempt and without an end; so could one whose last attempt ended with an error status. Change: each attempt has its own channel; a stream receives from live attempts only, an attempt is live from startSource until drop, and drop is the only place that cancels one. What it leaves is released and counted (event 670, events_dropped). The loop of a stream runs while an attempt is live, and the stream ends after it. Why it works: nothing that a dropped attempt delivers, before or after, can be received; there is no state without an attempt or an end.

--- a/serve/handler.go
+++ b/serve/handler.go
@@ -332,8 +332,7 @@
 	}
 	defer exchange.endTrial()
 	if exchange.route.Kind == shedkeel.RequestStream {
-		stream := &stream{exchange: exchange, updates: make(chan update, updateBuffer)}
-		return stream.run(ctx)
+		return (&stream{exchange: exchange}).run(ctx)
 	}
 	return exchange.servePlain(ctx)
 }
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -23,6 +23,7 @@
 	firstEvent       tally.Histogram                // of completed streams: time from the request to the first event; 0: no event
 	longestPause     tally.Histogram                // of completed streams: longest time between two forwarded events; 0: fewer than two
 	answerTime       tally.Histogram                // of the requests in answered: time from the request to the end of the answer
+	eventsDropped    tally.Counter                  // events of attempts that were not forwarded
 	endsJudged       [3]tally.Counter               // close-delimited answers, by completeness.Verdict
 	endJudgment      tally.Histogram                // of the answers in endsJudged: time that the judgment took
 }
@@ -41,6 +42,7 @@
 		noRecommendation: scope.Counter("requests_not_spread"), backoffs: scope.Counter("backoffs_stated"),
 		firstEvent: scope.Histogram("first_event", buckets), longestPause: scope.Histogram("longest_pause", buckets), answerTime: scope.Histogram("answer_time", buckets),
 	}
+	meter.eventsDropped = scope.Counter("events_dropped")
 	meter.endJudgment = scope.Histogram("answer_end_judgment", buckets)
 	for _, verdict := range []completeness.Verdict{completeness.Unknown, completeness.Complete, completeness.Incomplete} {
 		meter.endsJudged[verdict] = scope.Tagged(map[string]string{"outcome": verdict.String()}).Counter("answer_ends_judged")
@@ -52,9 +54,12 @@
 }
 
 // count increments the counter, which may be nil.
-func count(counter tally.Counter) {
+func count(counter tally.Counter) { add(counter, 1) }
+
+// add increases the counter, which may be nil.
+func add(counter tally.Counter, increase int) {
 	if counter != nil {
-		counter.Inc(1)
+		counter.Inc(int64(increase))
 	}
 }
 
--- a/serve/source.go
+++ b/serve/source.go
@@ -30,12 +30,13 @@
 	resumeAfter string         // ID of the event after which the server is to resume; "": it starts at the beginning
 	firstAt     time.Duration  // when the source's first event was forwarded; 0: none yet
 	hedged      bool           // a second source was started because this source stalled
-	lastNumber  int64          // number of the source's last event that was forwarded, 0 if its ID is not a number; at first stream.lastNumber
+	updates     chan update    // the events and the end; the stream receives them while the source is live
+	dropped     chan struct{}  // closed by stream.drop
 }
 
 // loop sends the request and delivers each event to the stream, and finally the error with
 // which the source ended. If the source failed and was not canceled, loop checks whether the
-// server has terminated.
+// server has terminated. It returns once the stream has dropped the source.
 func (source *source) loop() {
 	err := source.read()
 	failed := !errors.Is(err, errStreamEnd) && source.context.Err() == nil
@@ -44,19 +45,43 @@
 		source.stream.reportServerEnd(source.choice, err)
 	}
 	source.deliver(update{source: source, err: err})
+	<-source.dropped
+	source.discard()
 }
 
 // deliver passes an update to the stream. It returns false if the source is canceled
 // first.
 func (source *source) deliver(update update) bool {
 	select {
-	case source.stream.updates <- update:
+	case source.updates <- update:
 		return true
 	case <-source.context.Done():
 		return false
 	}
 }
 
+// discard releases the updates that the stream has not received.
+func (source *source) discard() {
+	events, first := 0, int64(0)
+	for {
+		select {
+		case left := <-source.updates:
+			if left.err != nil {
+				continue
+			}
+			if events++; events == 1 {
+				first = left.number
+			}
+			source.stream.unread.release(int64(len(left.event)))
+		default:
+			if events > 0 {
+				source.stream.logDropped(source, events, first, "its attempt was canceled")
+			}
+			return
+		}
+	}
+}
+
 // read sends the request, and delivers the events until the stream ends, fails or the source
 // is canceled. It reads an event only when ReaderBudget allows it. It returns errStreamEnd if the
 // stream was received completely, errUnproven if it is not known whether it was, and a statusError
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -13,18 +13,20 @@
 	"shedkeel.org/shedkeel/event"
 )
 
-// updateBuffer is the number of updates, one for each event, that are buffered for a caller
-// that reads slowly. ReaderBudget may allow fewer.
+// updateBuffer is the number of updates of an attempt, one for each event, that are buffered for a
+// caller that reads slowly. ReaderBudget may allow fewer.
 const updateBuffer = 4
 
 // stream forwards a stream of events to its caller. Each attempt is a source. A source that fails
 // is replaced by one that resumes after the last forwarded event. Beside a stalled source, a hedge
 // is started, and the first to deliver the next event is kept. mayFailOver and the retry budget
 // limit both; other limits apply if a source did not run (failOver).
+//
+// A source is live from startSource until drop. Updates are received from live sources only, so that
+// nothing of a dropped one has an effect, and a stream without a live source ends.
 type stream struct {
 	*exchange
-	updates    chan update
-	sources    []*source // the active sources, at most two
+	sources    []*source // the live sources, at most maxSources
 	lastNumber int64     // number of the last forwarded event whose ID is a number; at first that of the event after which the caller resumes; 0: none
 	lastID     string    // ID of the last forwarded event that has an ID; at first that of the event after which the caller resumes; "": none
 	lastErr    error     // error of the source that failed last
@@ -49,10 +51,13 @@
 	timing.latest = now
 }
 
+// maxSources is how many sources of a stream may be live.
+const maxSources = 2
+
 // run serves the stream until it is complete, cannot be completed or its context ends. It
 // returns nil if the stream is complete or the error status of a server was forwarded.
 func (stream *stream) run(ctx context.Context) error {
-	defer stream.cancelAll()
+	defer stream.keepOnly(nil)
 	if stream.call.LastEventID != "" {
 		stream.lastID = stream.call.LastEventID
 		if number, err := strconv.ParseInt(stream.lastID, 10, 64); err == nil {
@@ -62,20 +67,34 @@
 	if err := stream.startSource(ctx); err != nil {
 		return stream.failure(ctx, err)
 	}
-	for {
+	for len(stream.sources) > 0 {
+		updates := stream.updates()
+		var received update
 		select {
 		case <-ctx.Done():
 			return stream.finish(ctx, firstError(stream.lastErr, ctx.Err()))
-		case update := <-stream.updates:
-			done, err := stream.handle(ctx, update)
-			stream.unread.release(int64(len(update.event)))
-			if done || err != nil {
-				return err
-			}
+		case received = <-updates[0]:
+		case received = <-updates[1]:
 		case <-stream.stallSignal():
 			stream.hedge(ctx)
+			continue
+		}
+		complete, err := stream.handle(ctx, received)
+		stream.unread.release(int64(len(received.event)))
+		if complete || err != nil {
+			return err
 		}
 	}
+	return stream.finish(ctx, stream.lastErr)
+}
+
+// updates returns the channels of the live sources. A receive from the others, which are nil, blocks
+// forever.
+func (stream *stream) updates() (updates [maxSources]<-chan update) {
+	for index, source := range stream.sources {
+		updates[index] = source.updates
+	}
+	return updates
 }
 
 // stallSignal returns the channel that signals that the only source has stalled. It returns
@@ -125,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	source := &source{stream: stream, choice: choice, resumeAfter: stream.lastID, lastNumber: stream.lastNumber}
+	source := &source{stream: stream, choice: choice, resumeAfter: stream.lastID, updates: make(chan update, updateBuffer), dropped: make(chan struct{})}
 	source.context, source.cancel = context.WithCancel(ctx)
 	stream.sources = append(stream.sources, source)
 	stream.runs++
@@ -133,23 +152,18 @@
 	return nil
 }
 
-// handle processes an update of a source. It forwards the event and cancels the other source,
+// handle processes an update of a live source. It forwards the event and drops the other source,
 // unless the caller already has an event with the same or a higher number. It returns true when
-// the stream is complete. It returns errAborted if the caller's connection failed, and the
-// error of sourceEnded if the source has ended.
+// the stream is complete, and errAborted if the caller's connection failed.
 func (stream *stream) handle(ctx context.Context, update update) (bool, error) {
 	if update.err != nil {
-		return stream.sourceEnded(ctx, update)
+		return stream.sourceEnded(ctx, update), nil
 	}
 	if update.number <= stream.lastNumber && update.number > 0 {
-		stream.logEvent(update, "dropped: it was forwarded before, or the caller resumes after it")
+		stream.logDropped(update.source, 1, update.number, "the caller has it already")
 		return false, nil
 	}
-	if !slices.Contains(stream.sources, update.source) {
-		stream.logEvent(update, "forwarded although its attempt was canceled")
-	}
-	update.source.lastNumber = update.number
-	stream.cancelOthers(update.source)
+	stream.keepOnly(update.source)
 	if !stream.answerStarted.Swap(true) {
 		stream.writeHead(update.source.response, -1)
 	}
@@ -171,14 +185,10 @@
 	return false, nil
 }
 
-// logEvent logs what became of an event that was not simply forwarded.
-func (stream *stream) logEvent(update update, outcome string) {
-	attempts := make([]string, len(stream.sources))
-	for index, source := range stream.sources {
-		attempts[index] = string(source.choice.Instance)
-	}
-	stream.log(event.StreamEventDropped, slog.String("server", string(update.source.choice.Instance)), slog.Int64("number", update.number),
-		slog.Int64("after", stream.lastNumber), slog.String("outcome", outcome), slog.Any("live", attempts))
+// logDropped logs events of a source that were not forwarded, the first of which has the number.
+func (stream *stream) logDropped(source *source, events int, number int64, reason string) {
+	add(stream.handler.meter().eventsDropped, events)
+	stream.log(event.StreamEventDropped, slog.String("server", string(source.choice.Instance)), slog.Int("events", events), slog.Int64("number", number), slog.String("reason", reason))
 }
 
 // write forwards an event to the caller and flushes it.
@@ -189,48 +199,44 @@
 	return http.NewResponseController(stream.writer).Flush()
 }
 
-// cancelOthers cancels all sources except kept, which has delivered an event. It clears
-// kept.hedged, so that kept may be hedged again if it stalls again.
-func (stream *stream) cancelOthers(kept *source) {
-	for _, source := range stream.sources {
+// keepOnly drops all live sources except kept, which has delivered an event and may be hedged again.
+// nil drops all.
+func (stream *stream) keepOnly(kept *source) {
+	for _, source := range slices.Clone(stream.sources) {
 		if source != kept {
-			source.cancel()
+			stream.drop(source)
 		}
 	}
-	stream.sources = append(stream.sources[:0], kept)
-	kept.hedged = false
+	if kept != nil {
+		kept.hedged = false
+	}
 }
 
-// sourceEnded processes the end of a source. It returns true when the stream is complete: the
-// source ended with errStreamEnd, and its lastNumber is that of the stream. Otherwise the
-// source has failed, and sourceEnded calls failOver. The end of a source that was canceled
-// before has no effect.
-func (stream *stream) sourceEnded(ctx context.Context, update update) (bool, error) {
-	active := false
-	for index, source := range stream.sources {
-		if source == update.source {
-			active = true
-			stream.sources = append(stream.sources[:index:index], stream.sources[index+1:]...)
-			break
-		}
-	}
-	update.source.cancel()
-	if !active {
-		return false, nil
+// drop cancels a live source. Nothing is received from it any more.
+func (stream *stream) drop(dropped *source) {
+	stream.sources = slices.DeleteFunc(stream.sources, func(source *source) bool { return source == dropped })
+	dropped.cancel()
+	close(dropped.dropped)
+}
+
+// sourceEnded processes the end of a live source. It returns true when the stream is complete.
+// Otherwise the source has failed, and sourceEnded calls failOver.
+func (stream *stream) sourceEnded(ctx context.Context, update update) bool {
+	stream.drop(update.source)
+	if !errors.Is(update.err, errStreamEnd) {
+		stream.failOver(ctx, update)
+		return false
+	}
+	if !stream.answerStarted.Load() {
+		stream.writeHead(update.source.response, -1)
 	}
-	if errors.Is(update.err, errStreamEnd) && update.source.lastNumber == stream.lastNumber {
-		if !stream.answerStarted.Load() {
-			stream.writeHead(update.source.response, -1)
-		}
-		// A resumed attempt may end before its server does.
-		if update.source.resumeAfter == "" {
-			stream.reportAnswer()
-			stream.reportHarmless()
-		}
-		stream.complete(update.source)
-		return true, nil
+	// A resumed attempt may end before its server does.
+	if update.source.resumeAfter == "" {
+		stream.reportAnswer()
+		stream.reportHarmless()
 	}
-	return stream.failOver(ctx, update)
+	stream.complete(update.source)
+	return true
 }
 
 // complete records the end of a complete stream.
@@ -243,10 +249,10 @@
 	}
 }
 
-// failOver records the failure of a source and starts another source, unless a second source
-// is still running. It ends the stream if no further attempt is allowed or possible. After a source
-// that did not run, mayRepeat does not apply, but the guard and maxServersTried do.
-func (stream *stream) failOver(ctx context.Context, update update) (bool, error) {
+// failOver records the failure of a source, in lastErr too, and starts another source if none is live
+// and a further attempt is allowed and possible. After a source that did not run, mayRepeat does not
+// apply, but the guard and maxServersTried do.
+func (stream *stream) failOver(ctx context.Context, update update) {
 	stream.lastErr = update.err
 	stream.uncountUnsent(update.err)
 	var notRun *shedkeel.NotRunError
@@ -258,15 +264,14 @@
 	count(stream.handler.meter().failedAttempts)
 	stream.log(event.AttemptFailed, slog.String("server", string(update.source.choice.Instance)), slog.Int64("after", stream.lastNumber), slog.String("reason", update.err.Error()))
 	if len(stream.sources) > 0 {
-		return false, nil
+		return
 	}
 	if ctx.Err() != nil || notRun == nil && !stream.mayRepeat() || notRun != nil && notRun.NoPath || len(stream.tried) >= maxServersTried || !stream.guardAdmits(ctx) {
-		return false, stream.finish(ctx, update.err)
+		return
 	}
 	if err := stream.startSource(ctx); err != nil {
-		return false, stream.finish(ctx, errors.Join(err, update.err))
+		stream.lastErr = errors.Join(err, update.err)
 	}
-	return false, nil
 }
 
 // guardAdmits reports whether the guard allows another attempt, if need be as a trial: the servers that
@@ -302,10 +307,3 @@
 	}
 	return stream.failure(ctx, reason)
 }
-
-// cancelAll cancels all sources.
-func (stream *stream) cancelAll() {
-	for _, source := range stream.sources {
-		source.cancel()
-	}
-}
