serve: a stream whose last event has no ID is not begun again

Cause: an attempt resumes after the last ID that was forwarded. Events without a number passed the only check, from any attempt, and where no event had an ID the second attempt began from the start. Evidence: TestEventsWithoutIDsAreNotRepeated, 3 of 7 rows failed: the caller got data 1, 2, 1, 2, 3. Change: a stream may run elsewhere only if its last event with data has an ID, or there is none yet. Comments between events count for nothing. Why it works: what an attempt is resumed after is then the last thing that the caller got.

--- a/serve/attempts_test.go
+++ b/serve/attempts_test.go
@@ -240,3 +240,34 @@
 		})
 	}
 }
+
+// TestEventsWithoutIDsAreNotRepeated guards against a stream that is begun anew, and so repeats events, after its
+// server broke off: without an ID of the last event, no server can resume behind it.
+func TestEventsWithoutIDsAreNotRepeated(t *testing.T) {
+	cases := map[string]struct {
+		first  step
+		second step
+		want   string
+		broken bool
+		sent   int
+	}{
+		"no IDs, cut off":               {step{events: 3, anonymous: 1, cutAfter: 2}, step{events: 3, anonymous: 1}, "data: 1\n\ndata: 2\n\n", true, 1},
+		"no IDs, stalled":               {step{events: 3, anonymous: 1, stallAfter: 2}, step{events: 3, anonymous: 1}, "data: 1\n\ndata: 2\n\n", true, 1},
+		"no IDs, cut off at once":       {step{err: errAnswerLost}, step{events: 2, anonymous: 1}, "data: 1\n\ndata: 2\n\n", false, 2},
+		"last event without, cut off":   {step{events: 3, anonymous: 2, cutAfter: 2}, step{events: 3}, "id: 1\ndata: 1\n\ndata: 2\n\n", true, 1},
+		"comment behind, cut off":       {step{events: 3, cutAfter: 2, comment: ": wait\n\n"}, step{events: 3}, "id: 1\ndata: 1\n\n: wait\n\nid: 2\ndata: 2\n\n: wait\n\nid: 3\ndata: 3\n\n", false, 2},
+		"no IDs, whole":                 {step{events: 2, anonymous: 1}, step{}, "data: 1\n\ndata: 2\n\n", false, 1},
+		"comment behind the last event": {step{events: 1, comment: ": done\n\n"}, step{}, "id: 1\ndata: 1\n\n: done\n\n", false, 1},
+	}
+	for name, test := range cases {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t, test.first, test.second)
+			got := harness.post("/s/x", "prompt", "Model", "m")
+			assert.Equal(t, got.Body.String(), test.want)
+			assert.Equal(t, got.broken, test.broken)
+			harness.backend.mutex.Lock()
+			defer harness.backend.mutex.Unlock()
+			assert.Equal(t, len(harness.backend.requests), test.sent)
+		})
+	}
+}
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -70,6 +70,8 @@
 	stallAfter int           // nothing more is sent after this event; 0: never
 	unframed   bool          // the answer has neither length nor chunks
 	killed     bool          // the server's process ends within the answer
+	anonymous  int           // number of the first event without an ID; 0: all have one
+	comment    string        // data behind each event
 	delay      time.Duration // before the answer
 	wrongID    bool          // the answer has the ID of another request
 	unsigned   bool          // the answer has no signature of the server
@@ -165,7 +167,11 @@
 		first++
 	}
 	for number := first; number <= step.events; number++ {
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %d%s\n\n", number, number, step.padding); err != nil {
+		id := fmt.Sprintf("id: %d\n", number)
+		if step.anonymous != 0 && number >= step.anonymous {
+			id = ""
+		}
+		if _, err := fmt.Fprintf(writer, "%sdata: %d%s\n\n%s", id, number, step.padding, step.comment); err != nil {
 			return // the handler has closed the response body
 		}
 		switch number {
--- a/serve/source.go
+++ b/serve/source.go
@@ -116,7 +116,7 @@
 		events++
 		source.choice.RecordResponse(stream.handler.Timers.Now())
 		number, id := eventID(message)
-		if !source.deliver(update{source: source, event: message, number: number, id: id}) {
+		if !source.deliver(update{source: source, event: message, number: number, id: id, hasData: hasData(message)}) {
 			stream.unread.release(size)
 			return source.context.Err()
 		}
@@ -139,7 +139,9 @@
 	event  []byte
 	number int64  // the event's ID as a number; 0: the ID is not a number
 	id     string // the event's ID; "": the event has none
-	err    error  // not nil: the source has ended, and there is no event; errStreamEnd: the server has sent the last event
+	// hasData is false for an event that only keeps the connection open, such as a comment.
+	hasData bool
+	err     error // not nil: the source has ended, and there is no event; errStreamEnd: the server has sent the last event
 }
 
 // errStreamEnd reports that a stream was received completely. It is distinct from io.EOF,
@@ -171,3 +173,14 @@
 	}
 	return 0, ""
 }
+
+// hasData reports whether a server-sent event has data, that is, whether clients see it.
+func hasData(message []byte) bool {
+	for line := range bytes.Lines(message) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -30,6 +30,7 @@
 	lastNumber int64     // number of the last forwarded event whose ID is a number; at first that of the event after which the caller resumes; 0: none
 	lastID     string    // ID of the last forwarded event that has an ID; at first that of the event after which the caller resumes; "": none
 	lastErr    error     // error of the source that failed last
+	noResume   bool      // the last forwarded event with data has no ID, so no server can resume after it
 	timing     timing
 }
 
@@ -112,12 +113,12 @@
 // another server too.
 func (stream *stream) mayFailOver() bool { return stream.mayRepeat() && stream.guardAllows() }
 
-// mayRepeat reports whether the route and MaxRuns allow the stream to run on another server too. A
-// quarantined stream may run on one server only. Every source counts
+// mayRepeat reports whether the route, MaxRuns and the IDs of the events allow the stream to run on
+// another server too. A quarantined stream may run on one server only. Every source counts
 // towards MaxRuns unless its server refused the stream or was not reached: a server whose source
 // was canceled may already have started to run the stream.
 func (stream *stream) mayRepeat() bool {
-	return stream.route.Repeatable() && stream.runs < stream.route.MaxRuns && !stream.onTrial.Load()
+	return stream.route.Repeatable() && !stream.noResume && stream.runs < stream.route.MaxRuns && !stream.onTrial.Load()
 }
 
 // hedge starts a second source beside the only source, which has stalled. If no server can be
@@ -182,6 +183,9 @@
 	if update.id != "" {
 		stream.lastID = update.id
 	}
+	if update.hasData {
+		stream.noResume = update.id == ""
+	}
 	return false, nil
 }
 
