serve: a hedge that fails is replaced

What callers would see: a stream that stalls, and whose second attempt is refused, waits for its deadline although a third server would serve it, and is cut there. Cause: a source that was hedged is not hedged again before its next event, also where the hedge has ended without one. The stream then has one live attempt, whose server is silent. Evidence: TestRefusedHedgeIsReplaced failed: broken off at the deadline after two attempts. Change: when the hedge of a stalled source ends, another is started at once, within the same limits as before (runs, servers tried, retry budget, guard); if none can be, the next stall signal tries again. Measured: tests of serve pass.

--- a/serve/attempts_test.go
+++ b/serve/attempts_test.go
@@ -271,3 +271,15 @@
 		})
 	}
 }
+
+// TestRefusedHedgeIsReplaced guards against a stalled stream that waits until its deadline because the only
+// server that was asked beside its own refused it.
+func TestRefusedHedgeIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harness := newHarness(t, step{events: 5, stallAfter: 2}, step{status: 503, notRun: true}, step{events: 5})
+		got := harness.post("/s/x", "prompt", "Model", "m")
+		assert.Assert(t, !got.broken)
+		assert.Equal(t, got.Body.String(), events(1, 5))
+		assert.Equal(t, len(harness.backend.requests), 3)
+	})
+}
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -268,6 +268,7 @@
 	count(stream.handler.meter().failedAttempts)
 	stream.log(event.AttemptFailed, slog.String("server", string(update.source.choice.Instance)), slog.Int64("after", stream.lastNumber), slog.String("reason", update.err.Error()))
 	if len(stream.sources) > 0 {
+		stream.replaceHedge(ctx)
 		return
 	}
 	if ctx.Err() != nil || notRun == nil && !stream.mayRepeat() || notRun != nil && notRun.NoPath || len(stream.tried) >= maxServersTried || !stream.guardAdmits(ctx) {
@@ -278,6 +279,18 @@
 	}
 }
 
+// replaceHedge starts another hedge if the live source is one that has stalled, and its hedge has failed.
+func (stream *stream) replaceHedge(ctx context.Context) {
+	stalled := stream.sources[0]
+	if !stalled.hedged {
+		return
+	}
+	stalled.hedged = false
+	if ctx.Err() == nil && len(stream.tried) < maxServersTried && stream.mayFailOver() {
+		stream.hedge(ctx)
+	}
+}
+
 // guardAdmits reports whether the guard allows another attempt, if need be as a trial: the servers that
 // have ended may have done so under a part of the prompt that is harmless. A stream whose digest is
 // quarantined gets no trial, as it would end a second server.
