completeness: a start that only one side states proves nothing

Cause: a server whose record states no start and whose health check does may be another start of the same name; it counted as the process that had sent the answer. Change: name and start must both agree, stated or not, unless the connection is older than the request. Measured: TestJudgeProcess, row 'a start that only the health check names', was ProcessRuns before.

--- a/completeness/completeness.go
+++ b/completeness/completeness.go
@@ -71,7 +71,7 @@
 		return ProcessEnded
 	case health.ConnectionAge > 0 && health.ConnectionAge >= sinceRequest:
 		return ProcessRuns // no connection outlives its process
-	case health.Server == "", instance.Born() != 0 && health.Born == 0:
+	case health.Server == "", health.Born != instance.Born():
 		return ProcessUnknown // a server that restarts may keep its name
 	}
 	return ProcessRuns
--- a/completeness/completeness_test.go
+++ b/completeness/completeness_test.go
@@ -146,7 +146,7 @@
 		"the same start, without a name":           {dated, shedkeel.Health{Born: 1000}, ProcessUnknown},
 		"a start that is not stated":               {dated, shedkeel.Health{Server: "s"}, ProcessUnknown},
 		"a start not stated, older connection":     {dated, shedkeel.Health{Server: "s", ConnectionAge: time.Hour}, ProcessRuns},
-		"a start that only the health check names": {plain, shedkeel.Health{Server: "s", Born: 1000}, ProcessRuns},
+		"a start that only the health check names": {plain, shedkeel.Health{Server: "s", Born: 1000}, ProcessUnknown},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
