soak: servers crash inside answers of every framing, nodes freeze beside slow servers

Change: stand-ins answer by length, by chunks or by the end of the connection, in parts; a crash closes connections as the kernel does for a killed process, or resets them, and every third server is back at once under its name. New faults: crashServer, freezeBesideSlowServers.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -200,19 +200,40 @@
 	if wasRemoved && sent.Sub(removed) > revokeBound {
 		checker.recordViolation("%s ran with a key that was removed %s before it was sent", id, sent.Sub(removed))
 	}
-	want := "POST " + kind + id + " for shop"
 	if kind == "/copy/" {
-		var text strings.Builder
-		for number := 1; number <= streamEvents; number++ {
-			fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", number, number)
+		if fault := checker.streamFault(body); fault != "" {
+			checker.recordViolation("%s%s: %s, in %q", kind, id, fault, body)
 		}
-		want = text.String()
+		return
 	}
-	if body != want {
+	if want := "POST " + kind + id + " for shop"; body != want {
 		checker.recordViolation("%s%s: got answer %q, want %q", kind, id, body, want)
 	}
 }
 
+// streamFault returns what is wrong with a whole stream, or "": an event is missing, comes twice, or is of another
+// run than the one before although its run did not begin right after that one.
+func (checker *checker) streamFault(body string) string {
+	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
+	former := ""
+	for index, event := range events {
+		var id, token int
+		var run string
+		if _, err := fmt.Sscanf(event, "id: %d\ndata: token %d of %s", &id, &token, &run); err != nil || id != index+1 || token != id {
+			return fmt.Sprintf("event %d is %q", index+1, event)
+		}
+		after, known := checker.cluster.fleet.RunStart(run)
+		if run != former && (!known || after != index) {
+			return fmt.Sprintf("event %d of run %s, which began after event %d, follows one of run %s", id, run, after, former)
+		}
+		former = run
+	}
+	if len(events) != streamEvents {
+		return fmt.Sprintf("it has %d events", len(events))
+	}
+	return ""
+}
+
 // waitServed waits until every node answers each kind of call. It records a violation if
 // the wait takes longer than the limit.
 func (checker *checker) waitServed(when string, limit time.Duration) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,7 +19,7 @@
 	kinds := []func(*rand.Rand) string{
 		cluster.killNode, cluster.stopNode, cluster.freezeNode, cluster.degradeStoreLink, cluster.killServer, cluster.degradeServer,
 		cluster.drainServer, cluster.failStore, cluster.replaceKey, cluster.sendHangup, cluster.sendDeadly, cluster.limitServer,
-		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore,
+		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore, cluster.crashServer, cluster.freezeBesideSlowServers,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
@@ -101,6 +101,37 @@
 	return "killed " + id
 }
 
+// crashServer crashes a random server, and so the answers that it is sending.
+func (cluster *cluster) crashServer(random *rand.Rand) string {
+	_, id := cluster.randomServer(random)
+	if id == "" {
+		return "no server to crash"
+	}
+	cluster.fleet.Crash(id)
+	return "crashed " + id
+}
+
+// freezeBesideSlowServers makes some replica groups slow, so that streams are begun at second ones, and suspends
+// a random node meanwhile.
+func (cluster *cluster) freezeBesideSlowServers(random *rand.Rand) string {
+	heads := cluster.fleet.OpenHeads()["m0"]
+	slow := heads[:min(len(heads), 1+random.IntN(2))]
+	for _, head := range slow {
+		cluster.fleet.SetSlowdown(head.ID, 20+random.IntN(40))
+	}
+	time.Sleep(between(random, 200, 700)) // until nodes notice
+	node, length := cluster.node(random), between(random, 100, 600)
+	node.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	node.signal(syscall.SIGCONT)
+	cluster.recordResume(node)
+	time.Sleep(between(random, 0, 500))
+	for _, head := range slow {
+		cluster.fleet.SetSlowdown(head.ID, 1)
+	}
+	return fmt.Sprintf("%d groups slow, and froze %s for %s meanwhile", len(slow), node.name, length)
+}
+
 // replaceServer adds a server of the service in place of one that ends. Servers of the
 // service llm get a random failure domain.
 func (cluster *cluster) replaceServer(random *rand.Rand, service string) {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -61,6 +61,18 @@
 	proxy.reset()
 }
 
+// endProcess closes all connections and stops listening, as the operating system does for a process that
+// is killed: without a reset, unless a connection has data that the process has not read.
+func (proxy *proxy) endProcess() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	_ = proxy.listener.Close()
+	for conn := range proxy.conns {
+		_ = conn.Close()
+	}
+	proxy.conns = map[*net.TCPConn]struct{}{}
+}
+
 // reopen listens on the same address again.
 func (proxy *proxy) reopen() error {
 	listener, err := net.Listen("tcp", proxy.address())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,6 +94,7 @@
 	deadly      int               // number of different deadly requests sent
 	servers     map[string]*proxy // proxy in front of each backend server
 	serverCount int               // number of backend servers added so far
+	crashCount  int               // number of crashes of backend servers so far
 	version     int               // version of the last configuration
 	faults      []string          // descriptions of the injected faults, for the log
 	resumes     []time.Time       // when nodes started, or resumed after a freeze
@@ -136,7 +137,7 @@
 	cluster.store = httptest.NewServer((&platformstandin.Store{Data: cluster.data}).Handler())
 	t.Cleanup(cluster.store.Close)
 	cluster.fleet = &platformstandin.Fleet{
-		Data: cluster.data, CrashPrefix: deadlyPrefix, Step: 15 * time.Millisecond,
+		Data: cluster.data, CrashPrefix: deadlyPrefix, Step: 15 * time.Millisecond, MixedFramings: true, PartTime: 4 * time.Millisecond, NamedRuns: true,
 		Models: map[string]platformstandin.Timing{"m0": {Size: 2, Load: 500 * time.Millisecond, Warmup: 200 * time.Millisecond, Rejoin: 50 * time.Millisecond}},
 	}
 	cluster.configure()
@@ -178,8 +179,8 @@
 	return fmt.Sprint("key-", cluster.version)
 }
 
-// addServer starts a backend server behind a proxy. After a deadly request the server
-// refuses connections, and it restarts after serverRestartDelay.
+// addServer starts a backend server behind a proxy. When it crashes, it refuses connections, and it
+// restarts after a delay (see crash).
 func (cluster *cluster) addServer(service, domain string) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
@@ -195,15 +196,31 @@
 		http.Close()
 	})
 	cluster.servers[server.ID] = link
-	server.OnCrash = func() {
-		link.stopListening()
-		time.AfterFunc(serverRestartDelay, func() { cluster.restartServer(server.ID, link) })
-	}
+	server.OnCrash = func() { cluster.crash(server.ID, link) }
 }
 
-// serverRestartDelay is how long a server is down after a deadly request.
+// serverRestartDelay is how long a server is down after a crash, unless it restarts at once.
 const serverRestartDelay = 700 * time.Millisecond
 
+// crash ends a server's connections and restarts it: in turn with a regular end of the connections, as the
+// operating system closes those of a killed process, and with a reset, and every third time at once.
+func (cluster *cluster) crash(id string, link *proxy) {
+	cluster.mutex.Lock()
+	cluster.crashCount++
+	count := cluster.crashCount
+	cluster.mutex.Unlock()
+	if count%2 == 0 {
+		link.stopListening()
+	} else {
+		link.endProcess()
+	}
+	if count%3 == 0 {
+		cluster.restartServer(id, link)
+		return
+	}
+	time.AfterFunc(serverRestartDelay, func() { cluster.restartServer(id, link) })
+}
+
 // restartServer restarts a crashed server unless the test has ended. It records a violation
 // if the proxy cannot listen on the server's address again.
 func (cluster *cluster) restartServer(id string, link *proxy) {
