--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -197,3 +197,32 @@
 	node.peers.refreshAlive()
 	assert.Assert(t, !followed[node.peers.choose().Name()])
 }
+
+// TestNodeFindsItselfByID guards against a node that takes the record of its former process, with another
+// capacity, for another node: it then ended by itself, or held duties that others hold.
+func TestNodeFindsItselfByID(t *testing.T) {
+	for _, own := range fourNodes {
+		for _, capacity := range []float64{0.1, 0.2, 0.5, 0.8, 1} {
+			t.Run(fmt.Sprint(own.ID, " with ", capacity), func(t *testing.T) {
+				node, timers := newListedNode(t, own.ID, fourNodes)
+				node.Settings.Capacity = capacity
+				node.peers.mutex.Lock()
+				nodes, index, listed := node.peers.aliveWithSelf()
+				node.peers.mutex.Unlock()
+				assert.Assert(t, listed)
+				assert.Equal(t, len(nodes), len(fourNodes))
+				assert.Equal(t, nodes[index].ID, own.ID)
+				assert.Assert(t, slices.IsSortedFunc(nodes, compareNodes))
+				node.peers.choose() // must not panic
+				for partition := range 3 {
+					asked, isOwn := node.peers.spreader(partition, timers.Now())
+					assert.Assert(t, isOwn || asked == nil || asked.id != own.ID)
+				}
+				assert.Assert(t, len(node.peers.spreaders("llm")) < len(fourNodes))
+				deciders := node.peers.deciders("subject")
+				slices.Sort(deciders)
+				assert.Equal(t, len(slices.Compact(deciders)), min(len(fourNodes), deciderCount), "a node is named twice")
+			})
+		}
+	}
+}
