--- a/mutants_test.go
+++ b/mutants_test.go
@@ -61,11 +61,35 @@
 	"parts of prompts: nothing is held against a part": {
 		"contain/detector.go", "report.Suspects = append(report.Suspects, detector.record(part, server, clock))", "", "TestPartEndsServerAfterServer", "./node",
 	},
-	"streams: one without length or chunks that nothing confirms is broken": {
-		"serve/stream.go", "if whole && ctx.Err() == nil {", "if false && whole {", "TestUnframedStreamEnds", "./serve",
+	"answers without an end: a sound one is not known to be complete": {
+		"completeness/completeness.go", "case !closeDelimited, process == ProcessRuns:", "case !closeDelimited:", "TestUnframedStreamEnds", "./serve",
 	},
-	"streams: the end of a terminated server is that of the stream": {
-		"serve/stream.go", "!update.serverEnded && ", "", "TestUnframedStreamEnds", "./serve",
+	"answers without an end: that of a server that has terminated is complete": {
+		"serve/completion.go", "completeness.Judge(true, nil, process)", "completeness.Judge(false, nil, process)", "TestUnframedStreamEnds|TestPartOfKilledServerIsNoAnswer|TestDrainingServersPartIsNoAnswer", "./serve",
+	},
+	"answers without an end: a name proves the process": {
+		"completeness/completeness.go", "case health.Server == \"\", health.Born != instance.Born():", "case health.Server == \"\":", "TestJudgeProcess", "./completeness",
+	},
+	"answers without an end: a check is not repeated for a request that may not run again": {
+		"serve/completion.go", "wait(ctx, healthRetryDelay)", "false", "TestHealthCheckIsRepeatedForOnce", "./serve",
+	},
+	"answers without an end: an answer of the key-value service without a body is an empty one": {
+		"platform/store.go", "if answer == nil {", "if answer == nil || len(body) == 0 {", "TestPartOfPlatformAnswer", "./platform",
+	},
+	"streams: a canceled attempt is still received from": {
+		"serve/stream.go", "stream.drop(source)", "source.cancel()", "TestOrdersOfTwoAttempts", "./serve",
+	},
+	"streams: one without a live attempt goes on": {
+		"serve/stream.go", "for len(stream.sources) > 0 {", "for {", "TestFailedStreamEndsAtOnce", "./serve",
+	},
+	"streams: events without IDs come twice": {
+		"serve/stream.go", "&& !stream.noResume", "", "TestEventsWithoutIDsAreNotRepeated", "./serve",
+	},
+	"streams: a refused hedge is not replaced": {
+		"serve/stream.go", "\t\tstream.replaceHedge(ctx)\n", "", "TestRefusedHedgeIsReplaced", "./serve",
+	},
+	"nodes: the record of the former process is another node's": {
+		"node/peers.go", "return other.ID == record.ID })", "return other == record })", "TestNodeFindsItselfByID", "./node",
 	},
 	"request containment: a request that crashes servers is contained one failure too late": {
 		"contain/ledger.go", "case count >= containThreshold:", "case count > containThreshold:", "TestRequestThatEndsServersIsContained", "./node",
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -14,13 +14,16 @@
 )
 
 // runFaults injects random faults one after another for the given time. Each fault
-// also ends, some of them while the next is already injected.
+// also ends, some of them while the next is already injected. New kinds are added at the end.
 func (cluster *cluster) runFaults(random *rand.Rand, length time.Duration) {
 	kinds := []func(*rand.Rand) string{
 		cluster.killNode, cluster.stopNode, cluster.freezeNode, cluster.degradeStoreLink, cluster.killServer, cluster.degradeServer,
 		cluster.drainServer, cluster.failStore, cluster.replaceKey, cluster.sendHangup, cluster.sendDeadly, cluster.limitServer,
 		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore, cluster.crashServer, cluster.freezeBesideSlowServers,
 	}
+	if cluster.faultKinds > 0 {
+		kinds = kinds[:cluster.faultKinds]
+	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		what := kinds[random.IntN(len(kinds))](random)
 		cluster.mutex.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,12 +34,18 @@
 	processes = flag.Int("processes", 3, "number of nodes")
 	program   = flag.String("program", "", "path of the node's program, for example an earlier version; empty: build it")
 	callers   = flag.Int("callers", 12, "number of concurrent callers")
+	kinds     = flag.Int("kinds", 0, "how many kinds of faults to draw from, the oldest ones; 0: all")
 )
 
-// regressions are seeds that found a fault, each with the cause of the fault. They always
-// run.
-var regressions = map[uint64]string{
-	110: "a planner regarded a member as free because of a record from an older copy of the store",
+// regression is the seed of a fault that the soak has found.
+type regression struct {
+	cause string
+	kinds int // how many kinds of faults there were, on which the faults of a seed depend
+}
+
+// regressions are the seeds that found a fault. They always run.
+var regressions = map[uint64]regression{
+	110: {"a planner regarded a member as free because of a record from an older copy of the store", 15},
 }
 
 // TestSoak runs the regression seeds and those that the flags select.
@@ -58,6 +64,10 @@
 	for seed := range selected {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			cluster := newCluster(t, binary, seed)
+			cluster.faultKinds = *kinds
+			if former, found := regressions[seed]; found {
+				cluster.faultKinds = former.kinds
+			}
 			cluster.soak()
 		})
 	}
@@ -87,6 +97,8 @@
 	nodes   []*process
 	checker checker
 
+	faultKinds int // how many kinds of faults are injected; 0: all
+
 	done      chan struct{} // closed when the test ends
 	restoring sync.Mutex    // held while the store is restored from a snapshot
 
