--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -20,6 +20,7 @@
 		cluster.killNode, cluster.stopNode, cluster.freezeNode, cluster.degradeStoreLink, cluster.killServer, cluster.degradeServer,
 		cluster.drainServer, cluster.failStore, cluster.replaceKey, cluster.sendHangup, cluster.sendDeadly, cluster.limitServer,
 		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore, cluster.crashServer, cluster.freezeBesideSlowServers,
+		cluster.resizeNode,
 	}
 	if cluster.faultKinds > 0 {
 		kinds = kinds[:cluster.faultKinds]
@@ -52,6 +53,19 @@
 	return "killed and restarted " + node.name
 }
 
+// resizeNode kills a random node and restarts it with another capacity, while its old record is listed.
+func (cluster *cluster) resizeNode(random *rand.Rand) string {
+	node := cluster.node(random)
+	capacity := float64(1+random.IntN(8)) / 10
+	if err := node.writeSettings(capacity); err != nil {
+		return "no settings written: " + err.Error()
+	}
+	node.end(syscall.SIGKILL)
+	time.Sleep(between(random, 0, 600))
+	cluster.startNode(node)
+	return fmt.Sprintf("killed %s and restarted it with a capacity of %v", node.name, capacity)
+}
+
 // stopNode stops a random node with SIGTERM, waits until it has ended and restarts it.
 func (cluster *cluster) stopNode(random *rand.Rand) string {
 	node := cluster.node(random)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,6 +118,8 @@
 	settings  string     // path of the settings file
 	callers   string     // address for the requests of callers
 	directory string     // address of the directory
+	readiness string     // address of the readiness checks
+	control   string     // address for calls of other nodes
 	store     *proxy     // between the node and the store
 	lifecycle sync.Mutex // held while the process is started or ended
 	mutex     sync.Mutex // guards command; never held while waiting
@@ -249,6 +251,7 @@
 }
 
 const settingsText = `node = %q
+capacity = %v
 zone = "z"
 store = %q
 [listen]
@@ -269,13 +272,19 @@
 	host := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, cluster.random.IntN(200), 10+index)
 	process.callers, process.directory = host+":7001", host+":7002"
 	process.settings = filepath.Join(cluster.dir, process.name+".toml")
-	text := fmt.Sprintf(settingsText, process.name, process.store.address(), process.callers, process.directory, host+":7003", host+":7004")
-	assert.NilError(cluster.t, os.WriteFile(process.settings, []byte(text), 0o600))
+	process.readiness, process.control = host+":7003", host+":7004"
+	assert.NilError(cluster.t, process.writeSettings(1))
 	cluster.nodes = append(cluster.nodes, process)
 	cluster.startNode(process)
 	cluster.t.Cleanup(func() { process.signal(syscall.SIGCONT); process.end(syscall.SIGKILL) })
 }
 
+// writeSettings writes the settings of the process with the capacity.
+func (process *process) writeSettings(capacity float64) error {
+	text := fmt.Sprintf(settingsText, process.name, capacity, process.store.address(), process.callers, process.directory, process.readiness, process.control)
+	return os.WriteFile(process.settings, []byte(text), 0o600)
+}
+
 // startNode starts the node's process unless it runs.
 func (cluster *cluster) startNode(process *process) {
 	process.lifecycle.Lock()
