serve: a request whose answer can't be proven whole is refused at once

What callers would see: a request that may not run again, whose answer came without a length from a service without a health check (or one that names no process), waited for its deadline before its 504. Cause: the check was repeated whatever its result was; only a check without an answer can end otherwise next time. Evidence: TestUnprovableAnswerIsRefusedAtOnce, of three rows. Change: only unanswered checks are repeated. No other decision changes.

--- a/completeness/completeness.go
+++ b/completeness/completeness.go
@@ -1,14 +1,10 @@
-// Package completeness decides whether the body of a backend server's answer is complete. It
-// handles servers, boxes and links that fail while answers are sent, many at a time.
-//
-// An answer with a length or chunks states its end. Any other answer is close-delimited: it ends
-// with its connection. The operating system closes the connections of a process that dies just as
-// the process closes them itself, so the end of such a connection proves nothing. It takes a sign of
-// the same process from after the end to show that the process ended the answer.
+// Package completeness decides whether a backend server's answer is complete, while servers, boxes and
+// links fail within answers. An answer with neither a length nor chunks ends with its connection, which
+// the operating system closes for a process that dies as well: only a later sign of the same process
+// shows that the process has ended the answer itself.
 package completeness
 
 import (
-	"net/http"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -44,12 +40,6 @@
 // String returns the name of the state in logs and metrics.
 func (process Process) String() string { return processNames[process] }
 
-// CloseDelimited reports whether the answer to a request with the method states neither a length
-// nor chunks. Answers without a body are not close-delimited.
-func CloseDelimited(method string, response *http.Response) bool {
-	return method != http.MethodHead && response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // Judge returns the verdict on an answer. readErr is the error with which the read of its body ended;
 // nil means that the end that the answer states, or else the end of its connection, was reached.
 func Judge(closeDelimited bool, readErr error, process Process) Verdict {
--- a/completeness/completeness_test.go
+++ b/completeness/completeness_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/engine"
 )
 
 // TestFramings guards against an answer that counts as complete by its framing although its
@@ -57,7 +58,7 @@
 				t.Logf("%d bytes before the end of the connection", read)
 				assert.NilError(t, conn.Close())
 				_, err := io.ReadAll(response.Body)
-				assert.Equal(t, Judge(CloseDelimited(test.method, response), err, ProcessUnknown), want)
+				assert.Equal(t, Judge(engine.CloseDelimited(test.method, response), err, ProcessUnknown), want)
 			})
 		}
 	}
--- a/entry/send.go
+++ b/entry/send.go
@@ -220,7 +220,7 @@
 func (try *try) readAnswer(response *http.Response) (answer, error) {
 	defer func() { _ = response.Body.Close() }()
 	// Servers of other services have no health check that names their process.
-	if completeness.Judge(completeness.CloseDelimited(try.call.method, response), nil, completeness.ProcessUnknown) != completeness.Complete {
+	if completeness.Judge(engine.CloseDelimited(try.call.method, response), nil, completeness.ProcessUnknown) != completeness.Complete {
 		return answer{}, &shedkeel.UnknownRunError{Reason: "backend server " + try.choice.Name + " gave an answer without length", Cause: errNoEnd}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -71,7 +71,7 @@
 		"completeness/completeness.go", "case health.Server == \"\", health.Born != instance.Born():", "case health.Server == \"\":", "TestJudgeProcess", "./completeness",
 	},
 	"answers without an end: a check is not repeated for a request that may not run again": {
-		"serve/completion.go", "wait(ctx, healthRetryDelay)", "false", "TestHealthCheckIsRepeatedForOnce", "./serve",
+		"serve/completion.go", "&& result.unanswered()", "&& false", "TestHealthCheckIsRepeatedForOnce", "./serve",
 	},
 	"answers without an end: an answer of the key-value service without a body is an empty one": {
 		"platform/store.go", "if answer == nil {", "if answer == nil || len(body) == 0 {", "TestPartOfPlatformAnswer", "./platform",
--- a/node/peers.go
+++ b/node/peers.go
@@ -184,11 +184,10 @@
 }
 
 // aliveWithSelf returns the alive nodes in the order of compareNodes, this node's index among
-// them, and whether this node is listed. A listed node has the place of its listed record, as for
-// all other nodes: until its present record is written, that may be the one of its former process,
-// with another capacity. An unlisted node is inserted, because its index decides which nodes it
-// follows (see followOrder). Suspected nodes are left out, so that their duties for the whole fleet
-// pass to the next node at once. The caller holds the mutex.
+// them, and whether this node is listed. Its place is that of its listed record, as for all other nodes, even if
+// its former process wrote that record with another capacity. An unlisted node is inserted, because its index decides
+// which nodes it follows (see followOrder). Suspected nodes are left out, so that their duties
+// for the whole fleet pass to the next node at once. The caller holds the mutex.
 func (peers *peers) aliveWithSelf() (nodes []nodeRecord, own int, listed bool) {
 	record := peers.node.ownRecord()
 	if index := slices.IndexFunc(peers.alive, func(other nodeRecord) bool { return other.ID == record.ID }); index >= 0 {
--- a/serve/completion.go
+++ b/serve/completion.go
@@ -5,36 +5,33 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"sync"
 	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/completeness"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/timer"
 )
 
-const (
-	// healthTimeout bounds a health check. It leaves time for one retransmission, and for a slot
-	// of a server whose slots are all in use.
-	healthTimeout = 400 * time.Millisecond
-	// healthRetryDelay is the pause before a health check is repeated.
-	healthRetryDelay = 50 * time.Millisecond
-)
+// healthRetryDelay is the pause before a health check is repeated.
+const healthRetryDelay = 50 * time.Millisecond
 
 // errUnproven is the cause of an UnknownRunError for an answer that may be incomplete.
 var errUnproven = &shedkeel.UnknownRunError{Reason: "nothing shows that the server has sent the whole answer", Cause: errIncomplete}
 
 // judgeEnd returns the verdict on the answer that the chosen server has sent to its end without an
 // error. For a close-delimited answer it sends a health check to the server. If the request may
-// not run again, it repeats a check without a result until ctx ends.
+// not run again, it repeats a check that got no answer until ctx ends.
 func (exchange *exchange) judgeEnd(ctx context.Context, choice *dispatch.Choice, response *http.Response) completeness.Verdict {
-	if !completeness.CloseDelimited(exchange.request.Method, response) {
+	if !engine.CloseDelimited(exchange.request.Method, response) {
 		return completeness.Complete
 	}
 	began := exchange.handler.Timers.Now()
 	process, result := exchange.checkProcess(ctx, choice)
-	for process == completeness.ProcessUnknown && exchange.handler.Health != nil && !exchange.route.Repeatable() && wait(ctx, healthRetryDelay) {
+	for !exchange.route.Repeatable() && process == completeness.ProcessUnknown && result.unanswered() && ctx.Err() == nil {
+		timer.Sleep(ctx, healthRetryDelay)
 		process, result = exchange.checkProcess(ctx, choice)
 	}
 	verdict := completeness.Judge(true, nil, process)
@@ -71,106 +68,3 @@
 	}
 	return completeness.ProcessUnknown, result
 }
-
-// wait returns true after the time, or false once ctx has ended.
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// healthChecks shares health checks: answers of one server that end while a check is under way wait for
-// one common check after it. The zero value is ready for use. It is safe for concurrent use.
-type healthChecks struct {
-	mutex   sync.Mutex
-	servers map[string]*serverHealth // by address; those without a check under way are missing
-}
-
-// serverHealth holds the checks of one server. The mutex of healthChecks guards it.
-type serverHealth struct {
-	handler *Handler
-	address string
-	path    string
-	next    *sharedCheck // to be sent after the one under way; nil: none
-}
-
-// sharedCheck is a health check for which one or more requests wait.
-type sharedCheck struct {
-	done   chan struct{} // closed once result is set
-	result healthResult
-}
-
-// healthResult is the result of a health check.
-type healthResult struct {
-	health shedkeel.Health
-	err    error
-	sentAt time.Duration
-}
-
-// check returns the result of a health check that is sent after the call. The error is that of ctx if
-// it ends first.
-func (checks *healthChecks) check(ctx context.Context, handler *Handler, address, path string) healthResult {
-	shared := checks.join(handler, address, path)
-	select {
-	case <-shared.done:
-		return shared.result
-	case <-ctx.Done():
-		return healthResult{err: ctx.Err()}
-	}
-}
-
-// join returns the next check of the server, and starts it if none is under way.
-func (checks *healthChecks) join(handler *Handler, address, path string) *sharedCheck {
-	checks.mutex.Lock()
-	defer checks.mutex.Unlock()
-	server := checks.servers[address]
-	if server == nil {
-		server = &serverHealth{handler: handler, address: address, path: path}
-		if checks.servers == nil {
-			checks.servers = map[string]*serverHealth{}
-		}
-		checks.servers[address] = server
-		first := &sharedCheck{done: make(chan struct{})}
-		go checks.loop(server, first)
-		return first
-	}
-	if server.next == nil {
-		server.next = &sharedCheck{done: make(chan struct{})}
-	}
-	return server.next
-}
-
-// loop sends the checks of one server, one after the other, until nobody waits.
-func (checks *healthChecks) loop(server *serverHealth, check *sharedCheck) {
-	for check != nil {
-		check.result = server.send()
-		close(check.done)
-		check = checks.takeNext(server)
-	}
-}
-
-// takeNext returns the check to send next, or nil if nobody waits.
-func (checks *healthChecks) takeNext(server *serverHealth) *sharedCheck {
-	checks.mutex.Lock()
-	defer checks.mutex.Unlock()
-	next := server.next
-	server.next = nil
-	if next == nil {
-		delete(checks.servers, server.address)
-	}
-	return next
-}
-
-// send sends one health check.
-func (server *serverHealth) send() healthResult {
-	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
-	defer cancel()
-	result := healthResult{sentAt: server.handler.Timers.Now()}
-	result.health, result.err = server.handler.Health.Health(ctx, server.address, server.path)
-	return result
-}
--- a/serve/completion_test.go
+++ b/serve/completion_test.go
@@ -36,9 +36,9 @@
 )
 
 // answersAs returns a fake that answers over a new connection.
-func answersAs(server shedkeel.ServerID, born int64) fakeHealth {
+func answersAs(server shedkeel.ServerID) fakeHealth {
 	return func(context.Context) (shedkeel.Health, error) {
-		return shedkeel.Health{Server: server, Born: born}, nil
+		return shedkeel.Health{Server: server}, nil
 	}
 }
 
@@ -59,11 +59,12 @@
 		"safe":                         {"/safe/x", noProcess, true, step{unstated: true, body: part}, 200, "whole", 2},
 		"once":                         {"/once/x", noProcess, true, step{unstated: true, body: part}, 502, "", 1},
 		"once, failed by the server":   {"/once/x", noProcess, true, step{unstated: true, body: part, status: 500}, 502, "", 1},
-		"safe, another server":         {"/safe/x", answersAs("another", 0), false, step{unstated: true, body: part}, 200, "whole", 2},
-		"once, another server":         {"/once/x", answersAs("another", 0), false, step{unstated: true, body: part}, 502, "", 1},
+		"safe, another server":         {"/safe/x", answersAs("another"), false, step{unstated: true, body: part}, 200, "whole", 2},
+		"once, another server":         {"/once/x", answersAs("another"), false, step{unstated: true, body: part}, 502, "", 1},
 		"safe, no reply":               {"/safe/x", silent, false, step{unstated: true, body: part}, 200, "whole", 2},
 		"once, no reply":               {"/once/x", silent, false, step{unstated: true, body: part}, 504, "", 1},
-		"safe, a reply without name":   {"/safe/x", answersAs("", 0), false, step{unstated: true, body: part}, 200, "whole", 2},
+		"once, a reply without name":   {"/once/x", answersAs(""), false, step{unstated: true, body: part}, 502, "", 1},
+		"safe, a reply without name":   {"/safe/x", answersAs(""), false, step{unstated: true, body: part}, 200, "whole", 2},
 		"once, the process runs on":    {"/once/x", survivor, false, step{unstated: true, body: "whole"}, 200, "whole", 1},
 		"safe, the process runs on":    {"/safe/x", survivor, false, step{unstated: true, body: "whole"}, 200, "whole", 1},
 		"once, with a length":          {"/once/x", noProcess, true, whole, 200, "whole", 1},
@@ -157,6 +158,24 @@
 	})
 }
 
+// TestUnprovableAnswerIsRefusedAtOnce guards against a caller that waits until its deadline for a proof that
+// cannot come: there is no health check, or the server's answer to it names no process.
+func TestUnprovableAnswerIsRefusedAtOnce(t *testing.T) {
+	for name, prepare := range map[string]func(harness *harness){
+		"no health check": func(harness *harness) { harness.Health = nil },
+		"no path":         func(harness *harness) { harness.CurrentConfig().View.Service("plain").HealthPath = "" },
+		"no name":         func(harness *harness) { harness.Health = answersAs("") },
+	} {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t, step{unstated: true, body: "whole"})
+			prepare(harness)
+			began := time.Now()
+			assert.Equal(t, harness.post("/once/x", "body").Code, 502)
+			assert.Equal(t, time.Since(began), time.Duration(0))
+		})
+	}
+}
+
 // TestHealthChecksAreShared guards against a health check for each of many answers that end at the same
 // time, and against a check from before the end of an answer that passes for one from after it.
 func TestHealthChecksAreShared(t *testing.T) {
--- a/serve/source.go
+++ b/serve/source.go
@@ -126,7 +126,7 @@
 // end returns errStreamEnd if the answer is known to be complete, and otherwise errUnproven. A
 // close-delimited answer without events is complete only if the server was to resume the stream.
 func (source *source) end(response *http.Response, events int) error {
-	noStream := events == 0 && source.resumeAfter == "" && completeness.CloseDelimited(source.stream.request.Method, response)
+	noStream := events == 0 && source.resumeAfter == "" && engine.CloseDelimited(source.stream.request.Method, response)
 	if noStream || source.stream.judgeEnd(source.context, source.choice, response) != completeness.Complete {
 		return errUnproven
 	}
