serve: a server that restarts at once after its end is counted as ended

Cause: a server counted as ended only if its address refused connections within 100 ms of the failure. A check that timed out, or that came when the next process accepted connections, counted as "it runs".

Change: without a refusal, the health check that judges close-delimited answers goes on in the background for at most 2 s. If it proves the end, the server counts. The trial of the request lasts until then; answers don't wait. An end within 1 s of leaving the list isn't planned.

Three new mutants fail as they must. TestPartOfKilledServerIsNoAnswer waits longer for its checks to end; its assertions are unchanged.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -364,12 +364,18 @@
 	choice.state.condition.requestEnded(choice)
 }
 
-// Listed reports whether requests may still be sent to the server: the last call of Replace
-// listed the server, and it has not said in an answer that it drains.
+// Listed reports whether the last call of Replace listed the server.
 func (choice *Choice) Listed() bool {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
-	return choice.state.listed && !choice.state.condition.isDraining()
+	return choice.state.listed
+}
+
+// Draining reports whether the server has said in an answer that it drains.
+func (choice *Choice) Draining() bool {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	return choice.state.condition.isDraining()
 }
 
 // Load describes the requests of this process that run on the servers of a model.
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -22,6 +22,15 @@
 }
 
 var mutants = map[string]mutant{
+	"ended servers: a check without a result is not repeated": {
+		"serve/ended.go", "exchange.recheckEnd(choice, now)\n", "_ = exchange.recheckEnd\n", "TestUnnoticedServerEndIsCounted", "./serve",
+	},
+	"ended servers: a trial ends before the check of its server": {
+		"serve/guard.go", "exchange.rechecks.Wait()\n", "_ = 0\n", "TestUnnoticedServerEndIsCounted", "./serve",
+	},
+	"ended servers: each end of an unlisted server counts as planned": {
+		"serve/ended.go", "now-choice.ChosenAt > minDrain", "now >= choice.ChosenAt", "TestEndOfUnlistedServer", "./serve",
+	},
 	"cut-off boxes: no other node is asked": {
 		"node/node.go", "node.Dialer.Relay = &node.connector", "_ = &node.connector", "TestIdleBoxServesWhenCutOff", "./node",
 	},
--- a/node/contain_test.go
+++ b/node/contain_test.go
@@ -57,7 +57,19 @@
 // maxTerminated servers. Other requests must be served afterwards, and operators must be able
 // to find the deadly request and to release it.
 func TestRequestThatEndsServersIsContained(t *testing.T) {
+	checkContained(t, newDeadlyCluster(t, 3))
+}
+
+// TestRequestThatEndsServersRestartedAtOnce guards against a deadly request that terminates any number
+// of servers, because the next process of each accepts connections before the end of the last is noticed.
+func TestRequestThatEndsServersRestartedAtOnce(t *testing.T) {
 	cluster := newDeadlyCluster(t, 3)
+	cluster.restartDelay = 0
+	checkContained(t, cluster)
+}
+
+// checkContained is the body of the tests above.
+func checkContained(t *testing.T, cluster *testCluster) {
 	for try := range 12 { // four times to each of the three nodes
 		status, body := cluster.sendDeadly(try % 3)
 		assert.Assert(t, status != 200, "the deadly request was answered: %s", body)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -46,6 +46,8 @@
 	fleet   *platformstandin.Fleet // the backend servers
 	nodes   []*runningNode
 	client  *http.Client // of the callers
+
+	restartDelay time.Duration // how long a server stays down after a request has crashed it
 }
 
 // runningNode is a node that serves, with the addresses of its endpoints as host:port.
@@ -125,7 +127,7 @@
 // system if it is nil.
 func startTestCluster(t *testing.T, nodes int, network *standin.Network) *testCluster {
 	t.Helper()
-	cluster := &testCluster{t: t, network: network, data: standin.NewStore()}
+	cluster := &testCluster{t: t, network: network, data: standin.NewStore(), restartDelay: defaultRestartDelay}
 	cluster.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: cluster.dial()}}
 	listener := cluster.listen()
 	cluster.store = listener.Addr().String()
@@ -156,11 +158,11 @@
 	assert.NilError(cluster.t, err)
 }
 
-// restartDelay is how long a server stays down after a request has crashed it.
-const restartDelay = 300 * time.Millisecond
+// defaultRestartDelay is the restartDelay of clusters that a test does not change.
+const defaultRestartDelay = 300 * time.Millisecond
 
 // serve starts a backend server at an address of its own. If a request crashes the server,
-// it starts again at the same address after restartDelay.
+// it starts again at the same address after cluster.restartDelay.
 func (cluster *testCluster) serve(server *platformstandin.Server) {
 	listener := cluster.listen()
 	server.Address = listener.Addr().String()
@@ -168,7 +170,7 @@
 	running := cluster.runServer(server, listener)
 	server.OnCrash = func() {
 		_ = running.Close()
-		time.AfterFunc(restartDelay, func() {
+		time.AfterFunc(cluster.restartDelay, func() {
 			restarted, err := cluster.listenAt(server.Address)
 			if err != nil {
 				cluster.t.Errorf("server %s does not start again: %v", server.ID, err)
--- a/serve/completion_test.go
+++ b/serve/completion_test.go
@@ -75,7 +75,7 @@
 			harness := newHarness(t, test.first, whole)
 			harness.ServerCheck, harness.Health = fixedCheck(test.stopped), test.health
 			got := harness.post(test.path, "body")
-			time.Sleep(healthTimeout) // the last health check may outlive its request
+			time.Sleep(endRecheckTime + healthTimeout) // checks may outlive their request
 			assert.Equal(t, got.Code, test.status, got.Body.String())
 			assert.Equal(t, len(harness.backend.requests), test.sent)
 			assert.Assert(t, !strings.Contains(got.Body.String(), part), "the caller got a part")
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -8,14 +8,23 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/completeness"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/timer"
 )
 
 const (
 	// endCheckTimeout bounds the check whether a server has terminated. A box that is alive
 	// accepts or refuses a connection within a round trip, which is far shorter.
 	endCheckTimeout = 100 * time.Millisecond
+	// endRecheckTime is for how long a check without a result is repeated. Servers that restart do so
+	// within a second.
+	endRecheckTime = 2 * time.Second
+	// minDrain is for how long at least a server that ends as planned serves on once it has left the list.
+	minDrain = time.Second
+	// maxRechecks bounds the checks that are repeated at a time, each of which keeps its request in memory.
+	maxRechecks = 256
 	// maxEndedServers bounds the number of checks that endedServers keeps.
 	maxEndedServers = 1024
 )
@@ -78,29 +87,82 @@
 }
 
 // reportServerEnd checks, after an attempt has failed by a disconnect, whether the server has
-// terminated. If so, later attempts use new connections, and it logs the termination and reports it
-// to the guard, unless the server had already terminated when it was chosen. It ignores servers
-// that are unlisted or drain, because their termination is planned.
+// terminated, and records its end (recordServerEnd). A check without a result goes on in the
+// background: it may have timed out, or the server's next process accepts connections already. Ends
+// that are planned are ignored.
 func (exchange *exchange) reportServerEnd(choice *dispatch.Choice, failure error) {
-	now := exchange.handler.Timers.Now()
-	if exchange.handler.ServerCheck == nil || !isDisconnect(failure) || !choice.Listed() {
+	handler := exchange.handler
+	now := handler.Timers.Now()
+	if handler.ServerCheck == nil || !isDisconnect(failure) || endIsPlanned(choice, now) {
 		return
 	}
-	firstFailureAt, ended := exchange.handler.endedServers.endedSince(choice.Instance, now, func() bool { return exchange.handler.serverEnded(choice.Address) })
-	if !ended {
+	firstFailureAt, ended := handler.endedServers.endedSince(choice.Instance, now, func() bool { return handler.serverEnded(choice.Address) })
+	if ended {
+		exchange.freshConnection.Store(true)
+		exchange.recordServerEnd(choice, firstFailureAt, "connections are refused")
 		return
 	}
-	exchange.freshConnection.Store(true)
+	exchange.recheckEnd(choice, now)
+}
+
+// endIsPlanned reports whether a server that has been found terminated may have ended as planned: it
+// drains, or it may have left the list more than minDrain ago. It was listed when it was chosen.
+func endIsPlanned(choice *dispatch.Choice, now time.Duration) bool {
+	return choice.Draining() || !choice.Listed() && now-choice.ChosenAt > minDrain
+}
+
+// recordServerEnd logs that the chosen server has terminated and reports it to the guard, unless it had
+// already terminated when it was chosen.
+func (exchange *exchange) recordServerEnd(choice *dispatch.Choice, firstFailureAt time.Duration, proof string) {
+	count(exchange.handler.meter().endChecks[completeness.ProcessEnded])
 	if choice.ChosenAt > firstFailureAt {
 		return
 	}
 	exchange.log(event.ServerEnded, slog.String("server", string(choice.Instance)), slog.String("digest", string(exchange.digest())),
-		slog.String("model", string(exchange.call.Model)), slog.Any("parts", exchange.call.SharedParts))
+		slog.String("model", string(exchange.call.Model)), slog.Any("parts", exchange.call.SharedParts), slog.String("proof", proof))
 	if exchange.handler.Guard != nil {
 		exchange.handler.Guard.ServerEnded(exchange.guarded(), choice.Instance)
 	}
 }
 
+// recheckEnd repeats the check of a server in the background, where an attempt failed at failedAt. The
+// exchange's trial lasts until the check has ended. Nothing is checked if maxRechecks are under way.
+func (exchange *exchange) recheckEnd(choice *dispatch.Choice, failedAt time.Duration) {
+	rechecks := &exchange.handler.rechecks
+	if rechecks.Add(1) > maxRechecks {
+		rechecks.Add(-1)
+		count(exchange.handler.meter().endChecks[completeness.ProcessUnknown])
+		return
+	}
+	exchange.rechecking.Store(true)
+	exchange.rechecks.Go(func() {
+		defer rechecks.Add(-1)
+		exchange.runRecheck(choice, failedAt)
+	})
+}
+
+// runRecheck checks a server until it is known whether it has terminated, for endRecheckTime at most.
+func (exchange *exchange) runRecheck(choice *dispatch.Choice, failedAt time.Duration) {
+	handler := exchange.handler
+	ctx, cancel := context.WithTimeout(context.Background(), endRecheckTime)
+	defer cancel()
+	process, result := exchange.checkProcess(ctx, choice)
+	for process == completeness.ProcessUnknown && result.unanswered() && ctx.Err() == nil {
+		timer.Sleep(ctx, healthRetryDelay)
+		process, result = exchange.checkProcess(ctx, choice)
+	}
+	if process != completeness.ProcessEnded {
+		count(handler.meter().endChecks[process])
+		return
+	}
+	proof := "another process answers"
+	if result.err != nil {
+		proof = "connections are refused"
+	}
+	firstFailureAt, _ := handler.endedServers.endedSince(choice.Instance, failedAt, func() bool { return true })
+	exchange.recordServerEnd(choice, firstFailureAt, proof)
+}
+
 // serverEnded reports whether it is proven within endCheckTimeout that no server listens at
 // the address any more.
 func (handler *Handler) serverEnded(address string) bool {
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -121,9 +121,17 @@
 	return allowed
 }
 
-// endTrial ends the attempt that the guard has allowed, if any.
+// endTrial ends the attempt that the guard has allowed, if any, once it is known whether its server has
+// terminated or that cannot be found out.
 func (exchange *exchange) endTrial() {
-	if exchange.trial.Done != nil {
+	switch {
+	case exchange.trial.Done == nil:
+	case exchange.rechecking.Load():
+		go func() {
+			exchange.rechecks.Wait()
+			exchange.trial.Done()
+		}()
+	default:
 		exchange.trial.Done()
 	}
 }
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -77,6 +78,20 @@
 	}}, true
 }
 
+// endedServers returns the servers that were reported by ServerEnded.
+func (guard *fixedGuard) endedServers() []shedkeel.InstanceID {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	return slices.Clone(guard.ended)
+}
+
+// endedTrials returns how often done was called.
+func (guard *fixedGuard) endedTrials() int {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	return guard.endedAttempts
+}
+
 // fixedCheck is a fake shedkeel.ServerCheck that reports all servers as stopped if its value is
 // true, and none otherwise.
 type fixedCheck bool
@@ -157,6 +172,89 @@
 	}
 }
 
+// laterCheck is a fake shedkeel.ServerCheck and shedkeel.HealthCheck of a server about which nothing can
+// be found out before a given time.
+type laterCheck struct {
+	from    time.Time
+	health  fakeHealth
+	stopped bool // connections are refused
+}
+
+func (check laterCheck) Stopped(context.Context, string) bool {
+	return check.stopped && !time.Now().Before(check.from)
+}
+
+func (check laterCheck) Health(ctx context.Context, _, _ string) (shedkeel.Health, error) {
+	if time.Now().Before(check.from) {
+		return silent(ctx)
+	}
+	return check.health(ctx)
+}
+
+// TestUnnoticedServerEndIsCounted guards against a server that counts as running because it could not be
+// checked at once, or because its next process accepts connections already. An end that is proven
+// later counts as well, and a trial lasts until then.
+func TestUnnoticedServerEndIsCounted(t *testing.T) {
+	cases := map[string]struct {
+		after   time.Duration // from the failure until something can be found out
+		health  fakeHealth
+		stopped bool
+		ended   int
+	}{
+		"nothing listens":                    {0, noProcess, true, 1},
+		"nothing listens, after 1 s":         {time.Second, noProcess, true, 1},
+		"another process answers":            {0, answersAs("another"), false, 1},
+		"another process answers, after 1 s": {time.Second, answersAs("another"), false, 1},
+		"another process answers, too late":  {endRecheckTime + time.Second, answersAs("another"), false, 0},
+		"the process answers":                {0, survivor, false, 0},
+		"the process answers, after 1 s":     {time.Second, survivor, false, 0},
+		"the answer names no process":        {0, answersAs(""), false, 0},
+		"nothing is ever found out":          {time.Hour, silent, false, 0},
+	}
+	for name, test := range cases {
+		for path, model := range map[string]string{"/safe/x": "", "/s/x": "m"} {
+			runFakeTime(t, name+path, func(t *testing.T) {
+				harness := newHarness(t, step{err: errAnswerLost})
+				guard := &fixedGuard{judgment: shedkeel.Quarantined}
+				check := laterCheck{time.Now().Add(test.after), test.health, test.stopped}
+				harness.Guard, harness.ServerCheck, harness.Health = guard, check, check
+				began := time.Now()
+				assert.Equal(t, harness.post(path, "body", "Model", model).Code, 502)
+				assert.Equal(t, time.Since(began), time.Duration(0), "the answer waited for the check")
+				if test.after > 0 {
+					time.Sleep(min(test.after, endRecheckTime) - time.Millisecond)
+					assert.Equal(t, guard.endedTrials(), 0, "the trial ended before the check")
+				}
+				time.Sleep(healthTimeout + healthRetryDelay + time.Millisecond)
+				assert.Equal(t, len(guard.endedServers()), test.ended)
+				assert.Equal(t, guard.endedTrials(), 1)
+			})
+		}
+	}
+}
+
+// TestEndOfUnlistedServer checks that the end of a server that leaves the list counts, unless the server
+// may have served on for as long as one that ends as planned.
+func TestEndOfUnlistedServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		ran   time.Duration
+		ended int
+	}{"soon after it was chosen": {minDrain / 2, 1}, "later": {2 * minDrain, 0}} {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t)
+			timers, guard := &timer.Manual{}, &fixedGuard{idle: true}
+			harness.Timers, harness.Guard, harness.ServerCheck = timers, guard, fixedCheck(true)
+			choice := harness.Table.Choose(dispatch.Query{Service: "plain", Now: timers.Now()})
+			harness.Table.Replace(nil)
+			timers.Advance(test.ran)
+			exchange := newExchange()
+			exchange.handler, exchange.digest = harness.Handler, exchange.computeDigest
+			exchange.reportServerEnd(choice, errAnswerLost)
+			assert.Equal(t, len(guard.endedServers()), test.ended)
+		})
+	}
+}
+
 // TestServerEndBlamesEarlierAttemptsOnly checks that the termination of a server is reported to
 // the guard only for attempts that began before the first attempt failed there, and only while
 // the server is listed. In fake time, the harness's search for stalled servers does not run meanwhile.
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -114,6 +114,7 @@
 	refusing     atomic.Bool  // new requests are refused
 	received     atomic.Int64 // requests received, including refused ones
 	endedServers endedServers
+	rechecks     atomic.Int64 // checks of servers under way in the background (recheckEnd)
 	healthChecks healthChecks
 	deadlines    deadlines
 	digesters    digesterPool
@@ -175,6 +176,8 @@
 	unread          unreadBytes                         // bytes kept for the caller until it reads them
 	answerStarted   atomic.Bool                         // of a stream: writing the answer to the caller has started
 	freshConnection atomic.Bool                         // a server of an attempt has terminated: later attempts use new connections, which a terminated server refuses
+	rechecks        sync.WaitGroup                      // checks of servers that go on in the background (recheckEnd)
+	rechecking      atomic.Bool                         // such a check was started
 	abort           context.CancelCauseFunc             // cancels all attempts of the request
 	// retryIn is how long until a server that limits its rate or asked for a backoff
 	// accepts a request again, as of the latest choice that failed with errLimited or
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -25,6 +25,7 @@
 	answerTime       tally.Histogram                // of the requests in answered: time from the request to the end of the answer
 	eventsDropped    tally.Counter                  // events of attempts that were not forwarded
 	endsJudged       [3]tally.Counter               // close-delimited answers, by completeness.Verdict
+	endChecks        [3]tally.Counter               // failed attempts after which was checked whether the server has terminated, by completeness.Process
 	endJudgment      tally.Histogram                // of the answers in endsJudged: time that the judgment took
 }
 
@@ -47,6 +48,9 @@
 	for _, verdict := range []completeness.Verdict{completeness.Unknown, completeness.Complete, completeness.Incomplete} {
 		meter.endsJudged[verdict] = scope.Tagged(map[string]string{"outcome": verdict.String()}).Counter("answer_ends_judged")
 	}
+	for _, process := range []completeness.Process{completeness.ProcessUnknown, completeness.ProcessRuns, completeness.ProcessEnded} {
+		meter.endChecks[process] = scope.Tagged(map[string]string{"outcome": process.String()}).Counter("server_end_checks")
+	}
 	for cause, name := range causeNames {
 		meter.refused[cause] = scope.Tagged(map[string]string{"cause": name}).Counter("requests_refused")
 	}
