serve: the end of a server under a withdrawn copy of a request counts

Cause: a node that learns that a request is quarantined cancels its copies, and checked no server of a canceled attempt. The server had begun to run the copy and ended under it uncounted, so one more trial was allowed.

Change: checkServer is the one place that decides whether the server of a failed attempt is checked. For a withdrawn copy that may have run, the check is repeated for 300 ms while the server runs, as long as a part of a prompt counts after a withdrawal.

Two new mutants fail as they must.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -23,7 +23,13 @@
 
 var mutants = map[string]mutant{
 	"ended servers: a check without a result is not repeated": {
-		"serve/ended.go", "exchange.recheckEnd(choice, now)\n", "_ = exchange.recheckEnd\n", "TestUnnoticedServerEndIsCounted", "./serve",
+		"serve/ended.go", "exchange.recheckEnd(choice, now, 0)\n", "_ = exchange.recheckEnd\n", "TestUnnoticedServerEndIsCounted", "./serve",
+	},
+	"ended servers: those of withdrawn copies are not checked": {
+		"serve/ended.go", "exchange.reportWithdrawn(choice)\n", "_ = exchange.reportWithdrawn\n", "TestWithdrawnCopyCounts", "./serve",
+	},
+	"ended servers: those of withdrawn copies are checked once": {
+		"serve/ended.go", "handler.Timers.Now()-endedAt < minTime", "minTime < 0", "TestWithdrawnCopyCounts", "./serve",
 	},
 	"ended servers: a trial ends before the check of its server": {
 		"serve/guard.go", "exchange.rechecks.Wait()\n", "_ = 0\n", "TestUnnoticedServerEndIsCounted", "./serve",
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -23,6 +23,8 @@
 	endRecheckTime = 2 * time.Second
 	// minDrain is for how long at least a server that ends as planned serves on once it has left the list.
 	minDrain = time.Second
+	// withdrawnTime is for how long a request may still end the server that it was withdrawn from.
+	withdrawnTime = 300 * time.Millisecond
 	// maxRechecks bounds the checks that are repeated at a time, each of which keeps its request in memory.
 	maxRechecks = 256
 	// maxEndedServers bounds the number of checks that endedServers keeps.
@@ -86,6 +88,18 @@
 	}
 }
 
+// checkServer checks whether the server of an attempt that has failed with the context given has
+// terminated. It does nothing after a cancellation by others than CancelCopies.
+func (exchange *exchange) checkServer(ctx context.Context, choice *dispatch.Choice, failure error) {
+	var notRun *shedkeel.NotRunError
+	switch {
+	case ctx.Err() == nil:
+		exchange.reportServerEnd(choice, failure)
+	case errors.Is(context.Cause(ctx), errServersEnded) && !errors.As(failure, &notRun):
+		exchange.reportWithdrawn(choice)
+	}
+}
+
 // reportServerEnd checks, after an attempt has failed by a disconnect, whether the server has
 // terminated, and records its end (recordServerEnd). A check without a result goes on in the
 // background: it may have timed out, or the server's next process accepts connections already. Ends
@@ -102,7 +116,7 @@
 		exchange.recordServerEnd(choice, firstFailureAt, "connections are refused")
 		return
 	}
-	exchange.recheckEnd(choice, now)
+	exchange.recheckEnd(choice, now, 0)
 }
 
 // endIsPlanned reports whether a server that has been found terminated may have ended as planned: it
@@ -125,9 +139,19 @@
 	}
 }
 
-// recheckEnd repeats the check of a server in the background, where an attempt failed at failedAt. The
-// exchange's trial lasts until the check has ended. Nothing is checked if maxRechecks are under way.
-func (exchange *exchange) recheckEnd(choice *dispatch.Choice, failedAt time.Duration) {
+// reportWithdrawn checks in the background whether the server of an attempt that CancelCopies has
+// canceled has terminated, or does so within withdrawnTime: the server may have begun to run it.
+func (exchange *exchange) reportWithdrawn(choice *dispatch.Choice) {
+	now := exchange.handler.Timers.Now()
+	if exchange.handler.ServerCheck != nil && !endIsPlanned(choice, now) {
+		exchange.recheckEnd(choice, now, withdrawnTime)
+	}
+}
+
+// recheckEnd repeats the check of a server in the background, where an attempt ended at endedAt, and at
+// least for minTime while the server runs. The exchange's trial lasts until the check has ended. Nothing
+// is checked if maxRechecks are under way.
+func (exchange *exchange) recheckEnd(choice *dispatch.Choice, endedAt, minTime time.Duration) {
 	rechecks := &exchange.handler.rechecks
 	if rechecks.Add(1) > maxRechecks {
 		rechecks.Add(-1)
@@ -137,17 +161,18 @@
 	exchange.rechecking.Store(true)
 	exchange.rechecks.Go(func() {
 		defer rechecks.Add(-1)
-		exchange.runRecheck(choice, failedAt)
+		exchange.runRecheck(choice, endedAt, minTime)
 	})
 }
 
-// runRecheck checks a server until it is known whether it has terminated, for endRecheckTime at most.
-func (exchange *exchange) runRecheck(choice *dispatch.Choice, failedAt time.Duration) {
+// runRecheck checks a server until it is known whether it has terminated: for endRecheckTime at most, and
+// for minTime while it runs.
+func (exchange *exchange) runRecheck(choice *dispatch.Choice, endedAt, minTime time.Duration) {
 	handler := exchange.handler
 	ctx, cancel := context.WithTimeout(context.Background(), endRecheckTime)
 	defer cancel()
 	process, result := exchange.checkProcess(ctx, choice)
-	for process == completeness.ProcessUnknown && result.unanswered() && ctx.Err() == nil {
+	for ctx.Err() == nil && (process == completeness.ProcessUnknown && result.unanswered() || process == completeness.ProcessRuns && handler.Timers.Now()-endedAt < minTime) {
 		timer.Sleep(ctx, healthRetryDelay)
 		process, result = exchange.checkProcess(ctx, choice)
 	}
@@ -159,7 +184,7 @@
 	if result.err != nil {
 		proof = "connections are refused"
 	}
-	firstFailureAt, _ := handler.endedServers.endedSince(choice.Instance, failedAt, func() bool { return true })
+	firstFailureAt, _ := handler.endedServers.endedSince(choice.Instance, endedAt, func() bool { return true })
 	exchange.recordServerEnd(choice, firstFailureAt, proof)
 }
 
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -172,12 +172,13 @@
 	}
 }
 
-// laterCheck is a fake shedkeel.ServerCheck and shedkeel.HealthCheck of a server about which nothing can
-// be found out before a given time.
+// laterCheck is a fake shedkeel.ServerCheck and shedkeel.HealthCheck of a server that changes at a given
+// time.
 type laterCheck struct {
 	from    time.Time
 	health  fakeHealth
-	stopped bool // connections are refused
+	stopped bool       // connections are refused
+	before  fakeHealth // until that time, with connections accepted
 }
 
 func (check laterCheck) Stopped(context.Context, string) bool {
@@ -186,7 +187,7 @@
 
 func (check laterCheck) Health(ctx context.Context, _, _ string) (shedkeel.Health, error) {
 	if time.Now().Before(check.from) {
-		return silent(ctx)
+		return check.before(ctx)
 	}
 	return check.health(ctx)
 }
@@ -216,7 +217,7 @@
 			runFakeTime(t, name+path, func(t *testing.T) {
 				harness := newHarness(t, step{err: errAnswerLost})
 				guard := &fixedGuard{judgment: shedkeel.Quarantined}
-				check := laterCheck{time.Now().Add(test.after), test.health, test.stopped}
+				check := laterCheck{time.Now().Add(test.after), test.health, test.stopped, silent}
 				harness.Guard, harness.ServerCheck, harness.Health = guard, check, check
 				began := time.Now()
 				assert.Equal(t, harness.post(path, "body", "Model", model).Code, 502)
@@ -233,6 +234,45 @@
 	}
 }
 
+// TestWithdrawnCopyCounts guards against the end of a server under a copy of a request that was
+// withdrawn from it, as other servers had ended under other copies, going uncounted: the request would
+// end one server more.
+func TestWithdrawnCopyCounts(t *testing.T) {
+	cases := map[string]struct {
+		after   time.Duration // from the withdrawal until something else can be found out than that the server runs
+		health  fakeHealth
+		stopped bool
+		ended   int
+	}{
+		"nothing listens":                     {0, noProcess, true, 1},
+		"another process answers":             {0, answersAs("another"), false, 1},
+		"nothing listens, shortly after":      {withdrawnTime / 2, noProcess, true, 1},
+		"nothing listens, long after":         {4 * withdrawnTime, noProcess, true, 0},
+		"another process, shortly after":      {withdrawnTime / 2, answersAs("another"), false, 1},
+		"nothing is ever found out":           {0, silent, false, 0},
+		"the process answers, and goes on so": {0, survivor, false, 0},
+	}
+	for name, test := range cases {
+		for path, model := range map[string]string{"/safe/x": "", "/s/x": "m"} {
+			runFakeTime(t, name+path, func(t *testing.T) {
+				harness := newHarness(t, step{delay: time.Second, events: 3})
+				guard := &fixedGuard{idle: true}
+				withdrawn := 50 * time.Millisecond
+				check := laterCheck{from: time.Now().Add(withdrawn + test.after), health: test.health, stopped: test.stopped, before: survivor}
+				harness.Guard, harness.ServerCheck, harness.Health = guard, check, check
+				time.AfterFunc(withdrawn, func() {
+					for _, exchange := range harness.activeExchanges() {
+						harness.CancelCopies(shedkeel.DigestSubject(exchange.digest()))
+					}
+				})
+				assert.Equal(t, harness.post(path, "body", "Model", model).Code, 502)
+				time.Sleep(endRecheckTime + healthTimeout)
+				assert.Equal(t, len(guard.endedServers()), test.ended)
+			})
+		}
+	}
+}
+
 // TestEndOfUnlistedServer checks that the end of a server that leaves the list counts, unless the server
 // may have served on for as long as one that ends as planned.
 func TestEndOfUnlistedServer(t *testing.T) {
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -83,14 +83,12 @@
 // tryServer sends the request to the chosen server, reads the answer completely and ends the
 // choice. An answer with a 5xx status is not an error, but counts as a failure of the server. An answer
 // that is not known to be complete gives errUnproven.
-// After an error, tryServer checks whether the server has terminated, unless ctx has ended.
+// After an error, tryServer checks whether the server has terminated (checkServer).
 func (exchange *exchange) tryServer(ctx context.Context, choice *dispatch.Choice) (bufferedAnswer, error) {
 	response, err := exchange.send(ctx, choice, "") //nolint:bodyclose // readWhole closes it
 	if err != nil {
 		choice.End(true, exchange.handler.Timers.Now())
-		if ctx.Err() == nil {
-			exchange.reportServerEnd(choice, err)
-		}
+		exchange.checkServer(ctx, choice, err)
 		return bufferedAnswer{}, err
 	}
 	choice.RecordResponse(exchange.handler.Timers.Now())
@@ -109,8 +107,8 @@
 		body, err = nil, errUnproven
 	}
 	end(failed || err != nil)
-	if err != nil && ctx.Err() == nil {
-		exchange.reportServerEnd(choice, err)
+	if err != nil {
+		exchange.checkServer(ctx, choice, err)
 	}
 	return bufferedAnswer{response, body}, err
 }
--- a/serve/source.go
+++ b/serve/source.go
@@ -35,14 +35,14 @@
 }
 
 // loop sends the request and delivers each event to the stream, and finally the error with
-// which the source ended. If the source failed and was not canceled, loop checks whether the
-// server has terminated. It returns once the stream has dropped the source.
+// which the source ended. If the source failed, loop checks whether the server has terminated
+// (checkServer). It returns once the stream has dropped the source.
 func (source *source) loop() {
 	err := source.read()
-	failed := !errors.Is(err, errStreamEnd) && source.context.Err() == nil
-	source.choice.End(failed, source.stream.handler.Timers.Now())
-	if failed {
-		source.stream.reportServerEnd(source.choice, err)
+	complete := errors.Is(err, errStreamEnd)
+	source.choice.End(!complete && source.context.Err() == nil, source.stream.handler.Timers.Now())
+	if !complete {
+		source.stream.checkServer(source.context, source.choice, err)
 	}
 	source.deliver(update{source: source, err: err})
 	<-source.dropped
