planner: groups of each model that stand, are wanted and are possible

Cause: nothing told why a model has no group: event 648 counts servers by domain, and lists the survivors of a lost group as serving. Change: for each model the planner counts groups that serve, are forming, are wanted, are possible and are prepared (no load), servers that are held by lost heads, and says since when and why fewer stand than wanted: events 671 to 673, gauges model_groups and model_unavailable_seconds, shedkeel status.

--- a/event/event.go
+++ b/event/event.go
@@ -106,6 +106,9 @@
 	ActivityUnknown       = Event{666, slog.LevelInfo, "spreading node did not tell whether other nodes hear silent groups"}
 	AnswerEndJudged       = Event{669, slog.LevelInfo, "end of an answer that states none was judged"}
 	StreamEventDropped    = Event{670, slog.LevelInfo, "event of an attempt was not forwarded"}
+	ModelGroups           = Event{671, slog.LevelInfo, "replica groups of a model"}
+	ModelUnavailable      = Event{672, slog.LevelWarn, "no replica group of a model serves"}
+	ModelAvailable        = Event{673, slog.LevelInfo, "a replica group of a model serves again"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -119,6 +122,7 @@
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, PartJudged, WokenLate, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
 		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown, AnswerEndJudged, StreamEventDropped,
+		ModelGroups, ModelUnavailable, ModelAvailable,
 	}
 }
 
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -120,7 +120,7 @@
 	released         map[shedkeel.Assignment]bool // released formations; their members are free
 	imbalanceSince   time.Duration                // when the models became imbalanced; 0: they are balanced
 	lastReallocation time.Duration                // when the last reallocation ended that was not canceled; 0: never
-	lastRound        *round                       // the latest call of Plan, for Usage and Waits
+	lastRound        *round                       // the latest call of Plan, for Usage, Waits and Status
 }
 
 // loading is an ordered load of a model's weights onto a host.
@@ -174,6 +174,7 @@
 	round.stageSpares()
 	round.orderStandbys()
 	round.recordServerWaits()
+	round.recordStatus()
 	planner.lastRound = round
 	return round.actions
 }
--- a/formation/round.go
+++ b/formation/round.go
@@ -27,6 +27,7 @@
 	inForming map[shedkeel.InstanceID]bool // in a formation whose members are not all ready
 	actions   []Action
 	waits     map[waitKey]Wait
+	status    []ModelStatus // sorted by model
 }
 
 // indexInstances indexes the backend servers by instance, server and domain.
--- a/node/admin.go
+++ b/node/admin.go
@@ -31,6 +31,7 @@
 	Limited        []LimitDump        `json:"limited"`   // servers that limit their request rate or are cold
 	Evacuated      []EvacuationDump   `json:"evacuated"` // availability zones whose servers get no requests
 	Overload       []OverloadDump     `json:"overload"`  // of the models whose requests this node spreads
+	Models         []ModelDump        `json:"models"`    // empty at nodes that don't lead
 	Groups         []GroupDump        `json:"groups"`
 	Servers        []ServerDump       `json:"servers"`
 }
@@ -129,6 +130,7 @@
 	dump.BlamedRequests = node.guard.judgedSubjects()
 	dump.Limited = node.limits.dump()
 	dump.Evacuated = node.fleet.evacuations()
+	dump.Models = node.controller.modelDumps(node.Timers.Now())
 	dump.Overload = node.admissions.dump(node.Timers.Now())
 	return dump
 }
--- a/node/controller.go
+++ b/node/controller.go
@@ -48,6 +48,7 @@
 	vacantSince   time.Duration                             // since when elect has waited for this node's turn because there is no leader; 0: it does not wait
 	orphanedSince time.Duration                             // since when the leader record has been invalid, as isOrphaned defines it; 0: it is valid, or elect has not checked it
 	usageLoggedAt time.Duration                             // when the use of servers was last logged
+	unavailable   map[modelKey]time.Duration                // the models of which no group serves, and since when
 	sizeCheckedAt time.Duration                             // when maintainFleetSize last checked the size of the fleet; 0: never
 	// era is the era of the key-value service that this node follows, and eraSince is when
 	// the node began to follow it. Only run uses them.
@@ -70,6 +71,7 @@
 	controller.paces = paces{controller: controller, slow: map[shedkeel.InstanceID]float64{}}
 	controller.demand = demands{controller: controller}
 	controller.dead = map[shedkeel.InstanceID]time.Duration{}
+	controller.unavailable = map[modelKey]time.Duration{}
 }
 
 // run plans and maintains the record of the fleet's size while this node leads, and stands
@@ -151,6 +153,7 @@
 		if usageDue {
 			controller.logUsage(planner)
 		}
+		controller.logModels(id, planner.Status(), usageDue, now)
 		controller.mutex.Unlock()
 		for _, action := range actions {
 			go controller.runOrder(ctx, planner, action)
--- a/node/report.go
+++ b/node/report.go
@@ -31,6 +31,7 @@
 	scope.Gauge("nodes").Update(float64(node.fleet.nodeCount()))
 	scope.Gauge("nodes_unnamed").Update(float64(len(node.excludedNodes())))
 	scope.Gauge("planner_waits").Update(float64(len(node.controller.waits())))
+	node.reportModels(scope, now)
 	scope.Gauge("unread_bytes").Update(float64(node.handler.ReaderBudget.Held()))
 	node.reportLimits(scope)
 	scope.Gauge("zones_evacuated").Update(float64(len(node.fleet.evacuations())))
--- a/operator/print_node.go
+++ b/operator/print_node.go
@@ -37,6 +37,9 @@
 	for _, blamed := range status.BlamedRequests {
 		printBlamed(writer, status.Node, blamed)
 	}
+	for _, model := range status.Models {
+		printModel(writer, model)
+	}
 	for _, overload := range status.Overload {
 		printOverload(writer, overload)
 	}
@@ -153,6 +156,14 @@
 	return cmp.Or(strings.Join(found, ", "), "-")
 }
 
+// printModel prints how many groups a model has, and why it has fewer than its work needs.
+func printModel(writer io.Writer, model node.ModelDump) {
+	_, _ = fmt.Fprintf(writer, "model %s of %s: %d groups serve, %d are forming, %d wanted, %d possible, %d of them without a load\n", model.Model, model.Service, model.Standing, model.Forming, model.Wanted, model.Possible, model.Prepared)
+	if model.Reason != "" {
+		_, _ = fmt.Fprintf(writer, "  for %s: %s\n", model.For, model.Reason)
+	}
+}
+
 // printOverload prints the admission of requests for a model.
 func printOverload(writer io.Writer, overload node.OverloadDump) {
 	state := "has capacity"
