serve: refusals name the model that the request is for

Cause: event 611 told the model only of requests refused for a part, so refusals couldn't be set against the groups of their model (671, 672). Change: the field model is in every 611 of a request for a model.

--- a/serve/handler.go
+++ b/serve/handler.go
@@ -373,8 +373,11 @@
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.retryAfter))
 	}
-	if model, part, isPart := exchange.refusedFor.Part(); isPart {
-		fields = append(fields, slog.String("part", string(part)), slog.String("model", string(model)))
+	if exchange.call.Model != "" {
+		fields = append(fields, slog.String("model", string(exchange.call.Model)))
+	}
+	if _, part, isPart := exchange.refusedFor.Part(); isPart {
+		fields = append(fields, slog.String("part", string(part)))
 	} else if refused.cause == causeContained || refused.cause == causeQuarantined {
 		fields = append(fields, slog.String("digest", string(exchange.digest())))
 	}
