planner: a model without a group comes before all others

What callers saw: all requests for a model are refused while servers work for a model with several groups. Cause: survivors of a lost group counted as a group, so no need was seen; servers were moved only after 3 s of imbalance, 6 s after the last move, from models with more than their share, and spares of one model were not used for another. Change: groups count if they serve or are whole; a model without a group is first for free servers and spares, and otherwise an urgent reallocation releases the groups that cost the fewest loads, all at once, from a donor that keeps one.

--- a/formation/form.go
+++ b/formation/form.go
@@ -143,7 +143,7 @@
 			return false
 		}
 		other := round.input.Engine.Model(instance.Staged[0])
-		return other != nil && round.groupNeed(model, counts) < convertNeedRatio*round.groupNeed(other, counts)
+		return other != nil && !onlyOneHasGroups(other, model, counts) && round.groupNeed(model, counts) < convertNeedRatio*round.groupNeed(other, counts)
 	})
 	slices.SortStableFunc(found, func(a, b *shedkeel.Instance) int {
 		return cmp.Compare(round.loadCost(a, model.ID), round.loadCost(b, model.ID))
@@ -151,6 +151,11 @@
 	return found[:min(count, len(found))]
 }
 
+// onlyOneHasGroups reports whether a model has groups and the other one has none.
+func onlyOneHasGroups(model, other *shedkeel.Model, counts map[shedkeel.ModelID]int) bool {
+	return counts[model.ID] > 0 && counts[other.ID] == 0
+}
+
 // loadCost ranks servers as candidates for a group of the model. From the lowest cost: the
 // server needs no load (joinCost), is loading the model, has no weights on its host, holds
 // another model's weights, or is loading another model.
@@ -170,13 +175,13 @@
 	return costLoad + 1
 }
 
-// groupCounts returns the number of active and forming groups of each model. It takes a group
-// with a reserved member as active.
+// groupCounts returns the number of groups of each model that serve or are expected to: the survivors
+// of a group that has lost a member count only once it is being formed again.
 func (round *round) groupCounts() map[shedkeel.ModelID]int {
 	counts := map[shedkeel.ModelID]int{}
 	names := map[shedkeel.GroupID]bool{}
 	for _, group := range round.groups {
-		if group.model != nil && slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool { return member != nil && round.reserved[member.ID] }) {
+		if round.serves(group) || round.isWhole(group) {
 			names[group.id] = true
 		}
 	}
@@ -189,14 +194,23 @@
 	return counts
 }
 
+// isWhole reports whether all members of a group are listed and not dead, and its head has neither
+// failed nor left.
+func (round *round) isWhole(group *observedGroup) bool {
+	if group.model == nil || len(group.members) == 0 || group.headState() == shedkeel.MemberBroken || round.headHasEnded(group.assignment()) {
+		return false
+	}
+	return !slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool { return member == nil || round.input.Dead[member.ID] })
+}
+
 // nextGroup returns, of the models for which domainFor finds a domain, the one that needs another
-// group most, and that domain. The model is nil if there is none. The donor of a reallocation gets
+// group most, and that domain; models without a group come before all others. The model is nil if there is none. The donor of a reallocation gets
 // no group beyond minGroups. A model with minGroups whose need is below minNeedRatio gets groups
 // only in domains without groups.
 func (round *round) nextGroup(counts map[shedkeel.ModelID]int, pick picker) (*shedkeel.Model, shedkeel.DomainID) {
 	var best *shedkeel.Model
 	var bestDomain shedkeel.DomainID
-	bestNeed := 0.0
+	bestNeed, bestLacksAny := 0.0, false
 	highestNeed := 0.0
 	for index := range round.input.Engine.Models {
 		highestNeed = max(highestNeed, round.groupNeed(&round.input.Engine.Models[index], counts))
@@ -211,8 +225,9 @@
 		if !found {
 			continue
 		}
-		if need > bestNeed {
-			best, bestDomain, bestNeed = model, domain, need
+		lacksAny := counts[model.ID] == 0 && need > 0
+		if lacksAny && !bestLacksAny || lacksAny == bestLacksAny && need > bestNeed {
+			best, bestDomain, bestNeed, bestLacksAny = model, domain, need, lacksAny
 		}
 	}
 	return best, bestDomain
@@ -242,7 +257,7 @@
 	fewestFree := math.MaxInt
 	var bestDomain shedkeel.DomainID
 	for _, domain := range round.domains {
-		if round.input.Now-round.planner.lastArrival[domain] < settleTime {
+		if round.input.Now-round.planner.lastArrival[domain] < settleTime || round.isHeldFor(domain, model) {
 			continue
 		}
 		spares := round.minSparesOf(domain)
@@ -265,6 +280,13 @@
 	return bestDomain, fewestFree < math.MaxInt
 }
 
+// isHeldFor reports whether a domain's free servers are kept for another model by an urgent
+// reallocation.
+func (round *round) isHeldFor(domain shedkeel.DomainID, model *shedkeel.Model) bool {
+	reallocation := round.planner.reallocations[domain]
+	return reallocation != nil && reallocation.urgent && reallocation.to != model.ID
+}
+
 // minSpares returns the minimum number of servers to keep free in a domain of that size. More stay
 // free if the rest is too small for another group. An eighth (spareShare) is rounded up as far as
 // pairLossSpares, because servers are lost in pairs: with one spare among ten servers, the second
@@ -300,6 +322,9 @@
 		if other.ID == model.ID {
 			continue
 		}
+		if onlyOneHasGroups(other, model, counts) {
+			return true
+		}
 		measured := round.groupNeed(model, counts) / round.groupNeed(other, counts)
 		configured := measured * (model.Share / round.shares[model.ID]) * (round.shares[other.ID] / other.Share)
 		if min(measured, configured) >= shortageRatio {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -189,7 +189,7 @@
 		assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
 		planner.leftAt[assignment] = planner.lastPlanTime()
 		for _, reallocation := range planner.reallocations {
-			if reallocation.group == assignment {
+			if reallocation.releases(assignment) {
 				planner.released[assignment] = true
 			}
 		}
--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -41,6 +41,15 @@
 	groupsLeft int                 // groups to release, the current one included
 	committed  bool                // the first group was ordered to close; the rest follow even if the imbalance ends
 	since      time.Duration       // when the release of the current group began
+	// urgent is set if the recipient has no group. All groups to release are then in groups, and
+	// are released together; group and groupsLeft are not used.
+	urgent bool
+	groups []shedkeel.Assignment
+}
+
+// releases reports whether the reallocation releases a group.
+func (reallocation *reallocation) releases(group shedkeel.Assignment) bool {
+	return reallocation.group == group || slices.Contains(reallocation.groups, group)
 }
 
 // reallocateGroups continues the reallocations in progress and begins new ones. The hosts of
@@ -52,8 +61,8 @@
 	counts := round.groupCounts()
 	_, to := round.imbalance(counts)
 	for domain, reallocation := range planner.reallocations {
-		if to == nil && !reallocation.committed {
-			delete(planner.reallocations, domain) // canceled: the imbalance has ended
+		if !reallocation.committed && round.isObsolete(reallocation, to, counts) {
+			delete(planner.reallocations, domain)
 			continue
 		}
 		round.donor = reallocation.from
@@ -65,6 +74,16 @@
 	round.beginReallocations(counts)
 }
 
+// isObsolete reports whether a reallocation is canceled: the imbalance has ended, the recipient has
+// got a group by other means, or it has lost its last group and an urgent reallocation takes less
+// time. to is the current recipient; nil if the models are balanced.
+func (round *round) isObsolete(reallocation *reallocation, to *shedkeel.Model, counts map[shedkeel.ModelID]int) bool {
+	if reallocation.urgent {
+		return counts[reallocation.to] > 0
+	}
+	return to == nil || counts[reallocation.to] == 0
+}
+
 // beginReallocations starts as many reallocations as restore the balance, mayPrefetch allows
 // and groupToRelease finds groups for. It starts them only under traffic, once the models
 // have been imbalanced for imbalanceTime and the last reallocation ended at least
@@ -72,9 +91,12 @@
 func (round *round) beginReallocations(counts map[shedkeel.ModelID]int) {
 	planner := round.planner
 	for _, reallocation := range planner.reallocations {
-		counts[reallocation.from] -= reallocation.groupsLeft
+		counts[reallocation.from] -= reallocation.groupsLeft + len(reallocation.groups)
 		counts[reallocation.to]++
 	}
+	if round.input.Traffic {
+		round.beginUrgentReallocations(counts)
+	}
 	from, to := round.imbalance(counts)
 	if to == nil || !round.input.Traffic {
 		planner.imbalanceSince = 0
@@ -195,6 +217,9 @@
 // the recipient's weights, then the head closes, then it leaves. It returns false when the
 // reallocation is complete, no longer possible, or has taken releaseTimeout for the current group.
 func (round *round) continueReallocation(reallocation *reallocation) bool {
+	if reallocation.urgent {
+		return round.continueUrgent(reallocation)
+	}
 	if round.hasLeft(reallocation.group) && !round.nextRelease(reallocation) {
 		return false
 	}
@@ -243,12 +268,16 @@
 	return true
 }
 
-// canRelease reports whether the group being released has the same epoch as when it was
-// selected, all its members are listed, its head is usable, and the engine still has the
-// recipient.
+// canRelease reports whether canReleaseAs is true of the current group of a reallocation, and the
+// engine still has the recipient.
 func (round *round) canRelease(group *observedGroup, reallocation *reallocation) bool {
-	return group != nil && group.assignment() == reallocation.group && round.input.Engine.Model(reallocation.to) != nil &&
-		!slices.Contains(group.members, nil) && round.usable(group.head())
+	return round.canReleaseAs(group, reallocation.group) && round.input.Engine.Model(reallocation.to) != nil
+}
+
+// canReleaseAs reports whether a group has the same epoch as when it was selected, all its members
+// are listed, and its head is usable.
+func (round *round) canReleaseAs(group *observedGroup, selected shedkeel.Assignment) bool {
+	return group != nil && group.assignment() == selected && !slices.Contains(group.members, nil) && round.usable(group.head())
 }
 
 // stageMembers orders members to load the weights of another model, as far as mayPrefetch
@@ -264,5 +293,5 @@
 // isBeingReleased reports whether a reallocation is currently releasing the group.
 func (round *round) isBeingReleased(group *observedGroup) bool {
 	reallocation := round.planner.reallocations[group.domain]
-	return reallocation != nil && reallocation.group == group.assignment()
+	return reallocation != nil && reallocation.releases(group.assignment())
 }
