planner: survivors of a group with a lost head leave it

What callers saw: servers with the right weights stay unused for 20 s. Cause: a lost head may be partitioned and serve, and only headTimeout ended that. Change: one survivor is ordered to leave. A head that lacks a member can't work and fails after bounds.stall (new setting, 5 s), so all survivors are free 6 s after the answer. The one that left is reserved until then, also by a planner that takes over and sees servers without a group beside a headless group.

--- a/config/node.go
+++ b/config/node.go
@@ -52,6 +52,7 @@
 // limits of retries and backoffs.
 type NodeBounds struct {
 	Grace  shedkeel.Duration `toml:"grace"`  // from SIGTERM until the platform kills the process
+	Stall  shedkeel.Duration `toml:"stall"`  // for how long the head of a replica group stays open after it has lost a member
 	Revoke shedkeel.Duration `toml:"revoke"` // from the removal of an API key until no request runs with it
 	// RefuseStaleKeys rejects requests that need an API key unless the node has confirmed
 	// within the fraction proofAgeFraction (package node) of Revoke that its configuration
@@ -92,7 +93,7 @@
 func DefaultNodeSettings() NodeSettings {
 	return NodeSettings{
 		Bounds: NodeBounds{
-			Grace: shedkeel.Duration(8 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), RefuseStaleKeys: true, Directory: shedkeel.Duration(5 * time.Second),
+			Grace: shedkeel.Duration(8 * time.Second), Stall: shedkeel.Duration(5 * time.Second), Revoke: shedkeel.Duration(5 * time.Second), RefuseStaleKeys: true, Directory: shedkeel.Duration(5 * time.Second),
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 			MaxBackoff: shedkeel.Duration(10 * time.Minute),
 		},
@@ -166,7 +167,7 @@
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
 		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
-		"bounds.max_backoff": settings.Bounds.MaxBackoff,
+		"bounds.max_backoff": settings.Bounds.MaxBackoff, "bounds.stall": settings.Bounds.Stall,
 	}
 	for key, value := range times {
 		if value <= 0 {
--- a/formation/fake_test.go
+++ b/formation/fake_test.go
@@ -402,7 +402,7 @@
 // in charge. Its epochs are higher than those of all lower terms.
 func plannerOfTerm(term uint64) *Planner {
 	epochs := uint64(0)
-	return &Planner{NextEpoch: func() uint64 {
+	return &Planner{StallTime: stallTime, NextEpoch: func() uint64 {
 		epochs++
 		return term<<20 + epochs // each term has room for a million epochs
 	}}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -96,6 +96,10 @@
 // call of Plan. Its methods are not safe for concurrent use.
 type Planner struct {
 	NextEpoch func() uint64 // returns the epoch for a new formation, higher than all earlier ones
+	// StallTime is the longest time for which a head stays open after a member has left its
+	// formation. It bounds how long the members of a group with a lost head wait. 0: not known;
+	// they wait for headTimeout.
+	StallTime time.Duration
 
 	firstListed         map[shedkeel.InstanceID]time.Duration // when the instance was first listed
 	lastArrival         map[shedkeel.DomainID]time.Duration   // when the last instance joined the domain
@@ -105,6 +109,8 @@
 	headUnusableSince   map[shedkeel.Assignment]time.Duration               // when the head was first found unusable
 	lastMembers         map[shedkeel.Assignment]map[int]shedkeel.InstanceID // the members when last listed, by rank
 	leftAt              map[shedkeel.Assignment]time.Duration               // when the head confirmed that it left
+	memberLeftAt        map[shedkeel.Assignment]time.Duration               // when a member of a group with a lost head was first known to have left (dissolve)
+	startedAt           time.Duration                                       // time of the first call of Plan
 	reservedUntil       map[shedkeel.InstanceID]time.Duration               // members of abandoned formations; not used in other groups before this time
 	memberUnlistedSince map[shedkeel.Assignment]time.Duration               // when a member was first found unlisted
 	loadStarts          []time.Duration                                     // when loads from the weight store were ordered, by stage or join orders
@@ -185,8 +191,12 @@
 func (planner *Planner) Confirmed(order shedkeel.GroupOrder) {
 	delete(planner.unanswered, order.To)
 	planner.confirmLoad(order)
-	if order.Kind == shedkeel.OrderLeave {
-		assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
+	assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
+	switch {
+	case order.Kind != shedkeel.OrderLeave:
+	case planner.lastMembers[assignment][0] != order.To:
+		planner.recordMemberLeft(assignment, order.To)
+	default:
 		planner.leftAt[assignment] = planner.lastPlanTime()
 		for _, reallocation := range planner.reallocations {
 			if reallocation.releases(assignment) {
@@ -295,6 +305,8 @@
 		planner.headUnusableSince = map[shedkeel.Assignment]time.Duration{}
 		planner.lastMembers = map[shedkeel.Assignment]map[int]shedkeel.InstanceID{}
 		planner.leftAt = map[shedkeel.Assignment]time.Duration{}
+		planner.memberLeftAt = map[shedkeel.Assignment]time.Duration{}
+		planner.startedAt = input.Now
 		planner.reservedUntil = map[shedkeel.InstanceID]time.Duration{}
 		planner.memberUnlistedSince = map[shedkeel.Assignment]time.Duration{}
 		planner.pendingJoins = map[shedkeel.ServerID][]pendingJoin{}
@@ -343,6 +355,7 @@
 		delete(planner.lastMembers, assignment)
 		delete(planner.headUnusableSince, assignment)
 		delete(planner.leftAt, assignment)
+		delete(planner.memberLeftAt, assignment)
 		delete(planner.released, assignment)
 		delete(planner.memberUnlistedSince, assignment)
 	}
--- a/formation/repair.go
+++ b/formation/repair.go
@@ -76,6 +76,7 @@
 		round.reserved[id] = true
 	}
 	round.reserveRestarted()
+	round.observeLeavers()
 	for _, group := range round.groups {
 		if _, forming := round.planner.forming[group.id]; forming || group.model == nil || group.members == nil {
 			continue
@@ -294,13 +295,14 @@
 		round.orderHead(group, shedkeel.OrderLeave, "a member is lost and there is no substitute")
 	default:
 		round.reserveMembers(group)
+		round.dissolve(group)
 		round.recordGroupWait(group, WaitHeadUnreachable, headTimeout)
 	}
 }
 
 // headMayServe reports whether the head of a group may be serving: not if headHasEnded. A usable
 // head may serve in every listed state but broken, because an order to open, even of a previous
-// planner, may be in transit. An unusable head may serve until headTimeout has passed.
+// planner, may be in transit. An unusable head may serve until hasStalled or headTimeout has passed.
 func (round *round) headMayServe(group *observedGroup) bool {
 	if round.headHasEnded(group.assignment()) {
 		return false
@@ -309,7 +311,7 @@
 		// An open head counts even if its requests are stalled.
 		return group.headState() != shedkeel.MemberBroken
 	}
-	return round.input.Now-round.recordHeadMissing(group.assignment()) < headTimeout
+	return !round.hasStalled(group.assignment()) && round.input.Now-round.recordHeadMissing(group.assignment()) < headTimeout
 }
 
 // headHasEnded reports whether the head of a formation has left it or its server has
--- a/formation/round.go
+++ b/formation/round.go
@@ -107,6 +107,9 @@
 		if at, known := round.planner.leftAt[instance.Member.Assignment()]; known && instance.Member.Rank == 0 && round.input.Now-at > listDelay {
 			delete(round.planner.leftAt, instance.Member.Assignment()) // the head has joined again
 		}
+		if round.planner.hasRejoined(instance, round.input.Now) {
+			delete(round.planner.memberLeftAt, instance.Member.Assignment())
+		}
 	}
 	for index := range round.input.Instances {
 		instance := &round.input.Instances[index]
--- a/node/controller.go
+++ b/node/controller.go
@@ -178,7 +178,7 @@
 	if planner := controller.planners[id]; planner != nil {
 		return planner
 	}
-	planner := &formation.Planner{NextEpoch: controller.nextEpoch}
+	planner := &formation.Planner{NextEpoch: controller.nextEpoch, StallTime: time.Duration(controller.node.Settings.Bounds.Stall)}
 	controller.planners[id] = planner
 	record := controller.node.mirror.Get(loadsPrefix + string(id))
 	if !record.Revision.Exists() {
