planner: a server that left its group has still loaded its model

Cause: a server in no group reports no models, so the planner took the survivors of a lost group for servers without weights, and ordered them on standby for another model, which replaced what they had loaded. Change: the planner remembers the model of the formation in which each server was last ready.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -57,9 +57,8 @@
 }
 
 // observeLeavers records the members that were ordered to leave by an order whose answer was lost, or by
-// a previous planner. A previous planner's order is known from the list only: a server in no group that
-// has loaded the model of a group with a lost head may have left that group just before this planner
-// took over.
+// a previous planner. A previous planner's order is known from the list only: a server in no group may
+// have left a group with a lost head in its domain just before this planner took over.
 func (round *round) observeLeavers() {
 	planner := round.planner
 	if planner.StallTime <= 0 {
@@ -84,11 +83,10 @@
 	}
 }
 
-// reserveFormerMembers reserves the servers of a group's domain that are in no group and have loaded
-// the group's model.
+// reserveFormerMembers reserves the servers of a group's domain that are in no group.
 func (round *round) reserveFormerMembers(group *observedGroup) {
 	for _, instance := range round.byDomain[group.domain] {
-		if instance.Member == nil && slices.Contains(instance.Models, group.model.ID) {
+		if instance.Member == nil {
 			round.reserved[instance.ID] = true
 		}
 	}
--- a/formation/names.go
+++ b/formation/names.go
@@ -50,6 +50,12 @@
 	return len(parts) == 3 && parts[1] == standbyPart
 }
 
+// formationModel returns the model in the name of a group or of a standby formation.
+func formationModel(id shedkeel.GroupID) shedkeel.ModelID {
+	model, _, _ := strings.Cut(string(id), "/")
+	return shedkeel.ModelID(model)
+}
+
 // IsFree reports whether a backend server is in no group: it is on standby or has
 // no membership.
 func IsFree(instance *shedkeel.Instance) bool {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -119,6 +119,7 @@
 	unanswered          map[shedkeel.InstanceID]int                         // consecutive unanswered orders
 	skippedUntil        map[shedkeel.InstanceID]time.Duration               // not used before this time
 	standbyOrderedAt    map[shedkeel.InstanceID]time.Duration               // when the spare was ordered to go on standby
+	loadedModel         map[shedkeel.InstanceID]shedkeel.ModelID            // the model of the formation in which the server was last ready
 	lastGroupIndex      int                                                 // index in the name of the group that was named last
 	// Reallocation of servers from a model with too many groups to another model, at
 	// most one per domain at a time.
@@ -168,6 +169,7 @@
 
 // Plan returns the orders to send now.
 func (planner *Planner) Plan(input Input) []Action {
+	input.Instances = slices.Clone(input.Instances)
 	planner.update(input)
 	round := &round{planner: planner, input: input, byID: map[shedkeel.InstanceID]*shedkeel.Instance{}, reserved: map[shedkeel.InstanceID]bool{}, inForming: map[shedkeel.InstanceID]bool{}, waits: map[waitKey]Wait{}}
 	round.shares = workShares(input.Engine, input.Demand)
@@ -315,6 +317,7 @@
 		planner.reallocations = map[shedkeel.DomainID]*reallocation{}
 		planner.released = map[shedkeel.Assignment]bool{}
 		planner.standbyOrderedAt = map[shedkeel.InstanceID]time.Duration{}
+		planner.loadedModel = map[shedkeel.InstanceID]shedkeel.ModelID{}
 	}
 	if planner.loading == nil {
 		planner.loading = map[shedkeel.InstanceID]loading{}
@@ -328,12 +331,33 @@
 			delete(planner.loading, instance.ID)
 		}
 	}
+	planner.recordLoadedModels(input.Instances)
 	maps.DeleteFunc(planner.loading, func(_ shedkeel.InstanceID, loading loading) bool { return input.Now >= loading.deadline })
 	maps.DeleteFunc(planner.reservedUntil, func(_ shedkeel.InstanceID, until time.Duration) bool { return input.Now >= until })
 	planner.loadStarts = slices.DeleteFunc(planner.loadStarts, func(at time.Duration) bool { return input.Now-at > loadWindow })
 	planner.expire(input.Now)
 }
 
+// recordLoadedModels records which model each server has loaded. A server that has left its group
+// reports none, but joins a group of the same model without a load or a warm-up, so its Models are set
+// to that model.
+func (planner *Planner) recordLoadedModels(instances []shedkeel.Instance) {
+	listed := map[shedkeel.InstanceID]bool{}
+	for index := range instances {
+		instance := &instances[index]
+		listed[instance.ID] = true
+		switch {
+		case instance.Member != nil && instance.Member.State != shedkeel.MemberJoining:
+			planner.loadedModel[instance.ID] = formationModel(instance.Member.Group)
+		case instance.Member != nil:
+			delete(planner.loadedModel, instance.ID)
+		case len(instance.Models) == 0 && planner.loadedModel[instance.ID] != "":
+			instance.Models = []shedkeel.ModelID{planner.loadedModel[instance.ID]}
+		}
+	}
+	maps.DeleteFunc(planner.loadedModel, func(id shedkeel.InstanceID, _ shedkeel.ModelID) bool { return !listed[id] })
+}
+
 // expire removes the state of orders that are older than retentionTime, of unanswered joins
 // after lateOrderTime, of standby orders after standbyRetryInterval, and of formations that
 // no listed server has reported for retentionTime.
