planner: hosts of all groups hold another model's weights

Cause: members of the larger model's groups held only that model, so the four servers that a domain had left could work for nothing. Change: the rule of one group in every second domain holds for all models.

--- a/formation/stage.go
+++ b/formation/stage.go
@@ -91,7 +91,7 @@
 // isExpendable reports whether a group is open, fully listed, and of the model with the smallest
 // groups.
 func (round *round) isExpendable(group *observedGroup) bool {
-	return group.headState() == shedkeel.MemberOpen && !slices.Contains(group.members, nil) && round.hasSmallestGroups(group.model)
+	return group.headState() == shedkeel.MemberOpen && !slices.Contains(group.members, nil)
 }
 
 // keepsOwnWeights reports whether the hosts of one expendable group of the domain keep their own
