planner: survivors go on standby; formations that take too long are probed

Cause 1: a planner that takes over found survivors listed in lost groups and held them again. Change: free servers that are listed in a lost group, or have left one, go on standby for the model that they have loaded. Cause 2: a member that is lost while it joins is noticed by nobody: no caller sends to its group, and the formation stood for up to 3.6 s as the model's only group.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -157,6 +157,8 @@
 	epoch         uint64
 	model         shedkeel.ModelID
 	members       []shedkeel.InstanceID        // by rank, the head first
+	began         time.Duration
+	doubtedAt     time.Duration                // when Doubtful last returned it; 0: never
 	headConfirmed bool                         // the head has confirmed its join order or is listed as joined; the others may be ordered to join
 	confirmed     map[shedkeel.InstanceID]bool // members that confirmed their order to join
 }
--- a/formation/repair.go
+++ b/formation/repair.go
@@ -376,7 +376,7 @@
 // members, to join. It reserves the members. Each member that has to load the weights from
 // the weight store counts as a load within loadWindow (mayLoad).
 func (round *round) beginForming(id shedkeel.GroupID, model *shedkeel.Model, members []*shedkeel.Instance) {
-	forming := &formingGroup{epoch: round.planner.NextEpoch(), model: model.ID, confirmed: map[shedkeel.InstanceID]bool{}}
+	forming := &formingGroup{epoch: round.planner.NextEpoch(), model: model.ID, began: round.input.Now, confirmed: map[shedkeel.InstanceID]bool{}}
 	for _, member := range members {
 		forming.members = append(forming.members, member.ID)
 		round.reserved[member.ID] = true
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -68,11 +68,11 @@
 	}
 }
 
-// expendableMembers returns the members of a domain's open, fully listed groups of the model with
-// the smallest groups, whose release costs least. Another model's weights on their hosts save a load
-// of 12 to 16 s when that model's demand exceeds its configured share, or when it has lost its groups.
-// Before traffic starts, a load takes a tenth of the time. In a domain that keepsOwnWeights, it leaves
-// out one group.
+// expendableMembers returns the members of a domain's open, fully listed groups. Another model's
+// weights on their hosts save a load of 12 to 16 s when that model's demand exceeds its configured
+// share, when it has lost its groups, or when the survivors of a lost group are too few for their own
+// model. Before traffic starts, a load takes a tenth of the time. In a domain that keepsOwnWeights, it
+// leaves out one group.
 func (round *round) expendableMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
 	excepted := !round.keepsOwnWeights(domain)
@@ -88,16 +88,15 @@
 	return found
 }
 
-// isExpendable reports whether a group is open, fully listed, and of the model with the smallest
-// groups.
+// isExpendable reports whether a group is open and fully listed.
 func (round *round) isExpendable(group *observedGroup) bool {
 	return group.headState() == shedkeel.MemberOpen && !slices.Contains(group.members, nil)
 }
 
-// keepsOwnWeights reports whether the hosts of one expendable group of the domain keep their own
-// model's weights, so that it can be formed without a load if all servers of the domain restart. Every
-// second domain with such a group does, or the only one: the servers of the others can all work for
-// another model without a load.
+// keepsOwnWeights reports whether the hosts of one group of the domain keep their own model's
+// weights, so that it can be formed without a load if all servers of the domain restart. Every second
+// domain with groups does, or the only one: the servers of the others can all work for another model
+// without a load.
 func (round *round) keepsOwnWeights(domain shedkeel.DomainID) bool {
 	var domains []shedkeel.DomainID
 	for _, group := range round.groups {
@@ -109,11 +108,6 @@
 	return len(domains) <= 1 || slices.Index(domains, domain)%2 == 1
 }
 
-// hasSmallestGroups reports whether no model has smaller groups.
-func (round *round) hasSmallestGroups(model *shedkeel.Model) bool {
-	return model != nil && !slices.ContainsFunc(round.input.Engine.Models, func(other shedkeel.Model) bool { return other.Size < model.Size })
-}
-
 // hostCopyIsRedundant reports whether a server has loaded a model and its host holds no model
 // that the server has not loaded. The server joins a group of a loaded model in a fraction of
 // a second with or without the weights on the host, so the host can hold another model
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"shedkeel.org/shedkeel"
@@ -25,15 +26,17 @@
 	}
 }
 
-// orderStandby orders a spare to go on standby for the first model on its host. It does
-// nothing if the host is loading weights or has none, if the server has already loaded a
-// model and so needs no warm-up, if the engine has no such model, or if the spare was given
-// this order within standbyRetryInterval.
+// orderStandby orders a spare to go on standby for the model that it has loaded, or else for the first
+// model on its host. A server that is still listed in a lost group, or has left its group, goes on
+// standby too: its record then shows to the next planner that it is free, and what it has loaded. It
+// does nothing if the spare is on standby, if the host is loading weights or has none, if the engine
+// has no such model, or if the spare was given this order within standbyRetryInterval.
 func (round *round) orderStandby(spare *shedkeel.Instance) {
-	if _, loads := round.planner.loading[spare.ID]; loads || len(spare.Staged) == 0 || len(spare.Models) > 0 {
+	onStandby := spare.Member != nil && isStandby(spare.Member.Group)
+	if _, loads := round.planner.loading[spare.ID]; loads || onStandby && len(spare.Models) > 0 || len(spare.Models)+len(spare.Staged) == 0 {
 		return
 	}
-	model := spare.Staged[0]
+	model := slices.Concat(spare.Models, spare.Staged)[0]
 	if round.input.Engine.Model(model) == nil {
 		return
 	}
--- a/node/controller.go
+++ b/node/controller.go
@@ -149,6 +149,9 @@
 		actions := planner.Plan(formation.Input{
 			Now: now, Engine: view.Service(id).Engine, Instances: instances, Dead: dead, ProbePending: maps.Clone(controller.probing), Slow: slow, Stalled: controller.stalledGroups(now), Demand: demand, Traffic: node.handler.RequestCount() > 0,
 		})
+		for _, formation := range planner.Doubtful() {
+			controller.suspects[formation] = now
+		}
 		loading := planner.Loading()
 		if usageDue {
 			controller.logUsage(planner)
