--- a/formation/planner.go
+++ b/formation/planner.go
@@ -156,7 +156,7 @@
 type formingGroup struct {
 	epoch         uint64
 	model         shedkeel.ModelID
-	members       []shedkeel.InstanceID        // by rank, the head first
+	members       []shedkeel.InstanceID // by rank, the head first
 	began         time.Duration
 	doubtedAt     time.Duration                // when Doubtful last returned it; 0: never
 	headConfirmed bool                         // the head has confirmed its join order or is listed as joined; the others may be ordered to join
