serve, engine: bytes that are no answer are bounded at each place that reads from a server

What callers saw: a server that sends bytes without end in place of an answer held its request until the deadline, and this process read 10 MiB of a head, 32 MiB of a body without a stated length (1 MiB of them counted), and blank lines or comments in place of events for ever. Cause: the default bound of net/http for heads; a body without a length reserved a fixed part of the memory for unread answers; events without data counted as progress, so neither a bound nor the stall detection ended them. Change: heads of 64 KiB at most; answers without a length reserve what they take, and are given up once nothing is left; 64 KiB at most of a stream without data, which is no sign of life; events of 256 KiB at most (1 MiB before). The attempt fails, counts against the server, and its connection is closed.

--- a/engine/client.go
+++ b/engine/client.go
@@ -90,6 +90,6 @@
 func NewControl(timeout time.Duration) *Control {
 	return &Control{Client: &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: MaxHeadBytes},
 	}}
 }
--- a/engine/event.go
+++ b/engine/event.go
@@ -7,10 +7,10 @@
 	"io"
 )
 
-// maxEventBytes limits one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits one event of a stream. Each attempt of a stream holds an event while it is read.
+const maxEventBytes = 256 << 10
 
-// ErrEventTooLong is returned for an event of a stream that is longer than 1 MiB.
+// ErrEventTooLong is returned for an event of a stream that is longer than 256 KiB.
 var ErrEventTooLong = errors.New("an event of the stream is too long")
 
 // ReadEvent reads the next server-sent event of a stream, with the blank line that
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -21,6 +21,9 @@
 	// unreachableRetryAfter is the RetryAfter of the NotRunError for a request of which
 	// no byte was written.
 	unreachableRetryAfter = time.Second
+	// MaxHeadBytes is the longest head of an answer that is read, over all its interim answers. A
+	// longer one is no answer: it is given up, and its connection closed.
+	MaxHeadBytes = 64 << 10
 )
 
 // errConnSealed is the error of a write to a connection after seal.
@@ -75,6 +78,8 @@
 		IdleConnTimeout:     idle,
 		WriteBufferSize:     32 << 10,
 		ReadBufferSize:      32 << 10,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 	transport.relayed = transport.shared.Clone()
 	transport.fresh = transport.shared.Clone()
--- a/program/keeper.go
+++ b/program/keeper.go
@@ -45,7 +45,7 @@
 	values := metrics.New("shedkeel_keeper")
 	defer values.Close()
 	timing := daemon.settings.Timing
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: engine.MaxHeadBytes}}
 	process := &keeper.Keeper{
 		Settings: daemon.settings,
 		Store:    &platform.Store{Address: daemon.settings.Platform.Store, Timeout: time.Duration(timing.StoreCall), Client: client},
--- a/serve/reader.go
+++ b/serve/reader.go
@@ -16,8 +16,7 @@
 // handles many callers that read slowly at the same time, on a box with little memory.
 //
 // The total may exceed Limit by one event for each attempt of a stream, by answers of up to
-// smallAnswerBytes, and by the part of an answer that exceeds Limit/2 or, if its length is not
-// stated, unstatedAnswerBytes. The zero value is ready for use. It is safe for concurrent use.
+// smallAnswerBytes, and by the part of an answer with a stated length that exceeds Limit/2. The zero value is ready for use. It is safe for concurrent use.
 type ReaderBudget struct {
 	Limit int64 // in bytes; 0: no bound. Set before use.
 
@@ -67,6 +66,19 @@
 	return unread.reserve(ctx, &readerWaiter{owner: unread, size: size}, beforeWait)
 }
 
+// reserveMore reserves further bytes for an answer that is being read, if they fit, and returns whether
+// they do.
+func (unread *unreadBytes) reserveMore(size int64) bool {
+	budget := unread.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if !unread.ended && !budget.fits(size) {
+		return false
+	}
+	budget.add(unread, 0, size)
+	return true
+}
+
 // reserve waits for the waiter's reservation without holding the mutex, and returns its size.
 func (unread *unreadBytes) reserve(ctx context.Context, waiter *readerWaiter, beforeWait func()) (int64, error) {
 	budget := unread.budget
--- a/serve/send.go
+++ b/serve/send.go
@@ -333,7 +333,11 @@
 	}
 	defer func() { exchange.unread.keep(reserved, int64(body.Len())) }()
 	body.Grow(int(size) - body.Len() + bytes.MinRead) // ReadFrom would double the buffer until it fits
-	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxAnswerBytes+1-int64(body.Len()))); err != nil {
+	answer := io.LimitReader(response.Body, maxAnswerBytes+1-int64(body.Len()))
+	if response.ContentLength < 0 {
+		answer = &reservingReader{reader: answer, unread: &exchange.unread, reserved: &reserved, read: int64(body.Len())}
+	}
+	if _, err := body.ReadFrom(answer); err != nil {
 		body.Reset()
 		return nil, &shedkeel.UnknownRunError{Reason: "the answer broke off", Cause: err}
 	}
@@ -347,6 +351,31 @@
 // errAnswerTooLong is the UnknownRunError for an answer that is longer than maxAnswerBytes.
 var errAnswerTooLong = &shedkeel.UnknownRunError{Reason: "the answer is too long to be held", Cause: errIncomplete}
 
+// reservingReader reads an answer without a stated length, and reserves more of the budget as it grows.
+// It returns errBudgetUsedUp if the budget has no more: the answer may have no end.
+type reservingReader struct {
+	reader   io.Reader
+	unread   *unreadBytes
+	reserved *int64 // bytes reserved for the answer
+	read     int64  // bytes of the answer that were read
+}
+
+// errBudgetUsedUp reports that an answer without a stated length takes up what ReaderBudget allows.
+var errBudgetUsedUp = errors.New("the answer states no length and is too long for the memory that is left")
+
+// Read reads from the answer.
+func (reader *reservingReader) Read(buffer []byte) (int, error) {
+	count, err := reader.reader.Read(buffer)
+	reader.read += int64(count)
+	for reader.read > *reader.reserved {
+		if !reader.unread.reserveMore(unstatedAnswerBytes) {
+			return count, errBudgetUsedUp
+		}
+		*reader.reserved += unstatedAnswerBytes
+	}
+	return count, err
+}
+
 // unstatedAnswerBytes is the size that is reserved for an answer without a stated length that is
 // longer than smallAnswerBytes.
 const unstatedAnswerBytes = 1 << 20
--- a/serve/source.go
+++ b/serve/source.go
@@ -18,6 +18,13 @@
 // readBufferBytes is the size of a stream's read buffer.
 const readBufferBytes = 4 << 10
 
+// maxDatalessBytes is how many bytes in a row of events without data, such as comments, a server may
+// send. Clients don't see such events, so that a stream of nothing else is no answer.
+const maxDatalessBytes = 64 << 10
+
+// errDataless reports that a server sent more than maxDatalessBytes.
+var errDataless = errors.New("the server sends a stream without data")
+
 // source is one attempt of a stream: the request to one server and the events that the
 // server sends. A source stalls when its server is reported on choice.Stalled as having sent
 // nothing for longer than expected.
@@ -98,7 +105,7 @@
 		return &statusError{response: response}
 	}
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
-	events := 0
+	events, dataless := 0, int64(0)
 	for size := int64(0); ; {
 		reserved, err := stream.unread.reserveEvent(source.context, size)
 		if err != nil {
@@ -114,9 +121,17 @@
 			return err
 		}
 		events++
-		source.choice.RecordResponse(stream.handler.Timers.Now())
+		data := hasData(message)
+		if dataless += size; data {
+			dataless = 0
+			source.choice.RecordResponse(stream.handler.Timers.Now())
+		}
+		if dataless > maxDatalessBytes {
+			stream.unread.release(size)
+			return errDataless
+		}
 		number, id := eventID(message)
-		if !source.deliver(update{source: source, event: message, number: number, id: id, hasData: hasData(message)}) {
+		if !source.deliver(update{source: source, event: message, number: number, id: id, hasData: data}) {
 			stream.unread.release(size)
 			return source.context.Err()
 		}
