planner: losses alone move no groups for 20 s, and extra groups leave a short model's servers

A free server whose record states what it has loaded was ordered on standby (TestSlowMembersAreReplaced). Change: a model with its fair share forms no further group where another one lacks one, but in domains without groups; an imbalance that is due to losses alone has to last replacementTime; only servers that report no model go on standby from no group; one group of each model (not one group) keeps its own weights in every second domain.

--- a/formation/form.go
+++ b/formation/form.go
@@ -205,8 +205,8 @@
 
 // nextGroup returns, of the models for which domainFor finds a domain, the one that needs another
 // group most, and that domain; models without a group come before all others. The model is nil if there is none. The donor of a reallocation gets
-// no group beyond minGroups. A model with minGroups whose need is below minNeedRatio gets groups
-// only in domains without groups.
+// no group beyond minGroups. A model with minGroups whose need is below minNeedRatio, or that
+// takesFrom another one, gets groups only in domains without groups.
 func (round *round) nextGroup(counts map[shedkeel.ModelID]int, pick picker) (*shedkeel.Model, shedkeel.DomainID) {
 	var best *shedkeel.Model
 	var bestDomain shedkeel.DomainID
@@ -221,7 +221,8 @@
 		if model.ID == round.donor && counts[model.ID] >= minGroups {
 			continue
 		}
-		domain, found := round.domainFor(model, pick, round.lacksGroups(model, counts), counts[model.ID] >= minGroups && need < minNeedRatio*highestNeed)
+		onlyEmpty := counts[model.ID] >= minGroups && (need < minNeedRatio*highestNeed || round.takesFrom(model, counts))
+		domain, found := round.domainFor(model, pick, round.lacksGroups(model, counts), onlyEmpty)
 		if !found {
 			continue
 		}
@@ -233,6 +234,17 @@
 	return best, bestDomain
 }
 
+// takesFrom reports whether a further group of a model that has its fair share would use servers of
+// another model, which lacks a group or more of its own. Their replacements would find them in use.
+func (round *round) takesFrom(model *shedkeel.Model, counts map[shedkeel.ModelID]int) bool {
+	if !round.input.Traffic || float64(counts[model.ID]) < round.fairShare(model) {
+		return false
+	}
+	return slices.ContainsFunc(round.input.Engine.Models, func(other shedkeel.Model) bool {
+		return other.ID != model.ID && float64(counts[other.ID]) <= round.fairShare(&other)-1
+	})
+}
+
 // groupNeed returns how much a model needs another group: its work (groupWork) per active or
 // forming group. The 0.5 keeps the result finite for a model without groups.
 func (round *round) groupNeed(model *shedkeel.Model, counts map[shedkeel.ModelID]int) float64 {
--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -21,6 +21,9 @@
 	excessGroups = 1.5
 	// imbalanceTime is how long an imbalance must have lasted before a group is released.
 	imbalanceTime = 3 * time.Second
+	// replacementTime is how long an imbalance must have lasted instead if the recipient has only
+	// lost groups: lost servers restart or are replaced within that time.
+	replacementTime = 20 * time.Second
 	// reallocationPause is the minimum time from the end of a reallocation to the start of
 	// the next one, so that the effect of the former is visible.
 	reallocationPause = 6 * time.Second
@@ -86,7 +89,7 @@
 
 // beginReallocations starts as many reallocations as restore the balance, mayPrefetch allows
 // and groupToRelease finds groups for. It starts them only under traffic, once the models
-// have been imbalanced for imbalanceTime and the last reallocation ended at least
+// have been imbalanced for imbalanceTime or replacementTime and the last reallocation ended at least
 // reallocationPause ago. It changes counts to the numbers of groups after all reallocations.
 func (round *round) beginReallocations(counts map[shedkeel.ModelID]int) {
 	planner := round.planner
@@ -105,7 +108,11 @@
 	if planner.imbalanceSince == 0 {
 		planner.imbalanceSince = round.input.Now
 	}
-	if round.input.Now-planner.imbalanceSince < imbalanceTime || planner.lastReallocation > 0 && round.input.Now-planner.lastReallocation < reallocationPause {
+	lasting := imbalanceTime
+	if !round.demandIsRaised(to) {
+		lasting = replacementTime
+	}
+	if round.input.Now-planner.imbalanceSince < lasting || planner.lastReallocation > 0 && round.input.Now-planner.lastReallocation < reallocationPause {
 		return
 	}
 	for to != nil && round.mayPrefetch() {
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -72,18 +72,20 @@
 // weights on their hosts save a load of 12 to 16 s when that model's demand exceeds its configured
 // share, when it has lost its groups, or when the survivors of a lost group are too few for their own
 // model. Before traffic starts, a load takes a tenth of the time. In a domain that keepsOwnWeights, it
-// leaves out one group.
+// leaves out one group of each model.
 func (round *round) expendableMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
-	excepted := !round.keepsOwnWeights(domain)
+	keeps := round.keepsOwnWeights(domain)
+	excepted := map[shedkeel.ModelID]bool{}
 	for _, group := range round.groups {
 		if group.domain != domain || !round.isExpendable(group) {
 			continue
 		}
-		if excepted {
-			found = append(found, group.members...)
+		if keeps && !excepted[group.model.ID] {
+			excepted[group.model.ID] = true
+			continue
 		}
-		excepted = true
+		found = append(found, group.members...)
 	}
 	return found
 }
@@ -93,7 +95,7 @@
 	return group.headState() == shedkeel.MemberOpen && !slices.Contains(group.members, nil)
 }
 
-// keepsOwnWeights reports whether the hosts of one group of the domain keep their own model's
+// keepsOwnWeights reports whether the hosts of one group of each model of the domain keep their own
 // weights, so that it can be formed without a load if all servers of the domain restart. Every second
 // domain with groups does, or the only one: the servers of the others can all work for another model
 // without a load.
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -32,8 +32,7 @@
 // does nothing if the spare is on standby, if the host is loading weights or has none, if the engine
 // has no such model, or if the spare was given this order within standbyRetryInterval.
 func (round *round) orderStandby(spare *shedkeel.Instance) {
-	onStandby := spare.Member != nil && isStandby(spare.Member.Group)
-	if _, loads := round.planner.loading[spare.ID]; loads || onStandby && len(spare.Models) > 0 || len(spare.Models)+len(spare.Staged) == 0 {
+	if _, loads := round.planner.loading[spare.ID]; loads || round.isWarm(spare) || len(spare.Models)+len(spare.Staged) == 0 {
 		return
 	}
 	model := slices.Concat(spare.Models, spare.Staged)[0]
@@ -49,3 +48,12 @@
 		Model: model, Members: []shedkeel.InstanceID{spare.ID},
 	}, "a spare warms up ahead of need")
 }
+
+// isWarm reports whether a spare is on standby, or is in no group and reports itself what it has
+// loaded.
+func (round *round) isWarm(spare *shedkeel.Instance) bool {
+	if spare.Member == nil {
+		return len(spare.Models) > 0 && round.planner.loadedModel[spare.ID] == ""
+	}
+	return isStandby(spare.Member.Group) && len(spare.Models) > 0
+}
