planner: whether a group serves is computed once a plan

Cause: the status of each model, computed in each plan (every 50 ms), asked for each member of each group whether its group serves, which reads all members of that group, and did so again for each model, though the held servers are the same for all. Each plan also copied the list of servers, though a copy is needed only where a server has left its group. Decisions stay as they were.

--- a/formation/form.go
+++ b/formation/form.go
@@ -181,7 +181,7 @@
 	counts := map[shedkeel.ModelID]int{}
 	names := map[shedkeel.GroupID]bool{}
 	for _, group := range round.groups {
-		if round.serves(group) || round.isWhole(group) {
+		if group.serving || round.isWhole(group) {
 			names[group.id] = true
 		}
 	}
@@ -200,13 +200,13 @@
 	if group.model == nil || len(group.members) == 0 || group.headState() == shedkeel.MemberBroken || round.headHasEnded(group.assignment()) {
 		return false
 	}
-	return !slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool { return member == nil || round.input.Dead[member.ID] })
+	return round.isIntact(group)
 }
 
 // nextGroup returns, of the models for which domainFor finds a domain, the one that needs another
-// group most, and that domain; models without a group come before all others. The model is nil if there is none. The donor of a reallocation gets
-// no group beyond minGroups. A model with minGroups whose need is below minNeedRatio, or that
-// takesFrom another one, gets groups only in domains without groups.
+// group most, models without a group first, and that domain. The model is nil if there is none. The
+// donor of a reallocation gets no group beyond minGroups. A model with minGroups whose need is below
+// minNeedRatio, or that takesFrom another one, gets groups only in domains without groups.
 func (round *round) nextGroup(counts map[shedkeel.ModelID]int, pick picker) (*shedkeel.Model, shedkeel.DomainID) {
 	var best *shedkeel.Model
 	var bestDomain shedkeel.DomainID
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -171,11 +171,12 @@
 
 // Plan returns the orders to send now.
 func (planner *Planner) Plan(input Input) []Action {
-	input.Instances = slices.Clone(input.Instances)
 	planner.update(input)
+	input.Instances = planner.restoreModels(input.Instances)
 	round := &round{planner: planner, input: input, byID: map[shedkeel.InstanceID]*shedkeel.Instance{}, reserved: map[shedkeel.InstanceID]bool{}, inForming: map[shedkeel.InstanceID]bool{}, waits: map[waitKey]Wait{}}
 	round.shares = workShares(input.Engine, input.Demand)
 	round.indexInstances()
+	maps.DeleteFunc(planner.loadedModel, func(id shedkeel.InstanceID, _ shedkeel.ModelID) bool { return round.byID[id] == nil })
 	round.observeGroups()
 	round.continueForming()
 	round.reconcileGroups()
@@ -333,31 +334,32 @@
 			delete(planner.loading, instance.ID)
 		}
 	}
-	planner.recordLoadedModels(input.Instances)
 	maps.DeleteFunc(planner.loading, func(_ shedkeel.InstanceID, loading loading) bool { return input.Now >= loading.deadline })
 	maps.DeleteFunc(planner.reservedUntil, func(_ shedkeel.InstanceID, until time.Duration) bool { return input.Now >= until })
 	planner.loadStarts = slices.DeleteFunc(planner.loadStarts, func(at time.Duration) bool { return input.Now-at > loadWindow })
 	planner.expire(input.Now)
 }
 
-// recordLoadedModels records which model each server has loaded. A server that has left its group
-// reports none, but joins a group of the same model without a load or a warm-up, so its Models are set
-// to that model.
-func (planner *Planner) recordLoadedModels(instances []shedkeel.Instance) {
-	listed := map[shedkeel.InstanceID]bool{}
-	for index := range instances {
-		instance := &instances[index]
-		listed[instance.ID] = true
+// restoreModels records which model each server has loaded, and returns the instances with the Models
+// of servers that have left their group set to it. Such a server reports none, but joins a group of that
+// model without a load or a warm-up. The given instances stay as they are.
+func (planner *Planner) restoreModels(instances []shedkeel.Instance) []shedkeel.Instance {
+	restored := instances
+	for index, instance := range instances {
+		loaded := planner.loadedModel[instance.ID]
 		switch {
 		case instance.Member != nil && instance.Member.State != shedkeel.MemberJoining:
 			planner.loadedModel[instance.ID] = formationModel(instance.Member.Group)
 		case instance.Member != nil:
 			delete(planner.loadedModel, instance.ID)
-		case len(instance.Models) == 0 && planner.loadedModel[instance.ID] != "":
-			instance.Models = []shedkeel.ModelID{planner.loadedModel[instance.ID]}
+		case len(instance.Models) == 0 && loaded != "":
+			if &restored[0] == &instances[0] {
+				restored = slices.Clone(instances)
+			}
+			restored[index].Models = []shedkeel.ModelID{loaded}
 		}
 	}
-	maps.DeleteFunc(planner.loadedModel, func(id shedkeel.InstanceID, _ shedkeel.ModelID) bool { return !listed[id] })
+	return restored
 }
 
 // expire removes the state of orders that are older than retentionTime, of unanswered joins
--- a/formation/repair.go
+++ b/formation/repair.go
@@ -128,11 +128,8 @@
 // (inActiveGroup).
 func (round *round) reconcile(group *observedGroup) {
 	assignment := group.assignment()
-	intact, draining := true, false
-	for _, member := range group.members {
-		intact = intact && member != nil && !round.input.Dead[member.ID]
-		draining = draining || member != nil && member.Draining
-	}
+	intact := round.isIntact(group)
+	draining := slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool { return member != nil && member.Draining })
 	if intact {
 		delete(round.planner.memberUnlistedSince, assignment)
 	}
@@ -175,6 +172,11 @@
 	}
 }
 
+// isIntact reports whether all members of a group are listed and not dead.
+func (round *round) isIntact(group *observedGroup) bool {
+	return !slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool { return member == nil || round.input.Dead[member.ID] })
+}
+
 // hasProbePending reports whether a liveness probe of a member is pending. Servers that share a
 // fault are lost together, but their probes time out one after the other: a group formed again at
 // the first result can include other lost servers, and waits 0.3 to 3 s for them.
--- a/formation/round.go
+++ b/formation/round.go
@@ -59,6 +59,7 @@
 	// members holds the members by rank. An element is nil if the member is not listed in this
 	// epoch. The slice is nil if the engine does not have the model or no rank is valid.
 	members []*shedkeel.Instance
+	serving bool // see serves
 }
 
 // head returns the member of rank 0, or nil if it is not listed.
@@ -125,6 +126,9 @@
 		}
 		group.members[instance.Member.Rank] = instance
 	}
+	for _, group := range round.groups {
+		group.serving = round.serves(group)
+	}
 	slices.SortFunc(round.groups, func(a, b *observedGroup) int { return cmp.Compare(a.id, b.id) })
 }
 
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -68,11 +68,9 @@
 	}
 }
 
-// expendableMembers returns the members of a domain's open, fully listed groups. Another model's
-// weights on their hosts save a load of 12 to 16 s when that model's demand exceeds its configured
-// share, when it has lost its groups, or when the survivors of a lost group are too few for their own
-// model. Before traffic starts, a load takes a tenth of the time. In a domain that keepsOwnWeights, it
-// leaves out one group of each model.
+// expendableMembers returns the members of a domain's open, fully listed groups, but for one group of
+// each model if the domain keepsOwnWeights. With another model's weights on their hosts, they need no
+// load to work for it. Before traffic starts, a load takes a tenth of the time.
 func (round *round) expendableMembers(domain shedkeel.DomainID) []*shedkeel.Instance {
 	var found []*shedkeel.Instance
 	keeps := round.keepsOwnWeights(domain)
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -26,11 +26,10 @@
 	}
 }
 
-// orderStandby orders a spare to go on standby for the model that it has loaded, or else for the first
-// model on its host. A server that is still listed in a lost group, or has left its group, goes on
-// standby too: its record then shows to the next planner that it is free, and what it has loaded. It
-// does nothing if the spare is on standby, if the host is loading weights or has none, if the engine
-// has no such model, or if the spare was given this order within standbyRetryInterval.
+// orderStandby orders a spare that is not warm to go on standby for the model that it has loaded, or
+// else for the first one on its host, unless the host is loading weights. For a server of a lost group,
+// this shows to the next planner that it is free, and what it has loaded. The order is repeated after
+// standbyRetryInterval.
 func (round *round) orderStandby(spare *shedkeel.Instance) {
 	if _, loads := round.planner.loading[spare.ID]; loads || round.isWarm(spare) || len(spare.Models)+len(spare.Staged) == 0 {
 		return
--- a/formation/status.go
+++ b/formation/status.go
@@ -55,8 +55,9 @@
 // recordStatus computes the status of each model. Since and Without are kept from the previous round
 // while the results that they are about stay the same.
 func (round *round) recordStatus() {
+	held := round.countHeld()
 	for index := range round.input.Engine.Models {
-		status := round.modelStatus(&round.input.Engine.Models[index])
+		status := round.modelStatus(&round.input.Engine.Models[index], held)
 		status.Since, status.Without = round.input.Now, round.input.Now
 		if before := round.planner.lastRound.statusOf(status.Model); before != nil {
 			if before.Short() == status.Short() {
@@ -84,11 +85,11 @@
 	return nil
 }
 
-// modelStatus counts the groups of a model.
-func (round *round) modelStatus(model *shedkeel.Model) ModelStatus {
-	status := ModelStatus{Model: model.ID, Wanted: max(int(math.Floor(round.fairShare(model))), 1)}
+// modelStatus counts the groups of a model. held is the result of countHeld.
+func (round *round) modelStatus(model *shedkeel.Model, held int) ModelStatus {
+	status := ModelStatus{Model: model.ID, Held: held, Wanted: max(int(math.Floor(round.fairShare(model))), 1)}
 	for _, group := range round.groups {
-		if group.model == model && round.serves(group) {
+		if group.model == model && group.serving {
 			status.Standing++
 		}
 	}
@@ -98,10 +99,9 @@
 		}
 	}
 	for _, domain := range round.domains {
-		usable, prepared, held := round.countUsable(domain, model)
-		status.Possible += usable / max(model.Size, 1)
-		status.Prepared += prepared / max(model.Size, 1)
-		status.Held += held
+		usable := slices.DeleteFunc(slices.Clone(round.byDomain[domain]), func(instance *shedkeel.Instance) bool { return !round.usable(instance) })
+		status.Possible += len(usable) / max(model.Size, 1)
+		status.Prepared += countPrepared(usable, model.ID) / max(model.Size, 1)
 	}
 	if status.Short() {
 		status.Reason = round.shortageReason(model, &status)
@@ -109,22 +109,16 @@
 	return status
 }
 
-// countUsable returns how many servers of a domain are usable, how many of these have the model's
-// weights, and how many are held in groups that don't serve.
-func (round *round) countUsable(domain shedkeel.DomainID, model *shedkeel.Model) (usable, prepared, held int) {
-	for _, instance := range round.byDomain[domain] {
-		if !round.usable(instance) {
-			continue
-		}
-		usable++
-		if joinCost(instance, model.ID) < costLoad {
-			prepared++
-		}
-		if !IsFree(instance) && !round.inForming[instance.ID] && round.inActiveGroup(instance) && !round.serves(round.groupsByName[instance.Member.Group]) {
+// countHeld counts the usable servers that are held in groups that don't serve.
+func (round *round) countHeld() int {
+	held := 0
+	for index := range round.input.Instances {
+		instance := &round.input.Instances[index]
+		if round.usable(instance) && !IsFree(instance) && !round.inForming[instance.ID] && !round.groupsByName[instance.Member.Group].serving && round.inActiveGroup(instance) {
 			held++
 		}
 	}
-	return usable, prepared, held
+	return held
 }
 
 // shortageReason returns the first reason that applies to a model with fewer groups than it needs.
@@ -148,7 +142,7 @@
 		return ShortageNoServer
 	case status.Held > 0:
 		return ShortageHeld
-	case slices.ContainsFunc(round.domains, func(domain shedkeel.DomainID) bool { return len(round.free(domain)) >= model.Size }):
+	case round.freeServersSuffice(model):
 		return ShortageUnknown
 	}
 	return ShortageServing
--- a/formation/urgent.go
+++ b/formation/urgent.go
@@ -88,7 +88,7 @@
 // false if the domain is too small.
 func (round *round) releaseIn(domain shedkeel.DomainID, donor, to *shedkeel.Model, limit int) (release, bool) {
 	free := round.free(domain)
-	total, prepared := len(free), round.preparedOf(free, to.ID)
+	total, prepared := len(free), countPrepared(free, to.ID)
 	candidates := round.releasable(domain, donor, to)
 	best, possible := release{}, false
 	for count := 0; ; count++ {
@@ -100,7 +100,7 @@
 			return best, possible
 		}
 		total += donor.Size
-		prepared += round.preparedOf(candidates[count].members, to.ID)
+		prepared += countPrepared(candidates[count].members, to.ID)
 	}
 }
 
@@ -109,18 +109,18 @@
 func (round *round) releasable(domain shedkeel.DomainID, donor, to *shedkeel.Model) []*observedGroup {
 	var found []*observedGroup
 	for _, group := range round.groups {
-		if group.domain == domain && group.model == donor && round.serves(group) && !slices.Contains(group.members, nil) {
+		if group.domain == domain && group.model == donor && group.serving && !slices.Contains(group.members, nil) {
 			found = append(found, group)
 		}
 	}
 	slices.SortStableFunc(found, func(a, b *observedGroup) int {
-		return cmp.Compare(round.preparedOf(b.members, to.ID), round.preparedOf(a.members, to.ID))
+		return cmp.Compare(countPrepared(b.members, to.ID), countPrepared(a.members, to.ID))
 	})
 	return found
 }
 
-// preparedOf counts the servers that join a group of the model without a load.
-func (round *round) preparedOf(instances []*shedkeel.Instance, model shedkeel.ModelID) int {
+// countPrepared counts the servers that join a group of the model without a load.
+func countPrepared(instances []*shedkeel.Instance, model shedkeel.ModelID) int {
 	count := 0
 	for _, instance := range instances {
 		if joinCost(instance, model) < costLoad {
@@ -171,7 +171,7 @@
 	for _, group := range groups {
 		members = append(members, group.members...)
 	}
-	lacking := to.Size - round.preparedOf(members, to.ID)
+	lacking := to.Size - countPrepared(members, to.ID)
 	if lacking <= 0 {
 		return false
 	}
--- a/serve/reader.go
+++ b/serve/reader.go
@@ -16,7 +16,8 @@
 // handles many callers that read slowly at the same time, on a box with little memory.
 //
 // The total may exceed Limit by one event for each attempt of a stream, by answers of up to
-// smallAnswerBytes, and by the part of an answer with a stated length that exceeds Limit/2. The zero value is ready for use. It is safe for concurrent use.
+// smallAnswerBytes, and by the part of an answer with a stated length that exceeds Limit/2. The zero
+// value is ready for use. It is safe for concurrent use.
 type ReaderBudget struct {
 	Limit int64 // in bytes; 0: no bound. Set before use.
 
