node: one test leader for the tests of waits and of models

Cause: both tests set up the same leading node, planner and log; the backend of endless answers had a field with one value. Change: newTestLeader serves both; the field is gone. No assertion changes.

--- a/node/models_test.go
+++ b/node/models_test.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"bytes"
-	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/formation"
 )
 
@@ -18,13 +15,8 @@
 // once that no group serves, and why, log it again when due, and log how long it lasted. Only a leader
 // has a status of the model.
 func TestModelWithoutGroupIsReported(t *testing.T) {
-	node, timers := newTestNode(t)
-	var lines bytes.Buffer
-	node.Log = &event.Log{Logger: slog.New(slog.NewJSONHandler(&lines, nil))}
+	node, timers, planner, lines := newTestLeader(t)
 	controller := &node.controller
-	controller.leads = true
-	planner := &formation.Planner{NextEpoch: func() uint64 { return 9 }} // above the group's epoch
-	controller.planners["s"] = planner
 	member := func(id string, rank int, state shedkeel.MemberState) shedkeel.Instance {
 		return shedkeel.Instance{ID: shedkeel.InstanceID(id), Domain: "d", Member: &shedkeel.Membership{Group: "m/d/1", Epoch: 7, Rank: rank, State: state}}
 	}
--- a/node/testnode_test.go
+++ b/node/testnode_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -12,6 +14,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/formation"
 	"shedkeel.org/shedkeel/timer"
 	"shedkeel.org/shedkeel/wire"
 )
@@ -45,6 +48,19 @@
 	return node, timers
 }
 
+// newTestLeader returns a test node that leads, its clock, its planner of the service "s", whose next
+// epoch is 9, and the lines that it logs.
+func newTestLeader(t *testing.T) (*Node, *timer.Manual, *formation.Planner, *bytes.Buffer) {
+	t.Helper()
+	node, timers := newTestNode(t)
+	lines := &bytes.Buffer{}
+	node.Log = &event.Log{Logger: slog.New(slog.NewJSONHandler(lines, nil))}
+	planner := &formation.Planner{NextEpoch: func() uint64 { return 9 }}
+	node.controller.leads = true
+	node.controller.planners["s"] = planner
+	return node, timers, planner, lines
+}
+
 // newListedNode returns a test node with the ID own that knows the listed nodes. If one of
 // their records has this ID, the node has the capacity that this record states.
 func newListedNode(t *testing.T, own shedkeel.NodeID, listed []nodeRecord) (*Node, *timer.Manual) {
--- a/node/waits_test.go
+++ b/node/waits_test.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"bytes"
-	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
-	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/formation"
 )
 
@@ -19,13 +16,8 @@
 // only when the wait has lasted longer than its bound of 20 s (formation.headTimeout). A node that
 // does not lead must report no waits.
 func TestWaitsAreExplainedAndLogged(t *testing.T) {
-	node, timers := newTestNode(t)
-	var lines bytes.Buffer
-	node.Log = &event.Log{Logger: slog.New(slog.NewJSONHandler(&lines, nil))}
+	node, timers, planner, lines := newTestLeader(t)
 	controller := &node.controller
-	controller.leads = true
-	planner := &formation.Planner{NextEpoch: func() uint64 { return 9 }} // above the group's epoch
-	controller.planners["s"] = planner
 	member := shedkeel.Instance{ID: "b", Domain: "d", Member: &shedkeel.Membership{Group: "m/d/1", Epoch: 7, Rank: 1, State: shedkeel.MemberReady}}
 	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 2, Share: 1}}} // groups of two members
 	plan := func() {
--- a/serve/endless_test.go
+++ b/serve/endless_test.go
@@ -41,14 +41,13 @@
 	*backend
 	first atomic.Bool
 	body  *endlessBody
-	size  int64 // stated length of the body; -1: none
 }
 
 func (backend *endlessBackend) Send(request *http.Request) (*http.Response, error) {
 	response, err := backend.backend.Send(request)
 	if err == nil && !backend.first.Swap(true) {
 		_ = response.Body.Close()
-		response.Body, response.ContentLength, response.TransferEncoding = backend.body, backend.size, []string{"chunked"}
+		response.Body, response.ContentLength, response.TransferEncoding = backend.body, -1, []string{"chunked"}
 	}
 	return response, err
 }
@@ -85,7 +84,7 @@
 			if !strings.HasPrefix(test.path, "/s/") {
 				harness.backend.steps = nil
 			}
-			endless := &endlessBackend{backend: harness.backend, body: &endlessBody{text: test.text}, size: -1}
+			endless := &endlessBackend{backend: harness.backend, body: &endlessBody{text: test.text}}
 			harness.Backend = endless
 			harness.ReaderBudget.Limit = budget
 			got := harness.post(test.path, "body", "Model", "m")
