node: a new lead forgets which models had no group in an earlier one

Cause: becomeLeader makes new planners, but kept the times of the models. Change: both are reset together. TestShortageOfFormerLeadIsForgotten fails before (1 model is kept, 0 wanted).

--- a/node/election.go
+++ b/node/election.go
@@ -282,5 +282,6 @@
 		controller.epochs = 0
 	}
 	controller.planners = map[shedkeel.ServiceID]*formation.Planner{}
+	controller.unavailable = map[modelKey]time.Duration{}
 	controller.node.Log.Write(event.LeadGained, slog.Uint64("term", lead.Term))
 }
--- a/node/models_test.go
+++ b/node/models_test.go
@@ -47,3 +47,13 @@
 	controller.leads = false
 	assert.Equal(t, len(controller.modelDumps(timers.Now())), 0)
 }
+
+// TestShortageOfFormerLeadIsForgotten checks that a node that leads again does not report how long a
+// model has had no group since an earlier term of its own.
+func TestShortageOfFormerLeadIsForgotten(t *testing.T) {
+	node, timers, _ := newListedCandidate(t)
+	node.controller.unavailable[modelKey{"s", "m"}] = timers.Now()
+	elect(t, node, timers)
+	assert.Assert(t, node.controller.leading(timers.Now()))
+	assert.Equal(t, len(node.controller.unavailable), 0)
+}
