--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -39,16 +39,21 @@
 	// late decides whether an order is left unanswered and carried out later. It is called with the
 	// fleet's mutex held. nil: all orders are carried out at once.
 	late func(runner *runner, received order) bool
+	// lost decides whether a runner's write to the store gets no answer and is done so much later. It is
+	// called with the mutex held. nil: all writes are done at once.
+	lost func(runner *runner) (later time.Duration, isLost bool)
 	// onAnswered is called with the mutex held after an order was answered. It may be nil.
 	onAnswered func(runner *runner, received order, status int)
 
-	mutex   sync.Mutex
-	runners []*runner
-	traffic bool // the first request has come: loads take their whole time
-	broken  []string
-	ran     map[string][]time.Time // when plain runners began to run requests, by id
-	orders  int                    // orders received
-	unheard int                    // of these, the ones left unanswered
+	mutex      sync.Mutex
+	runners    []*runner
+	traffic    bool // the first request has come: loads take their whole time
+	broken     []string
+	ran        map[string][]time.Time // when plain runners began to run requests, by id
+	orders     int                    // orders received
+	unheard    int                    // of these, the ones left unanswered
+	writes     int                    // writes of the runners to the store
+	lostWrites int                    // of these, the ones that got no answer
 }
 
 // runner is one model runner.
@@ -152,7 +157,20 @@
 	if err != nil {
 		panic(err)
 	}
-	_, _ = runner.fleet.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: "servers/" + runner.id, Value: value}}})
+	put := shedkeel.Transaction{Put: []shedkeel.Put{{Key: "servers/" + runner.id, Value: value}}}
+	runner.fleet.writes++
+	if runner.fleet.lost != nil {
+		if later, isLost := runner.fleet.lost(runner); isLost {
+			runner.fleet.lostWrites++
+			runner.fleet.record.write("a write of runner %s gets no answer: %s", runner.id, value)
+			time.AfterFunc(later, func() {
+				_, _ = runner.fleet.data.Commit(put)
+				runner.fleet.record.write("the store does this write of runner %s after %s: %s", runner.id, later, value)
+			})
+			return
+		}
+	}
+	_, _ = runner.fleet.data.Commit(put)
 }
 
 // find returns the live runner with the id, or nil. The caller holds the mutex.
--- a/review/_standin2/surplus.go
+++ b/review/_standin2/surplus.go
@@ -34,8 +34,10 @@
 	id, address string
 	faulty      bool
 	slots       chan struct{}
-	answers     int // whole answers sent
-	surplus     int // of these, the ones followed by a second answer
+	events      int           // of a stream
+	pause       time.Duration // between two events
+	answers     int           // whole answers sent
+	surplus     int           // of these, the ones followed by a second answer
 }
 
 // surplusFleet is the set of runners.
@@ -126,8 +128,8 @@
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Shedkeel-Attempt-Id: %s\r\nX-Shedkeel-Response-Seal: %s.%s\r\nContent-Type: text/event-stream\r\n%s\r\n", id, streamer.id, id, framing); err != nil {
 		return false
 	}
-	for number := 1; number <= 8; number++ {
-		time.Sleep(30 * time.Millisecond)
+	for number := 1; number <= streamer.events; number++ {
+		time.Sleep(streamer.pause)
 		event := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", number, number, streamer.id)
 		if chunked {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
@@ -144,12 +146,12 @@
 }
 
 // addStreamer starts a runner and writes its record about every heartbeat_ms.
-func (play *play) addStreamer(fleet *surplusFleet, index int, faulty bool) error {
+func (play *play) addStreamer(fleet *surplusFleet, index, slots, events int, pause time.Duration, faulty bool) error {
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", play.prefix, 100+index))
 	if err != nil {
 		return err
 	}
-	added := &streamer{surplusFleet: fleet, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+index), address: listener.Addr().String(), faulty: faulty, slots: make(chan struct{}, plainSlots)}
+	added := &streamer{surplusFleet: fleet, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+index), address: listener.Addr().String(), faulty: faulty, slots: make(chan struct{}, slots), events: events, pause: pause}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -159,7 +161,7 @@
 			go added.serve(conn)
 		}
 	}()
-	entry, err := json.Marshal(map[string]any{"service": "ruhsat-api", "address": added.address, "zone": "ic-a", "version": "v1", "slots": plainSlots, "state": "ready", "cold_remaining_ms": 0, "seq": 0})
+	entry, err := json.Marshal(map[string]any{"service": "ruhsat-api", "address": added.address, "zone": "ic-a", "version": "v1", "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": 0})
 	if err != nil {
 		return err
 	}
@@ -179,7 +181,7 @@
 	}
 	fleet := &surplusFleet{record: play.record, runs: map[string][]string{}}
 	for index := range 5 {
-		if err := play.addStreamer(fleet, index, play.trouble && index < 3); err != nil {
+		if err := play.addStreamer(fleet, index, plainSlots, 8, 30*time.Millisecond, play.trouble && index < 3); err != nil {
 			return play.fail(err)
 		}
 	}
