--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -81,6 +81,7 @@
 	runs                 int
 	stageUntil           time.Time
 	staging              string
+	nextBeat             time.Time // when it writes its record again
 }
 
 // order is the body of POST /shedkeel/order.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	added := &runner{fleet: fleet, id: id, service: service, address: listener.Addr().String(), zone: "ic-a", domain: domain, staged: staged, listener: listener, cut: make(chan struct{})}
+	added := &runner{fleet: fleet, id: id, service: service, address: listener.Addr().String(), zone: "ic-a", domain: domain, staged: staged, listener: listener, cut: make(chan struct{}), nextBeat: time.Now().Add(heartbeat)}
 	added.server = &http.Server{Handler: added, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = added.server.Serve(listener) }()
 	fleet.mutex.Lock()
@@ -120,16 +121,22 @@
 	return added, nil
 }
 
+// heartbeat is heartbeat_ms.
+const heartbeat = 1200 * time.Millisecond
+
 // heartbeats writes the record about every heartbeat_ms.
 func (runner *runner) heartbeats() {
 	for {
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 		runner.fleet.mutex.Lock()
 		if runner.dead {
 			runner.fleet.mutex.Unlock()
 			return
 		}
-		runner.write()
+		if now := time.Now(); now.After(runner.nextBeat) {
+			runner.nextBeat = now.Add(heartbeat)
+			runner.write()
+		}
 		runner.fleet.mutex.Unlock()
 	}
 }
--- a/review/_standin2/laterecord.go
+++ b/review/_standin2/laterecord.go
@@ -37,6 +37,7 @@
 			}
 			if !told {
 				told = true
+				runner.nextBeat = time.Now().Add(200 * time.Millisecond)
 				return 0, false
 			}
 			chosen = runner.id
@@ -48,15 +49,14 @@
 		if index >= 8 {
 			domain = "d2"
 		}
-		_, err := fleet.add(fmt.Sprintf("i-%08x", 0x7f3a91c0+index+index/10*6), "dil-modeli", fmt.Sprintf("%s%d", play.prefix, 100+index), domain, staged)
+		_, err := fleet.add(fmt.Sprintf("i-%08x", 0x7f3a91c0+index), "dil-modeli", fmt.Sprintf("%s%d", play.prefix, 100+index), domain, staged)
 		return err
 	}
-	for index := range 11 { // a domain of eight, and three runners of another one, whose hosts keep the weights
+	for index := range 10 { // a domain of eight, and two runners of another one, whose hosts keep the weights
 		if err := add(index, "m1"); err != nil {
 			return play.fail(err)
 		}
 	}
-	time.Sleep(500 * time.Millisecond)
 	if err := play.startNodes(3); err != nil {
 		return play.fail(err)
 	}
@@ -69,10 +69,12 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	time.Sleep(700 * time.Millisecond)
-	play.write("a runner is added to the domain d2")
-	if err := add(11, "m1"); err != nil {
-		return play.fail(err)
+	for index := range 2 {
+		time.Sleep(650 * time.Millisecond)
+		play.write("a runner is added to the domain d2")
+		if err := add(10+index, "m1"); err != nil {
+			return play.fail(err)
+		}
 	}
 	time.Sleep(9 * time.Second)
 	var calls sync.WaitGroup
