serve, node: what the retry budget allowed and denied, why and by which path

An on-call engineer could see retries that the budget denied, in all, but not those that it allowed, nor the node's share and by how many nodes it was divided, which is what the hypotheses of the incident differ in. Event 674 says so for each service and second, gauges for each service. Retries that got a connection are counted by reason and path, so what servers receive beyond the first of each request can be compared.

No decision changes.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -103,13 +103,22 @@
 	return fresh
 }
 
-// relayedKey is the context key that WithRelayNotice sets.
-type relayedKey struct{}
+// connNoticeKey is the context key that WithConnNotice sets.
+type connNoticeKey struct{}
 
-// WithRelayNotice returns a context with which Send calls notice once the request gets a
-// connection that goes through another node.
-func WithRelayNotice(ctx context.Context, notice func()) context.Context {
-	return context.WithValue(ctx, relayedKey{}, notice)
+// WithConnNotice returns a context with which Send calls notice each time the request gets a
+// connection, before anything of the request is written to it. relayed states whether the connection
+// goes through another node. The notice may change the request's header.
+func WithConnNotice(ctx context.Context, notice func(relayed bool)) context.Context {
+	return context.WithValue(ctx, connNoticeKey{}, notice)
+}
+
+// NotifyConn calls the notice that WithConnNotice has set, if any. Only implementations of
+// shedkeel.Backend call it.
+func NotifyConn(ctx context.Context, relayed bool) {
+	if notice, ok := ctx.Value(connNoticeKey{}).(func(bool)); ok {
+		notice(relayed)
+	}
 }
 
 // relayable is a connection that may go through another node.
@@ -121,8 +130,7 @@
 // that the request used.
 func (transport *Transport) Send(request *http.Request) (*http.Response, error) {
 	transport.once.Do(transport.init)
-	writes := &requestWrites{}
-	writes.onRelayed, _ = request.Context().Value(relayedKey{}).(func())
+	writes := &requestWrites{context: request.Context()}
 	trace := &httptrace.ClientTrace{GotConn: writes.gotConn}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	request.Body = &nonReplayableBody{reader: request.Body}
@@ -259,7 +267,7 @@
 // requestWrites counts the bytes of one request that were written, over all
 // connections on which net/http tried it.
 type requestWrites struct {
-	onRelayed     func() // see WithRelayNotice; nil: none
+	context       context.Context //nolint:containedctx // its scope is the request
 	mutex         sync.Mutex
 	conns         []*countingConn
 	writtenBefore []int64 // bytes that earlier requests wrote, per connection
@@ -273,9 +281,8 @@
 	if !ok {
 		return
 	}
-	if relayable, known := conn.Conn.(relayable); known && relayable.Relayed() && writes.onRelayed != nil {
-		writes.onRelayed()
-	}
+	relayable, known := conn.Conn.(relayable)
+	NotifyConn(writes.context, known && relayable.Relayed())
 	writes.mutex.Lock()
 	defer writes.mutex.Unlock()
 	writes.conns = append(writes.conns, conn)
--- a/event/event.go
+++ b/event/event.go
@@ -109,6 +109,7 @@
 	ModelGroups           = Event{671, slog.LevelInfo, "replica groups of a model"}
 	ModelUnavailable      = Event{672, slog.LevelWarn, "no replica group of a model serves"}
 	ModelAvailable        = Event{673, slog.LevelInfo, "a replica group of a model serves again"}
+	ServiceRetries        = Event{674, slog.LevelInfo, "retries that the retry budget of a service allowed and denied"}
 	WaitOverdue           = Event{653, slog.LevelWarn, "planner waits for longer than it should"}
 	LoadsWriteFailed      = Event{646, slog.LevelWarn, "loads under way were not written for the next planner"}
 )
@@ -122,7 +123,7 @@
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
 		Answered, Refused, AnswerAborted, AttemptFailed, StreamMoved, ServerEnded, RequestJudged, PartJudged, WokenLate, BlameWriteFailed, LimitChanged, LimitInvalid, ServerUnresponsive, NoticeReceived, BackoffStated, DrainingStated, HeaderInvalid, EvacuationBegun, EvacuationEnded, EvacuationLost, ServersChanged, ServingConfigInForce,
 		NodesChanged, RecordSkipped, OrderSent, LeadGained, LeadLost, MemberDead, MemberAlive, ProbeInconclusive, DomainUsage, PaceChanged, Demand, LeaseRenewalFailed, LoadsWriteFailed, NodeDead, FleetSizeWriteFailed, WaitOverdue, NodeKeptWithoutRecord, NodeStatesChanged, GossipFailed, MirrorSourceChanged, NodesRegistered, DialsFailed, CutOff, CutOffEnded, NoPath, NoPathEnded, ShortageBegun, ShortageEnded, ActivityUnknown, AnswerEndJudged, StreamEventDropped,
-		ModelGroups, ModelUnavailable, ModelAvailable,
+		ModelGroups, ModelUnavailable, ModelAvailable, ServiceRetries,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -117,26 +117,27 @@
 	// DialNode opens connections to other nodes. nil: the operating system does.
 	DialNode func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mirror      mirror.Mirror
-	follower    mirror.Follower
-	table       dispatch.Table
-	handler     serve.Handler
-	fleet       fleet
-	peers       peers
-	member      membership
-	gossip      gossip
-	remover     remover
-	subscribers subscribers
-	registrar   registrar
-	guard       guard
-	wakeups     wakeups
-	limits      limits
-	admissions  admissions
-	controller  controller
-	connector   connector
-	reporter    reachReporter
-	stopping    atomic.Bool
-	goroutines  sync.WaitGroup
+	mirror        mirror.Mirror
+	follower      mirror.Follower
+	table         dispatch.Table
+	handler       serve.Handler
+	fleet         fleet
+	peers         peers
+	member        membership
+	gossip        gossip
+	remover       remover
+	subscribers   subscribers
+	registrar     registrar
+	guard         guard
+	wakeups       wakeups
+	limits        limits
+	admissions    admissions
+	controller    controller
+	connector     connector
+	reporter      reachReporter
+	retryReporter retryReporter
+	stopping      atomic.Bool
+	goroutines    sync.WaitGroup
 }
 
 // Listeners are the sockets that a node serves.
@@ -187,6 +188,7 @@
 	node.member.node = node
 	node.connector.node = node
 	node.reporter.node = node
+	node.retryReporter.node = node
 	if node.Dialer != nil {
 		node.Dialer.Relay = &node.connector
 		node.Dialer.Delays = &node.wakeups.delays
--- a/node/report.go
+++ b/node/report.go
@@ -19,6 +19,7 @@
 	node.reporter.report()
 	node.gossip.logExclusions(node.peers.listed())
 	node.admissions.report(now)
+	node.retryReporter.report(now)
 	if node.Metrics == nil {
 		node.wakeups.report(node.Log, nil)
 		return
@@ -34,6 +35,7 @@
 	node.reportModels(scope, now)
 	scope.Gauge("unread_bytes").Update(float64(node.handler.ReaderBudget.Held()))
 	node.reportLimits(scope)
+	node.retryReporter.export(scope, now)
 	scope.Gauge("zones_evacuated").Update(float64(len(node.fleet.evacuations())))
 	node.reportJudged(scope)
 	for state, count := range node.fleet.groupStates() {
--- a/serve/budget.go
+++ b/serve/budget.go
@@ -36,6 +36,7 @@
 // serviceUsage counts the requests and retries of one service in a ring of budgetSlots slots,
 // which together cover one window.
 type serviceUsage struct {
+	totals   RetryTotals
 	slot     int64 // number of the current slot, counted from time 0
 	requests [budgetSlots]float64
 	retries  [budgetSlots]float64
@@ -58,8 +59,10 @@
 	}
 }
 
-// empty returns empty counts with slot as the current slot.
-func (*serviceUsage) empty(slot int64) serviceUsage { return serviceUsage{slot: slot} }
+// empty returns the totals with empty counts, and slot as the current slot.
+func (usage *serviceUsage) empty(slot int64) serviceUsage {
+	return serviceUsage{slot: slot, totals: usage.totals}
+}
 
 // sum returns the total of all slots.
 func sum(counts [budgetSlots]float64) float64 {
@@ -116,10 +119,13 @@
 	warmup := min(float64(now-budget.StartedAt)/float64(budget.Window), 1)
 	fixedRetries := warmup * budget.FixedRetries / float64(max(nodes, 1))
 	bound := budget.SafetyFactor * (budget.Ratio*sum(usage.requests) + fixedRetries)
+	usage.totals.Share, usage.totals.Nodes = fixedRetries, nodes
 	if sum(usage.retries)+1 > bound+budget.RandomOffset {
+		usage.totals.Denied++
 		return false
 	}
 	usage.retries[usage.slot%budgetSlots]++
+	usage.totals.Allowed++
 	return true
 }
 
@@ -131,4 +137,5 @@
 	usage := budget.usage(service, now)
 	slot := &usage.retries[usage.slot%budgetSlots]
 	*slot = max(*slot-1, 0)
+	usage.totals.Refunded++
 }
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -164,6 +164,7 @@
 	runs            int                                 // attempts that have run or may have run
 	mayHaveRun      bool                                // an attempt that gave the caller no answer may have run
 	attempts        int                                 // attempts that may have reached a server
+	retryReason     RetryReason                         // why the next attempt, if any, is made
 	late            bool                                // requests on time already use onTimeFraction of the model's slots: the request gets latePriority (see admitToModel)
 	answerAttrs     []slog.Attr                         // log attributes of the answer
 	digest          func() shedkeel.RequestDigest       // returns the request's digest; computes it at the first call
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -8,7 +8,6 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/completeness"
-	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
 )
 
@@ -32,18 +31,18 @@
 	var reason error
 	// checkGuard has already allowed the first attempt.
 	for len(exchange.tried) < maxServersTried && ctx.Err() == nil && (len(exchange.tried) == 0 || exchange.guardAllows()) {
-		choice, err := exchange.choose(ctx)
+		attempt, err := exchange.choose(ctx)
 		if err != nil {
 			reason = errors.Join(err, reason)
 			break
 		}
-		answer, err := exchange.tryServer(ctx, choice)
+		answer, err := exchange.tryServer(ctx, attempt)
 		// A 5xx answer is forwarded here if the route is not repeatable or the request is
 		// quarantined. exchange.runs does not count this attempt yet, so the 5xx answer of the
 		// last run that MaxRuns allows is forwarded after the loop.
 		if err == nil && (answer.response.StatusCode < http.StatusInternalServerError || !exchange.mayRetry()) {
 			exchange.reportPlainAnswer(answer.response.StatusCode)
-			exchange.answerAttrs = []slog.Attr{slog.String("server", string(choice.Instance))}
+			exchange.answerAttrs = []slog.Attr{slog.String("server", string(attempt.Instance))}
 			exchange.writeAnswer(answer)
 			return nil
 		}
@@ -51,8 +50,9 @@
 			serverFailure, err = answer, errServerFailed
 		}
 		count(exchange.handler.meter().failedAttempts)
-		exchange.log(event.AttemptFailed, slog.String("server", string(choice.Instance)), slog.String("reason", err.Error()))
+		exchange.log(event.AttemptFailed, slog.String("server", string(attempt.Instance)), slog.String("reason", err.Error()))
 		reason = err
+		exchange.retryReason = retryReasonOf(err)
 		exchange.uncountUnsent(err)
 		var notRun *shedkeel.NotRunError
 		if errors.As(err, &notRun) && notRun.NoPath {
@@ -84,8 +84,9 @@
 // choice. An answer with a 5xx status is not an error, but counts as a failure of the server. An answer
 // that is not known to be complete gives errUnproven.
 // After an error, tryServer checks whether the server has terminated (checkServer).
-func (exchange *exchange) tryServer(ctx context.Context, choice *dispatch.Choice) (bufferedAnswer, error) {
-	response, err := exchange.send(ctx, choice, "") //nolint:bodyclose // readWhole closes it
+func (exchange *exchange) tryServer(ctx context.Context, attempt *attempt) (bufferedAnswer, error) {
+	choice := attempt.Choice
+	response, err := exchange.send(ctx, attempt) //nolint:bodyclose // readWhole closes it
 	if err != nil {
 		choice.End(true, exchange.handler.Timers.Now())
 		exchange.checkServer(ctx, choice, err)
--- a/serve/send.go
+++ b/serve/send.go
@@ -37,7 +37,7 @@
 // server, it charges the retry budget, and returns errNoBudget if the budget allows no retry.
 // Otherwise it applies admitToModel to a request for a model, and may wait for a permit. It
 // refunds the retry if it finds no server.
-func (exchange *exchange) choose(ctx context.Context) (*dispatch.Choice, error) {
+func (exchange *exchange) choose(ctx context.Context) (*attempt, error) {
 	now := exchange.handler.Timers.Now()
 	retry := exchange.attempts > 0
 	if retry && !exchange.handler.Budget.AllowRetry(exchange.service, exchange.handler.RetryBudgetNodes(), now) {
@@ -69,7 +69,11 @@
 		exchange.trial.Placed(choice.Instance)
 	}
 	exchange.attempts++
-	return choice, nil
+	created := &attempt{Choice: choice}
+	if retry {
+		created.retry = exchange.retryReason
+	}
+	return created, nil
 }
 
 // Limits on how far requests may fill a model's slots (see admitToModel).
@@ -170,12 +174,12 @@
 // send sends the request to the chosen server once and checks the head of the answer. The
 // caller of send must close the response's body. The error is a NotRunError if the request did not
 // run at the server, and an UnknownRunError if it may have run.
-func (exchange *exchange) send(ctx context.Context, choice *dispatch.Choice, lastEvent string) (*http.Response, error) {
+func (exchange *exchange) send(ctx context.Context, attempt *attempt) (*http.Response, error) {
 	remaining := exchange.callerDeadline - exchange.handler.Timers.Now()
 	if remaining <= 0 {
 		return nil, &shedkeel.NotRunError{Reason: "the deadline has passed"}
 	}
-	request, err := exchange.newRequest(ctx, choice, remaining, lastEvent)
+	request, err := exchange.newRequest(ctx, attempt, remaining)
 	if err != nil {
 		return nil, &shedkeel.NotRunError{Reason: err.Error()}
 	}
@@ -183,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := exchange.checkAnswer(response, choice); err != nil {
+	if err := exchange.checkAnswer(response, attempt.Choice); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -191,19 +195,18 @@
 }
 
 // newRequest builds the request to the chosen server. The server gets remaining as its
-// deadline and resumes a stream after the event with the ID lastEvent; "" starts the stream
-// from the beginning. Requests that may run at most once are sent over a new connection, as
+// deadline. Requests that may run at most once are sent over a new connection, as
 // are requests for which exchange.freshConnection is set.
-func (exchange *exchange) newRequest(ctx context.Context, choice *dispatch.Choice, remaining time.Duration, lastEvent string) (*http.Request, error) {
+func (exchange *exchange) newRequest(ctx context.Context, attempt *attempt, remaining time.Duration) (*http.Request, error) {
 	if exchange.route.Kind == shedkeel.RequestOnce || exchange.freshConnection.Load() {
 		ctx = engine.WithFreshConnection(ctx)
 	}
-	ctx = engine.WithRelayNotice(ctx, choice.SetRelayed)
-	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+choice.Address+"/", bytes.NewReader(exchange.body))
+	ctx = engine.WithConnNotice(ctx, func(relayed bool) { exchange.recordConn(attempt, relayed) })
+	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+attempt.Address+"/", bytes.NewReader(exchange.body))
 	if err != nil {
 		return nil, err
 	}
-	request.URL = exchange.targetURL(choice.Address)
+	request.URL = exchange.targetURL(attempt.Address)
 	request.Host = exchange.request.Host
 	request.ContentLength = int64(len(exchange.body))
 	request.Header = engine.EndToEndHeaders(exchange.request.Header)
@@ -211,11 +214,11 @@
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "") // net/http would add its own
 	}
-	attempt := shedkeel.Attempt{Call: &exchange.call, Server: choice.Instance, Deadline: remaining, LastEventID: lastEvent, Priority: exchange.priority()}
+	stated := shedkeel.Attempt{Call: &exchange.call, Server: attempt.Instance, Deadline: remaining, LastEventID: attempt.resumeAfter, Priority: exchange.priority()}
 	if exchange.account != nil {
-		attempt.Account = exchange.account.ID
+		stated.Account = exchange.account.ID
 	}
-	exchange.handler.Protocol.Write(request.Header, attempt)
+	exchange.handler.Protocol.Write(request.Header, stated)
 	return request, nil
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -19,6 +19,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
+	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/internal/standin"
 )
 
@@ -104,6 +105,10 @@
 		next, backend.steps = backend.steps[0], backend.steps[1:]
 	}
 	backend.mutex.Unlock()
+	var notRun *shedkeel.NotRunError
+	if !errors.As(next.err, &notRun) {
+		engine.NotifyConn(request.Context(), false)
+	}
 	select {
 	case <-time.After(next.delay):
 	case <-request.Context().Done():
@@ -621,3 +626,28 @@
 	assert.Equal(t, late, int(lateFraction*float64(capacity)))
 	assert.Equal(t, onTime+late+refused, 2*capacity)
 }
+
+// TestRetriesAreCountedByReason checks the reason and path under which a retry is counted once it is sent.
+func TestRetriesAreCountedByReason(t *testing.T) {
+	cases := map[string]struct {
+		first step // how the first server handles the request
+		path  string
+		model string
+		want  RetryKind
+	}{
+		"refused":        {step{status: 503, notRun: true}, "/once/x", "", RetryKind{RetryRefused, PathDirect}},
+		"failed":         {step{status: 500}, "/safe/x", "", RetryKind{RetryFailed, PathDirect}},
+		"broken":         {step{err: errAnswerLost}, "/safe/x", "", RetryKind{RetryBroken, PathDirect}},
+		"stream resumed": {step{events: 4, cutAfter: 2}, "/s/x", "m", RetryKind{RetryBroken, PathResume}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, test.first, step{events: 4})
+			harness.post(test.path, "body", "Model", test.model)
+			found := harness.Budget.Retries(harness.clock.Now())
+			assert.Equal(t, len(found), 1)
+			assert.DeepEqual(t, found[0].Sent, map[RetryKind]int64{test.want: 1})
+			assert.Equal(t, found[0].Allowed, int64(1))
+		})
+	}
+}
--- a/serve/source.go
+++ b/serve/source.go
@@ -29,16 +29,16 @@
 // server sends. A source stalls when its server is reported on choice.Stalled as having sent
 // nothing for longer than expected.
 type source struct {
-	stream      *stream
-	choice      *dispatch.Choice
-	context     context.Context //nolint:containedctx // its scope is this attempt
-	cancel      context.CancelFunc
-	response    *http.Response // nil until send has returned the answer
-	resumeAfter string         // ID of the event after which the server is to resume; "": it starts at the beginning
-	firstAt     time.Duration  // when the source's first event was forwarded; 0: none yet
-	hedged      bool           // a second source was started because this source stalled
-	updates     chan update    // the events and the end; the stream receives them while the source is live
-	dropped     chan struct{}  // closed by stream.drop
+	stream   *stream
+	attempt  *attempt
+	choice   *dispatch.Choice // that of the attempt
+	context  context.Context  //nolint:containedctx // its scope is this attempt
+	cancel   context.CancelFunc
+	response *http.Response // nil until send has returned the answer
+	firstAt  time.Duration  // when the source's first event was forwarded; 0: none yet
+	hedged   bool           // a second source was started because this source stalled
+	updates  chan update    // the events and the end; the stream receives them while the source is live
+	dropped  chan struct{}  // closed by stream.drop
 }
 
 // loop sends the request and delivers each event to the stream, and finally the error with
@@ -95,7 +95,7 @@
 // if the status is not 200.
 func (source *source) read() error {
 	stream := source.stream
-	response, err := stream.send(source.context, source.choice, source.resumeAfter)
+	response, err := stream.send(source.context, source.attempt)
 	if err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 // end returns errStreamEnd if the answer is known to be complete, and otherwise errUnproven. A
 // close-delimited answer without events is complete only if the server was to resume the stream.
 func (source *source) end(response *http.Response, events int) error {
-	noStream := events == 0 && source.resumeAfter == "" && engine.CloseDelimited(source.stream.request.Method, response)
+	noStream := events == 0 && source.attempt.resumeAfter == "" && engine.CloseDelimited(source.stream.request.Method, response)
 	if noStream || source.stream.judgeEnd(source.context, source.choice, response) != completeness.Complete {
 		return errUnproven
 	}
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -126,6 +126,7 @@
 func (stream *stream) hedge(ctx context.Context) {
 	stalled := stream.sources[0]
 	outcome := "begun at another server"
+	stream.retryReason = RetrySilent
 	if err := stream.startSource(ctx); err != nil {
 		outcome = err.Error()
 	} else {
@@ -141,11 +142,12 @@
 // after the event with lastID, or starts at the beginning if there is none. The error is that
 // of choose.
 func (stream *stream) startSource(ctx context.Context) error {
-	choice, err := stream.choose(ctx)
+	attempt, err := stream.choose(ctx)
 	if err != nil {
 		return err
 	}
-	source := &source{stream: stream, choice: choice, resumeAfter: stream.lastID, updates: make(chan update, updateBuffer), dropped: make(chan struct{})}
+	attempt.resumeAfter = stream.lastID
+	source := &source{stream: stream, attempt: attempt, choice: attempt.Choice, updates: make(chan update, updateBuffer), dropped: make(chan struct{})}
 	source.context, source.cancel = context.WithCancel(ctx)
 	stream.sources = append(stream.sources, source)
 	stream.runs++
@@ -235,7 +237,7 @@
 		stream.writeHead(update.source.response, -1)
 	}
 	// A resumed attempt may end before its server does.
-	if update.source.resumeAfter == "" {
+	if update.source.attempt.resumeAfter == "" {
 		stream.reportAnswer()
 		stream.reportHarmless()
 	}
@@ -258,6 +260,7 @@
 // apply, but the guard and maxServersTried do.
 func (stream *stream) failOver(ctx context.Context, update update) {
 	stream.lastErr = update.err
+	stream.retryReason = retryReasonOf(update.err)
 	stream.uncountUnsent(update.err)
 	var notRun *shedkeel.NotRunError
 	if errors.As(update.err, &notRun) {
