--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -37,6 +37,40 @@
 	atMostOnce []string             // unsafe calls, which must run at most once
 	violations []string
 	outcomes   map[string]int
+	sent       []platformstandin.Sent // requests on a route of configText
+}
+
+// retryRules are the bounds that the settings of the nodes state, those of settingsText.
+var retryRules = platformstandin.RetryRules{Ratio: 0.2, Slack: 136, Window: 10 * time.Second}
+
+// callDeadline is the deadline that callers state.
+const callDeadline = 8 * time.Second
+
+// recordSent records a request that is about to be sent, as its route in configText says.
+func (checker *checker) recordSent(path, id string) {
+	sent := platformstandin.Sent{Request: id, Service: "plain", At: time.Now(), Deadline: callDeadline, MaxRuns: 2}
+	switch {
+	case strings.HasPrefix(path, "/copy/"):
+		sent.Service, sent.Stream = "llm", true
+	case strings.HasPrefix(path, "/fee/"):
+		sent.MaxRuns = 1
+	}
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.sent = append(checker.sent, sent)
+}
+
+// checkRetries fails the test if the requests that reached servers exceed one of retryRules. The caller holds the mutex.
+func (checker *checker) checkRetries() {
+	t := checker.cluster.t
+	traffic := platformstandin.Traffic{Sent: checker.sent, Arrivals: checker.cluster.fleet.RequestArrivals()}
+	for _, violation := range retryRules.Check(traffic) {
+		t.Error(violation)
+	}
+	for _, window := range retryRules.WorstWindows(traffic) {
+		t.Logf("worst window of retries, %.2f of its bound: %s", window.Used(), window)
+	}
+	t.Logf("%d requests, %d arrivals, %d of them with over half a second more than remains", len(traffic.Sent), len(traffic.Arrivals), traffic.Overruns())
 }
 
 // keyRemoved records that the API key was removed just now. Its first call creates the
@@ -158,9 +192,10 @@
 		return 0, ""
 	}
 	request.Host = "h.example"
-	for name, value := range map[string]string{"X-Shedkeel-Attempt-Id": id, "X-Shedkeel-Key": key, "X-Shedkeel-Deadline-Ms": "8000", "X-Shedkeel-Model": "m0", "X-Shedkeel-Token-Usage": fmt.Sprint("100,", 5*streamEvents)} {
+	for name, value := range map[string]string{"X-Shedkeel-Attempt-Id": id, "X-Shedkeel-Key": key, "X-Shedkeel-Deadline-Ms": fmt.Sprint(callDeadline.Milliseconds()), "X-Shedkeel-Model": "m0", "X-Shedkeel-Token-Usage": fmt.Sprint("100,", 5*streamEvents)} {
 		request.Header.Set(name, value)
 	}
+	caller.checker.recordSent(path, id)
 	response, err := caller.client.Do(request)
 	if err != nil {
 		return 0, ""
@@ -278,6 +313,7 @@
 	for _, violation := range append(checker.violations, checker.cluster.fleet.Violations()...) {
 		t.Error(violation)
 	}
+	checker.checkRetries()
 	answered := checker.outcomes["/copy/ 200"] + checker.outcomes["/look/ 200"] + checker.outcomes["/fee/ 200"]
 	if answered == 0 {
 		t.Error("no call was answered, so the test checked nothing")
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -20,7 +20,7 @@
 		cluster.killNode, cluster.stopNode, cluster.freezeNode, cluster.degradeStoreLink, cluster.killServer, cluster.degradeServer,
 		cluster.drainServer, cluster.failStore, cluster.replaceKey, cluster.sendHangup, cluster.sendDeadly, cluster.limitServer,
 		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore, cluster.crashServer, cluster.freezeBesideSlowServers,
-		cluster.resizeNode,
+		cluster.resizeNode, cluster.failServers,
 	}
 	if cluster.faultKinds > 0 {
 		kinds = kinds[:cluster.faultKinds]
@@ -149,6 +149,25 @@
 	return fmt.Sprintf("%d groups slow, and froze %s for %s meanwhile", len(slow), node.name, length)
 }
 
+// failServers makes most servers fail a share of their requests for some time, all in the same way.
+func (cluster *cluster) failServers(random *rand.Rand) string {
+	kinds := []platformstandin.FailureKind{platformstandin.FailStatus, platformstandin.FailRefuse, platformstandin.FailReset, platformstandin.FailMixed}
+	failure := platformstandin.Failure{Share: 0.3 + 0.7*random.Float64(), Kind: kinds[random.IntN(len(kinds))]}
+	failing := cluster.fleet.LiveServers()
+	slices.Sort(failing)
+	random.Shuffle(len(failing), func(a, b int) { failing[a], failing[b] = failing[b], failing[a] })
+	failing = failing[:len(failing)*3/4]
+	for _, id := range failing {
+		cluster.fleet.SetFailure(id, failure)
+	}
+	length := between(random, 500, 6000)
+	time.Sleep(length)
+	for _, id := range failing {
+		cluster.fleet.SetFailure(id, platformstandin.Failure{})
+	}
+	return fmt.Sprintf("%d servers fail %.2f of their requests (%s) for %s", len(failing), failure.Share, failure.Kind, length)
+}
+
 // replaceServer adds a server of the service in place of one that ends. Servers of the
 // service llm get a random failure domain.
 func (cluster *cluster) replaceServer(random *rand.Rand, service string) {
@@ -190,6 +209,7 @@
 	length := between(random, 200, 2000)
 	time.Sleep(length)
 	link.set(passing)
+	cluster.fleet.MarkLost(id)
 	cluster.fleet.ForgetServer(id) // requests that the link delayed must not count as violations
 	return fmt.Sprintf("link to %s in mode %d for %s", id, mode, length)
 }
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -31,7 +31,7 @@
 	binary := build(t)
 	for name, signals := range cases {
 		t.Run(name, func(t *testing.T) {
-			cluster := newCluster(t, binary, 1)
+			cluster := newCluster(t, binary, 1, smallFleet())
 			cluster.checker.cluster = cluster
 			cluster.checker.waitServed("before any signal", 20*time.Second)
 			node := cluster.nodes[0]
@@ -63,7 +63,7 @@
 	binary := build(t)
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			cluster := newCluster(t, binary, 2)
+			cluster := newCluster(t, binary, 2, smallFleet())
 			cluster.checker.cluster = cluster
 			cluster.checker.waitServed("before any signal", 20*time.Second)
 			node := cluster.nodes[0]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,7 +63,7 @@
 	}
 	for seed := range selected {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			cluster := newCluster(t, binary, seed)
+			cluster := newCluster(t, binary, seed, smallFleet())
 			cluster.faultKinds = *kinds
 			if former, found := regressions[seed]; found {
 				cluster.faultKinds = former.kinds
@@ -139,9 +139,20 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"shop","api_keys":["stays","key-%d"]}]}`
 
-// newCluster starts the store, 10 servers of llm in two failure domains, 3 of plain, and
-// the nodes. The times of the servers' model are those that configText states.
-func newCluster(t *testing.T, binary string, seed uint64) *cluster {
+// fleetSize is how many processes a cluster has.
+type fleetSize struct {
+	nodes   int
+	engines int // servers of llm
+	domains int // failure domains of these
+	plain   int // servers of plain
+}
+
+// smallFleet returns the size of the fleet that the soak runs.
+func smallFleet() fleetSize { return fleetSize{nodes: *processes, engines: 10, domains: 2, plain: 3} }
+
+// newCluster starts the store, the servers and the nodes. The times of the servers' model are those that
+// configText states.
+func newCluster(t *testing.T, binary string, seed uint64, size fleetSize) *cluster {
 	t.Helper()
 	cluster := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 11)), binary: binary, dir: t.TempDir(),
@@ -155,13 +166,13 @@
 		Models: map[string]platformstandin.Timing{"m0": {Size: 2, Load: 500 * time.Millisecond, Warmup: 200 * time.Millisecond, Rejoin: 50 * time.Millisecond}},
 	}
 	cluster.configure()
-	for index := range 10 {
-		cluster.addServer("llm", fmt.Sprint("rack-", index%2))
+	for index := range size.engines {
+		cluster.addServer("llm", fmt.Sprint("rack-", index%size.domains))
 	}
-	for range 3 {
+	for range size.plain {
 		cluster.addServer("plain", "")
 	}
-	for index := range *processes {
+	for index := range size.nodes {
 		cluster.addNode(index)
 	}
 	return cluster
@@ -264,6 +275,9 @@
 [bounds]
 grace = "6s"
 revoke = "5s"
+retry_ratio = 0.2
+retry_window = "10s"
+retry_slack = 136
 `
 
 // addNode writes the settings of a node and starts it on a loopback address of its own.
