--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,214 @@
+// Package retry bounds how many retries the processes of a fleet send to the servers of a service
+// together. It answers servers that fail or refuse: each process then wants to send most of its
+// requests again, at the same time as all others, and the servers would get several times the load
+// that they already fail to serve.
+//
+// No process asks another one. Each counts its own requests and retries (Budget), and takes its part
+// of what is fixed for the fleet by the list of processes that it knows (Sharing).
+package retry
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// Budget is the retry budget of a process. In each sliding window it allows at most Ratio times the requests in the
+// window plus this process's share of FixedRetries, for each service. Added up over all processes, that is the bound of
+// the fleet. Its methods are safe for concurrent use.
+type Budget struct {
+	Ratio        float64       // retries per request
+	Window       time.Duration // over which requests and retries are counted
+	FixedRetries float64       // retries of all processes together per window, independent of the number of requests
+	// RandomOffset is a random number from 0 to 1, drawn once per process. In large fleets it is added to the bound of the
+	// process, so that the bound rounded down is on average the bound itself. Otherwise no process could retry if there
+	// were more processes than FixedRetries.
+	RandomOffset float64
+
+	mutex    sync.Mutex
+	services map[shedkeel.ServiceID]*usage
+}
+
+// Share is this process's part of FixedRetries.
+type Share struct {
+	Processes int  // that divide FixedRetries evenly, at least 1
+	Held      bool // this process may use its part
+}
+
+// maxRoundedProcesses is the largest number of processes of which each rounds its bound down. The fleet
+// loses half a retry a process by that. In larger fleets, where that is more than the reserve for the
+// spread of RandomOffset, each process adds RandomOffset.
+const maxRoundedProcesses = 16
+
+// spreadReserve is by how many square roots of the number of processes FixedRetries is reduced in large fleets. The
+// sum of that many random offsets has a standard deviation of at most half their square root, so the bound is four
+// standard deviations above the mean.
+const spreadReserve = 2
+
+// Fixed returns how many retries per window the share allows.
+func (budget *Budget) Fixed(share Share) float64 {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.fixed(share)
+}
+
+// fixed is Fixed for callers that hold the mutex.
+func (budget *Budget) fixed(share Share) float64 {
+	processes := float64(max(share.Processes, 1))
+	switch {
+	case !share.Held:
+		return 0
+	case share.Processes <= maxRoundedProcesses:
+		return budget.FixedRetries / processes
+	}
+	return max(budget.FixedRetries-spreadReserve*math.Sqrt(processes), 0) / processes
+}
+
+// offset returns what is added to the bound before it is rounded down.
+func (budget *Budget) offset(share Share) float64 {
+	if share.Processes <= maxRoundedProcesses {
+		return 0
+	}
+	return budget.RandomOffset
+}
+
+// windowSlots is the number of slots into which a window is divided.
+const windowSlots = 100
+
+// ringSlots is the number of slots that are kept: a window that ends in a slot begins within another one.
+const ringSlots = windowSlots + 1
+
+// usage counts the requests and retries of one service in the latest ringSlots slots.
+type usage struct {
+	slot     int64 // number of the current slot, counted from time 0
+	requests [ringSlots]int
+	retries  [ringSlots]int
+	totals   Totals
+}
+
+// advance makes slot the current one and clears the slots that it replaces. It does nothing if slot is not later.
+func (usage *usage) advance(slot int64) {
+	for cleared := max(usage.slot+1, slot-ringSlots+1); cleared <= slot; cleared++ {
+		usage.requests[cleared%ringSlots] = 0
+		usage.retries[cleared%ringSlots] = 0
+	}
+	usage.slot = max(usage.slot, slot)
+}
+
+// allows reports whether one more retry now keeps every window that begins in one of the slots and ends now: it has at most
+// fixed retries more than ratio times its requests. A window that begins within a slot may have all retries of that
+// slot and none of its requests.
+func (usage *usage) allows(ratio, fixed float64) bool {
+	retries, requests := 1, 0
+	for age := range int64(ringSlots) {
+		index := (usage.slot - age + ringSlots*2) % ringSlots
+		retries += usage.retries[index]
+		if float64(retries) > ratio*float64(requests)+fixed {
+			return false
+		}
+		requests += usage.requests[index]
+	}
+	return true
+}
+
+// slotAt returns the number of the slot of a time.
+func (budget *Budget) slotAt(now time.Duration) int64 {
+	return int64(now / (budget.Window / windowSlots))
+}
+
+// usage returns the counts of the service, advanced to now. The caller holds the mutex.
+func (budget *Budget) usage(service shedkeel.ServiceID, now time.Duration) *usage {
+	if budget.services == nil {
+		budget.services = map[shedkeel.ServiceID]*usage{}
+	}
+	found := budget.services[service]
+	if found == nil {
+		found = &usage{slot: budget.slotAt(now)}
+		budget.services[service] = found
+	}
+	found.advance(budget.slotAt(now))
+	return found
+}
+
+// Set changes Ratio, Window and FixedRetries. If the window changes, all retries that still count do so as if they were
+// made now, and no requests count.
+func (budget *Budget) Set(ratio float64, window time.Duration, fixedRetries float64, now time.Duration) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.Ratio = ratio
+	budget.FixedRetries = fixedRetries
+	if window == budget.Window {
+		return
+	}
+	budget.Window = window
+	for service, former := range budget.services {
+		moved := &usage{slot: budget.slotAt(now), totals: former.totals}
+		for _, count := range former.retries {
+			moved.retries[moved.slot%ringSlots] += count
+		}
+		budget.services[service] = moved
+	}
+}
+
+// CountRequest counts a request for the service. The caller must call it once for each request,
+// however many attempts are made.
+func (budget *Budget) CountRequest(service shedkeel.ServiceID, now time.Duration) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	usage := budget.usage(service, now)
+	usage.requests[usage.slot%ringSlots]++
+}
+
+// Charge is a retry that was allowed.
+type Charge struct {
+	service shedkeel.ServiceID
+	slot    int64 // in which it counts
+}
+
+// Allow reports whether a request may be retried now, and charges the retry if so.
+func (budget *Budget) Allow(service shedkeel.ServiceID, share Share, now time.Duration) (Charge, bool) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	usage := budget.usage(service, now)
+	fixed := budget.fixed(share)
+	usage.totals.Share, usage.totals.Processes = fixed, share.Processes
+	if !usage.allows(budget.Ratio, fixed+budget.offset(share)) {
+		usage.totals.Denied++
+		return Charge{}, false
+	}
+	usage.retries[usage.slot%ringSlots]++
+	usage.totals.Allowed++
+	return Charge{service: service, slot: usage.slot}, true
+}
+
+// Refund takes back a charge, because nothing was sent to any server.
+func (budget *Budget) Refund(charge Charge, now time.Duration) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	usage := budget.usage(charge.service, now)
+	usage.uncharge(charge)
+	usage.totals.Refunded++
+}
+
+// uncharge removes a charge that still counts.
+func (usage *usage) uncharge(charge Charge) {
+	if charge.slot <= usage.slot && usage.slot-charge.slot < ringSlots && usage.retries[charge.slot%ringSlots] > 0 {
+		usage.retries[charge.slot%ringSlots]--
+	}
+}
+
+// Sent records that a charged retry is written to a connection only now: it counts from now on, since the server may get
+// it long after it was allowed, when the connection took time to open or the process stood still.
+func (budget *Budget) Sent(charge Charge, kind Kind, now time.Duration) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	usage := budget.usage(charge.service, now)
+	usage.uncharge(charge)
+	usage.retries[usage.slot%ringSlots]++
+	if usage.totals.Sent == nil {
+		usage.totals.Sent = map[Kind]int64{}
+	}
+	usage.totals.Sent[kind]++
+}
--- /dev/null
+++ b/retry/sharing.go
@@ -0,0 +1,115 @@
+package retry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"shedkeel.org/shedkeel"
+)
+
+// Sharing determines which part this process has of what all processes of a fleet may do together in a
+// window, from the lists of processes that it gets. No other process is asked, so that the parts must add
+// up to at most the whole also while lists are old, lack processes, or differ:
+//
+//   - A part is held like a lease. The process gives it up Hold after its list was last confirmed, that is, known to be
+//     current and to name the process itself.
+//   - Whoever holds no part takes one only after its list has been confirmed for Hold, in which all others that hold
+//     one have seen it listed or have given up theirs, and for Window, in which what they did with a larger part
+//     has stopped to count.
+//   - A process that is no longer listed is counted for as long, in which it has given up its part.
+//
+// So each process that holds a part counts all that do. Its methods are safe for concurrent use.
+type Sharing struct {
+	Self   shedkeel.NodeID
+	Window time.Duration // in which actions count together
+	Hold   time.Duration // for how long a part is held without a confirmed list
+
+	mutex       sync.Mutex
+	firstStart  bool
+	confirmedAt time.Duration                     // as of when the latest list was confirmed; 0: none yet
+	since       time.Duration                     // as of when the process is listed without a gap of more than Hold
+	elapsed     time.Duration                     // total time for which lists were confirmed
+	seen        map[shedkeel.NodeID]time.Duration // by process: elapsed when it was last listed
+}
+
+const (
+	// listDelay covers the time from when a list is current until it is confirmed.
+	listDelay = time.Second
+	// maxConfirmInterval is the longest time between two confirmations of a list that is followed without
+	// interruption.
+	maxConfirmInterval = 2500 * time.Millisecond
+)
+
+// SetFirstStart states that the fleet starts for the first time: nobody can hold a part by an older list.
+func (sharing *Sharing) SetFirstStart() {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	sharing.firstStart = sharing.confirmedAt == 0
+}
+
+// settleTime is for how long a list must be confirmed before a part is taken, and a process must be missing
+// before it isn't counted.
+func (sharing *Sharing) settleTime() time.Duration {
+	return sharing.Hold + sharing.Window + listDelay
+}
+
+// Update takes the processes that are listed now. The list was current at asOf or later.
+func (sharing *Sharing) Update(listed []shedkeel.NodeID, asOf time.Duration) {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	if sharing.seen == nil {
+		sharing.seen = map[shedkeel.NodeID]time.Duration{}
+	}
+	confirmed := asOf > sharing.confirmedAt && slices.Contains(listed, sharing.Self)
+	if confirmed {
+		sharing.confirm(asOf)
+	}
+	for _, process := range listed {
+		sharing.seen[process] = sharing.elapsed
+	}
+	if confirmed {
+		sharing.forget()
+	}
+}
+
+// confirm records that the list was confirmed as of the time. The caller holds the mutex.
+func (sharing *Sharing) confirm(asOf time.Duration) {
+	gap := asOf - sharing.confirmedAt
+	first := sharing.confirmedAt == 0
+	sharing.confirmedAt = asOf
+	switch {
+	case first:
+		sharing.since = asOf
+	case gap > sharing.Hold:
+		sharing.since = asOf
+		sharing.firstStart = false
+	case gap <= maxConfirmInterval:
+		sharing.elapsed += gap
+	}
+}
+
+// forget drops the processes that were missing for settleTime. The caller holds the mutex.
+func (sharing *Sharing) forget() {
+	for process, at := range sharing.seen {
+		if sharing.elapsed-at > sharing.settleTime() {
+			delete(sharing.seen, process)
+		}
+	}
+}
+
+// Share returns the part that this process has now.
+func (sharing *Sharing) Share(now time.Duration) Share {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	processes := len(sharing.seen)
+	if _, counted := sharing.seen[sharing.Self]; !counted {
+		processes++
+	}
+	wait := sharing.settleTime()
+	if sharing.firstStart {
+		wait = sharing.Window + listDelay
+	}
+	held := sharing.confirmedAt > 0 && now-sharing.confirmedAt <= sharing.Hold && now-sharing.since >= wait
+	return Share{Processes: processes, Held: held}
+}
--- a/serve/budget_test.go
+++ b/serve/budget_test.go
@@ -95,3 +95,67 @@
 	}
 	return count
 }
+
+// TestRetryBudgetUnderFailures simulates nodes whose requests all fail from a moment on, and each want several retries. In
+// each sliding window, the retries of all nodes together must stay within the bound. It guards against retries that are allowed
+// again before those at the beginning of the failures have left the window, and against nodes that believe that they are few.
+func TestRetryBudgetUnderFailures(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		simLength = 60 * time.Second
+		ratio     = 0.2
+		step      = 10 * time.Millisecond
+		failure   = 35 * time.Second // when failures begin, but for the phase
+	)
+	all := func(nodes int) func(time.Duration) int { return func(time.Duration) int { return nodes } }
+	shrinks := func(nodes int) func(time.Duration) int {
+		return func(now time.Duration) int { // to one node at 40 s, and back to all within 2 s
+			if now < 40*time.Second || now > 42*time.Second {
+				return nodes
+			}
+			return max(nodes*int((now-40*time.Second)/step)/200, 1)
+		}
+	}
+	cases := map[string]struct {
+		nodes        int
+		requests     float64 // per second, over all nodes
+		fixedRetries float64
+		wanted       int                         // retries that each request wants
+		listed       func(now time.Duration) int // nodes that each node knows of
+	}{
+		"failures begin":               {9, 135, 136, 3, all(9)},
+		"failures begin, few requests": {9, 16, 136, 10, all(9)},
+		"the list shrinks":             {9, 135, 136, 3, shrinks(9)},
+		"the list shrinks, 66 nodes":   {66, 400, 696, 3, shrinks(66)},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			worst := 0.0
+			for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+				random := rand.New(rand.NewPCG(1, uint64(phase)))
+				nodes := make([]*Budget, test.nodes)
+				for index := range nodes {
+					nodes[index] = &Budget{Ratio: ratio, Window: window, FixedRetries: test.fixedRetries, SafetyFactor: 0.7, RandomOffset: random.Float64()}
+				}
+				var requests, retries []time.Duration
+				for now := time.Duration(0); now < simLength; now += step {
+					for range int(test.requests*step.Seconds() + random.Float64()) {
+						node := nodes[random.IntN(len(nodes))]
+						requests = append(requests, now)
+						node.CountRequest("s", now)
+						for range test.wanted {
+							if now >= failure+phase && node.AllowRetry("s", test.listed(now), now) {
+								retries = append(retries, now)
+							}
+						}
+					}
+				}
+				for end := window; end < simLength; end += step {
+					bound := ratio*float64(countWithin(requests, end-window, end)) + test.fixedRetries
+					worst = max(worst, float64(countWithin(retries, end-window, end))/bound)
+				}
+			}
+			assert.Assert(t, worst <= 1, "%.2f of the bound used in the worst window of all phases", worst)
+		})
+	}
+}
