retry: budget with sliding windows, and parts that are held like leases

Callers saw nothing; servers got up to 1.5 times the retries that the platform allows.

Package retry keeps both: a retry is allowed only if every window that has begun in one of the last hundred slots stays within the node's bound, and counts from the moment at which it is written to a connection; the fixed number is divided among all nodes that may hold a part. A node gives its part up 10 s after the list last named it, and takes one only after 21 s.

--- a/node/fleetsize.go
+++ b/node/fleetsize.go
@@ -104,6 +104,7 @@
 		return mirror.Advice{}, err
 	}
 	if !record.Revision.Exists() { // the fleet's first start
+		node.sharing.SetFirstStart()
 		// Only a seed and a node without seeds list the records from the key-value service.
 		return mirror.Advice{ListSource: peers.isSeed() || len(peers.seeds) == 0, FirstStart: true}, nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/reach"
+	"shedkeel.org/shedkeel/retry"
 	"shedkeel.org/shedkeel/serve"
 	"shedkeel.org/shedkeel/wire"
 )
@@ -44,10 +45,10 @@
 	// the requests that still run. At the end of the grace time the platform kills the
 	// process.
 	stopMargin = 400 * time.Millisecond
-	// retryBudgetFraction is the fraction of the retry budget that this node uses. The rest
-	// is a reserve: the bound on retries must hold in every sliding window, also after
-	// requests that allowed a retry have left the window.
-	retryBudgetFraction = 0.7
+	// shareHold is for how long a node that can't confirm the list of nodes keeps its part of what
+	// all nodes may do together. It outlasts most outages of the key-value service; a node that
+	// starts waits for longer than this before it takes a part.
+	shareHold = 10 * time.Second
 	// proofAgeFraction is the fraction of Bounds.Revoke (3.8 s of 5 s) for which a proof of
 	// the configuration stays valid. The rest covers the up to 1 s for which a watch may miss
 	// changes. A proof may be 1.1 s old when the key-value service is lost, so with a smaller
@@ -121,6 +122,7 @@
 	follower      mirror.Follower
 	table         dispatch.Table
 	handler       serve.Handler
+	sharing       retry.Sharing // of the fixed part of the retry budget
 	fleet         fleet
 	peers         peers
 	member        membership
@@ -162,10 +164,11 @@
 	node.table.Random = node.Random
 	node.table.Delays = &node.wakeups.delays
 	bounds := node.Settings.Bounds
+	node.sharing = retry.Sharing{Self: node.Settings.Node, Window: time.Duration(bounds.RetryWindow), Hold: shareHold}
 	node.handler = serve.Handler{
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
-		Budget:        &serve.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), FixedRetries: bounds.RetrySlack, SafetyFactor: retryBudgetFraction, StartedAt: node.Timers.Now(), RandomOffset: rand.New(node.Random).Float64()},
-		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryBudgetNodes: node.fleet.nodeCount, ServingNodes: node.fleet.servingCount,
+		Budget:        &retry.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), FixedRetries: bounds.RetrySlack, RandomOffset: rand.New(node.Random).Float64()},
+		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryShare: node.sharing.Share, ServingNodes: node.fleet.servingCount,
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, Health: node.Health, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
 		ReaderBudget: serve.ReaderBudget{Limit: node.Settings.Limits.UnreadBytes},
@@ -341,7 +344,8 @@
 // differences in other settings.
 func (node *Node) Reload(settings config.NodeSettings) {
 	bounds := settings.Bounds
-	node.handler.Budget.Set(bounds.RetryRatio, time.Duration(bounds.RetryWindow), bounds.RetrySlack)
+	node.handler.Budget.Set(bounds.RetryRatio, time.Duration(bounds.RetryWindow), bounds.RetrySlack, node.Timers.Now())
+	node.sharing.SetWindow(time.Duration(bounds.RetryWindow))
 	needsRestart := settings.Listen != node.Settings.Listen || settings.Store != node.Settings.Store || settings.Node != node.Settings.Node ||
 		bounds.Revoke != node.Settings.Bounds.Revoke || bounds.RefuseStaleKeys != node.Settings.Bounds.RefuseStaleKeys
 	node.Log.Write(event.Reloaded, slog.Bool("needs_restart", needsRestart))
--- a/node/nodes.go
+++ b/node/nodes.go
@@ -95,6 +95,17 @@
 	return found
 }
 
+// nodeIDs returns the IDs of the listed nodes.
+func (fleet *fleet) nodeIDs() map[shedkeel.NodeID]bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	found := map[shedkeel.NodeID]bool{}
+	for _, node := range fleet.nodes {
+		found[node.ID] = true
+	}
+	return found
+}
+
 // compareNodes orders nodes by preference for duties that one node has for the whole
 // fleet: those with the most capacity come first. Nodes of equal capacity are ordered by ID.
 func compareNodes(a, b nodeRecord) int {
--- a/node/report.go
+++ b/node/report.go
@@ -15,6 +15,7 @@
 // node has metrics, report exports the current values of the node's gauges. It is called once
 // per second.
 func (node *Node) report(now time.Duration) {
+	node.updateSharing()
 	node.Log.Report()
 	node.reporter.report()
 	node.gossip.logExclusions(node.peers.listed())
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,9 +15,9 @@
 	"shedkeel.org/shedkeel"
 )
 
-// Budget is the retry budget of a process. In each sliding window it allows at most Ratio times the requests in the
-// window plus this process's share of FixedRetries, for each service. Added up over all processes, that is the bound of
-// the fleet. Its methods are safe for concurrent use.
+// Budget is the retry budget of a process. In each sliding window it allows at most Ratio times the requests plus this
+// process's share of FixedRetries, for each service. The requests are the weighted mean (see previousWeight) of those in the window
+// and in the window before it. Added up over all processes, that is at most the bound of the fleet. Its methods are safe for concurrent use.
 type Budget struct {
 	Ratio        float64       // retries per request
 	Window       time.Duration // over which requests and retries are counted
@@ -77,8 +77,14 @@
 // windowSlots is the number of slots into which a window is divided.
 const windowSlots = 100
 
-// ringSlots is the number of slots that are kept: a window that ends in a slot begins within another one.
-const ringSlots = windowSlots + 1
+// ringSlots is the number of slots that are kept: two windows, and the slot within which the earlier one may begin.
+const ringSlots = 2*windowSlots + 1
+
+// previousWeight is the weight of the requests in the window before the one whose retries are counted; those in the window itself
+// have the rest. Both weights are the same in all processes, so that the sum over all processes is at most the bound by
+// the window with more requests. The former requests allow retries at once when failures begin; the latter follow
+// traffic that grows.
+const previousWeight = 0.5
 
 // usage counts the requests and retries of one service in the latest ringSlots slots.
 type usage struct {
@@ -97,18 +103,26 @@
 	usage.slot = max(usage.slot, slot)
 }
 
-// allows reports whether one more retry now keeps every window that begins in one of the slots and ends now: it has at most
-// fixed retries more than ratio times its requests. A window that begins within a slot may have all retries of that
-// slot and none of its requests.
+// index returns the index of the slot that was current so many slots ago.
+func (usage *usage) index(age int64) int64 { return (usage.slot - age + 2*ringSlots) % ringSlots }
+
+// allows reports whether one more retry now keeps every window that has begun in one of the slots: its retries until now are at
+// most fixed more than ratio times the weighted requests. A window that begins within a slot may have all retries of that slot and
+// none of its requests, and the window before it begins within a slot too.
 func (usage *usage) allows(ratio, fixed float64) bool {
+	previous := 0
+	for age := int64(1); age < windowSlots; age++ {
+		previous += usage.requests[usage.index(age)]
+	}
 	retries, requests := 1, 0
-	for age := range int64(ringSlots) {
-		index := (usage.slot - age + ringSlots*2) % ringSlots
-		retries += usage.retries[index]
-		if float64(retries) > ratio*float64(requests)+fixed {
+	for age := range int64(windowSlots + 1) {
+		retries += usage.retries[usage.index(age)]
+		weighted := (1-previousWeight)*float64(requests) + previousWeight*float64(previous)
+		if float64(retries) > ratio*weighted+fixed {
 			return false
 		}
-		requests += usage.requests[index]
+		requests += usage.requests[usage.index(age)]
+		previous += usage.requests[usage.index(age+windowSlots)] - usage.requests[usage.index(age+1)]
 	}
 	return true
 }
@@ -145,8 +159,8 @@
 	budget.Window = window
 	for service, former := range budget.services {
 		moved := &usage{slot: budget.slotAt(now), totals: former.totals}
-		for _, count := range former.retries {
-			moved.retries[moved.slot%ringSlots] += count
+		for age := range int64(windowSlots + 1) {
+			moved.retries[moved.index(0)] += former.retries[former.index(age)]
 		}
 		budget.services[service] = moved
 	}
@@ -158,7 +172,7 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	usage := budget.usage(service, now)
-	usage.requests[usage.slot%ringSlots]++
+	usage.requests[usage.index(0)]++
 }
 
 // Charge is a retry that was allowed.
@@ -178,7 +192,7 @@
 		usage.totals.Denied++
 		return Charge{}, false
 	}
-	usage.retries[usage.slot%ringSlots]++
+	usage.retries[usage.index(0)]++
 	usage.totals.Allowed++
 	return Charge{service: service, slot: usage.slot}, true
 }
@@ -201,14 +215,16 @@
 
 // Sent records that a charged retry is written to a connection only now: it counts from now on, since the server may get
 // it long after it was allowed, when the connection took time to open or the process stood still.
-func (budget *Budget) Sent(charge Charge, kind Kind, now time.Duration) {
+// It returns the charge as it counts then.
+func (budget *Budget) Sent(charge Charge, kind Kind, now time.Duration) Charge {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	usage := budget.usage(charge.service, now)
 	usage.uncharge(charge)
-	usage.retries[usage.slot%ringSlots]++
+	usage.retries[usage.index(0)]++
 	if usage.totals.Sent == nil {
 		usage.totals.Sent = map[Kind]int64{}
 	}
 	usage.totals.Sent[kind]++
+	return Charge{service: charge.service, slot: usage.slot}
 }
--- a/retry/sharing.go
+++ b/retry/sharing.go
@@ -1,7 +1,7 @@
 package retry
 
 import (
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,7 +30,8 @@
 	confirmedAt time.Duration                     // as of when the latest list was confirmed; 0: none yet
 	since       time.Duration                     // as of when the process is listed without a gap of more than Hold
 	elapsed     time.Duration                     // total time for which lists were confirmed
-	seen        map[shedkeel.NodeID]time.Duration // by process: elapsed when it was last listed
+	listed      map[shedkeel.NodeID]bool          // the latest list
+	missing     map[shedkeel.NodeID]time.Duration // processes that are no longer listed: elapsed when they were last
 }
 
 const (
@@ -48,6 +49,13 @@
 	sharing.firstStart = sharing.confirmedAt == 0
 }
 
+// SetWindow changes Window.
+func (sharing *Sharing) SetWindow(window time.Duration) {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	sharing.Window = window
+}
+
 // settleTime is for how long a list must be confirmed before a part is taken, and a process must be missing
 // before it isn't counted.
 func (sharing *Sharing) settleTime() time.Duration {
@@ -55,22 +63,40 @@
 }
 
 // Update takes the processes that are listed now. The list was current at asOf or later.
-func (sharing *Sharing) Update(listed []shedkeel.NodeID, asOf time.Duration) {
+func (sharing *Sharing) Update(listed map[shedkeel.NodeID]bool, asOf time.Duration) {
 	sharing.mutex.Lock()
 	defer sharing.mutex.Unlock()
-	if sharing.seen == nil {
-		sharing.seen = map[shedkeel.NodeID]time.Duration{}
-	}
-	confirmed := asOf > sharing.confirmedAt && slices.Contains(listed, sharing.Self)
+	confirmed := asOf > sharing.confirmedAt && listed[sharing.Self]
 	if confirmed {
 		sharing.confirm(asOf)
 	}
-	for _, process := range listed {
-		sharing.seen[process] = sharing.elapsed
+	if !maps.Equal(listed, sharing.listed) {
+		sharing.replaceList(listed)
 	}
-	if confirmed {
-		sharing.forget()
+	if !confirmed {
+		return
+	}
+	for process, at := range sharing.missing {
+		if sharing.elapsed-at > sharing.settleTime() {
+			delete(sharing.missing, process)
+		}
+	}
+}
+
+// replaceList sets the list, and keeps the processes that it lacks as missing. The caller holds the mutex.
+func (sharing *Sharing) replaceList(listed map[shedkeel.NodeID]bool) {
+	if sharing.missing == nil {
+		sharing.missing = map[shedkeel.NodeID]time.Duration{}
+	}
+	for process := range sharing.listed {
+		if !listed[process] {
+			sharing.missing[process] = sharing.elapsed
+		}
+	}
+	for process := range listed {
+		delete(sharing.missing, process)
 	}
+	sharing.listed = maps.Clone(listed)
 }
 
 // confirm records that the list was confirmed as of the time. The caller holds the mutex.
@@ -89,21 +115,12 @@
 	}
 }
 
-// forget drops the processes that were missing for settleTime. The caller holds the mutex.
-func (sharing *Sharing) forget() {
-	for process, at := range sharing.seen {
-		if sharing.elapsed-at > sharing.settleTime() {
-			delete(sharing.seen, process)
-		}
-	}
-}
-
 // Share returns the part that this process has now.
 func (sharing *Sharing) Share(now time.Duration) Share {
 	sharing.mutex.Lock()
 	defer sharing.mutex.Unlock()
-	processes := len(sharing.seen)
-	if _, counted := sharing.seen[sharing.Self]; !counted {
+	processes := len(sharing.listed) + len(sharing.missing)
+	if _, missing := sharing.missing[sharing.Self]; !missing && !sharing.listed[sharing.Self] {
 		processes++
 	}
 	wait := sharing.settleTime()
--- a/retry/totals.go
+++ b/retry/totals.go
@@ -68,9 +68,9 @@
 		}
 		counted := ServiceTotals{Service: service, Totals: usage.totals}
 		counted.Sent = maps.Clone(counted.Sent)
-		for index := range usage.requests {
-			counted.Requests += usage.requests[index]
-			counted.Retries += usage.retries[index]
+		for age := range int64(windowSlots) {
+			counted.Requests += usage.requests[usage.index(age)]
+			counted.Retries += usage.retries[usage.index(age)]
 		}
 		found = append(found, counted)
 	}
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -27,6 +27,7 @@
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/overload"
+	"shedkeel.org/shedkeel/retry"
 )
 
 const (
@@ -52,14 +53,14 @@
 	Protocol shedkeel.CallerProtocol
 	Backend  shedkeel.Backend
 	Table    *dispatch.Table
-	Budget   *Budget
+	Budget   *retry.Budget
 	Timers   shedkeel.Timers
 	Log      *event.Log
 	Meter    *Meter // nil: nothing is recorded
 	// CurrentConfig returns the configuration that applies to new requests.
 	CurrentConfig func() ConfigState
-	// RetryBudgetNodes returns how many processes share the retry budget.
-	RetryBudgetNodes func() int
+	// RetryShare returns this process's part of the fixed part of the retry budget.
+	RetryShare func(now time.Duration) retry.Share
 	// ServingNodes returns how many processes accept requests. Each has an equal share of
 	// the slots of the replica groups while Recommend does not answer.
 	ServingNodes func() int
@@ -164,7 +165,7 @@
 	runs            int                                 // attempts that have run or may have run
 	mayHaveRun      bool                                // an attempt that gave the caller no answer may have run
 	attempts        int                                 // attempts that may have reached a server
-	retryReason     RetryReason                         // why the next attempt, if any, is made
+	retryReason     retry.Reason                        // why the next attempt, if any, is made
 	late            bool                                // requests on time already use onTimeFraction of the model's slots: the request gets latePriority (see admitToModel)
 	answerAttrs     []slog.Attr                         // log attributes of the answer
 	digest          func() shedkeel.RequestDigest       // returns the request's digest; computes it at the first call
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -53,7 +53,7 @@
 		exchange.log(event.AttemptFailed, slog.String("server", string(attempt.Instance)), slog.String("reason", err.Error()))
 		reason = err
 		exchange.retryReason = retryReasonOf(err)
-		exchange.uncountUnsent(err)
+		exchange.uncountUnsent(attempt, err)
 		var notRun *shedkeel.NotRunError
 		if errors.As(err, &notRun) && notRun.NoPath {
 			break
--- a/serve/send.go
+++ b/serve/send.go
@@ -39,26 +39,32 @@
 // refunds the retry if it finds no server.
 func (exchange *exchange) choose(ctx context.Context) (*attempt, error) {
 	now := exchange.handler.Timers.Now()
-	retry := exchange.attempts > 0
-	if retry && !exchange.handler.Budget.AllowRetry(exchange.service, exchange.handler.RetryBudgetNodes(), now) {
-		count(exchange.handler.meter().retriesDenied)
-		return nil, errNoBudget
+	created := &attempt{}
+	again := exchange.attempts > 0
+	if again {
+		created.retry = exchange.retryReason
+		charge, allowed := exchange.handler.Budget.Allow(exchange.service, exchange.handler.RetryShare(now), now)
+		if !allowed {
+			count(exchange.handler.meter().retriesDenied)
+			return nil, errNoBudget
+		}
+		created.charge = charge
 	}
 	model := exchange.call.Model // ignored if the service has no engine and so no models
 	if service := exchange.view.Service(exchange.service); service == nil || service.Engine == nil {
 		model = ""
 	}
 	query := dispatch.Query{Service: exchange.service, Model: model, Exclude: slices.Concat(exchange.tried, exchange.trial.Avoid), PromptTokens: exchange.call.PromptTokens, MaxAnswerTokens: exchange.call.AnswerTokens, Now: now}
-	if model != "" && !retry {
+	if model != "" && !again {
 		if err := exchange.admitToModel(ctx, &query); err != nil {
 			return nil, err
 		}
 	}
 	query.Late = exchange.late
-	choice, err := exchange.chooseWithPermit(ctx, query, !retry)
+	choice, err := exchange.chooseWithPermit(ctx, query, !again)
 	if err != nil {
-		if retry {
-			exchange.handler.Budget.Refund(exchange.service, now)
+		if again {
+			exchange.handler.Budget.Refund(created.charge, exchange.handler.Timers.Now())
 		}
 		count(exchange.handler.meter().noServer)
 		return nil, err
@@ -69,10 +75,7 @@
 		exchange.trial.Placed(choice.Instance)
 	}
 	exchange.attempts++
-	created := &attempt{Choice: choice}
-	if retry {
-		created.retry = exchange.retryReason
-	}
+	created.Choice = choice
 	return created, nil
 }
 
@@ -161,16 +164,6 @@
 	return requestPriority(exchange.route, exchange.account)
 }
 
-// uncountUnsent removes an attempt from exchange.attempts if its error shows that it reached
-// no server: only attempts after one that may have reached a server are charged to the retry
-// budget.
-func (exchange *exchange) uncountUnsent(err error) {
-	var notRun *shedkeel.NotRunError
-	if errors.As(err, &notRun) && !notRun.ReachedServer {
-		exchange.attempts--
-	}
-}
-
 // send sends the request to the chosen server once and checks the head of the answer. The
 // caller of send must close the response's body. The error is a NotRunError if the request did not
 // run at the server, and an UnknownRunError if it may have run.
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -11,6 +11,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/retry"
 )
 
 // updateBuffer is the number of updates of an attempt, one for each event, that are buffered for a
@@ -126,7 +127,7 @@
 func (stream *stream) hedge(ctx context.Context) {
 	stalled := stream.sources[0]
 	outcome := "begun at another server"
-	stream.retryReason = RetrySilent
+	stream.retryReason = retry.Silent
 	if err := stream.startSource(ctx); err != nil {
 		outcome = err.Error()
 	} else {
@@ -261,7 +262,7 @@
 func (stream *stream) failOver(ctx context.Context, update update) {
 	stream.lastErr = update.err
 	stream.retryReason = retryReasonOf(update.err)
-	stream.uncountUnsent(update.err)
+	stream.uncountUnsent(update.source.attempt, update.err)
 	var notRun *shedkeel.NotRunError
 	if errors.As(update.err, &notRun) {
 		stream.runs--
