serve: the time stated to a server is what remains once there is a connection

Servers were told what remained before the dial, which may take a second, also through another node; they worked for callers that had left. The header is written again when there is a connection, before anything of the request is written.

TestDeadlineAfterDial failed before (900 ms stated where 300 ms remained); TestConnNoticeChangesHeader shows that net/http writes the changed header.

--- a/call.go
+++ b/call.go
@@ -61,6 +61,9 @@
 	// has the caller's fields, without the hop-by-hop fields. Write removes the
 	// caller's key from it.
 	Write(header http.Header, attempt Attempt)
+	// WriteDeadline sets the time that remains until the caller's deadline in the header of such a
+	// request.
+	WriteDeadline(header http.Header, remaining time.Duration)
 	// Answer parses the header of a backend server's response.
 	Answer(response *http.Response) BackendAnswer
 }
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -284,3 +284,41 @@
 	cancel()
 	assert.Assert(t, !transport.Stopped(ctx, address), "a canceled dial does not prove that the server ended")
 }
+
+// slowDialer opens connections after a delay.
+type slowDialer struct{ delay time.Duration }
+
+func (dialer slowDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	time.Sleep(dialer.delay)
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+// TestConnNoticeChangesHeader checks that the notice is called after the dial, and that what it sets in the header is
+// what the server gets, over new and reused connections.
+func TestConnNoticeChangesHeader(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.Header.Get("Remaining"))
+	}))
+	defer server.Close()
+	const delay = 50 * time.Millisecond
+	transport := &Transport{Dialer: slowDialer{delay: delay}}
+	defer transport.Close()
+	for _, wait := range []time.Duration{delay, 0} {
+		began := time.Now()
+		header := http.Header{"Remaining": {"all"}}
+		ctx := WithConnNotice(t.Context(), func(relayed bool) {
+			assert.Check(t, !relayed)
+			assert.Check(t, time.Since(began) >= wait)
+			header.Set("Remaining", "less")
+		})
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("body"))
+		assert.NilError(t, err)
+		request.Header = header
+		response, err := transport.Send(request)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, string(body), "less")
+	}
+}
--- a/serve/send.go
+++ b/serve/send.go
@@ -194,7 +194,12 @@
 	if exchange.route.Kind == shedkeel.RequestOnce || exchange.freshConnection.Load() {
 		ctx = engine.WithFreshConnection(ctx)
 	}
-	ctx = engine.WithConnNotice(ctx, func(relayed bool) { exchange.recordConn(attempt, relayed) })
+	header := engine.EndToEndHeaders(exchange.request.Header)
+	ctx = engine.WithConnNotice(ctx, func(relayed bool) {
+		exchange.recordConn(attempt, relayed)
+		// The dial has taken time.
+		exchange.handler.Protocol.WriteDeadline(header, exchange.callerDeadline-exchange.handler.Timers.Now())
+	})
 	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+attempt.Address+"/", bytes.NewReader(exchange.body))
 	if err != nil {
 		return nil, err
@@ -202,7 +207,7 @@
 	request.URL = exchange.targetURL(attempt.Address)
 	request.Host = exchange.request.Host
 	request.ContentLength = int64(len(exchange.body))
-	request.Header = engine.EndToEndHeaders(exchange.request.Header)
+	request.Header = header
 	request.Header.Del("Content-Length")
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "") // net/http would add its own
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -50,6 +50,10 @@
 	header.Set("Deadline", attempt.Deadline.String())
 }
 
+func (testProtocol) WriteDeadline(header http.Header, remaining time.Duration) {
+	header.Set("Deadline", remaining.String())
+}
+
 func (testProtocol) Answer(response *http.Response) shedkeel.BackendAnswer {
 	answer := shedkeel.BackendAnswer{ID: response.Header.Get("Id"), Signed: response.Header.Get("Seal") != "", NotRun: response.Header.Get("Not-Run") != ""}
 	_, err := fmt.Sscan(response.Header.Get("Limit"), &answer.Limit.Rate)
@@ -75,6 +79,7 @@
 	anonymous  int           // number of the first event without an ID; 0: all have one
 	comment    string        // data behind each event
 	delay      time.Duration // before the answer
+	dial       time.Duration // until there is a connection
 	wrongID    bool          // the answer has the ID of another request
 	unsigned   bool          // the answer has no signature of the server
 	notRun     bool          // the answer states that the request did not run
@@ -107,6 +112,7 @@
 	}
 	backend.mutex.Unlock()
 	var notRun *shedkeel.NotRunError
+	time.Sleep(next.dial)
 	if !errors.As(next.err, &notRun) {
 		engine.NotifyConn(request.Context(), false)
 	}
@@ -601,6 +607,24 @@
 	assert.Equal(t, onTime+late+refused, 2*capacity)
 }
 
+// TestDeadlineAfterDial checks that the time stated to a server is what remains once there is a connection to it. It guards
+// against servers that work for callers that have left.
+func TestDeadlineAfterDial(t *testing.T) {
+	cases := map[string]struct{ path, model string }{"plain": {"/safe/x", ""}, "stream": {"/s/x", "m"}}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				harness := newHarness(t, step{dial: 600 * time.Millisecond, events: 1, body: "ok"})
+				harness.post(test.path, "body", "Model", test.model, "Deadline", "900ms")
+				assert.Equal(t, len(harness.backend.requests), 1)
+				stated, err := time.ParseDuration(harness.backend.requests[0].Header.Get("Deadline"))
+				assert.NilError(t, err)
+				assert.Assert(t, stated <= 300*time.Millisecond && stated > 0, "%s stated, 300ms remain", stated)
+			})
+		})
+	}
+}
+
 // TestRetriesAreCountedByReason checks the reason and path under which a retry is counted once it is sent.
 func TestRetriesAreCountedByReason(t *testing.T) {
 	cases := map[string]struct {
