serve: an answer without the request's ID is no answer to it, whatever its status

Only answers with a status below 300 had to carry the ID. Now all have to; what may have run is told as unknown.

--- a/serve/send.go
+++ b/serve/send.go
@@ -234,14 +234,15 @@
 }
 
 // checkAnswer records what the answer states about the server. It returns a NotRunError for a
-// refusal, and an UnknownRunError with errForeignAnswer for the ID of another request, a success (a
-// status below 300) without an ID or a signature, or an answer with a Content-Encoding.
+// refusal, and an UnknownRunError with errForeignAnswer for an answer without the request's ID, a success (a
+// status below 300) without an ID or a signature, or an answer with a Content-Encoding. Only the ID shows
+// that an answer is not a surplus one to an earlier call on the same connection, such as a health check.
 func (exchange *exchange) checkAnswer(response *http.Response, choice *dispatch.Choice) error {
 	answer := exchange.handler.Protocol.Answer(response)
 	exchange.observeLimit(answer, response.StatusCode, choice)
 	exchange.observeState(answer, choice)
 	switch {
-	case answer.ID != "" && answer.ID != exchange.call.ID, answer.ID == "" && response.StatusCode < http.StatusMultipleChoices:
+	case answer.ID != exchange.call.ID, answer.ID == "" && response.StatusCode < http.StatusMultipleChoices:
 		return &shedkeel.UnknownRunError{Reason: "server " + string(choice.Instance) + " answered for " + answer.ID, Cause: errForeignAnswer}
 	case answer.NotRun:
 		return &shedkeel.NotRunError{Reason: fmt.Sprintf("server %s refused it with status %d", choice.Instance, response.StatusCode), RetryAfter: answer.Backoff, ReachedServer: true}
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -81,6 +81,7 @@
 	delay      time.Duration // before the answer
 	dial       time.Duration // until there is a connection
 	wrongID    bool          // the answer has the ID of another request
+	noID       bool          // the answer has no ID
 	unsigned   bool          // the answer has no signature of the server
 	notRun     bool          // the answer states that the request did not run
 	limit      float64       // stated rate limit, in requests per second; 0: none
@@ -137,6 +138,9 @@
 	if step.wrongID {
 		header.Set("Id", "another")
 	}
+	if step.noID {
+		header.Del("Id")
+	}
 	if step.unsigned {
 		header.Del("Seal")
 	}
@@ -343,6 +347,10 @@
 		"once, refused, then lost":                {"/once/x", []step{{status: 503, notRun: true}, {err: errAnswerLost}, {}}, 502, 2},
 		"once, refused by all":                    {"/once/x", []step{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}, 503, 3},
 		"once, answer to another request":         {"/once/x", []step{{wrongID: true}, {}}, 502, 1},
+		"once, refusal of another call":           {"/once/x", []step{{status: 503, notRun: true, noID: true}, {}}, 502, 1},
+		"once, failure of another call":           {"/once/x", []step{{status: 503, noID: true}, {}}, 502, 1},
+		"once, rejection of another call":         {"/once/x", []step{{status: 404, noID: true}, {}}, 502, 1},
+		"safe, refusals of other calls":           {"/safe/x", []step{{status: 503, notRun: true, noID: true}, {status: 503, notRun: true, noID: true}, {}}, 502, 2},
 	}
 	for name, test := range cases {
 		runFakeTime(t, name, func(t *testing.T) {
@@ -481,6 +489,8 @@
 		"the servers' failure is forwarded":   {[]step{{status: 500}, {status: 500}}, "", "", 500, false, 2},
 		"answer lost twice":                   {[]step{{err: errAnswerLost}, {err: errAnswerLost}}, "", "", 502, false, 2},
 		"answer to another request":           {[]step{{wrongID: true}, {events: 3}}, "", events(1, 3), 200, false, 2},
+		"refusal of another call":             {[]step{{status: 503, notRun: true, noID: true}, {status: 503, notRun: true, noID: true}, {events: 3}}, "", "", 502, false, 2},
+		"failure of another call":             {[]step{{status: 500, noID: true}, {events: 3}}, "", events(1, 3), 200, false, 2},
 		"refused connections are not retries": {[]step{{err: errConnRefused}, {err: errConnRefused}, {events: 2}}, "", events(1, 2), 200, false, 3},
 	}
 	for name, test := range cases {
