node: the proof of the configuration is read before the configuration

A node read its configuration, waited while a newer one was decoded, and then read the proof of that one: the old configuration, which had the key, counted as proven just now. With the proof read first, the configuration is at least as new.

--- a/node/config_test.go
+++ b/node/config_test.go
@@ -10,6 +10,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/serve"
 	"shedkeel.org/shedkeel/transfer"
 )
 
@@ -110,3 +111,34 @@
 		})
 	}
 }
+
+// slowDecoder calls decoding before it decodes a configuration.
+type slowDecoder struct {
+	Decoder
+	decoding func()
+}
+
+func (decoder slowDecoder) Config(value []byte) (*shedkeel.ServingConfig, error) {
+	decoder.decoding()
+	return decoder.Decoder.Config(value)
+}
+
+// TestOldConfigHasNoNewProof reads the configuration while a newer one is decoded, which the copy of the records already
+// has. The older one must not count as proven by that copy: a removed API key would be accepted again.
+func TestOldConfigHasNoNewProof(t *testing.T) {
+	node, timers := newTestNode(t)
+	node.Decoder = platform.Decoder{}
+	provenAt := timers.Now()
+	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: provenAt, Records: []shedkeel.Record{configRecord(1, 0, 1)}})
+	timers.Advance(10 * time.Second)
+	read := make(chan serve.ConfigState, 1)
+	node.Decoder = slowDecoder{platform.Decoder{}, func() {
+		go func() { read <- node.currentConfig() }()
+		time.Sleep(50 * time.Millisecond) // until the reader waits, or has read
+	}}
+	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{configRecord(2, 0, 2)}})
+	state := <-read
+	if state.ProvenAt > provenAt {
+		assert.Equal(t, state.View.Config.Version, int64(2), "the proof of version 2 counts for version 1")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -304,9 +304,11 @@
 }
 
 // currentConfig returns the active configuration, or no view if none is known, and when it
-// was last proven current.
+// was last proven current. The proof is read first: the configuration is then that of the proof or a
+// later one.
 func (node *Node) currentConfig() serve.ConfigState {
-	return serve.ConfigState{View: node.fleet.view.Load(), ProvenAt: node.mirror.State().AsOf}
+	provenAt := node.mirror.State().AsOf
+	return serve.ConfigState{View: node.fleet.view.Load(), ProvenAt: provenAt}
 }
 
 // Ready reports whether callers should be sent to this node. It returns false while the node is
