node: a server's record that the store writes late is older than the known one

A lower sequence counted as older only right after a restore of the store. It does always now, unless the record's epoch is higher, which only a later order gives.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -144,17 +144,26 @@
 	return !listed || wasUnreadable || !instance.EqualExceptSequence(&known)
 }
 
-// isOutdated reports whether a server's record is older than the known one: it is of an earlier
-// instance, or the start times do not differ and it comes from a restored snapshot that precedes
-// the known record. If only one record states a start time, the record does not count as older.
-// The caller holds the mutex.
+// isOutdated reports whether a server's record is older than the known one, because it comes from a restored snapshot or
+// the key-value service has carried its write out late. It is older if it is of an earlier instance. If the start times do not
+// differ, it is older if its sequence is, unless its server has joined a later group; and if it comes from a snapshot that
+// precedes the server's draining. If only one record states a start time, the record does not count as older. The caller holds
+// the mutex.
 func (fleet *fleet) isOutdated(instance, known *shedkeel.Instance) bool {
 	startedAt, knownStartedAt := instance.ID.Born(), known.ID.Born()
 	if startedAt != knownStartedAt {
 		return startedAt != 0 && startedAt < knownStartedAt
 	}
 	predatesDrain := known.Draining && !instance.Draining
-	return fleet.afterRestore && (predatesDrain || instance.Sequence < known.Sequence)
+	return fleet.afterRestore && predatesDrain || instance.Sequence < known.Sequence && epochOf(instance) <= epochOf(known)
+}
+
+// epochOf returns the epoch of the server's membership, or 0 if it is in no group.
+func epochOf(instance *shedkeel.Instance) uint64 {
+	if instance.Member == nil {
+		return 0
+	}
+	return instance.Member.Epoch
 }
 
 // markUnreadable stops direct requests to a listed server whose record became unreadable and
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -246,3 +246,37 @@
 		})
 	}
 }
+
+// TestLateRecordIsOutdated gives a node a server's record that the server wrote before the known one, as when the
+// key-value service carries a write out late. Such a record must not show a member of a group as a free server.
+func TestLateRecordIsOutdated(t *testing.T) {
+	const group = `,"group":{"name":"m/d/1","epoch":%d,"rank":0,"state":"open"}`
+	cases := map[string]struct {
+		known, late string // the end of the record: from its sequence number on
+		wantEpoch   uint64 // of the server's membership afterwards; 0: it has none
+	}{
+		"in its former group":           {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 6), 7},
+		"in no group":                   {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8`, 7},
+		"in a later group":              {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 8), 8},
+		"as many orders, in no group":   {`"seq":9` + fmt.Sprintf(group, 7), `"seq":9`, 0},
+		"a later start, in no group":    {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":1,"born":8`, 0},
+		"an earlier start, in no group": {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":10,"born":6`, 7},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newTestNode(t)
+			node.Decoder = platform.Decoder{}
+			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
+			for number, end := range []string{test.known, test.late} {
+				value := `{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"domain":"d",` + end + `}`
+				revision := shedkeel.Revision{Number: int64(number + 1)}
+				node.mirror.Apply(mirror.Update{Full: number == 0, At: revision, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/i-1", Value: []byte(value), Revision: revision}}})
+			}
+			epoch := uint64(0)
+			if member := node.fleet.groupServices()["s"][0].Member; member != nil {
+				epoch = member.Epoch
+			}
+			assert.Equal(t, epoch, test.wantEpoch)
+		})
+	}
+}
