planner: a group opens only if no member may still join a later formation

Engines refuse joins of lower epochs, so the planner opened a formation without asking whether a member had an unanswered join of a higher one, or one whose outcome it didn't know yet, or one of the planner before it. Such a group is formed anew first: its members then refuse the earlier orders.

In TestReadyHeadMayBeOpening the planner has formed the groups itself, which it took from an unknown one before; what it checks is the same.

--- a/formation/fleet_test.go
+++ b/formation/fleet_test.go
@@ -383,6 +383,7 @@
 		member("b0", "small/d/2", 0, shedkeel.MemberOpen), member("b1", "small/d/2", 1, shedkeel.MemberReady),
 	}
 	planner := plannerOfTerm(1)
+	planner.firstEpoch = 7 // it has formed both groups: those of an earlier planner are formed anew before they open
 	input := Input{Now: time.Minute, Engine: testEngine(), Instances: listed, Traffic: true}
 	actions := planner.Plan(input)
 	assert.Equal(t, len(actions), 1)
@@ -401,6 +402,57 @@
 	assert.Equal(t, actions[0].Order.Kind, shedkeel.OrderJoin)
 }
 
+// TestLateJoinsBeforeOpen lists a group as ready whose members may still carry out a join of a later formation. The head would
+// leave its group while it serves, so the group must be formed anew, with a still higher epoch, before it opens.
+func TestLateJoinsBeforeOpen(t *testing.T) {
+	cases := map[string]struct {
+		firstEpoch uint64   // of the planner
+		unanswered []uint64 // epochs of joins to the head that were not answered
+		inFlight   []uint64 // epochs of joins to the head whose outcome is not known yet
+		want       shedkeel.GroupOrderKind
+	}{
+		"no join is unanswered":                           {7, nil, nil, shedkeel.OrderOpen},
+		"that of the group itself":                        {7, []uint64{7}, nil, shedkeel.OrderOpen},
+		"that of an earlier formation":                    {7, []uint64{6}, nil, shedkeel.OrderOpen},
+		"that of a later formation":                       {7, []uint64{7, 8}, nil, shedkeel.OrderJoin},
+		"that of a later one, whose outcome is not known": {7, nil, []uint64{8}, shedkeel.OrderJoin},
+		"those of an earlier planner":                     {9, nil, nil, shedkeel.OrderJoin},
+		"the planner has ordered no join":                 {0, nil, nil, shedkeel.OrderJoin},
+		"the group is of a later formation":               {7, []uint64{6, 5}, nil, shedkeel.OrderOpen},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var listed []shedkeel.Instance
+			for rank, id := range []shedkeel.InstanceID{"a0", "a1"} {
+				listed = append(listed, shedkeel.Instance{
+					ID: id, Domain: "d", Staged: []shedkeel.ModelID{"small"}, Models: []shedkeel.ModelID{"small"},
+					Member: &shedkeel.Membership{Group: "small/d/1", Epoch: 7, Rank: rank, State: shedkeel.MemberReady},
+				})
+			}
+			planner := plannerOfTerm(1)
+			input := Input{Now: time.Minute, Engine: testEngine(), Instances: nil, Traffic: true}
+			planner.Plan(input)
+			planner.firstEpoch = test.firstEpoch
+			for _, epoch := range test.unanswered {
+				planner.Unanswered(shedkeel.GroupOrder{Kind: shedkeel.OrderJoin, To: "a0", Group: "small/d/1", Epoch: epoch}, input.Now)
+			}
+			planner.unanswered, planner.skippedUntil = map[shedkeel.InstanceID]int{}, map[shedkeel.InstanceID]time.Duration{} // the server answers again
+			for _, epoch := range test.inFlight {
+				planner.joinsInFlight[orderKey{shedkeel.OrderJoin, "a0", epoch}] = input.Now
+			}
+			input.Now += testStep
+			input.Instances = listed
+			actions := planner.Plan(input)
+			assert.Equal(t, len(actions), 1)
+			assert.Equal(t, actions[0].Order.Kind, test.want)
+			if test.want == shedkeel.OrderJoin {
+				assert.Assert(t, actions[0].Order.Epoch > 8)
+				assert.Equal(t, actions[0].Order.Group, shedkeel.GroupID("small/d/1"))
+			}
+		})
+	}
+}
+
 // TestLoadsAreBoundedUnderTraffic forms all groups of 80 servers under traffic. It checks that
 // no more than LoadsPerSecond times loadWindow loads, 4 per second times 5 s, are ordered
 // within loadWindow, and that no more than LoadsAtOnce run concurrently.
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -111,11 +111,13 @@
 	leftAt              map[shedkeel.Assignment]time.Duration               // when the head confirmed that it left
 	memberLeftAt        map[shedkeel.Assignment]time.Duration               // when a member of a group with a lost head was first known to have left (dissolve)
 	startedAt           time.Duration                                       // time of the first call of Plan
+	firstEpoch          uint64                                              // the first epoch of this planner; 0: none yet
 	reservedUntil       map[shedkeel.InstanceID]time.Duration               // members of abandoned formations; not used in other groups before this time
 	memberUnlistedSince map[shedkeel.Assignment]time.Duration               // when a member was first found unlisted
 	loadStarts          []time.Duration                                     // when loads from the weight store were ordered, by stage or join orders
 	loading             map[shedkeel.InstanceID]loading                     // loads onto hosts that were ordered and have not finished
 	pendingJoins        map[shedkeel.ServerID][]pendingJoin                 // unanswered join orders
+	joinsInFlight       map[orderKey]time.Duration                          // when a join order was sent whose outcome is not known yet
 	unanswered          map[shedkeel.InstanceID]int                         // consecutive unanswered orders
 	skippedUntil        map[shedkeel.InstanceID]time.Duration               // not used before this time
 	standbyOrderedAt    map[shedkeel.InstanceID]time.Duration               // when the spare was ordered to go on standby
@@ -195,6 +197,7 @@
 // a group that a reallocation releases are free.
 func (planner *Planner) Confirmed(order shedkeel.GroupOrder) {
 	delete(planner.unanswered, order.To)
+	planner.landJoin(order)
 	planner.confirmLoad(order)
 	assignment := shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}
 	switch {
@@ -251,10 +254,16 @@
 	}
 }
 
+// landJoin records that the outcome of an order to join is known.
+func (planner *Planner) landJoin(order shedkeel.GroupOrder) {
+	delete(planner.joinsInFlight, orderKey{kind: order.Kind, to: order.To, epoch: order.Epoch})
+}
+
 // Unanswered records that an order was not answered. The server may still carry out the
 // order. After maxUnanswered consecutive unanswered orders, the server is skipped for
 // unreachableBackoff.
 func (planner *Planner) Unanswered(order shedkeel.GroupOrder, now time.Duration) {
+	planner.landJoin(order)
 	if order.Kind == shedkeel.OrderJoin {
 		join := pendingJoin{order.To, shedkeel.Assignment{Group: order.Group, Epoch: order.Epoch}, now + lateOrderTime}
 		planner.pendingJoins[order.To.Server()] = append(planner.pendingJoins[order.To.Server()], join)
@@ -270,6 +279,7 @@
 // engine's state. A refused order to stage counts as confirmed; a refused order to join
 // abandons the formation, if it is still in progress. Other orders have no effect.
 func (planner *Planner) Refused(order shedkeel.GroupOrder) {
+	planner.landJoin(order)
 	if order.Kind == shedkeel.OrderStage {
 		planner.confirmLoad(order) // the host is loading already: an earlier answer was lost
 		return
@@ -315,6 +325,7 @@
 		planner.reservedUntil = map[shedkeel.InstanceID]time.Duration{}
 		planner.memberUnlistedSince = map[shedkeel.Assignment]time.Duration{}
 		planner.pendingJoins = map[shedkeel.ServerID][]pendingJoin{}
+		planner.joinsInFlight = map[orderKey]time.Duration{}
 		planner.unanswered = map[shedkeel.InstanceID]int{}
 		planner.skippedUntil = map[shedkeel.InstanceID]time.Duration{}
 		planner.reallocations = map[shedkeel.DomainID]*reallocation{}
@@ -362,11 +373,36 @@
 	return restored
 }
 
-// expire removes the state of orders that are older than retentionTime, of unanswered joins
-// after lateOrderTime, of standby orders after standbyRetryInterval, and of formations that
+// newEpoch returns an epoch that is higher than all earlier ones, also those of earlier planners.
+func (planner *Planner) newEpoch() uint64 {
+	epoch := planner.NextEpoch()
+	if planner.firstEpoch == 0 {
+		planner.firstEpoch = epoch
+	}
+	return epoch
+}
+
+// mayJoinLater reports whether a server may still carry out an order to join a formation with a higher epoch, of this
+// planner or of an earlier one, whose unanswered orders this planner doesn't know.
+func (planner *Planner) mayJoinLater(server shedkeel.ServerID, epoch uint64, now time.Duration) bool {
+	ofEarlier := planner.firstEpoch == 0 || epoch < planner.firstEpoch
+	if ofEarlier && now-planner.startedAt < lateOrderTime {
+		return true
+	}
+	for order := range planner.joinsInFlight {
+		if order.to.Server() == server && order.epoch > epoch {
+			return true
+		}
+	}
+	return slices.ContainsFunc(planner.pendingJoins[server], func(join pendingJoin) bool { return join.assignment.Epoch > epoch })
+}
+
+// expire removes the state of orders that are older than retentionTime, of unanswered joins and those without
+// a known outcome after lateOrderTime, of standby orders after standbyRetryInterval, and of formations that
 // no listed server has reported for retentionTime.
 func (planner *Planner) expire(now time.Duration) {
 	maps.DeleteFunc(planner.sentAt, func(_ orderKey, at time.Duration) bool { return now-at > retentionTime })
+	maps.DeleteFunc(planner.joinsInFlight, func(_ orderKey, at time.Duration) bool { return now-at > lateOrderTime })
 	for server, joins := range planner.pendingJoins {
 		joins = slices.DeleteFunc(joins, func(join pendingJoin) bool { return now >= join.until })
 		planner.pendingJoins[server] = joins
--- a/formation/repair.go
+++ b/formation/repair.go
@@ -155,6 +155,9 @@
 	case intact && state == shedkeel.MemberClosing:
 		round.reserveMembers(group)
 		round.recordGroupWait(group, WaitDrained, drainTimeout)
+	case intact && !draining && state == shedkeel.MemberReady && allReady(group) && round.mayLoseMember(group):
+		round.reserveMembers(group)
+		round.beginForming(group.id, group.model, group.members) // engines refuse the earlier orders then
 	case intact && !draining && state == shedkeel.MemberReady && allReady(group):
 		round.reserveMembers(group)
 		round.orderHead(group, shedkeel.OrderOpen, "all members are ready")
@@ -221,6 +224,14 @@
 	})
 }
 
+// mayLoseMember reports whether a member may carry out an order to join another formation, which the head would
+// not notice while it serves.
+func (round *round) mayLoseMember(group *observedGroup) bool {
+	return slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool {
+		return round.planner.mayJoinLater(member.ID.Server(), group.epoch, round.input.Now)
+	})
+}
+
 // anyJoining reports whether any member is joining. All must be listed.
 func anyJoining(group *observedGroup) bool {
 	return slices.ContainsFunc(group.members, func(member *shedkeel.Instance) bool {
@@ -378,7 +389,7 @@
 // members, to join. It reserves the members. Each member that has to load the weights from
 // the weight store counts as a load within loadWindow (mayLoad).
 func (round *round) beginForming(id shedkeel.GroupID, model *shedkeel.Model, members []*shedkeel.Instance) {
-	forming := &formingGroup{epoch: round.planner.NextEpoch(), model: model.ID, began: round.input.Now, confirmed: map[shedkeel.InstanceID]bool{}}
+	forming := &formingGroup{epoch: round.planner.newEpoch(), model: model.ID, began: round.input.Now, confirmed: map[shedkeel.InstanceID]bool{}}
 	for _, member := range members {
 		forming.members = append(forming.members, member.ID)
 		round.reserved[member.ID] = true
--- a/formation/round.go
+++ b/formation/round.go
@@ -163,6 +163,9 @@
 		return
 	}
 	round.planner.sentAt[key] = round.input.Now
+	if order.Kind == shedkeel.OrderJoin {
+		round.planner.joinsInFlight[key] = round.input.Now
+	}
 	order.Address = round.byID[order.To].Address
 	round.actions = append(round.actions, Action{Order: order, Reason: reason})
 }
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -43,7 +43,7 @@
 	}
 	round.planner.standbyOrderedAt[spare.ID] = round.input.Now
 	round.addOrder(shedkeel.GroupOrder{
-		Kind: shedkeel.OrderJoin, To: spare.ID, Group: standbyName(model, spare.ID), Epoch: round.planner.NextEpoch(),
+		Kind: shedkeel.OrderJoin, To: spare.ID, Group: standbyName(model, spare.ID), Epoch: round.planner.newEpoch(),
 		Model: model, Members: []shedkeel.InstanceID{spare.ID},
 	}, "a spare warms up ahead of need")
 }
