--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -195,6 +195,7 @@
 				}
 			}
 			assert.Assert(t, worst <= 1, "%.2f of the bound used in the worst window of all phases", worst)
+			assert.Assert(t, worst >= 0.9, "only %.2f of the bound used, though all requests fail", worst)
 		})
 	}
 }
