serve: a process that was delayed counts the delay as time for which callers have waited

A process can't know when in a delay a request arrived; it takes the beginning. Who may have no time left is refused at once and told when to come back.

TestLateProcessStatesLessTime failed before; TestLateness.

--- a/liveness/delays.go
+++ b/liveness/delays.go
@@ -85,6 +85,31 @@
 	return float64(delays.Running(from, to)) >= (1-maxDelayedShare)*float64(to-from)
 }
 
+// noticeTime is how long after a delay the process still handles what arrived in it.
+const noticeTime = 100 * time.Millisecond
+
+// Lateness returns for how long something that this process notices now may have waited to be noticed: the length of the
+// delay that lasts, or that ended less than noticeTime ago.
+func (delays *Delays) Lateness(now time.Duration) time.Duration {
+	if delays == nil {
+		return 0
+	}
+	delays.mutex.Lock()
+	defer delays.mutex.Unlock()
+	if late := delays.overdue(now); late > normalDelay {
+		return late
+	}
+	count := len(delays.delays)
+	if count == 0 || now-delays.delays[count-1].end > noticeTime {
+		return 0
+	}
+	before := delays.before
+	if count > 1 {
+		before = delays.delays[count-2].total
+	}
+	return delays.delays[count-1].total - before
+}
+
 // until returns the sum of the delays before the time. The caller must hold the mutex.
 func (delays *Delays) until(at time.Duration) time.Duration {
 	if at > delays.ticked {
--- a/liveness/delays_test.go
+++ b/liveness/delays_test.go
@@ -86,3 +86,36 @@
 		}
 	})
 }
+
+// TestLateness checks for how long what a process notices may have waited, by the delays of its timers. It was last on
+// time at 1 s.
+func TestLateness(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		ticks []time.Duration // after those until 1 s
+		now   time.Duration
+		want  time.Duration
+	}{
+		"on time":                        {nil, 1015 * ms, 0},
+		"within the normal delay":        {nil, 1030 * ms, 0},
+		"a delay that lasts":             {nil, 1430 * ms, 410 * ms},
+		"right after a delay":            {[]time.Duration{1430 * ms}, 1435 * ms, 410 * ms},
+		"soon after a delay":             {[]time.Duration{1430 * ms, 1450 * ms, 1470 * ms, 1490 * ms, 1510 * ms}, 1520 * ms, 410 * ms},
+		"long after a delay":             {[]time.Duration{1430 * ms, 1450 * ms, 1470 * ms, 1490 * ms, 1510 * ms, 1530 * ms}, 1540 * ms, 0},
+		"after the second of two delays": {[]time.Duration{1430 * ms, 1500 * ms}, 1510 * ms, 50 * ms},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			delays := &Delays{}
+			for at := 500 * ms; at <= 1000*ms; at += TickInterval {
+				delays.Tick(at)
+			}
+			for _, at := range test.ticks {
+				delays.Tick(at)
+			}
+			assert.Equal(t, delays.Lateness(test.now), test.want)
+		})
+	}
+	var none *Delays
+	assert.Equal(t, none.Lateness(time.Second), time.Duration(0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -166,7 +166,7 @@
 	bounds := node.Settings.Bounds
 	node.sharing = retry.Sharing{Self: node.Settings.Node, Window: time.Duration(bounds.RetryWindow), Hold: shareHold}
 	node.handler = serve.Handler{
-		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Log: node.Log,
+		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Delays: &node.wakeups.delays, Log: node.Log,
 		Budget:        &retry.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), FixedRetries: bounds.RetrySlack, RandomOffset: rand.New(node.Random).Float64()},
 		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryShare: node.sharing.Share, ServingNodes: node.fleet.servingCount,
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, Health: node.Health, DigestKey: []byte(node.Settings.Wire.Key),
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -26,6 +26,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/overload"
 	"shedkeel.org/shedkeel/retry"
 )
@@ -55,6 +56,7 @@
 	Table    *dispatch.Table
 	Budget   *retry.Budget
 	Timers   shedkeel.Timers
+	Delays   *liveness.Delays // of this process; nil: not known
 	Log      *event.Log
 	Meter    *Meter // nil: nothing is recorded
 	// CurrentConfig returns the configuration that applies to new requests.
@@ -235,12 +237,13 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	exchange.callerDeadline = exchange.startedAt + timeout
 	if call.Deadline > 0 {
-		exchange.callerDeadline = min(exchange.callerDeadline, exchange.startedAt+call.Deadline)
+		timeout = min(timeout, call.Deadline)
 	}
+	// The request may have waited for as long until this process noticed it.
+	exchange.callerDeadline = exchange.startedAt - exchange.handler.Delays.Lateness(exchange.startedAt) + timeout
 	exchange.deadline = exchange.callerDeadline - answerMargin
-	exchange.setWriteDeadline(exchange.callerDeadline - exchange.handler.Timers.Now())
+	exchange.setWriteDeadline(max(exchange.callerDeadline-exchange.handler.Timers.Now(), 0))
 	return exchange.readBody()
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -21,6 +21,7 @@
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/internal/standin"
+	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/retry"
 )
 
@@ -635,6 +636,36 @@
 	}
 }
 
+// TestLateProcessStatesLessTime checks that a process that was delayed counts the delay as part of the time for which
+// callers wait: their requests may have arrived at its beginning. One whose time may be over is refused and told so.
+func TestLateProcessStatesLessTime(t *testing.T) {
+	cases := map[string]struct {
+		late   time.Duration
+		status int
+		stated time.Duration // at most, with a caller that waits for 900 ms
+	}{
+		"on time":          {0, 200, 900 * time.Millisecond},
+		"late by 500 ms":   {500 * time.Millisecond, 200, 400 * time.Millisecond},
+		"late by a second": {time.Second, 503, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, step{body: "ok"})
+			harness.Delays = &liveness.Delays{}
+			harness.Delays.Tick(harness.clock.Now() - liveness.TickInterval - test.late)
+			harness.Delays.Tick(harness.clock.Now())
+			assert.Equal(t, harness.post("/safe/x", "body", "Deadline", "900ms").Code, test.status)
+			if test.status != 200 {
+				assert.Equal(t, len(harness.backend.requests), 0)
+				return
+			}
+			stated, err := time.ParseDuration(harness.backend.requests[0].Header.Get("Deadline"))
+			assert.NilError(t, err)
+			assert.Assert(t, stated <= test.stated && stated > test.stated-200*time.Millisecond, "%s stated", stated)
+		})
+	}
+}
+
 // TestRetriesAreCountedByReason checks the reason and path under which a retry is counted once it is sent.
 func TestRetriesAreCountedByReason(t *testing.T) {
 	cases := map[string]struct {
