retry: in a fleet's first start a process's part grows over the first window

Callers of a fleet that had started some seconds before got 503 though other servers accepted their requests: nobody had a part of the fixed number for 11 s, and the few requests of that time allow no retry. In a first start nobody can hold a part by an older list, so the part may grow while the list is fresh.

--- a/mutants_test.go
+++ b/mutants_test.go
@@ -215,13 +215,13 @@
 		"dispatch/condition.go", "case now-condition.unlistedSince >= conditionRetention:", "default:", "TestConditions", "./dispatch",
 	},
 	"retry budget: a process that starts has its part at once": {
-		"retry/sharing.go", "now-sharing.since >= wait", "now-sharing.since >= 0*wait", "TestRetryBudgetAcrossRestarts|TestRetryBudgetInHistories", "./retry",
+		"retry/sharing.go", "listedFor >= sharing.settleTime()", "listedFor >= 0", "TestRetryBudgetAcrossRestarts|TestRetryBudgetInHistories", "./retry",
 	},
 	"retry budget: processes that are no longer listed are not counted": {
 		"retry/sharing.go", "sharing.missing[process] = sharing.elapsed", "_ = sharing.elapsed", "TestRetryBudgetUnderFailures", "./retry",
 	},
 	"retry budget: a part is kept without a confirmed list": {
-		"retry/sharing.go", "now-sharing.confirmedAt <= sharing.Hold", "sharing.Hold > 0", "TestSharing", "./retry",
+		"retry/sharing.go", "age <= sharing.Hold &&", "sharing.Hold > 0 &&", "TestSharing", "./retry",
 	},
 	"retry budget: retries are allowed again before they have left the window": {
 		"retry/budget.go", "range int64(windowSlots + 1) {\n\t\tretries += usage", "range int64(windowSlots * 9 / 10) {\n\t\tretries += usage", "TestRetryBudgetUnderFailures", "./retry",
--- a/node/retries_test.go
+++ b/node/retries_test.go
@@ -17,7 +17,7 @@
 	node.handler.Budget.Set(0, 10*time.Second, 10, timers.Now())
 	timers.Advance(time.Minute)
 	for range 6 {
-		node.handler.Budget.Allow("s", retry.Share{Processes: 2, Held: true}, timers.Now())
+		node.handler.Budget.Allow("s", retry.Share{Processes: 2, Part: 1}, timers.Now())
 	}
 	for range 2 { // the second call has nothing new to log
 		node.retryReporter.report(timers.Now())
--- a/retry/bench_test.go
+++ b/retry/bench_test.go
@@ -22,6 +22,6 @@
 	for b.Loop() {
 		now += time.Millisecond
 		budget.CountRequest("s", now)
-		budget.Allow("s", Share{Processes: 9, Held: true}, now)
+		budget.Allow("s", Share{Processes: 9, Part: 1}, now)
 	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,10 +31,10 @@
 	services map[shedkeel.ServiceID]*usage
 }
 
-// Share is this process's part of FixedRetries.
+// Share is this process's share of FixedRetries.
 type Share struct {
-	Processes int  // that divide FixedRetries evenly, at least 1
-	Held      bool // this process may use its part
+	Processes int     // that divide FixedRetries evenly, at least 1
+	Part      float64 // of its even share that this process may use, from 0 to 1
 }
 
 // maxRoundedProcesses is the largest number of processes of which each rounds its bound down. The fleet
@@ -57,13 +57,10 @@
 // fixed is Fixed for callers that hold the mutex.
 func (budget *Budget) fixed(share Share) float64 {
 	processes := float64(max(share.Processes, 1))
-	switch {
-	case !share.Held:
-		return 0
-	case share.Processes <= maxRoundedProcesses:
-		return budget.FixedRetries / processes
+	if share.Processes <= maxRoundedProcesses {
+		return share.Part * budget.FixedRetries / processes
 	}
-	return max(budget.FixedRetries-spreadReserve*math.Sqrt(processes), 0) / processes
+	return share.Part * max(budget.FixedRetries-spreadReserve*math.Sqrt(processes), 0) / processes
 }
 
 // offset returns what is added to the bound before it is rounded down.
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -205,7 +205,7 @@
 func TestBudget(t *testing.T) {
 	budget := &Budget{Ratio: 0.5, Window: 10 * time.Second, FixedRetries: 4}
 	now := time.Minute
-	half := Share{Processes: 2, Held: true}
+	half := Share{Processes: 2, Part: 1}
 	var last Charge
 	// exhaust uses up the budget of one of two processes, and returns how many retries that took.
 	exhaust := func() int {
@@ -239,7 +239,7 @@
 	assert.Equal(t, exhaust(), 2, "half of the new FixedRetries, less those that still count")
 	now += 6 * time.Second
 	assert.Equal(t, exhaust(), 4, "half of the new FixedRetries")
-	half.Held = false
+	half.Part = 0
 	now += 6 * time.Second
 	assert.Equal(t, exhaust(), 0, "FixedRetries allow nothing without a share")
 }
--- a/retry/history_test.go
+++ b/retry/history_test.go
@@ -107,7 +107,11 @@
 func (counted *counted) countRequest(now time.Duration)        { counted.CountRequest("s", now) }
 func (counted *counted) sent(charge Charge, now time.Duration) { counted.Sent(charge, Kind{}, now) }
 func (counted *counted) allow(now time.Duration) (Charge, bool) {
-	return counted.Allow("s", Share{Processes: len(counted.seen), Held: now-counted.started > simWindow}, now)
+	share := Share{Processes: len(counted.seen)}
+	if now-counted.started > simWindow {
+		share.Part = 1
+	}
+	return counted.Allow("s", share, now)
 }
 
 // tenSlots is the way that was used before: a ring of ten slots, seven tenths of the bound, a part of the processes
--- a/retry/sharing.go
+++ b/retry/sharing.go
@@ -42,7 +42,8 @@
 	maxConfirmInterval = 2500 * time.Millisecond
 )
 
-// SetFirstStart states that the fleet starts for the first time: nobody can hold a part by an older list.
+// SetFirstStart states that the fleet starts for the first time: nobody can hold a part by an older list. The part then
+// grows over the first window, with the square of time, since processes that start together are listed within seconds.
 func (sharing *Sharing) SetFirstStart() {
 	sharing.mutex.Lock()
 	defer sharing.mutex.Unlock()
@@ -123,10 +124,20 @@
 	if _, missing := sharing.missing[sharing.Self]; !missing && !sharing.listed[sharing.Self] {
 		processes++
 	}
-	wait := sharing.settleTime()
-	if sharing.firstStart {
-		wait = sharing.Window + listDelay
+	return Share{Processes: processes, Part: sharing.part(now)}
+}
+
+// part returns which part of its share this process may use now. The caller holds the mutex.
+func (sharing *Sharing) part(now time.Duration) float64 {
+	age, listedFor := now-sharing.confirmedAt, now-sharing.since
+	switch {
+	case sharing.confirmedAt == 0:
+		return 0
+	case age <= sharing.Hold && listedFor >= sharing.settleTime():
+		return 1
+	case sharing.firstStart && age <= maxConfirmInterval:
+		grown := min(float64(listedFor)/float64(sharing.Window), 1)
+		return grown * grown
 	}
-	held := sharing.confirmedAt > 0 && now-sharing.confirmedAt <= sharing.Hold && now-sharing.since >= wait
-	return Share{Processes: processes, Held: held}
+	return 0
 }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -270,7 +270,7 @@
 		Protocol: testProtocol{}, Backend: harness.backend, Table: table, Timers: &harness.clock, Health: harness.backend,
 		Budget:        &retry.Budget{Ratio: 0.2, Window: 10 * time.Second, FixedRetries: 10}, // allows 10 retries and one for every five requests
 		CurrentConfig: func() ConfigState { return ConfigState{View: view, ProvenAt: time.Duration(harness.provenAt.Load())} },
-		RetryShare:    func(time.Duration) retry.Share { return retry.Share{Processes: 1, Held: true} }, ServingNodes: func() int { return 1 }, MaxConfigAge: time.Second,
+		RetryShare:    func(time.Duration) retry.Share { return retry.Share{Processes: 1, Part: 1} }, ServingNodes: func() int { return 1 }, MaxConfigAge: time.Second,
 	}
 	// The table looks for stalled servers every 10 ms.
 	cancel := harness.clock.Subscribe(10*time.Millisecond, func(time.Duration) { table.FindStalled(harness.clock.Now()) })
@@ -597,8 +597,8 @@
 // admitted as late, and that the others are refused with errFull, while no request ends.
 func TestModelAdmission(t *testing.T) {
 	harness := newHarness(t)
-	capacity := 3 * 8                                                                                     // three groups of eight slots
-	harness.RetryShare = func(time.Duration) retry.Share { return retry.Share{Processes: 9, Held: true} } // must have no effect: ServingNodes, which returns 1, divides the slots
+	capacity := 3 * 8                                                                                  // three groups of eight slots
+	harness.RetryShare = func(time.Duration) retry.Share { return retry.Share{Processes: 9, Part: 1} } // must have no effect: ServingNodes, which returns 1, divides the slots
 	request := httptest.NewRequest(http.MethodPost, "/s/x", nil)
 	onTime, late, refused := 0, 0, 0
 	for range 2 * capacity { // more than are admitted on time and as late together
