--- a/serve/completion.go
+++ b/serve/completion.go
@@ -29,10 +29,14 @@
 		return completeness.Complete
 	}
 	began := exchange.handler.Timers.Now()
+	proof := endProof{server: choice.Instance, began: began}
+	exchange.describeProof(&proof, healthResult{err: errPending})
 	process, result := exchange.checkProcess(ctx, choice)
+	exchange.describeProof(&proof, result)
 	for !exchange.route.Repeatable() && process == completeness.ProcessUnknown && result.unanswered() && ctx.Err() == nil {
 		timer.Sleep(ctx, healthRetryDelay)
 		process, result = exchange.checkProcess(ctx, choice)
+		exchange.describeProof(&proof, result)
 	}
 	verdict := completeness.Judge(true, nil, process)
 	took := exchange.handler.Timers.Now() - began
@@ -49,6 +53,20 @@
 	return verdict
 }
 
+// errPending is the error of a health check that is under way.
+var errPending = errors.New("no answer yet")
+
+// describeProof records for logs what the latest health check has brought.
+func (exchange *exchange) describeProof(proof *endProof, result healthResult) {
+	proof.asked = "a health check"
+	if !errors.Is(result.err, errPending) {
+		proof.checks++
+	}
+	proof.answered = result.String()
+	latest := *proof
+	exchange.proof.Store(&latest)
+}
+
 // errNoHealthCheck is the error of a health check that cannot be sent.
 var errNoHealthCheck = errors.New("no health check is configured")
 
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -113,14 +113,15 @@
 	// ReaderBudget bounds the bytes that are kept for callers that read slowly.
 	ReaderBudget ReaderBudget
 
-	stopping     atomic.Bool  // answers to requests received from now on ask the callers to close their connections
-	refusing     atomic.Bool  // new requests are refused
-	received     atomic.Int64 // requests received, including refused ones
-	endedServers endedServers
-	rechecks     atomic.Int64 // checks of servers under way in the background (recheckEnd)
-	healthChecks healthChecks
-	deadlines    deadlines
-	digesters    digesterPool
+	// stoppingSince is from when on answers ask the callers to close their connections, as a time.Duration; 0: not yet.
+	stoppingSince atomic.Int64
+	refusing      atomic.Bool  // new requests are refused
+	received      atomic.Int64 // requests received, including refused ones
+	endedServers  endedServers
+	rechecks      atomic.Int64 // checks of servers under way in the background (recheckEnd)
+	healthChecks  healthChecks
+	deadlines     deadlines
+	digesters     digesterPool
 
 	mutex     sync.Mutex
 	exchanges map[*exchange]struct{} // being served
@@ -128,7 +129,9 @@
 
 // CloseConnections makes the answers to requests that are received from now on ask their
 // callers to close the connection.
-func (handler *Handler) CloseConnections() { handler.stopping.Store(true) }
+func (handler *Handler) CloseConnections() {
+	handler.stoppingSince.Store(max(int64(handler.Timers.Now()), 1))
+}
 
 // RefuseNew makes the handler refuse all new requests with 503, so that their callers retry
 // at another process.
@@ -187,6 +190,7 @@
 	// accepts a request again, as of the latest choice that failed with errLimited or
 	// errBackoff; after a rejection by the overload control, when the caller should return.
 	retryIn time.Duration
+	circumstances
 }
 
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler, which aborts the
@@ -198,7 +202,7 @@
 	exchange.digest = sync.OnceValue(exchange.computeDigest)
 	exchange.unread.budget = &handler.ReaderBudget
 	exchange.setWriteDeadline(defaultTimeout)
-	if handler.stopping.Load() {
+	if handler.stoppingSince.Load() != 0 {
 		writer.Header().Set("Connection", "close")
 	}
 	err := exchange.prepare()
@@ -360,7 +364,8 @@
 		return
 	case errors.Is(err, errAborted):
 		count(meter.aborted)
-		exchange.log(event.AnswerAborted, slog.Duration("took", took), slog.Int("sendings", exchange.attempts), slog.String("reason", err.Error()))
+		fields := []slog.Attr{slog.Duration("took", took), slog.Int("sendings", exchange.attempts), slog.String("reason", err.Error())}
+		exchange.log(event.AnswerAborted, append(fields, exchange.circumstanceAttrs()...)...)
 		panic(http.ErrAbortHandler) // the caller must see that its answer is incomplete
 	case !errors.As(err, &refused):
 		refused = &refusal{status: http.StatusBadGateway, reason: err.Error()}
@@ -378,6 +383,9 @@
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.retryAfter))
 	}
+	if exchange.mayHaveRun {
+		fields = append(fields, exchange.circumstanceAttrs()...)
+	}
 	if exchange.call.Model != "" {
 		fields = append(fields, slog.String("model", string(exchange.call.Model)))
 	}
--- a/serve/healthchecks.go
+++ b/serve/healthchecks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +42,24 @@
 	sentAt time.Duration
 }
 
+// String says what came, for logs.
+func (result healthResult) String() string {
+	if result.err != nil {
+		return result.err.Error()
+	}
+	name, born, age := "no name", "no start", "a new connection"
+	if result.health.Server != "" {
+		name = string(result.health.Server)
+	}
+	if result.health.Born != 0 {
+		born = "start " + strconv.FormatInt(result.health.Born, 10)
+	}
+	if result.health.ConnectionAge > 0 {
+		age = "a connection of age " + result.health.ConnectionAge.String()
+	}
+	return name + ", " + born + ", over " + age
+}
+
 // unanswered reports whether the check was sent and got no answer.
 func (result healthResult) unanswered() bool {
 	return result.err != nil && !errors.Is(result.err, errNoHealthCheck)
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -50,7 +50,8 @@
 			serverFailure, err = answer, errServerFailed
 		}
 		count(exchange.handler.meter().failedAttempts)
-		exchange.log(event.AttemptFailed, slog.String("server", string(attempt.Instance)), slog.String("reason", err.Error()))
+		fields := []slog.Attr{slog.String("server", string(attempt.Instance)), slog.String("reason", err.Error())}
+		exchange.log(event.AttemptFailed, append(fields, exchange.circumstanceAttrs()...)...)
 		reason = err
 		exchange.retryReason = retryReasonOf(err)
 		exchange.uncountUnsent(attempt, err)
@@ -93,6 +94,7 @@
 		return bufferedAnswer{}, err
 	}
 	choice.RecordResponse(exchange.handler.Timers.Now())
+	exchange.hear(exchange.handler.Timers.Now())
 	ended := false
 	end := func(failed bool) {
 		if !ended {
--- a/serve/source.go
+++ b/serve/source.go
@@ -121,6 +121,7 @@
 			return err
 		}
 		events++
+		stream.hear(stream.handler.Timers.Now())
 		data := hasData(message)
 		if dataless += size; data {
 			dataless = 0
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -270,7 +270,8 @@
 		stream.mayHaveRun = true
 	}
 	count(stream.handler.meter().failedAttempts)
-	stream.log(event.AttemptFailed, slog.String("server", string(update.source.choice.Instance)), slog.Int64("after", stream.lastNumber), slog.String("reason", update.err.Error()))
+	fields := []slog.Attr{slog.String("server", string(update.source.choice.Instance)), slog.Int64("after", stream.lastNumber), slog.String("reason", update.err.Error())}
+	stream.log(event.AttemptFailed, append(fields, stream.circumstanceAttrs()...)...)
 	if len(stream.sources) > 0 {
 		stream.replaceHedge(ctx)
 		return
