--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -38,6 +38,9 @@
 	violations []string
 	outcomes   map[string]int
 	sent       []platformstandin.Sent // requests on a route of configText
+	calls      []call                 // the same, once they have ended
+	planned    []plannedWork
+	unplanned  []interval
 }
 
 // retryRules are the bounds that the settings of the nodes state, those of settingsText.
@@ -175,6 +178,7 @@
 	sent := time.Now()
 	status, body := caller.post(address, kind+id, id, key, "x")
 	caller.checker.recordOutcome(kind, id, status)
+	caller.checker.recordCall(call{id: id, kind: kind, node: node, sent: sent, ended: time.Now(), status: status, whole: body != ""})
 	if status != http.StatusOK || body == "" {
 		return false
 	}
@@ -314,6 +318,7 @@
 		t.Error(violation)
 	}
 	checker.checkRetries()
+	checker.checkLost()
 	answered := checker.outcomes["/copy/ 200"] + checker.outcomes["/look/ 200"] + checker.outcomes["/fee/ 200"]
 	if answered == 0 {
 		t.Error("no call was answered, so the test checked nothing")
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -13,6 +13,12 @@
 	platformstandin "shedkeel.org/shedkeel/platform/standin"
 )
 
+// plannedFaults are the indices of the kinds of faults that are planned work: a stop, a new key, a hangup.
+var plannedFaults = map[int]bool{1: true, 8: true, 9: true}
+
+// faultRest is for how long at most a fault goes on after its function has returned.
+const faultRest = 3 * time.Second
+
 // runFaults injects random faults one after another for the given time. Each fault
 // also ends, some of them while the next is already injected. New kinds are added at the end.
 func (cluster *cluster) runFaults(random *rand.Rand, length time.Duration) {
@@ -26,7 +32,11 @@
 		kinds = kinds[:cluster.faultKinds]
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
-		what := kinds[random.IntN(len(kinds))](random)
+		drawn, began := random.IntN(len(kinds)), time.Now()
+		what := kinds[drawn](random)
+		if !plannedFaults[drawn] {
+			cluster.checker.recordUnplanned(began, time.Now().Add(faultRest))
+		}
 		cluster.mutex.Lock()
 		cluster.faults = append(cluster.faults, time.Now().Format("05.000 ")+what)
 		cluster.mutex.Unlock()
@@ -44,6 +54,9 @@
 	return cluster.nodes[random.IntN(len(cluster.nodes))]
 }
 
+// indexOf returns the index of the node.
+func (cluster *cluster) indexOf(node *process) int { return slices.Index(cluster.nodes, node) }
+
 // killNode kills a random node with SIGKILL and restarts it after a pause.
 func (cluster *cluster) killNode(random *rand.Rand) string {
 	node := cluster.node(random)
@@ -69,6 +82,7 @@
 // stopNode stops a random node with SIGTERM, waits until it has ended and restarts it.
 func (cluster *cluster) stopNode(random *rand.Rand) string {
 	node := cluster.node(random)
+	cluster.checker.recordPlanned(syscall.SIGTERM, cluster.indexOf(node))
 	node.end(syscall.SIGTERM)
 	cluster.startNode(node)
 	return "stopped gracefully and restarted " + node.name
@@ -88,6 +102,7 @@
 // sendHangup has a random node reload its settings.
 func (cluster *cluster) sendHangup(random *rand.Rand) string {
 	node := cluster.node(random)
+	cluster.checker.recordPlanned(syscall.SIGHUP, cluster.indexOf(node))
 	node.signal(syscall.SIGHUP)
 	return "SIGHUP to " + node.name
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -142,9 +142,10 @@
 // fleetSize is how many processes a cluster has.
 type fleetSize struct {
 	nodes   int
-	engines int // servers of llm
-	domains int // failure domains of these
-	plain   int // servers of plain
+	engines int                          // servers of llm
+	domains int                          // failure domains of these
+	plain   int                          // servers of plain
+	prepare func(*platformstandin.Fleet) // sets how servers behave; nil: as usual
 }
 
 // smallFleet returns the size of the fleet that the soak runs.
@@ -165,6 +166,9 @@
 		Data: cluster.data, CrashPrefix: deadlyPrefix, Step: 15 * time.Millisecond, MixedFramings: true, PartTime: 4 * time.Millisecond, NamedRuns: true,
 		Models: map[string]platformstandin.Timing{"m0": {Size: 2, Load: 500 * time.Millisecond, Warmup: 200 * time.Millisecond, Rejoin: 50 * time.Millisecond}},
 	}
+	if size.prepare != nil {
+		size.prepare(cluster.fleet)
+	}
 	cluster.configure()
 	for index := range size.engines {
 		cluster.addServer("llm", fmt.Sprint("rack-", index%size.domains))
@@ -186,6 +190,7 @@
 	_, err := cluster.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, configText, cluster.version, cluster.version)}}})
 	assert.NilError(cluster.t, err)
 	cluster.checker.keyRemoved(fmt.Sprint("key-", cluster.version-1))
+	cluster.checker.recordPlanned(0, 0)
 }
 
 // rewriteRecords has the operator and the servers write their records again.
@@ -210,7 +215,7 @@
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	cluster.serverCount++
-	server := &platformstandin.Server{ID: fmt.Sprintf("%s-%d", service, cluster.serverCount), Service: service, Domain: domain}
+	server := &platformstandin.Server{ID: fmt.Sprintf("%s-%d", service, cluster.serverCount), Service: service, Domain: domain, Born: time.Now().UnixMilli()}
 	http := httptest.NewUnstartedServer(server)
 	link := newProxy(cluster.t, http.Listener.Addr().String())
 	server.Address = link.address()
