serve: a finished answer waits for a later sign of its server's process

Callers saw whole streams cut after their last event, and prompts ran twice.

Cause: a close-delimited answer counts as complete only if the same process is heard after its end. One health check of 0.4 s decided. Where records state starts and health checks don't, its answer proves something only over a connection that is older than the request, which was there by luck: requests use such connections up, and all are closed after 0.3 s of silence. A check that waited for a slot or was rejected counted as proof of the contrary, and the second run needed the same proof.

Change: check connections of their own, one a server, open before the request is sent where answers may be close-delimited. Model engines are asked for their load report first, which needs no slot. A check waits for its answer; a second one goes over a new connection every 0.4 s, in case the first's is dead. Rejected and reset checks are repeated until the request's time ends. An answer to another request over an older connection is a sign too. A request whose answer has ended doesn't count as running, so that a silence of its server starts no hedge. The same start without a name is the same process. Only a refused connection or another process's answer ends the wait early.

--- a/completeness/completeness.go
+++ b/completeness/completeness.go
@@ -53,14 +53,15 @@
 }
 
 // JudgeProcess returns what a health check, sent after an answer of the instance had ended, tells
-// about the process that sent the answer. sinceRequest is the time from the request for that answer until
-// the health check was sent.
-func JudgeProcess(instance shedkeel.InstanceID, health shedkeel.Health, sinceRequest time.Duration) Process {
+// about the process that sent the answer. requestedAt is when the request for that answer was sent, or earlier.
+func JudgeProcess(instance shedkeel.InstanceID, health shedkeel.Health, requestedAt time.Time) Process {
 	switch {
 	case health.Server != "" && health.Server != instance.Server(), health.Born != 0 && instance.Born() != 0 && health.Born != instance.Born():
 		return ProcessEnded
-	case health.ConnectionAge > 0 && health.ConnectionAge >= sinceRequest:
+	case !health.ConnectedAt.IsZero() && !health.ConnectedAt.After(requestedAt):
 		return ProcessRuns // no connection outlives its process
+	case health.Born != 0 && health.Born == instance.Born():
+		return ProcessRuns // no two processes at an address have the same start
 	case health.Server == "", health.Born != instance.Born():
 		return ProcessUnknown // a server that restarts may keep its name
 	}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -197,9 +197,10 @@
 	due           time.Duration // see Query.Due; 0: it does not count, or it has been counted
 	queueing      time.Duration // see Query.Queueing
 	late          bool
-	responded     bool // the first event or the answer has arrived
-	relayed       bool // the request is sent through another node
-	lost          bool // the answer may not arrive, for no fault of the server (see Table.LoseRunning)
+	responded     bool          // the first event or the answer has arrived
+	receivedAt    time.Duration // see Received; 0: not called
+	relayed       bool          // the request is sent through another node
+	lost          bool          // the answer may not arrive, for no fault of the server (see Table.LoseRunning)
 	stalled       chan struct{}
 	stallNotified bool // Stalled has received a notice since FindStalled last reported the current stall
 }
@@ -335,6 +336,23 @@
 	serverState.scoresUpdated = now
 }
 
+// Received records that the server has sent the answer to its end. Whatever the answer is worth, the request does not run there any
+// more, and a silence of the server does not concern it.
+func (choice *Choice) Received(now time.Duration) {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	choice.receivedAt = now
+	choice.release()
+	choice.clearStall()
+}
+
+// release removes the request from those that run on the server. The caller must hold the table's mutex.
+func (choice *Choice) release() {
+	choice.setLost(false)
+	delete(choice.state.running, choice)
+	choice.state.condition.requestEnded(choice)
+}
+
 // End records that the request no longer runs on the server, and adds to the failure rate
 // whether the request failed. A complete stream or answer changes the average
 // duration of the server's pool.
@@ -342,10 +360,12 @@
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
 	state := choice.state
-	choice.recordDuration(failed, now)
-	choice.setLost(false)
-	delete(state.running, choice)
-	state.condition.requestEnded(choice)
+	endedAt := now
+	if choice.receivedAt != 0 {
+		endedAt = choice.receivedAt
+	}
+	choice.recordDuration(failed, endedAt)
+	choice.release()
 	outcome := 0.0
 	if failed {
 		outcome = 1
@@ -359,9 +379,7 @@
 func (choice *Choice) Cancel() {
 	choice.table.mutex.Lock()
 	defer choice.table.mutex.Unlock()
-	choice.setLost(false)
-	delete(choice.state.running, choice)
-	choice.state.condition.requestEnded(choice)
+	choice.release()
 }
 
 // Listed reports whether the last call of Replace listed the server.
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -106,18 +106,23 @@
 // connNoticeKey is the context key that WithConnNotice sets.
 type connNoticeKey struct{}
 
+// ConnInfo describes the connection that a request gets.
+type ConnInfo struct {
+	Relayed  bool      // it goes through another node
+	OpenedAt time.Time // when it was opened
+}
+
 // WithConnNotice returns a context with which Send calls notice each time the request gets a
-// connection, before anything of the request is written to it. relayed states whether the connection
-// goes through another node. The notice may change the request's header.
-func WithConnNotice(ctx context.Context, notice func(relayed bool)) context.Context {
+// connection, before anything of the request is written to it. The notice may change the request's header.
+func WithConnNotice(ctx context.Context, notice func(ConnInfo)) context.Context {
 	return context.WithValue(ctx, connNoticeKey{}, notice)
 }
 
 // NotifyConn calls the notice that WithConnNotice has set, if any. Only implementations of
 // shedkeel.Backend call it.
-func NotifyConn(ctx context.Context, relayed bool) {
-	if notice, ok := ctx.Value(connNoticeKey{}).(func(bool)); ok {
-		notice(relayed)
+func NotifyConn(ctx context.Context, info ConnInfo) {
+	if notice, ok := ctx.Value(connNoticeKey{}).(func(ConnInfo)); ok {
+		notice(info)
 	}
 }
 
@@ -229,8 +234,8 @@
 	sealed   bool
 }
 
-// Age returns how long the connection has been open.
-func (conn *countingConn) Age() time.Duration { return time.Since(conn.openedAt) }
+// OpenedAt returns when the connection was opened.
+func (conn *countingConn) OpenedAt() time.Time { return conn.openedAt }
 
 // Write writes, or returns errConnSealed if the connection is sealed. It holds the
 // mutex during the write, so that no byte is written after seal has returned. A write
@@ -282,7 +287,7 @@
 		return
 	}
 	relayable, known := conn.Conn.(relayable)
-	NotifyConn(writes.context, known && relayable.Relayed())
+	NotifyConn(writes.context, ConnInfo{Relayed: known && relayable.Relayed(), OpenedAt: conn.openedAt})
 	writes.mutex.Lock()
 	defer writes.mutex.Unlock()
 	writes.conns = append(writes.conns, conn)
--- a/interfaces.go
+++ b/interfaces.go
@@ -194,11 +194,21 @@
 	Stopped(ctx context.Context, address string) bool
 }
 
-// HealthCheck asks backend servers for a sign of life.
+// HealthCheck asks backend servers for signs of life. Its connections carry nothing else, but for those of SharedHealth.
 type HealthCheck interface {
+	// Connect opens a connection for later checks of the address, unless one is open. It returns when that
+	// is done or has failed, or when ctx ends.
+	Connect(ctx context.Context, address string)
+	// Disconnect closes the connections to the address.
+	Disconnect(address string)
 	// Health sends a health check with the path to the address. The error means that no
 	// answer came.
 	Health(ctx context.Context, address, path string) (Health, error)
+	// SharedHealth is Health over a connection of those that carry requests, which may be older.
+	SharedHealth(ctx context.Context, address, path string) (Health, error)
+	// Report asks the model engine at the address for its load report, which needs no slot of the engine. The
+	// error means that no answer came.
+	Report(ctx context.Context, address string) (Health, error)
 }
 
 // Timers is a clock with periodic timers. Times are durations on a monotonic
--- a/program/node.go
+++ b/program/node.go
@@ -85,6 +85,8 @@
 	defer transport.Close()
 	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: idleTimeout, MaxIdle: 1}
 	defer reports.Close()
+	checks := &engine.CheckTransport{Dialer: dialer, DialTimeout: backendDialTimeout}
+	defer checks.Close()
 	seed := rand.Uint64()
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewIncarnation(time.Now()),
@@ -94,7 +96,7 @@
 		Protocol: platform.HeaderCodec{},
 		Backend:  transport,
 		Check:    dialer,
-		Health:   &platform.HealthClient{Transport: transport},
+		Health:   &platform.HealthClient{Transport: checks, Requests: transport},
 		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: &http.Client{Transport: reports}},
 		Dialer:   dialer,
 		Timers:   timers,
--- a/serve/completion.go
+++ b/serve/completion.go
@@ -9,56 +9,72 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/completeness"
-	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
-	"shedkeel.org/shedkeel/timer"
 )
 
-// healthRetryDelay is the pause before a health check is repeated.
-const healthRetryDelay = 50 * time.Millisecond
+const (
+	// healthRetryDelay is the pause before a check is repeated. It doubles with each repetition.
+	healthRetryDelay = 50 * time.Millisecond
+	// maxHealthRetryDelay is the longest such pause.
+	maxHealthRetryDelay = 400 * time.Millisecond
+)
 
 // errUnproven is the cause of an UnknownRunError for an answer that may be incomplete.
 var errUnproven = &shedkeel.UnknownRunError{Reason: "nothing shows that the server has sent the whole answer", Cause: errIncomplete}
 
+// errPending is the error of a check that is under way.
+var errPending = errors.New("no answer yet")
+
 // judgeEnd returns the verdict on the answer that the chosen server has sent to its end without an
-// error. For a close-delimited answer it sends a health check to the server. If the request may
-// not run again, it repeats a check that got no answer until ctx ends.
-func (exchange *exchange) judgeEnd(ctx context.Context, choice *dispatch.Choice, response *http.Response) completeness.Verdict {
+// error. A close-delimited answer is complete once a sign of the same process comes that was sent after its end: the answer to
+// a check, or to another request. judgeEnd waits for a sign until ctx ends, unless the answers to the checks show
+// that no later one can tell more.
+func (exchange *exchange) judgeEnd(ctx context.Context, attempt *attempt, response *http.Response) completeness.Verdict {
 	if !engine.CloseDelimited(exchange.request.Method, response) {
 		return completeness.Complete
 	}
-	began := exchange.handler.Timers.Now()
-	proof := endProof{server: choice.Instance, began: began}
-	exchange.describeProof(&proof, healthResult{err: errPending})
-	process, result := exchange.checkProcess(ctx, choice)
-	exchange.describeProof(&proof, result)
-	for !exchange.route.Repeatable() && process == completeness.ProcessUnknown && result.unanswered() && ctx.Err() == nil {
-		timer.Sleep(ctx, healthRetryDelay)
-		process, result = exchange.checkProcess(ctx, choice)
-		exchange.describeProof(&proof, result)
-	}
+	handler := exchange.handler
+	began := handler.Timers.Now()
+	attempt.Received(began)
+	wait := handler.signs.await(attempt.Address, attempt.sentAt, time.Now())
+	defer handler.signs.remove(wait)
+	process, result := exchange.awaitSign(ctx, attempt, wait)
 	verdict := completeness.Judge(true, nil, process)
-	took := exchange.handler.Timers.Now() - began
-	meter := exchange.handler.meter()
+	took := handler.Timers.Now() - began
+	meter := handler.meter()
 	count(meter.endsJudged[verdict])
 	record(meter.endJudgment, took)
-	fields := []slog.Attr{slog.String("server", string(choice.Instance)), slog.String("outcome", verdict.String()), slog.String("process", process.String()), slog.Duration("took", took)}
-	if result.err != nil {
-		fields = append(fields, slog.String("error", result.err.Error()))
-	} else {
-		fields = append(fields, slog.String("answered_by", string(result.health.Server)), slog.Duration("connection_age", result.health.ConnectionAge))
-	}
-	exchange.log(event.AnswerEndJudged, fields...)
+	exchange.log(event.AnswerEndJudged, slog.String("server", string(attempt.Instance)), slog.String("outcome", verdict.String()), slog.String("process", process.String()),
+		slog.Duration("took", took), slog.String("asked", result.asked.String()), slog.String("answered", result.String()))
 	return verdict
 }
 
-// errPending is the error of a health check that is under way.
-var errPending = errors.New("no answer yet")
+// awaitSign checks the chosen server until it is known what became of the process that has sent the answer, or can't be known. It
+// returns the last result of a check.
+func (exchange *exchange) awaitSign(ctx context.Context, attempt *attempt, wait *endWait) (completeness.Process, healthResult) {
+	proof := endProof{server: attempt.Instance, began: exchange.handler.Timers.Now()}
+	exchange.describeProof(&proof, healthResult{err: errPending})
+	for delay := healthRetryDelay; ; delay = min(2*delay, maxHealthRetryDelay) {
+		process, result := exchange.checkProcess(ctx, attempt, wait.proven)
+		if wait.isProven() {
+			process = completeness.ProcessRuns
+		}
+		exchange.describeProof(&proof, result)
+		if process != completeness.ProcessUnknown || !result.mayChange() || ctx.Err() != nil {
+			return process, result
+		}
+		select {
+		case <-wait.proven:
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+	}
+}
 
-// describeProof records for logs what the latest health check has brought.
+// describeProof records for logs what the latest check has brought.
 func (exchange *exchange) describeProof(proof *endProof, result healthResult) {
-	proof.asked = "a health check"
+	proof.asked = result.asked.String()
 	if !errors.Is(result.err, errPending) {
 		proof.checks++
 	}
@@ -67,22 +83,43 @@
 	exchange.proof.Store(&latest)
 }
 
-// errNoHealthCheck is the error of a health check that cannot be sent.
-var errNoHealthCheck = errors.New("no health check is configured")
-
-// checkProcess finds out whether the process of the chosen server runs on, after its answer has ended.
-func (exchange *exchange) checkProcess(ctx context.Context, choice *dispatch.Choice) (completeness.Process, healthResult) {
+// checkProcess finds out whether the process of the chosen server runs on, after its answer has ended. It asks a model engine for
+// its load report first, which may state its start and needs no slot. It returns early, without a finding, once stop
+// is closed.
+func (exchange *exchange) checkProcess(ctx context.Context, attempt *attempt, stop <-chan struct{}) (completeness.Process, healthResult) {
 	handler := exchange.handler
+	result := healthResult{err: errNoHealthCheck}
+	for _, target := range exchange.checkTargets(attempt.Address) {
+		result = handler.healthChecks.check(ctx, handler, target, stop)
+		switch {
+		case result.err == nil:
+			process := completeness.JudgeProcess(attempt.Instance, result.health, attempt.sentAt)
+			if process != completeness.ProcessUnknown {
+				return process, result
+			}
+		case errors.Is(result.err, errNothingListens):
+			return completeness.ProcessEnded, result
+		case ctx.Err() == nil && !errors.Is(result.err, errPending) && handler.ServerCheck != nil && handler.serverEnded(attempt.Address):
+			return completeness.ProcessEnded, result
+		default:
+			return completeness.ProcessUnknown, result
+		}
+	}
+	return completeness.ProcessUnknown, result
+}
+
+// checkTargets returns what a server of the request's service can be asked for, in this order.
+func (exchange *exchange) checkTargets(address string) []checkTarget {
 	service := exchange.view.Service(exchange.service)
-	if handler.Health == nil || service == nil || service.HealthPath == "" {
-		return completeness.ProcessUnknown, healthResult{err: errNoHealthCheck}
+	if exchange.handler.Health == nil || service == nil {
+		return nil
 	}
-	result := handler.healthChecks.check(ctx, handler, choice.Address, service.HealthPath)
-	switch {
-	case result.err == nil:
-		return completeness.JudgeProcess(choice.Instance, result.health, result.sentAt-choice.ChosenAt), result
-	case ctx.Err() == nil && handler.ServerCheck != nil && handler.serverEnded(choice.Address):
-		return completeness.ProcessEnded, result
+	var targets []checkTarget
+	if service.Engine != nil {
+		targets = append(targets, checkTarget{address: address})
 	}
-	return completeness.ProcessUnknown, result
+	if service.HealthPath != "" {
+		targets = append(targets, checkTarget{address: address, path: service.HealthPath}, checkTarget{address: address, path: service.HealthPath, shared: true})
+	}
+	return targets
 }
--- a/serve/ended.go
+++ b/serve/ended.go
@@ -90,13 +90,13 @@
 
 // checkServer checks whether the server of an attempt that has failed with the context given has
 // terminated. It does nothing after a cancellation by others than CancelCopies.
-func (exchange *exchange) checkServer(ctx context.Context, choice *dispatch.Choice, failure error) {
+func (exchange *exchange) checkServer(ctx context.Context, attempt *attempt, failure error) {
 	var notRun *shedkeel.NotRunError
 	switch {
 	case ctx.Err() == nil:
-		exchange.reportServerEnd(choice, failure)
+		exchange.reportServerEnd(attempt, failure)
 	case errors.Is(context.Cause(ctx), errServersEnded) && !errors.As(failure, &notRun):
-		exchange.reportWithdrawn(choice)
+		exchange.reportWithdrawn(attempt)
 	}
 }
 
@@ -104,19 +104,19 @@
 // terminated, and records its end (recordServerEnd). A check without a result goes on in the
 // background: it may have timed out, or the server's next process accepts connections already. Ends
 // that are planned are ignored.
-func (exchange *exchange) reportServerEnd(choice *dispatch.Choice, failure error) {
+func (exchange *exchange) reportServerEnd(attempt *attempt, failure error) {
 	handler := exchange.handler
 	now := handler.Timers.Now()
-	if handler.ServerCheck == nil || !isDisconnect(failure) || endIsPlanned(choice, now) {
+	if handler.ServerCheck == nil || !isDisconnect(failure) || endIsPlanned(attempt.Choice, now) {
 		return
 	}
-	firstFailureAt, ended := handler.endedServers.endedSince(choice.Instance, now, func() bool { return handler.serverEnded(choice.Address) })
+	firstFailureAt, ended := handler.endedServers.endedSince(attempt.Instance, now, func() bool { return handler.serverEnded(attempt.Address) })
 	if ended {
 		exchange.freshConnection.Store(true)
-		exchange.recordServerEnd(choice, firstFailureAt, "connections are refused")
+		exchange.recordServerEnd(attempt.Choice, firstFailureAt, "connections are refused")
 		return
 	}
-	exchange.recheckEnd(choice, now, 0)
+	exchange.recheckEnd(attempt, now, 0)
 }
 
 // endIsPlanned reports whether a server that has been found terminated may have ended as planned: it
@@ -141,17 +141,17 @@
 
 // reportWithdrawn checks in the background whether the server of an attempt that CancelCopies has
 // canceled has terminated, or does so within withdrawnTime: the server may have begun to run it.
-func (exchange *exchange) reportWithdrawn(choice *dispatch.Choice) {
+func (exchange *exchange) reportWithdrawn(attempt *attempt) {
 	now := exchange.handler.Timers.Now()
-	if exchange.handler.ServerCheck != nil && !endIsPlanned(choice, now) {
-		exchange.recheckEnd(choice, now, withdrawnTime)
+	if exchange.handler.ServerCheck != nil && !endIsPlanned(attempt.Choice, now) {
+		exchange.recheckEnd(attempt, now, withdrawnTime)
 	}
 }
 
 // recheckEnd repeats the check of a server in the background, where an attempt ended at endedAt, and at
 // least for minTime while the server runs. The exchange's trial lasts until the check has ended. Nothing
 // is checked if maxRechecks are under way.
-func (exchange *exchange) recheckEnd(choice *dispatch.Choice, endedAt, minTime time.Duration) {
+func (exchange *exchange) recheckEnd(attempt *attempt, endedAt, minTime time.Duration) {
 	rechecks := &exchange.handler.rechecks
 	if rechecks.Add(1) > maxRechecks {
 		rechecks.Add(-1)
@@ -161,20 +161,20 @@
 	exchange.rechecking.Store(true)
 	exchange.rechecks.Go(func() {
 		defer rechecks.Add(-1)
-		exchange.runRecheck(choice, endedAt, minTime)
+		exchange.runRecheck(attempt, endedAt, minTime)
 	})
 }
 
 // runRecheck checks a server until it is known whether it has terminated: for endRecheckTime at most, and
 // for minTime while it runs.
-func (exchange *exchange) runRecheck(choice *dispatch.Choice, endedAt, minTime time.Duration) {
+func (exchange *exchange) runRecheck(attempt *attempt, endedAt, minTime time.Duration) {
 	handler := exchange.handler
 	ctx, cancel := context.WithTimeout(context.Background(), endRecheckTime)
 	defer cancel()
-	process, result := exchange.checkProcess(ctx, choice)
-	for ctx.Err() == nil && (process == completeness.ProcessUnknown && result.unanswered() || process == completeness.ProcessRuns && handler.Timers.Now()-endedAt < minTime) {
+	process, result := exchange.checkProcess(ctx, attempt, nil)
+	for ctx.Err() == nil && (process == completeness.ProcessUnknown && result.err != nil && result.mayChange() || process == completeness.ProcessRuns && handler.Timers.Now()-endedAt < minTime) {
 		timer.Sleep(ctx, healthRetryDelay)
-		process, result = exchange.checkProcess(ctx, choice)
+		process, result = exchange.checkProcess(ctx, attempt, nil)
 	}
 	if process != completeness.ProcessEnded {
 		count(handler.meter().endChecks[process])
@@ -184,8 +184,8 @@
 	if result.err != nil {
 		proof = "connections are refused"
 	}
-	firstFailureAt, _ := handler.endedServers.endedSince(choice.Instance, endedAt, func() bool { return true })
-	exchange.recordServerEnd(choice, firstFailureAt, proof)
+	firstFailureAt, _ := handler.endedServers.endedSince(attempt.Instance, endedAt, func() bool { return true })
+	exchange.recordServerEnd(attempt.Choice, firstFailureAt, proof)
 }
 
 // serverEnded reports whether it is proven within endCheckTimeout that no server listens at
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -120,6 +120,9 @@
 	endedServers  endedServers
 	rechecks      atomic.Int64 // checks of servers under way in the background (recheckEnd)
 	healthChecks  healthChecks
+	checkConns    checkConns
+	framings      framings
+	signs         signs
 	deadlines     deadlines
 	digesters     digesterPool
 
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -87,10 +87,12 @@
 // After an error, tryServer checks whether the server has terminated (checkServer).
 func (exchange *exchange) tryServer(ctx context.Context, attempt *attempt) (bufferedAnswer, error) {
 	choice := attempt.Choice
+	release := exchange.holdCheckConn(ctx, choice)
+	defer release()
 	response, err := exchange.send(ctx, attempt) //nolint:bodyclose // readWhole closes it
 	if err != nil {
 		choice.End(true, exchange.handler.Timers.Now())
-		exchange.checkServer(ctx, choice, err)
+		exchange.checkServer(ctx, attempt, err)
 		return bufferedAnswer{}, err
 	}
 	choice.RecordResponse(exchange.handler.Timers.Now())
@@ -105,13 +107,13 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	// While an answer waits to be read, its server must not count as stalled.
 	body, err := exchange.readWhole(ctx, response, func() { end(failed) })
-	if err == nil && exchange.judgeEnd(ctx, choice, response) != completeness.Complete {
+	if err == nil && exchange.judgeEnd(ctx, attempt, response) != completeness.Complete {
 		exchange.unread.release(int64(len(body)))
 		body, err = nil, errUnproven
 	}
 	end(failed || err != nil)
 	if err != nil {
-		exchange.checkServer(ctx, choice, err)
+		exchange.checkServer(ctx, attempt, err)
 	}
 	return bufferedAnswer{response, body}, err
 }
--- a/serve/proof_test.go
+++ b/serve/proof_test.go
@@ -63,3 +63,80 @@
 		})
 	}
 }
+
+// orderedHealth is a fake shedkeel.HealthCheck that records how many requests had been sent when connections were opened.
+type orderedHealth struct {
+	fakeHealth
+	backend      *backend
+	connects     []int
+	disconnected int
+}
+
+func (health *orderedHealth) Connect(context.Context, string) {
+	health.backend.mutex.Lock()
+	defer health.backend.mutex.Unlock()
+	health.connects = append(health.connects, len(health.backend.requests))
+}
+
+func (health *orderedHealth) Disconnect(string) { health.disconnected++ }
+
+// TestCheckConnectionIsOlder guards against requests whose answers may be close-delimited and that are sent before a check connection is
+// open, and against check connections where answers state their end.
+func TestCheckConnectionIsOlder(t *testing.T) {
+	closing, stated := step{body: "whole", unstated: true}, step{body: "whole"}
+	sample := make([]step, framingSample)
+	for index := range sample {
+		sample[index] = stated
+	}
+	cases := map[string]struct {
+		steps          []step
+		maxConnections int
+		connects       []int // for each, the requests sent before
+		disconnected   int
+	}{
+		"from the first request on":        {[]step{closing, closing, closing}, 0, []int{0, 1, 2}, 0},
+		"not where answers state an end":   {append(sample, stated, stated), 0, []int{0, 1, 2, 3, 4, 5, 6, 7}, 1},
+		"again after one that states none": {append(append([]step{}, sample...), closing, closing, stated), 0, []int{0, 1, 2, 3, 4, 5, 6, 7, 9, 10}, 1},
+		"not kept at a server of few":      {[]step{closing, closing}, 3, []int{0, 1}, 2},
+	}
+	for name, test := range cases {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t, test.steps...)
+			harness.CurrentConfig().View.Service("plain").MaxConnections = test.maxConnections
+			health := &orderedHealth{fakeHealth: survivor, backend: harness.backend}
+			harness.Health = health
+			for range test.steps {
+				assert.Equal(t, harness.post("/once/x", "body").Code, 200)
+			}
+			assert.DeepEqual(t, health.connects, test.connects)
+			assert.Equal(t, health.disconnected, test.disconnected)
+		})
+	}
+}
+
+// TestOtherAnswersProveTheProcess guards against a whole answer that is cut although its server answers other requests over a
+// connection from before, and against such an answer that was asked for too early or over a newer connection.
+func TestOtherAnswersProveTheProcess(t *testing.T) {
+	cases := map[string]struct {
+		openedAgo time.Duration // age of the other request's connection at the end of the first answer
+		sentAfter time.Duration // from the end of the first answer until the other request is sent
+		status    int
+	}{
+		"older connection, later request":   {time.Minute, 100 * time.Millisecond, 200},
+		"newer connection":                  {-time.Millisecond, 100 * time.Millisecond, 504},
+		"older connection, earlier request": {time.Minute, -time.Millisecond, 504},
+	}
+	for name, test := range cases {
+		runFakeTime(t, name, func(t *testing.T) {
+			harness := newHarness(t, step{body: "whole", unstated: true, delay: 10 * time.Millisecond})
+			harness.Health, harness.ServerCheck = silent, fixedCheck(false)
+			ended := time.Now().Add(10 * time.Millisecond)
+			time.AfterFunc(200*time.Millisecond, func() {
+				harness.signs.observe("plain:1", ended.Add(-test.openedAgo), ended.Add(test.sentAfter))
+			})
+			got := harness.post("/once/x", "body")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			time.Sleep(endRecheckTime + healthTimeout)
+		})
+	}
+}
--- a/serve/retries.go
+++ b/serve/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
@@ -15,6 +16,8 @@
 	charge      retry.Charge // of a retry
 	resumeAfter string       // ID of the event after which the server resumes a stream; "": it starts at the beginning
 	connected   bool         // the attempt has got a connection
+	sentAt      time.Time    // before anything of it was sent
+	connectedAt time.Time    // when its connection was opened; zero: not known
 }
 
 // path returns the path of the attempt, given whether its connection goes through another node.
--- a/serve/send.go
+++ b/serve/send.go
@@ -176,6 +176,7 @@
 	if err != nil {
 		return nil, &shedkeel.NotRunError{Reason: err.Error()}
 	}
+	attempt.sentAt = time.Now()
 	response, err := exchange.handler.Backend.Send(request)
 	if err != nil {
 		return nil, err
@@ -184,6 +185,8 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	exchange.handler.signs.observe(attempt.Address, attempt.connectedAt, attempt.sentAt)
+	exchange.handler.framings.record(exchange.service, engine.CloseDelimited(exchange.request.Method, response), exchange.handler.Timers.Now())
 	return response, nil
 }
 
@@ -195,8 +198,10 @@
 		ctx = engine.WithFreshConnection(ctx)
 	}
 	header := engine.EndToEndHeaders(exchange.request.Header)
-	ctx = engine.WithConnNotice(ctx, func(relayed bool) {
-		exchange.recordConn(attempt, relayed)
+	ctx = engine.WithConnNotice(ctx, func(info engine.ConnInfo) {
+		exchange.recordConn(attempt, info.Relayed)
+		attempt.sentAt = time.Now()
+		attempt.connectedAt = info.OpenedAt
 		// The dial has taken time.
 		exchange.handler.Protocol.WriteDeadline(header, exchange.callerDeadline-exchange.handler.Timers.Now())
 	})
--- a/serve/source.go
+++ b/serve/source.go
@@ -49,7 +49,7 @@
 	complete := errors.Is(err, errStreamEnd)
 	source.choice.End(!complete && source.context.Err() == nil, source.stream.handler.Timers.Now())
 	if !complete {
-		source.stream.checkServer(source.context, source.choice, err)
+		source.stream.checkServer(source.context, source.attempt, err)
 	}
 	source.deliver(update{source: source, err: err})
 	<-source.dropped
@@ -95,6 +95,8 @@
 // if the status is not 200.
 func (source *source) read() error {
 	stream := source.stream
+	release := stream.holdCheckConn(source.context, source.choice)
+	defer release()
 	response, err := stream.send(source.context, source.attempt)
 	if err != nil {
 		return err
@@ -143,7 +145,7 @@
 // close-delimited answer without events is complete only if the server was to resume the stream.
 func (source *source) end(response *http.Response, events int) error {
 	noStream := events == 0 && source.attempt.resumeAfter == "" && engine.CloseDelimited(source.stream.request.Method, response)
-	if noStream || source.stream.judgeEnd(source.context, source.choice, response) != completeness.Complete {
+	if noStream || source.stream.judgeEnd(source.context, source.attempt, response) != completeness.Complete {
 		return errUnproven
 	}
 	return errStreamEnd
--- a/serving.go
+++ b/serving.go
@@ -268,11 +268,11 @@
 // Health is what the process at a backend server's address states in its answer to a health check,
 // whatever the status of that answer.
 type Health struct {
-	Server ServerID // empty: not stated
-	Born   int64    // time of the process's start in Unix milliseconds; 0: not stated
-	// ConnectionAge is how long the connection of the health check had been open when the check
-	// was sent; 0: not known.
-	ConnectionAge time.Duration
+	Server   ServerID // empty: not stated
+	Born     int64    // time of the process's start in Unix milliseconds; 0: not stated
+	Rejected bool     // its status was not 200: the server may answer otherwise later
+	// ConnectedAt is when the connection over which the answer came was opened; zero: not known.
+	ConnectedAt time.Time
 }
 
 // From reports whether the report can be from the instance with the ID, rather than from
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -245,6 +245,7 @@
 	"planned work, all framings":           {func(*platformstandin.Fleet) {}, (*cluster).signalNodes},
 	"full, health checks wait":             {limitSlots(platformstandin.CheckWaits), (*cluster).signalNodes},
 	"full, health checks are rejected":     {limitSlots(platformstandin.CheckRejected), (*cluster).signalNodes},
+	"full, new connections are reset":      {limitSlots(platformstandin.CheckConnReset), (*cluster).signalNodes},
 	"full, health checks are reset":        {limitSlots(platformstandin.CheckReset), (*cluster).signalNodes},
 	"silent servers beside stopping nodes": {func(fleet *platformstandin.Fleet) { fleet.Checks = platformstandin.CheckWaits }, (*cluster).silenceBesideStops},
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -217,6 +217,7 @@
 	cluster.serverCount++
 	server := &platformstandin.Server{ID: fmt.Sprintf("%s-%d", service, cluster.serverCount), Service: service, Domain: domain, Born: time.Now().UnixMilli()}
 	http := httptest.NewUnstartedServer(server)
+	http.Config.ConnState = server.ConnState
 	link := newProxy(cluster.t, http.Listener.Addr().String())
 	server.Address = link.address()
 	cluster.fleet.Add(server)
