--- a/names.go
+++ b/names.go
@@ -36,7 +36,11 @@
 // IsAddress reports whether the text is host:port with neither part empty.
 func IsAddress(text string) bool {
 	host, port, err := net.SplitHostPort(text)
-	return err == nil && host != "" && port != ""
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
 }
 
 // HashNode returns a hash of a node's name, which stands for the name in messages
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -475,11 +475,25 @@
 	assert.Equal(cluster.t, len(cluster.fleet.Violations()), 0, "%v", cluster.fleet.Violations())
 }
 
+// oddRecords returns records of servers that name no server to use.
+func oddRecords() []string {
+	const valid = `{"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1}`
+	odd := []string{"", "\x00\x01", "null", "[]", `{"service":"plain"}`, strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000), strings.Repeat(`{"a":`, 100_000)}
+	for _, change := range [][2]string{
+		{`"state":"ready"`, `"state":"resting"`}, {`:1"`, `:99999"`}, {`:1"`, `:-1"`}, {`:1"`, `:0"`}, {`:1"`, `:"`}, {`"slots":8`, `"slots":1e400`}, {`"slots":8`, `"slots":9223372036854775807`},
+		{`"seq":1`, `"seq":9223372036854775807`}, {`"seq":1`, `"seq":99999999999999999999999999`}, {`"cold_remaining_ms":0`, `"cold_remaining_ms":1e400`}, {`"seq":1`, `"seq":1,"born":9223372036854775807`},
+		{`"seq":1`, `"seq":1,"group":{"name":"g","epoch":18446744073709551615,"rank":0,"state":"open"}`}, {`"seq":1`, `"seq":1,"more":` + strings.Repeat("[", 50_000)},
+	} {
+		odd = append(odd, strings.Replace(valid, change[0], change[1], 1))
+	}
+	return odd
+}
+
 // addInvalidRecords adds invalid records of servers, which another client of the store could
-// write. The last record is complete but has an unknown state. All requests to all nodes must
+// write. All requests to all nodes must
 // still be answered, by the servers with valid records.
 func (cluster *testCluster) addInvalidRecords() {
-	for index, value := range []string{"", "\x00\x01", "null", "[]", `{"service":"plain"}`, `{"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"resting","cold_remaining_ms":0,"seq":1}`} {
+	for index, value := range oddRecords() {
 		_, err := cluster.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: fmt.Sprint("servers/odd-", index), Value: []byte(value)}}})
 		assert.NilError(cluster.t, err)
 	}
