serve: the head of a close-delimited success alone is no answer

Cause: after a whole head without a length or chunks, the end of the connection counted as the end of an empty body, if the server lived on. For streams such an answer was no stream already. Heads cut at any byte gave no answer before or now (TestHeadCutShort, five kinds of heads).

--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -322,3 +322,62 @@
 		assert.Equal(t, string(body), "less")
 	}
 }
+
+// TestHeadCutShort guards against an answer whose head was cut at any byte and that passes for an answer, and against one that ends
+// right after a head that states more.
+func TestHeadCutShort(t *testing.T) {
+	heads := map[string]struct {
+		text    string
+		bodyErr error // of the read of the body after the whole head
+	}{
+		"with a length":  {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 12\r\n\r\n", io.ErrUnexpectedEOF},
+		"with chunks":    {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", io.ErrUnexpectedEOF},
+		"with neither":   {"HTTP/1.1 200 OK\r\nSeal: s\r\nConnection: close\r\n\r\n", nil},
+		"of HTTP/1.0":    {"HTTP/1.0 200 OK\r\nSeal: s\r\n\r\n", nil},
+		"after interims": {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", io.ErrUnexpectedEOF},
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(head.text) + 1 {
+				response, err := sendToCutServer(t, head.text[:cut])
+				if cut < len(head.text) {
+					assert.Assert(t, err != nil, "cut after %d bytes: an answer with status %d", cut, statusOf(response))
+					continue
+				}
+				assert.NilError(t, err)
+				_, err = io.ReadAll(response.Body)
+				assert.Equal(t, err, head.bodyErr)
+				assert.NilError(t, response.Body.Close())
+			}
+		})
+	}
+}
+
+// statusOf returns the status of a response, or 0 for none.
+func statusOf(response *http.Response) int {
+	if response == nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// sendToCutServer sends a request to a server that reads it, answers with the text and closes the connection.
+func sendToCutServer(t *testing.T, text string) (*http.Response, error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+	}()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String()+"/", nil)
+	assert.NilError(t, err)
+	return (&Transport{}).Send(request)
+}
--- a/serve/completion_test.go
+++ b/serve/completion_test.go
@@ -101,6 +101,42 @@
 	}
 }
 
+// TestHeadAloneIsNoAnswer guards against a server that stops after the head of its answer, and whose caller gets an empty answer as a
+// whole one. The server lives on.
+func TestHeadAloneIsNoAnswer(t *testing.T) {
+	cases := map[string]struct {
+		method, path string
+		first        step
+		status       int
+		body         string
+		sent         int
+	}{
+		"safe":                        {"POST", "/safe/x", step{unstated: true}, 200, "whole", 2},
+		"once":                        {"POST", "/once/x", step{unstated: true}, 502, "", 1},
+		"stream":                      {"POST", "/s/x", step{unstated: true}, 200, events(1, 2), 2},
+		"once, length 0":              {"POST", "/once/x", step{}, 200, "", 1},
+		"once, no content":            {"POST", "/once/x", step{status: 204}, 204, "", 1},
+		"head request":                {"HEAD", "/safe/x", step{unstated: true}, 200, "", 1},
+		"once, an error's head":       {"POST", "/once/x", step{unstated: true, status: 404}, 404, "", 1},
+		"once, a body without length": {"POST", "/once/x", step{unstated: true, body: "whole"}, 200, "whole", 1},
+	}
+	for name, test := range cases {
+		runFakeTime(t, name, func(t *testing.T) {
+			second := step{body: "whole"}
+			if test.path == "/s/x" {
+				second = step{events: 2}
+			}
+			harness := newHarness(t, test.first, second)
+			got := harness.send(test.method, test.path, "body", "Model", "m")
+			assert.Equal(t, got.Code, test.status, got.Body.String())
+			assert.Equal(t, len(harness.backend.requests), test.sent)
+			if test.status == 200 {
+				assert.Equal(t, got.Body.String(), test.body)
+			}
+		})
+	}
+}
+
 // TestDrainingServersPartIsNoAnswer guards against parts that pass as complete because the end of
 // a draining or unlisted server is planned, and so is not held against the request.
 func TestDrainingServersPartIsNoAnswer(t *testing.T) {
