node: a stopping node with a short grace time aborts requests in its last eighth only

Cause: requests were aborted 400 ms before the end of the grace time, which for one under 2.4 s is before its last sixth, in which alone a server may still be at work. Change: the margin is an eighth of the grace time, 400 ms at most; 8 s, as all users have it, keeps 400 ms.

--- a/node/node.go
+++ b/node/node.go
@@ -41,10 +41,13 @@
 	DirectoryKeep = time.Second
 	// maxDirectoryKeepFactor is how many times DirectoryKeep some callers cache an answer.
 	maxDirectoryKeepFactor = 3
-	// stopMargin is how long before the end of the grace time a stopping node aborts
+	// maxStopMargin is how long before the end of the grace time a stopping node aborts
 	// the requests that still run. At the end of the grace time the platform kills the
 	// process.
-	stopMargin = 400 * time.Millisecond
+	maxStopMargin = 400 * time.Millisecond
+	// stopMarginFraction bounds that margin for a short grace time: only requests whose servers are still at work in its
+	// last sixth may be aborted.
+	stopMarginFraction = 1. / 8
 	// shareHold is for how long a node that can't confirm the list of nodes keeps its part of what
 	// all nodes may do together. It outlasts most outages of the key-value service; a node that
 	// starts waits for longer than this before it takes a part.
@@ -292,7 +295,7 @@
 	cacheExpiry := min(maxDirectoryKeepFactor*DirectoryKeep, grace*3/8) // most of a short grace time remains for the running requests
 	time.Sleep(cacheExpiry)
 	node.handler.RefuseNew()
-	remaining := grace - stopMargin - (node.Timers.Now() - stopStarted)
+	remaining := grace - stopMargin(grace) - (node.Timers.Now() - stopStarted)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	err := callers.Shutdown(ctx)
@@ -303,6 +306,11 @@
 	return err
 }
 
+// stopMargin returns how long before the end of the grace time requests are aborted.
+func stopMargin(grace time.Duration) time.Duration {
+	return min(maxStopMargin, time.Duration(float64(grace)*stopMarginFraction))
+}
+
 // currentConfig returns the active configuration, or no view if none is known, and when it
 // was last proven current. The proof is read first: the configuration is then that of the proof or a
 // later one.
