--- a/engine/checks.go
+++ b/engine/checks.go
@@ -26,6 +26,7 @@
 	DialTimeout time.Duration         // zero means one second
 	IdleTimeout time.Duration         // after which an idle connection is closed; zero means 30 seconds
 	Dialer      shedkeel.ServerDialer // nil: connections are dialed directly
+	Paths       shedkeel.ServerPaths  // of Dialer; nil: idle connections through other nodes stay open
 
 	once   sync.Once
 	kept   *http.Transport // reuses connections
@@ -33,6 +34,7 @@
 
 	mutex   sync.Mutex
 	servers map[string]*checkConns // by address
+	relayed int                    // open connections through other nodes
 }
 
 // checkConns are the connections to one server. The transport's mutex guards the fields.
@@ -65,6 +67,7 @@
 // RoundTrip implements http.RoundTripper. It uses an open connection, if there is an idle one, unless WithFreshConnection applies.
 func (transport *CheckTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	transport.once.Do(transport.init)
+	transport.closeRelayed()
 	if NeedsFreshConnection(request.Context()) {
 		return transport.single.RoundTrip(request)
 	}
@@ -93,6 +96,7 @@
 // connection is open or could not be opened, or when ctx ends; the dial then goes on.
 func (transport *CheckTransport) Connect(ctx context.Context, address string) {
 	transport.once.Do(transport.init)
+	transport.closeRelayed()
 	transport.mutex.Lock()
 	server := transport.server(address)
 	if !server.needsConn(time.Now()) {
@@ -125,11 +129,32 @@
 // Disconnect closes all connections to the address.
 func (transport *CheckTransport) Disconnect(address string) {
 	transport.once.Do(transport.init)
+	transport.closeConns(func(conn *checkConn) bool { return conn.address == address })
+}
+
+// closeRelayed closes idle connections through other nodes while these aren't trusted: the nodes may be stopping, and
+// wait for the connections that they relay.
+func (transport *CheckTransport) closeRelayed() {
+	transport.mutex.Lock()
+	none := transport.relayed == 0
+	transport.mutex.Unlock()
+	if transport.Paths == nil || none {
+		return
+	}
+	if _, trusted := transport.Paths.Trusted(); !trusted {
+		transport.closeConns(func(conn *checkConn) bool { return conn.relayed && conn.busySince.IsZero() })
+	}
+}
+
+// closeConns closes the connections that the condition holds for. It calls the condition with the mutex held.
+func (transport *CheckTransport) closeConns(condition func(*checkConn) bool) {
 	transport.mutex.Lock()
 	var conns []*checkConn
-	if server := transport.servers[address]; server != nil {
+	for _, server := range transport.servers {
 		for conn := range server.open {
-			conns = append(conns, conn)
+			if condition(conn) {
+				conns = append(conns, conn)
+			}
 		}
 	}
 	transport.mutex.Unlock()
@@ -182,9 +207,15 @@
 		return nil, err
 	}
 	conn := &checkConn{Conn: raw, transport: transport, address: address, openedAt: time.Now()}
+	if way, known := raw.(relayable); known {
+		conn.relayed = way.Relayed()
+	}
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
 	transport.server(address).open[conn] = struct{}{}
+	if conn.relayed {
+		transport.relayed++
+	}
 	return conn, nil
 }
 
@@ -214,6 +245,9 @@
 	if server == nil {
 		return
 	}
+	if _, open := server.open[conn]; open && conn.relayed {
+		transport.relayed--
+	}
 	delete(server.open, conn)
 	if server.unused == conn {
 		server.unused = nil
@@ -234,6 +268,7 @@
 	transport *CheckTransport
 	address   string
 	openedAt  time.Time
+	relayed   bool          // it goes through another node
 	busySince time.Time     // see setBusy; the transport's mutex guards it
 	expiry    *time.Timer   // closes the connection while it is unused; nil: Connect didn't open it
 	watching  chan struct{} // closed when watch has returned
--- a/engine/checks_test.go
+++ b/engine/checks_test.go
@@ -176,6 +176,38 @@
 	assert.Equal(t, len(transport.servers), 0)
 }
 
+// relayedConn is a connection through another node.
+type relayedConn struct{ net.Conn }
+
+func (relayedConn) Relayed() bool { return true }
+
+// relayedDialer dials through another node, which is stopping once leaving is set.
+type relayedDialer struct{ leaving bool }
+
+func (*relayedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return relayedConn{conn}, err
+}
+
+func (*relayedDialer) Relayed(string) bool { return true }
+
+func (dialer *relayedDialer) Trusted() (direct, relayed bool) { return true, !dialer.leaving }
+
+// TestCheckConnectionLeavesStoppingRelay guards against idle check connections for which a stopping node waits that relays them.
+func TestCheckConnectionLeavesStoppingRelay(t *testing.T) {
+	server, other := newCheckedServer(t), newCheckedServer(t)
+	dialer := &relayedDialer{}
+	transport := &CheckTransport{Dialer: dialer, Paths: dialer}
+	defer transport.Close()
+	transport.Connect(t.Context(), server.address())
+	assert.NilError(t, check(t.Context(), transport, server.address()))
+	assert.Equal(t, transport.openConns(server.address()), 1)
+	dialer.leaving = true
+	transport.Connect(t.Context(), other.address())
+	assert.Equal(t, transport.openConns(server.address()), 0)
+	assert.Equal(t, transport.openConns(other.address()), 1)
+}
+
 // openConns returns how many connections to the address are kept.
 func (transport *CheckTransport) openConns(address string) int {
 	transport.mutex.Lock()
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -92,7 +92,7 @@
 		"serve/healthchecks.go", "cancelSecond = server.startSecond(ctx, second)", "", "TestHealthCheckIsRepeatedForOnce", "./serve",
 	},
 	"answers without an end: no check connection is open before the request": {
-		"serve/checkconns.go", "handler.Health.Connect(connecting, address)", "", "TestCheckConnectionIsOlder", "./serve",
+		"serve/checkconns.go", "handler.Health.Connect(connecting, address)", "_ = connecting", "TestCheckConnectionIsOlder", "./serve",
 	},
 	"answers without an end: any answer over an older connection proves the process": {
 		"serve/signs.go", "&& !sentAt.Before(wait.endedAt)", "", "TestOtherAnswersProveTheProcess", "./serve",
@@ -281,7 +281,7 @@
 		"entry/stream.go", "message, err := engine.ReadEvent(reader)\n", "message, err := engine.ReadEvent(reader)\n\t\tif errors.Is(err, io.EOF) {\n\t\t\treturn relay.flush()\n\t\t}\n", "TestStreams", "./entry",
 	},
 	"complete answers: a response without framing may end with its connection": {
-		"entry/send.go", "if unframed {", "if unframed && false {", "TestOutcomes", "./entry",
+		"entry/send.go", "nil, completeness.ProcessUnknown)", "nil, completeness.ProcessRuns)", "TestOutcomes", "./entry",
 	},
 	"truthful NotRunError: net/http may replay requests": {
 		"engine/transport.go", "request.Body = &nonReplayableBody{reader: request.Body}\n\trequest.GetBody = nil", "request.GetBody = func() (io.ReadCloser, error) { return http.NoBody, nil }", "TestNotRunIsTrue", "./engine",
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -250,7 +250,7 @@
 	servers, timers := &standin.Link{Network: cluster.network}, cluster.timers()
 	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
 	transport := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: 4 * time.Second}
-	checks := &engine.CheckTransport{Dialer: dialer, DialTimeout: 250 * time.Millisecond}
+	checks := &engine.CheckTransport{Dialer: dialer, Paths: dialer, DialTimeout: 250 * time.Millisecond}
 	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: 4 * time.Second, MaxIdle: 1}
 	storeTransport := &http.Transport{DialContext: cluster.dial()}
 	lines := &bytes.Buffer{}
--- a/program/node.go
+++ b/program/node.go
@@ -85,7 +85,7 @@
 	defer transport.Close()
 	reports := &engine.Transport{Dialer: dialer, Paths: dialer, IdleTimeout: idleTimeout, MaxIdle: 1}
 	defer reports.Close()
-	checks := &engine.CheckTransport{Dialer: dialer, DialTimeout: backendDialTimeout}
+	checks := &engine.CheckTransport{Dialer: dialer, Paths: dialer, DialTimeout: backendDialTimeout}
 	defer checks.Close()
 	seed := rand.Uint64()
 	process := &node.Node{
