--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -38,6 +38,11 @@
 	return 2 * time.Second // timeout_ms of its route in configText
 }
 
+// reachedLimit reports whether the call ended because its time was over.
+func (call *call) reachedLimit() bool {
+	return call.ended.Sub(call.sent) >= call.limit()-lostRules.slack
+}
+
 // plannedWork is a signal to a node or a new configuration.
 type plannedWork struct {
 	signal syscall.Signal // 0: a configuration
@@ -90,7 +95,7 @@
 // holds the mutex.
 func (checker *checker) lost(call *call, passedOn bool) string {
 	took := call.ended.Sub(call.sent)
-	if call.answered() || !passedOn && took < lostRules.slack || took >= call.limit()-lostRules.slack {
+	if call.answered() || !passedOn && took < lostRules.slack || call.reachedLimit() {
 		return ""
 	}
 	for _, fault := range checker.unplanned {
@@ -98,21 +103,32 @@
 			return ""
 		}
 	}
+	if checker.excused(call) {
+		return ""
+	}
 	finished := len(checker.finishedBefore(call, call.ended)) > 0
 	found := ""
 	for _, work := range checker.planned {
 		if work.signal == 0 || !work.covers(call) {
 			continue
 		}
-		if work.excuses(call, finished) {
-			return ""
-		}
 		found = fmt.Sprintf("%s%s: no whole answer around %s to node %d: it ended %s after that and %s after it was sent, with status %d; a server had finished it: %t",
 			call.kind, call.id, work.signal, call.node, call.ended.Sub(work.at).Round(time.Millisecond), took.Round(time.Millisecond), call.status, finished)
 	}
 	return found
 }
 
+// excused reports whether a node that stops need not have waited for the call. The caller holds the mutex.
+func (checker *checker) excused(call *call) bool {
+	finished := len(checker.finishedBefore(call, call.ended)) > 0
+	for _, work := range checker.planned {
+		if work.covers(call) && work.excuses(call, finished) {
+			return true
+		}
+	}
+	return false
+}
+
 // finishedBefore returns the complete answers to the call that servers had written by then. The caller holds the mutex.
 func (checker *checker) finishedBefore(call *call, then time.Time) []platformstandin.Completion {
 	var finished []platformstandin.Completion
@@ -148,7 +164,7 @@
 			}
 		}
 		total[call.node]++
-		if !call.answered() && passedOn[call.id] && len(checker.unplanned) == 0 {
+		if !call.answered() && passedOn[call.id] && len(checker.unplanned) == 0 && !call.reachedLimit() && !checker.excused(call) {
 			cut[call.node]++
 		}
 	}
