engine: a closed check transport keeps no connections

Cause: Close closed idle connections only, not those that were opened and not used yet. Change: Close closes all connections, and what is being opened.

--- a/engine/checks.go
+++ b/engine/checks.go
@@ -35,6 +35,7 @@
 	mutex   sync.Mutex
 	servers map[string]*checkConns // by address
 	relayed int                    // open connections through other nodes
+	closed  bool
 }
 
 // checkConns are the connections to one server. The transport's mutex guards the fields.
@@ -163,9 +164,13 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all connections, and those that are still being opened.
 func (transport *CheckTransport) Close() {
 	transport.once.Do(transport.init)
+	transport.mutex.Lock()
+	transport.closed = true
+	transport.mutex.Unlock()
+	transport.closeConns(func(*checkConn) bool { return true })
 	transport.kept.CloseIdleConnections()
 	transport.single.CloseIdleConnections()
 }
@@ -212,6 +217,10 @@
 	}
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
+	if transport.closed {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
 	transport.server(address).open[conn] = struct{}{}
 	if conn.relayed {
 		transport.relayed++
--- a/engine/checks_test.go
+++ b/engine/checks_test.go
@@ -217,3 +217,16 @@
 	}
 	return 0
 }
+
+// TestCheckConnectionsAreClosed guards against connections, unused ones above all, that outlive their transport.
+func TestCheckConnectionsAreClosed(t *testing.T) {
+	server, other := newCheckedServer(t), newCheckedServer(t)
+	transport := &CheckTransport{}
+	transport.Connect(t.Context(), server.address())
+	assert.NilError(t, check(t.Context(), transport, server.address()))
+	transport.Connect(t.Context(), other.address())
+	transport.Close()
+	assert.Equal(t, transport.openConns(server.address())+transport.openConns(other.address()), 0)
+	transport.Connect(t.Context(), server.address())
+	assert.Equal(t, transport.openConns(server.address()), 0, "a connection was opened after the end")
+}
