--- a/completeness/ways_test.go
+++ b/completeness/ways_test.go
@@ -149,19 +149,19 @@
 		checks.Close()
 		return err == nil && health.Server == instance.Server()
 	},
-	"5 health check, process": func(ctx context.Context, transport *engine.CheckTransport, instance shedkeel.InstanceID, address string, requestedAt time.Time) bool {
-		health, err := (&platform.HealthClient{Transport: transport}).Health(ctx, address, "/health")
-		return err == nil && Judge(true, nil, JudgeProcess(instance, health, requestedAt)) == Complete
-	},
-	connectedWay: func(ctx context.Context, transport *engine.CheckTransport, instance shedkeel.InstanceID, address string, requestedAt time.Time) bool {
-		health, err := (&platform.HealthClient{Transport: transport}).Health(ctx, address, "/health")
-		return err == nil && Judge(true, nil, JudgeProcess(instance, health, requestedAt)) == Complete
-	},
+	"5 health check, process": checkProcess,
+	connectedWay:              checkProcess,
 	"6 none": func(context.Context, *engine.CheckTransport, shedkeel.InstanceID, string, time.Time) bool {
 		return false
 	},
 }
 
+// checkProcess is the way that wants a health check to be answered by the process that has sent the answer.
+func checkProcess(ctx context.Context, transport *engine.CheckTransport, instance shedkeel.InstanceID, address string, requestedAt time.Time) bool {
+	health, err := (&platform.HealthClient{Transport: transport}).Health(ctx, address, "/health")
+	return err == nil && Judge(true, nil, JudgeProcess(instance, health, requestedAt)) == Complete
+}
+
 // TestWays compares the ways over what can become of a server, and prints for each the share of answers that pass
 // as complete, the dials and the time that the judgment adds. It runs only with -ways.
 func TestWays(t *testing.T) {
--- a/engine/checks.go
+++ b/engine/checks.go
@@ -15,8 +15,8 @@
 const (
 	// maxCheckConns is how many check connections to a server are kept.
 	maxCheckConns = 2
-	// deadConnTime is the time without an answer after which a connection may be dead.
-	deadConnTime = 400 * time.Millisecond
+	// DeadConnTime is the time without an answer to a check after which its connection may be dead.
+	DeadConnTime = 400 * time.Millisecond
 )
 
 // CheckTransport is an http.RoundTripper for checks of backend servers. Its connections carry nothing else, so that
@@ -120,7 +120,7 @@
 // needsConn reports whether another connection is needed: no open one is idle or waits for an answer only since lately.
 func (server *checkConns) needsConn(now time.Time) bool {
 	for conn := range server.open {
-		if conn.busySince.IsZero() || now.Sub(conn.busySince) < deadConnTime {
+		if conn.busySince.IsZero() || now.Sub(conn.busySince) < DeadConnTime {
 			return false
 		}
 	}
--- a/engine/checks_test.go
+++ b/engine/checks_test.go
@@ -131,12 +131,12 @@
 		}, 2},
 		"it gives no answer": {func(t *testing.T, transport *CheckTransport, server *checkedServer) {
 			server.setSilent(true)
-			ctx, cancel := context.WithTimeout(t.Context(), 2*deadConnTime)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*DeadConnTime)
 			defer cancel()
 			transport.Connect(ctx, server.address())
 			failed := make(chan error, 1)
 			go func() { failed <- check(ctx, transport, server.address()) }()
-			time.Sleep(deadConnTime + 50*time.Millisecond)
+			time.Sleep(DeadConnTime + 50*time.Millisecond)
 			transport.Connect(ctx, server.address())
 			server.setSilent(false)
 			assert.NilError(t, check(t.Context(), transport, server.address()))
--- a/names.go
+++ b/names.go
@@ -33,7 +33,7 @@
 	return string(node) + "/" + incarnation
 }
 
-// IsAddress reports whether the text is host:port with neither part empty.
+// IsAddress reports whether the text is host:port, with a host and a port from 1 to 65535.
 func IsAddress(text string) bool {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || host == "" {
--- a/serve/circumstances.go
+++ b/serve/circumstances.go
@@ -8,7 +8,7 @@
 	"shedkeel.org/shedkeel"
 )
 
-// endProof describes the search for a proof that a close-delimited answer is complete. It is immutable.
+// endProof describes the search for a proof that a close-delimited answer is complete.
 type endProof struct {
 	server   shedkeel.InstanceID
 	began    time.Duration // when the answer had ended
@@ -25,7 +25,7 @@
 
 // circumstances is what a request's log lines tell about why it ended without a complete answer.
 type circumstances struct {
-	proof   atomic.Pointer[endProof] // the latest; nil: no answer was close-delimited
+	proof   atomic.Pointer[endProof] // the latest, which does not change; nil: no answer was close-delimited
 	heardAt atomic.Int64             // when a server of the request was heard last, as a time.Duration; 0: never
 }
 
--- a/serve/completion.go
+++ b/serve/completion.go
@@ -30,10 +30,16 @@
 // error. A close-delimited answer is complete once a sign of the same process comes that was sent after its end: the answer to
 // a check, or to another request. judgeEnd waits for a sign until ctx ends, unless the answers to the checks show
 // that no later one can tell more.
-func (exchange *exchange) judgeEnd(ctx context.Context, attempt *attempt, response *http.Response) completeness.Verdict {
+//
+// empty states that nothing but the head has come. Such a success is no answer unless a server was to resume a stream: a server that
+// stops after the head leaves the same, and one that has nothing to say states the length 0.
+func (exchange *exchange) judgeEnd(ctx context.Context, attempt *attempt, response *http.Response, empty bool) completeness.Verdict {
 	if !engine.CloseDelimited(exchange.request.Method, response) {
 		return completeness.Complete
 	}
+	if empty && attempt.resumeAfter == "" && response.StatusCode < http.StatusMultipleChoices {
+		return completeness.Unknown
+	}
 	handler := exchange.handler
 	began := handler.Timers.Now()
 	attempt.Received(began)
--- a/serve/healthchecks.go
+++ b/serve/healthchecks.go
@@ -14,7 +14,7 @@
 const (
 	// healthTimeout is the silence after which a second check is sent, over another connection: that of the first may be
 	// dead. A full server may take as long to answer, so that the first stays and there are two at most.
-	healthTimeout = 400 * time.Millisecond
+	healthTimeout = engine.DeadConnTime
 	// firstCheckMargin is for how long the first check may answer after the second one.
 	firstCheckMargin = 100 * time.Millisecond
 )
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -8,7 +8,6 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/completeness"
-	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/event"
 )
 
@@ -96,8 +95,9 @@
 		exchange.checkServer(ctx, attempt, err)
 		return bufferedAnswer{}, err
 	}
-	choice.RecordResponse(exchange.handler.Timers.Now())
-	exchange.hear(exchange.handler.Timers.Now())
+	now := exchange.handler.Timers.Now()
+	choice.RecordResponse(now)
+	exchange.hear(now)
 	ended := false
 	end := func(failed bool) {
 		if !ended {
@@ -108,7 +108,7 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	// While an answer waits to be read, its server must not count as stalled.
 	body, err := exchange.readWhole(ctx, response, func() { end(failed) })
-	if err == nil && !exchange.isWhole(ctx, attempt, response, len(body)) {
+	if err == nil && exchange.judgeEnd(ctx, attempt, response, len(body) == 0) != completeness.Complete {
 		exchange.unread.release(int64(len(body)))
 		body, err = nil, errUnproven
 	}
@@ -119,15 +119,6 @@
 	return bufferedAnswer{response, body}, err
 }
 
-// isWhole reports whether an answer whose body was read to its end is complete. A success without a length, of which nothing but the head
-// has come, is none: a server that stops after the head leaves the same, and one that has nothing to say states the length 0.
-func (exchange *exchange) isWhole(ctx context.Context, attempt *attempt, response *http.Response, length int) bool {
-	if length == 0 && response.StatusCode < http.StatusMultipleChoices && engine.CloseDelimited(exchange.request.Method, response) {
-		return false
-	}
-	return exchange.judgeEnd(ctx, attempt, response) == completeness.Complete
-}
-
 // writeAnswer writes a complete answer to the caller. The answer to a HEAD request keeps the
 // Content-Length that the server sent.
 func (exchange *exchange) writeAnswer(answer bufferedAnswer) {
--- a/serve/source.go
+++ b/serve/source.go
@@ -123,11 +123,12 @@
 			return err
 		}
 		events++
-		stream.hear(stream.handler.Timers.Now())
+		now := stream.handler.Timers.Now()
+		stream.hear(now)
 		data := hasData(message)
 		if dataless += size; data {
 			dataless = 0
-			source.choice.RecordResponse(stream.handler.Timers.Now())
+			source.choice.RecordResponse(now)
 		}
 		if dataless > maxDatalessBytes {
 			stream.unread.release(size)
@@ -141,11 +142,9 @@
 	}
 }
 
-// end returns errStreamEnd if the answer is known to be complete, and otherwise errUnproven. A
-// close-delimited answer without events is complete only if the server was to resume the stream.
+// end returns errStreamEnd if the answer is known to be complete, and otherwise errUnproven.
 func (source *source) end(response *http.Response, events int) error {
-	noStream := events == 0 && source.attempt.resumeAfter == "" && engine.CloseDelimited(source.stream.request.Method, response)
-	if noStream || source.stream.judgeEnd(source.context, source.attempt, response) != completeness.Complete {
+	if source.stream.judgeEnd(source.context, source.attempt, response, events == 0) != completeness.Complete {
 		return errUnproven
 	}
 	return errStreamEnd
