--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT_VERSION := v2.15.0
 LINT := .tools/golangci-lint
 
-.PHONY: demo test check unit packages timed scenarios soak build generate bench measure capacity mutants fuzz
+.PHONY: demo test check unit packages timed scenarios soak crowd build generate bench measure capacity mutants fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,12 +20,12 @@
 # Tests that measure how soon something happens, or whose answers have 20 ms of real time.
 TIMED := ^(TestControlOff|TestCutOffLeaderRepairsGroups|TestIdleBoxServesWhenCutOff|TestLostStreamsBlockNoServer|TestNoDeadConnectionIsUsedAfterCut|TestRandomCuts|TestRelayStopsAsPlanned|TestReportsTellOfEvents|TestSlowGroupIsNoStall|TestSpreaderRejects)$$
 
-# The timed tests, the scenarios and the soak run by themselves, so that no other test's load
-# becomes theirs.
-unit: packages timed scenarios soak
+# The timed tests, the scenarios, the soak and the crowds run by themselves, so that no other test's
+# load becomes theirs.
+unit: packages timed scenarios soak crowd
 
 packages:
-	go test -race -timeout 20m -skip '$(TIMED)' $$(go list ./... | grep -v -e '^shedkeel.org/shedkeel$$' -e '/soak$$')
+	go test -race -timeout 20m -skip '$(TIMED)' $$(go list ./... | grep -v -e '^shedkeel.org/shedkeel$$' -e '/soak$$' -e '/crowd$$')
 
 timed:
 	go test -race -timeout 10m -p 1 -parallel 3 -run '$(TIMED)' ./node
@@ -36,6 +36,9 @@
 soak:
 	go test -timeout 10m ./soak
 
+crowd:
+	go test -timeout 15m ./crowd
+
 $(LINT):
 	GOBIN=$(CURDIR)/.tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
