--- a/config/node.go
+++ b/config/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/quota"
 )
 
 // NodeSettings are the settings of a node of the program shedkeel-node, a process that
@@ -80,14 +81,38 @@
 	OverloadOff  = "off" // requests are admitted by the slots of a model alone
 )
 
-// NodeLimits bound the memory that a node uses.
+// NodeLimits bound what a node uses. Package quota divides the box between the clients and the
+// node's own needs.
 type NodeLimits struct {
-	// UnreadBytes bounds the bytes that wait for callers that read slowly. 0: defaultUnreadBytes.
+	BoxLimits
+	// UnreadBytes bounds the bytes that wait for callers that read slowly. 0: Plan.UnreadAnswers of package quota.
 	UnreadBytes int64 `toml:"unread_bytes"`
 }
 
-// defaultUnreadBytes is about a tenth of the memory of a small box, 184 MB.
-const defaultUnreadBytes = 16 << 20
+// BoxLimits are what the box allows a process.
+type BoxLimits struct {
+	MemoryMB    int64 `toml:"memory_mb"`   // 0: that of quota.DefaultBox
+	Descriptors int   `toml:"descriptors"` // open files and sockets; 0: that of quota.DefaultBox
+}
+
+// check returns an InvalidError if the box is smaller than quota.MinBox.
+func (limits BoxLimits) check(name string) error {
+	if limits.MemoryMB != 0 && limits.MemoryMB*bytesPerMB < quota.MinBox.Memory {
+		return &shedkeel.InvalidError{Where: name, What: fmt.Sprintf("limits.memory_mb is %d", limits.MemoryMB), Remedy: fmt.Sprintf("write the box's memory in MB, at least %d, or leave it out", quota.MinBox.Memory/bytesPerMB)}
+	}
+	if limits.Descriptors != 0 && limits.Descriptors < quota.MinBox.Descriptors {
+		return &shedkeel.InvalidError{Where: name, What: fmt.Sprintf("limits.descriptors is %d", limits.Descriptors), Remedy: fmt.Sprintf("write how many files and sockets the process may open, at least %d, or leave it out", quota.MinBox.Descriptors)}
+	}
+	return nil
+}
+
+// Box returns the box that the limits describe.
+func (limits BoxLimits) Box() quota.Box {
+	return quota.Box{Memory: limits.MemoryMB * bytesPerMB, Descriptors: limits.Descriptors}
+}
+
+// bytesPerMB is the size of a megabyte in limits.memory_mb.
+const bytesPerMB = 1_000_000
 
 // DefaultNodeSettings returns the values of keys that a file omits.
 func DefaultNodeSettings() NodeSettings {
@@ -97,7 +122,6 @@
 			RetryRatio: 0.2, RetryWindow: shedkeel.Duration(10 * time.Second), RetrySlack: 100,
 			MaxBackoff: shedkeel.Duration(10 * time.Minute),
 		},
-		Limits:   NodeLimits{UnreadBytes: defaultUnreadBytes},
 		Overload: NodeOverload{Control: OverloadAuto},
 		Log:      LogSettings{Level: "info"},
 	}
@@ -105,7 +129,7 @@
 
 // ReadNodeSettings reads and validates a settings file. The error is an
 // InvalidError. An empty Listen.Gossip is set to Listen.Control, and a Limits.UnreadBytes of 0
-// to its default.
+// to the part of the box that quota.NewPlan gives unread answers.
 func ReadNodeSettings(path string) (NodeSettings, error) {
 	text, err := ReadFile(path)
 	if err != nil {
@@ -122,7 +146,8 @@
 		settings.Listen.Gossip = settings.Listen.Control
 	}
 	if settings.Limits.UnreadBytes == 0 {
-		settings.Limits.UnreadBytes = defaultUnreadBytes
+		plan := quota.NewPlan(settings.Limits.Box())
+		settings.Limits.UnreadBytes = plan.UnreadAnswers
 	}
 	return settings, nil
 }
@@ -164,6 +189,9 @@
 	if settings.Limits.UnreadBytes < 0 {
 		return &shedkeel.InvalidError{Where: name, What: "limits.unread_bytes is negative", Remedy: "write a tenth of the box's memory in bytes, or leave it out"}
 	}
+	if err := settings.Limits.check(name); err != nil {
+		return err
+	}
 	times := map[string]shedkeel.Duration{
 		"bounds.grace": settings.Bounds.Grace, "bounds.revoke": settings.Bounds.Revoke,
 		"bounds.directory": settings.Bounds.Directory, "bounds.retry_window": settings.Bounds.RetryWindow,
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -68,7 +68,7 @@
 			}
 			assert.NilError(t, err)
 			assert.Equal(t, settings.Bounds.Grace, shedkeel.Duration(9*time.Second)) // from nodeText
-			assert.Equal(t, settings.Limits.UnreadBytes, int64(16<<20))
+			assert.Equal(t, settings.Limits.UnreadBytes, int64(16_000_000))
 			assert.Equal(t, settings.Bounds.RetryRatio, DefaultNodeSettings().Bounds.RetryRatio)
 		})
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -20,7 +20,8 @@
 	Wire     WireSettings     `toml:"wire"`
 	Platform PlatformSettings `toml:"platform"`
 	Timing   Timing           `toml:"timing"`
-	TLS      TLSSettings      `toml:"tls"` // for connections from callers and operators
+	TLS      TLSSettings      `toml:"tls"`    // for connections from callers and operators
+	Limits   BoxLimits        `toml:"limits"` // of each of the two processes
 	Log      LogSettings      `toml:"log"`
 }
 
@@ -167,6 +168,9 @@
 			return &shedkeel.InvalidError{Where: name, What: address.key + " is no address: " + err.Error(), Remedy: "write it as IP:PORT"}
 		}
 	}
+	if err := settings.Limits.check(name); err != nil {
+		return err
+	}
 	return settings.checkTimes(name)
 }
 
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -75,35 +75,43 @@
 		"body in pieces":              {60, func(client *client) { client.sendBody(maxBody, maxBody-1, pieceBytes) }},
 		"chunked body":                {60, (*client).sendChunkedBody},
 		"whole bodies":                {60, func(client *client) { client.sendBody(maxBody, maxBody, maxBody) }},
+		"long names of requests":      {20, (*client).sendLongNames},
 		"at rest":                     {4500, (*client).rest},
 	},
-	"control": {
-		"at rest": {4500, func(client *client) {
-			client.send([]byte{0})
-			client.wait()
-		}},
-		"messages without key": {4, (*client).openStreams},
-	},
+	"directory": httpKinds,
+	"readiness": httpKinds,
+	"metrics":   httpKinds,
+	"control":   callKinds,
 }
 
-// init gives the other listeners for strangers the kinds of the callers' listener, with heads that
-// exceed any limit.
-func init() {
-	for _, listener := range []string{"directory", "readiness", "metrics"} {
-		kinds[listener] = map[string]kind{
-			"short lines":           {1000, func(client *client) { client.sendHead(shortLines, maxHead-384, 1) }},
-			"one name":              {1000, func(client *client) { client.sendHead(oneName, maxHead-384, 1) }},
-			"odd names":             {1000, func(client *client) { client.sendHead(oddNames, maxHead-384, 1) }},
-			"head over the limit":   {40, func(client *client) { client.sendHead(shortLines, 1_000_000, 1) }},
-			"head without end":      {60, (*client).sendEndlessHead},
-			"empty lines":           {200, (*client).sendEmptyLines},
-			"body short of its end": {60, func(client *client) { client.sendBody(maxBody, maxBody-1, maxBody) }},
-			"body in pieces":        {60, func(client *client) { client.sendBody(maxBody, maxBody-1, pieceBytes) }},
-			"chunked body":          {60, (*client).sendChunkedBody},
-			"whole bodies":          {60, func(client *client) { client.sendBody(maxBody, maxBody, maxBody) }},
-			"at rest":               {4500, (*client).rest},
-		}
-	}
+// callKinds are what crowds do at listeners for calls.
+var callKinds = map[string]kind{
+	"at rest": {4500, func(client *client) {
+		client.send([]byte{0})
+		client.wait()
+	}},
+	"messages without key": {4, (*client).openStreams},
+}
+
+// boxKinds are what crowds do at the listeners of the programs of an entry box, by program and listener.
+var boxKinds = map[string]map[string]map[string]kind{
+	"shedkeel-entry":  {"entry": httpKinds, "admin": httpKinds},
+	"shedkeel-keeper": {"operator": httpKinds, "wire": callKinds},
+}
+
+// httpKinds are what crowds do at listeners that bear no requests for backend servers.
+var httpKinds = map[string]kind{
+	"short lines":           {1000, func(client *client) { client.sendHead(shortLines, maxHead-384, 1) }},
+	"one name":              {1000, func(client *client) { client.sendHead(oneName, maxHead-384, 1) }},
+	"odd names":             {1000, func(client *client) { client.sendHead(oddNames, maxHead-384, 1) }},
+	"head over the limit":   {40, func(client *client) { client.sendHead(shortLines, 1_000_000, 1) }},
+	"head without end":      {60, (*client).sendEndlessHead},
+	"empty lines":           {200, (*client).sendEmptyLines},
+	"body short of its end": {60, func(client *client) { client.sendBody(maxBody, maxBody-1, maxBody) }},
+	"body in pieces":        {60, func(client *client) { client.sendBody(maxBody, maxBody-1, pieceBytes) }},
+	"chunked body":          {60, (*client).sendChunkedBody},
+	"whole bodies":          {60, func(client *client) { client.sendBody(maxBody, maxBody, maxBody) }},
+	"at rest":               {4500, (*client).rest},
 }
 
 // TestCrowd runs one crowd at a time, each at a node of its own.
@@ -111,29 +119,49 @@
 	if testing.Short() {
 		t.Skip("takes several seconds per crowd")
 	}
-	binary := build(t)
+	binary := build(t, "shedkeel-node")
 	for listener, crowds := range kinds {
 		t.Run(listener, func(t *testing.T) {
 			for name, kind := range crowds {
-				t.Run(name, func(t *testing.T) { runCrowd(t, binary, listener, kind) })
+				t.Run(name, func(t *testing.T) { runCrowd(t, startNode(t, binary), "callers", listener, kind) })
 			}
 		})
 	}
 }
 
+// TestCrowdAtBox runs one crowd at a time at the programs of an entry box, each without the other program.
+func TestCrowdAtBox(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes several seconds per crowd")
+	}
+	ordinary := map[string]string{"shedkeel-entry": "entry", "shedkeel-keeper": "operator"}
+	for program, listeners := range boxKinds {
+		binary := build(t, program)
+		for listener, crowds := range listeners {
+			t.Run(listener, func(t *testing.T) {
+				for name, kind := range crowds {
+					t.Run(name, func(t *testing.T) {
+						runCrowd(t, startBox(t, binary, ordinary[program]), ordinary[program], listener, kind)
+					})
+				}
+			})
+		}
+	}
+}
+
 // TestCrowdOfAllKinds has the crowds of the callers' listener at one node at once, except those
 // that need the most clients.
 func TestCrowdOfAllKinds(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes several seconds")
 	}
-	node := startNode(t, build(t))
+	node := startNode(t, build(t, "shedkeel-node"))
 	crowd := &crowd{done: make(chan struct{})}
 	for _, kind := range kinds["callers"] {
 		kind.clients = min(kind.clients, 100)
 		crowd.add(node, "callers", kind)
 	}
-	judge(t, node, "callers", crowd)
+	judge(t, node, "callers", "callers", crowd)
 }
 
 // TestLargestRequests has a few callers one after the other send the largest request inside the
@@ -142,7 +170,7 @@
 	if testing.Short() {
 		t.Skip("starts a process")
 	}
-	node := startNode(t, build(t))
+	node := startNode(t, build(t, "shedkeel-node"))
 	body := bytes.Repeat([]byte("x"), maxBody)
 	for range 8 {
 		status, err := node.request("callers", shortLines(maxHead-384), body)
@@ -152,24 +180,26 @@
 	checkUse(t, node)
 }
 
-// runCrowd has the crowd at the listener of a new node, and judges the node.
-func runCrowd(t *testing.T, binary, listener string, kind kind) {
-	node := startNode(t, binary)
+// runCrowd has the crowd at the listener of a process, and judges the process. ordinary is the listener for
+// requests.
+func runCrowd(t *testing.T, node *process, ordinary, listener string, kind kind) {
+	t.Helper()
 	crowd := &crowd{done: make(chan struct{})}
 	crowd.add(node, listener, kind)
-	judge(t, node, listener, crowd)
+	judge(t, node, ordinary, listener, crowd)
 }
 
-// judge lets the crowd act, sends ordinary requests beside it, and checks the node.
-func judge(t *testing.T, node *process, listener string, crowd *crowd) {
+// judge lets the crowd act, sends ordinary requests beside it, and checks the process.
+func judge(t *testing.T, node *process, ordinary, listener string, crowd *crowd) {
+	t.Helper()
 	time.Sleep(actTime)
-	answered := node.awaitAnswer("callers", answerTime)
-	answeredThere := listener == "callers" || listener == "control" || node.awaitAnswer(listener, answerTime)
+	answered := node.awaitAnswer(ordinary, answerTime)
+	answeredThere := listener == ordinary || listener == "control" || listener == "wire" || node.awaitAnswer(listener, answerTime)
 	close(crowd.done)
 	crowd.clients.Wait()
 	assert.Check(t, answered, "no ordinary request was answered beside the crowd")
 	assert.Check(t, answeredThere, "no ordinary request to the %s listener was answered beside the crowd", listener)
-	assert.Check(t, node.awaitAnswer("callers", answerTime), "no ordinary request was answered after the crowd")
+	assert.Check(t, node.awaitAnswer(ordinary, answerTime), "no ordinary request was answered after the crowd")
 	checkUse(t, node)
 	t.Logf("%d connections were opened", crowd.opened.Load())
 }
@@ -343,6 +373,16 @@
 	}
 }
 
+// sendLongNames sends requests without a key whose IDs are as long as a head may be, and of bytes that take up
+// several times as much where they are written as text.
+func (client *client) sendLongNames() {
+	request := fmt.Appendf(nil, "GET /look/x HTTP/1.1\r\nHost: h.example\r\nX-Shedkeel-Attempt-Id: %s\r\n\r\n", bytes.Repeat([]byte{0xff}, maxHead-384))
+	go func() { _, _ = io.Copy(io.Discard, client.conn) }()
+	for client.send(request) {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // openStreams opens streams to a control address, and begins a message of the largest size on each
 // without knowing the key.
 func (client *client) openStreams() {
--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -52,10 +52,27 @@
 // sampleInterval is how often the use of the process is looked at.
 const sampleInterval = 50 * time.Millisecond
 
-// nodeCount is how many nodes were started.
-var nodeCount atomic.Int32
+// boxSettingsText are the settings of an entry box whose key-value service is away.
+const boxSettingsText = `node = "box-0"
+zone = "z"
+[entry]
+listen = %q
+admin = %q
+[keeper]
+operator = %q
+operator_key = "operators"
+[wire]
+listen = %q
+key = "crowd"
+[platform]
+store = "127.0.0.1:1"
+box_list = "127.0.0.1:1"
+`
 
-// process is a running node.
+// processCount is how many processes were started.
+var processCount atomic.Int32
+
+// process is a running process.
 type process struct {
 	addresses map[string]string // of the listeners
 	command   *exec.Cmd
@@ -74,11 +91,11 @@
 	lives       bool
 }
 
-// build builds the node's program and returns its path.
-func build(t *testing.T) string {
+// build builds the program and returns its path.
+func build(t *testing.T, program string) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "shedkeel-node")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "shedkeel.org/shedkeel/cmd/shedkeel-node").CombinedOutput()
+	binary := filepath.Join(t.TempDir(), program)
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "shedkeel.org/shedkeel/cmd/"+program).CombinedOutput()
 	assert.NilError(t, err, string(output))
 	return binary
 }
@@ -102,23 +119,39 @@
 		server.Address = listener.Listener.Addr().String()
 		fleet.Add(server)
 	}
-	node := &process{addresses: map[string]string{}, ended: make(chan struct{}), stopped: make(chan struct{})}
-	// A loopback address of its own keeps the node's ports apart from those of the clients.
-	host := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+nodeCount.Add(1)/250, 1+nodeCount.Load()%250)
-	for index, name := range []string{"callers", "directory", "readiness", "control", "metrics"} {
-		node.addresses[name] = fmt.Sprintf("%s:%d", host, 7001+index)
-	}
-	settings := filepath.Join(t.TempDir(), "node.toml")
+	node := newProcess("callers", "directory", "readiness", "control", "metrics")
 	text := fmt.Sprintf(settingsText, strings.TrimPrefix(store.URL, "http://"), node.addresses["callers"], node.addresses["directory"], node.addresses["readiness"], node.addresses["control"], node.addresses["metrics"])
-	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	node.start(t, binary, settings)
+	node.start(t, binary, text)
 	assert.Assert(t, node.awaitAnswer("callers", answerTime), "the node doesn't serve")
 	return node
 }
 
-// start starts the process and begins to look at its use.
-func (process *process) start(t *testing.T, binary, settings string) {
+// newProcess returns a process that is to have the listeners.
+func newProcess(listeners ...string) *process {
+	process := &process{addresses: map[string]string{}, ended: make(chan struct{}), stopped: make(chan struct{})}
+	// A loopback address of its own keeps the process's ports apart from those of the clients.
+	host := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+processCount.Add(1)/250, 1+processCount.Load()%250)
+	for index, name := range listeners {
+		process.addresses[name] = fmt.Sprintf("%s:%d", host, 7001+index)
+	}
+	return process
+}
+
+// startBox starts the program of an entry box without its other one, and waits until it answers at the listener.
+func startBox(t *testing.T, binary, listener string) *process {
 	t.Helper()
+	process := newProcess("entry", "admin", "operator", "wire")
+	addresses := process.addresses
+	process.start(t, binary, fmt.Sprintf(boxSettingsText, addresses["entry"], addresses["admin"], addresses["operator"], addresses["wire"]))
+	assert.Assert(t, process.awaitAnswer(listener, answerTime), "the process doesn't answer")
+	return process
+}
+
+// start starts the process with the text of its settings, and begins to look at its use.
+func (process *process) start(t *testing.T, binary, text string) {
+	t.Helper()
+	settings := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
 	process.command = exec.CommandContext(t.Context(), binary, "--settings", settings)
 	log := &tail{}
 	process.command.Stdout, process.command.Stderr = log, log
@@ -220,8 +253,9 @@
 // connection, until it gets an answer. It returns false if none comes in the given time.
 func (process *process) awaitAnswer(listener string, limit time.Duration) bool {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-		if status, err := process.request(listener, "", []byte("an ordinary body")); err == nil && status == http.StatusOK {
-			return true
+		status, err := process.request(listener, "", []byte("an ordinary body"))
+		if err == nil && (status == http.StatusOK || listener == "entry" && status == http.StatusNotFound) {
+			return true // an entry knows no path without a configuration, but it has judged the request
 		}
 	}
 	return false
@@ -241,6 +275,8 @@
 	switch listener {
 	case "callers":
 		head = fmt.Sprintf("POST /fee/x HTTP/1.1\r\nHost: h.example\r\nX-Shedkeel-Key: stays\r\nX-Shedkeel-Deadline-Ms: 8000\r\nX-Shedkeel-Attempt-Id: ordinary-%d\r\nContent-Length: %d\r\n%s\r\n", process.requests, len(body), lines)
+	case "admin", "operator":
+		head, body = "GET /healthz HTTP/1.1\r\nHost: h.example\r\n"+lines+"\r\n", nil
 	case "directory":
 		head, body = "GET /shedkeel/resolve?name=h.example&zone=z HTTP/1.1\r\nHost: h.example\r\n"+lines+"\r\n", nil
 	default:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,8 +23,10 @@
 	"shedkeel.org/shedkeel/admit"
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/member"
 	"shedkeel.org/shedkeel/metrics"
+	"shedkeel.org/shedkeel/quota"
 	"shedkeel.org/shedkeel/route"
 	"shedkeel.org/shedkeel/wire"
 )
@@ -90,14 +92,19 @@
 	if err != nil {
 		return err
 	}
-	callers := &http.Server{
-		Handler: entry.callerHandler(), TLSConfig: callersTLS,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	gate := intake.New(entry.Settings.Limits.Box())
+	gate.Timers, gate.Log = entry.Timers, entry.Log
+	if entry.Metrics != nil {
+		gate.Scope = entry.Metrics.Scope
 	}
-	admin := &http.Server{Handler: entry.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	callers := gate.Server(entry.callerHandler(), true)
+	admin := gate.Server(entry.adminHandler(), false)
+	callersListener := gate.Listen(intake.TLSListener(listeners.Callers, callersTLS), quota.Callers)
+	adminListener := gate.Listen(listeners.Admin, quota.Operators)
 	failed := make(chan error, 1)
-	entry.background.Go(func() { entry.serve(callers, listeners.Callers, failed) })
-	entry.background.Go(func() { _ = admin.Serve(listeners.Admin) })
+	entry.background.Go(func() { entry.serve(callers, callersListener, failed) })
+	entry.background.Go(func() { _ = admin.Serve(adminListener) })
+	defer gate.Run()()
 	cancel := entry.Timers.Subscribe(time.Duration(entry.Settings.Timing.Sync), entry.sync)
 	select {
 	case err = <-failed:
@@ -113,11 +120,8 @@
 }
 
 const (
-	headerTimeout  = 5 * time.Second  // maximum time for a client to send its request header
-	idleTimeout    = 60 * time.Second // maximum time that a caller's connection stays open without a request
-	maxHeaderBytes = 64 << 10         // maximum size of a caller's request header
-	bodyTimeout    = 30 * time.Second // maximum time for a caller to send its request body
-	writeTimeout   = 30 * time.Second // maximum time for a caller to receive an answer or one event of a stream
+	bodyTimeout  = 30 * time.Second // maximum time for a caller to send its request body
+	writeTimeout = 30 * time.Second // maximum time for a caller to receive an answer or one event of a stream
 )
 
 // initialize sets up the unexported fields, and the keeper connection if there
@@ -140,12 +144,7 @@
 // serve runs the HTTP server for callers and sends its error to failed, unless
 // the server was closed.
 func (entry *Entry) serve(server *http.Server, listener net.Listener, failed chan<- error) {
-	var err error
-	if server.TLSConfig != nil {
-		err = server.ServeTLS(listener, "", "")
-	} else {
-		err = server.Serve(listener)
-	}
+	err := server.Serve(listener)
 	if !errors.Is(err, http.ErrServerClosed) {
 		failed <- err
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -17,6 +17,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -194,14 +195,20 @@
 // longer than the MaxBody setting, and a refusal if it does not arrive completely
 // within bodyTimeout.
 func (entry *Entry) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
-	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, entry.Settings.Entry.MaxBody))
+	body, err := intake.ReadBody(writer, request, entry.Settings.Entry.MaxBody, bodyTimeout)
+	if err == nil {
+		return body.Bytes(), nil
+	}
+	writer.Header().Set("Connection", "close") // the rest of the body may still arrive
 	var tooLarge *http.MaxBytesError
-	if err != nil && !errors.As(err, &tooLarge) {
-		return nil, &refusal{status: http.StatusBadRequest, text: "the body did not come whole within " + bodyTimeout.String() + "; send it again"}
+	var noRoom *shedkeel.UnavailableError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, err
+	case errors.As(err, &noRoom):
+		return nil, &shedkeel.NotRunError{Reason: "this entry box has no room for the request's body", RetryAfter: noRoom.RetryAfter, Overloaded: true}
 	}
-	_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
-	return body, err
+	return nil, &refusal{status: http.StatusBadRequest, text: "the body did not come whole within " + bodyTimeout.String() + "; send it again"}
 }
 
 // adminHandler returns the handler for health checks, metrics and operators.
--- a/event/event.go
+++ b/event/event.go
@@ -27,6 +27,8 @@
 	Reloaded              = Event{104, slog.LevelInfo, "settings read again"}
 	ReloadFailed          = Event{105, slog.LevelError, "settings cannot be read again; those in force stay"}
 	LinesDropped          = Event{106, slog.LevelWarn, "log lines were left out"}
+	ClientsRefused        = Event{107, slog.LevelWarn, "clients were refused or their connections closed, since they met a limit"}
+	AcceptFailed          = Event{108, slog.LevelError, "listener cannot accept a connection"}
 	StoreUnavailable      = Event{200, slog.LevelWarn, "key-value service does not answer"}
 	StoreAvailable        = Event{201, slog.LevelInfo, "key-value service answers again"}
 	StoreOlder            = Event{202, slog.LevelWarn, "key-value service holds an older record than is in force"}
@@ -117,7 +119,7 @@
 // Catalog returns all events.
 func Catalog() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, StoreUnavailable, StoreAvailable, StoreOlder, StoreHealed, RecordInvalid, BoxListUnavailable, StoreRestored, StoreEraInvalid,
+		Started, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, ClientsRefused, AcceptFailed, StoreUnavailable, StoreAvailable, StoreOlder, StoreHealed, RecordInvalid, BoxListUnavailable, StoreRestored, StoreEraInvalid,
 		KeeperSynced, ConfigInForce, ConfigAccepted, ConfigRefused, LeaseGained, LeaseLost, PlacementAgreed,
 		PlacementFailed, PlannerDecision, OrderFailed, OrderRefused, GroupChanged, PolicyFailed, ReserveUsed, KeeperUnavailable, KeeperAvailable,
 		StreamAborted, StreamResumed, WrongAnswer, RequestPanic,
@@ -201,12 +203,28 @@
 	return &Log{Logger: slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: minLevel}))}, nil
 }
 
+// maxFieldBytes bounds a text in a line. Callers choose some texts, such as the IDs of requests.
+const maxFieldBytes = 1 << 10
+
+// cut returns the text, or the beginning of one that is longer than maxFieldBytes.
+func cut(text string) string {
+	if len(text) <= maxFieldBytes {
+		return text
+	}
+	return text[:maxFieldBytes]
+}
+
 // Write logs an event with the given fields, unless the event is below the level of the
-// log or exceeds its rate limit.
+// log or exceeds its rate limit. It cuts texts, except stack traces, to maxFieldBytes.
 func (log *Log) Write(event Event, fields ...slog.Attr) {
 	if log == nil || log.Logger == nil || log.limits != nil && !log.limits.allow(event) {
 		return
 	}
+	for index, field := range fields {
+		if field.Value.Kind() == slog.KindString && field.Key != "stack" {
+			fields[index].Value = slog.StringValue(cut(field.Value.String()))
+		}
+	}
 	log.write(event, fields...)
 }
 
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -134,3 +135,40 @@
 	assert.Equal(t, len(log.Recent("request", "r")), recentLines-2)
 	assert.Equal(t, len((*Log)(nil).Recent("request", "r")), 0)
 }
+
+// TestLogIsBounded writes lines with texts that a caller has chosen, as long as a head may be, to a log whose writer
+// blocks. The lines that are queued and kept must not grow with the texts.
+func TestLogIsBounded(t *testing.T) {
+	writer := &blockedWriter{release: make(chan struct{})}
+	queue := NewQueue(writer)
+	for range 4 * queueLines {
+		_, _ = queue.Write(bytes.Repeat([]byte("x"), 64<<10))
+	}
+	assert.Assert(t, queue.queued.Load() <= queueBytes+64<<10, "the writer has one line more")
+	queue.mutex.Lock()
+	kept := 0
+	for _, line := range queue.recent {
+		kept += len(line)
+	}
+	assert.Equal(t, kept, queue.bytes)
+	queue.mutex.Unlock()
+	assert.Assert(t, kept <= recentBytes && kept > recentBytes/2)
+	assert.Assert(t, queue.Dropped() > 0)
+	close(writer.release)
+	queue.Close()
+	assert.Equal(t, queue.queued.Load(), int64(0))
+}
+
+// TestTextsAreCut checks that long texts are cut, that a line is found by the whole text, and that stack
+// traces stay whole.
+func TestTextsAreCut(t *testing.T) {
+	log, err := NewBoundedLog(io.Discard, "info")
+	assert.NilError(t, err)
+	defer log.Close()
+	text := strings.Repeat("\xff", 12_000)
+	log.Write(Refused, slog.String("request", text), slog.String("stack", strings.Repeat("s", 3*maxFieldBytes)))
+	found := log.Recent("request", text)
+	assert.Equal(t, len(found), 1)
+	assert.Assert(t, bytes.Contains(found[0], bytes.Repeat([]byte("s"), 3*maxFieldBytes)))
+	assert.Assert(t, len(found[0]) < 8*maxFieldBytes+3*maxFieldBytes, "%d bytes", len(found[0]))
+}
--- a/event/queue.go
+++ b/event/queue.go
@@ -19,6 +19,10 @@
 	// recentLines is how many lines are kept in memory for operators who query a
 	// running process (see Recent). At about 300 bytes each the lines take 0.6 MB.
 	recentLines = 2048
+	// queueBytes and recentBytes bound the memory of the queued and of the recent lines. Lines may be long
+	// since callers choose some of their texts, such as the IDs of requests.
+	queueBytes  = 1 << 20
+	recentBytes = 1 << 20
 	// routineRate is the maximum number of lines per second, and in one burst, for each
 	// event below the level warn. A node serves about 20 requests per second, so the
 	// limit drops no line that is written once per request up to five times that load.
@@ -34,6 +38,7 @@
 // them. It also keeps the latest lines in memory (see Recent).
 type Queue struct {
 	lines     chan []byte
+	queued    atomic.Int64 // bytes in lines
 	dropped   atomic.Int64
 	closed    chan struct{} // closed once Close was called and all queued lines are written
 	out       io.Writer
@@ -41,7 +46,9 @@
 
 	mutex  sync.Mutex
 	recent [][]byte // ring buffer of the latest lines
-	oldest int      // index of the oldest line once the ring buffer is full
+	oldest int      // index of the oldest line
+	count  int      // lines in the ring buffer
+	bytes  int      // of these lines
 }
 
 // NewQueue returns a queue that writes to out until Close is called.
@@ -55,6 +62,7 @@
 func (queue *Queue) run() {
 	defer close(queue.closed)
 	for line := range queue.lines {
+		queue.queued.Add(-int64(len(line)))
 		_, _ = queue.out.Write(line) // a failure to write the log cannot be logged
 	}
 }
@@ -64,36 +72,52 @@
 func (queue *Queue) Write(line []byte) (int, error) {
 	cloned := bytes.Clone(line)
 	queue.keepRecent(cloned)
+	if queue.queued.Add(int64(len(line))) > queueBytes {
+		queue.drop(line)
+		return len(line), nil
+	}
 	select {
 	case queue.lines <- cloned:
 	default:
-		queue.dropped.Add(1)
+		queue.drop(line)
 	}
 	return len(line), nil
 }
 
-// keepRecent adds a line to the ring buffer of recent lines.
+// drop counts a line that is not queued.
+func (queue *Queue) drop(line []byte) {
+	queue.queued.Add(-int64(len(line)))
+	queue.dropped.Add(1)
+}
+
+// keepRecent adds a line to the ring buffer of recent lines. The oldest ones make room for it.
 func (queue *Queue) keepRecent(line []byte) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	if len(queue.recent) < recentLines {
-		queue.recent = append(queue.recent, line)
-		return
+	if queue.recent == nil {
+		queue.recent = make([][]byte, recentLines)
+	}
+	for queue.count > 0 && (queue.count == recentLines || queue.bytes+len(line) > recentBytes) {
+		queue.bytes -= len(queue.recent[queue.oldest])
+		queue.recent[queue.oldest] = nil
+		queue.oldest = (queue.oldest + 1) % recentLines
+		queue.count--
 	}
-	queue.recent[queue.oldest] = line
-	queue.oldest = (queue.oldest + 1) % recentLines
+	queue.recent[(queue.oldest+queue.count)%recentLines] = line
+	queue.count++
+	queue.bytes += len(line)
 }
 
-// Recent returns those of the last recentLines lines in which the field is a string with
+// Recent returns those of the latest lines, as many as recentLines and recentBytes allow, in which the field is a string with
 // the value, oldest first. The result includes lines that were dropped because the queue
 // was full.
 func (queue *Queue) Recent(field, value string) [][]byte {
-	pattern := fmt.Appendf(nil, "%s:%s", jsonString(field), jsonString(value))
+	pattern := fmt.Appendf(nil, "%s:%s", jsonString(field), jsonString(cut(value)))
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	var found [][]byte
-	for index := range queue.recent {
-		line := queue.recent[(queue.oldest+index)%len(queue.recent)]
+	for index := range queue.count {
+		line := queue.recent[(queue.oldest+index)%recentLines]
 		if bytes.Contains(line, pattern) {
 			found = append(found, line)
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -16,7 +16,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -25,8 +24,10 @@
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/event"
 	"shedkeel.org/shedkeel/group"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/member"
 	"shedkeel.org/shedkeel/metrics"
+	"shedkeel.org/shedkeel/quota"
 	"shedkeel.org/shedkeel/wire"
 )
 
@@ -88,15 +89,22 @@
 	if err != nil {
 		return err
 	}
+	gate := intake.New(keeper.Settings.Limits.Box())
+	gate.Timers, gate.Log = keeper.Timers, keeper.Log
+	if keeper.Metrics != nil {
+		gate.Scope = keeper.Metrics.Scope
+	}
 	wireServer := &wire.Server{Key: keeper.Settings.Wire.Key, TLS: serverTLS, Handler: keeper}
-	keeper.background.Go(func() { _ = wireServer.Run(listeners.Wire) })
-	operatorServer := &http.Server{Handler: keeper.operatorHandler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
+	wireListener := gate.ListenCalls(listeners.Wire, quota.Peers)
+	keeper.background.Go(func() { _ = wireServer.Run(wireListener) })
+	operatorServer := gate.Server(keeper.operatorHandler(), false)
 	operatorTLS, err := keeper.Settings.TLS.ServerConfig()
 	if err != nil {
 		return err
 	}
-	operatorServer.TLSConfig = operatorTLS
-	keeper.background.Go(func() { serveHTTP(operatorServer, listeners.Operator) })
+	operatorListener := gate.Listen(intake.TLSListener(listeners.Operator, operatorTLS), quota.Operators)
+	keeper.background.Go(func() { _ = operatorServer.Serve(operatorListener) })
+	defer gate.Run()()
 	keeper.startLoops(ctx)
 	<-ctx.Done()
 	_ = listeners.Wire.Close()
@@ -110,15 +118,6 @@
 	return nil
 }
 
-// serveHTTP serves until the server is closed, with TLS if it is configured.
-func serveHTTP(server *http.Server, listener net.Listener) {
-	if server.TLSConfig != nil {
-		_ = server.ServeTLS(listener, "", "")
-		return
-	}
-	_ = server.Serve(listener)
-}
-
 // initialize fills the unexported fields before the goroutines start.
 func (keeper *Keeper) initialize() error {
 	settings := keeper.Settings
--- a/node/connector.go
+++ b/node/connector.go
@@ -26,10 +26,6 @@
 	// relayBackoff is how long a node that did not open a connection, for a reason of its
 	// own, is asked after all others.
 	relayBackoff = time.Second
-	// maxRelayed is how many connections a node relays for others at the same time. It
-	// bounds their buffers to 64 MB and their descriptors to a quarter of what the platform
-	// allows a process.
-	maxRelayed = 1024
 	// relayDialTimeout bounds a dial for another node. That node has waited for its own dial
 	// before, and asks another one while it waits.
 	relayDialTimeout = 150 * time.Millisecond
@@ -227,7 +223,7 @@
 	if node.Dialer == nil || node.stopping.Load() || !node.fleet.isServerAddress(call.GetAddress()) {
 		return nil, &wire.ConnectReply{Outcome: wire.ConnectReply_BUSY}
 	}
-	if connector.relayed.Add(1) > maxRelayed {
+	if connector.relayed.Add(1) > int64(node.gate.Ledger.Plan.Relays) {
 		connector.relayed.Add(-1)
 		return nil, &wire.ConnectReply{Outcome: wire.ConnectReply_BUSY}
 	}
--- a/node/connector_test.go
+++ b/node/connector_test.go
@@ -189,7 +189,7 @@
 	}{
 		"a server that is not listed": {func(node *Node) { node.fleet.instances = nil }, wire.ConnectReply_BUSY},
 		"a node that stops":           {func(node *Node) { node.stopping.Store(true) }, wire.ConnectReply_BUSY},
-		"too many are open":           {func(node *Node) { node.connector.relayed.Store(maxRelayed) }, wire.ConnectReply_BUSY},
+		"too many are open":           {func(node *Node) { node.connector.relayed.Store(int64(node.gate.Ledger.Plan.Relays)) }, wire.ConnectReply_BUSY},
 		"no dialer":                   {func(node *Node) { node.Dialer = nil }, wire.ConnectReply_BUSY},
 		"a node that is cut off":      {func(node *Node) { node.connector.isolated.record(node.Timers.Now()) }, wire.ConnectReply_CUT_OFF},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -24,9 +24,11 @@
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/mirror"
+	"shedkeel.org/shedkeel/quota"
 	"shedkeel.org/shedkeel/reach"
 	"shedkeel.org/shedkeel/retry"
 	"shedkeel.org/shedkeel/serve"
@@ -64,15 +66,6 @@
 	// uses a clock that also advances while the box is suspended, so it finds requests whose
 	// limit passed during a suspension.
 	expiryTick = 100 * time.Millisecond
-	// callerIdleTimeout is how long a connection of a caller, or of a client of the other
-	// HTTP endpoints, may be idle. It is longer than the idle timeouts in the platform's
-	// configurations.
-	callerIdleTimeout = 60 * time.Second
-	// headerTimeout is how long a caller, or a client of the other HTTP endpoints, may take
-	// to send a request's header.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits the size of the header of a caller's request.
-	maxHeaderBytes = 64 << 10
 	// minControlledSlots is how many slots a model must have for the overload control, if it is on
 	// for routes with an objective: about three groups of a large fleet.
 	minControlledSlots = 64
@@ -139,6 +132,7 @@
 	admissions    admissions
 	controller    controller
 	connector     connector
+	gate          *intake.Gate
 	reporter      reachReporter
 	retryReporter retryReporter
 	stopping      atomic.Bool
@@ -163,6 +157,7 @@
 
 // Prepare initializes the node's parts. Call it once, before Run.
 func (node *Node) Prepare() {
+	node.gate = intake.New(node.Settings.Limits.Box())
 	node.table.Zone = node.Settings.Zone
 	node.table.Random = node.Random
 	node.table.Delays = &node.wakeups.delays
@@ -219,17 +214,25 @@
 // only if the server for callers failed to close.
 func (node *Node) Run(ctx context.Context, listeners Listeners, handlers Handlers) error {
 	node.Log.Write(event.Started, slog.String("incarnation", node.Incarnation))
-	callers := &http.Server{Handler: &node.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	node.gate.Timers, node.gate.Log, node.gate.Limits = node.Timers, node.Log, node.requestLimits
+	if node.Metrics != nil {
+		node.gate.Scope = node.Metrics.Scope
+	}
+	callers := node.gate.Server(&node.handler, true)
 	servers := []*http.Server{
-		node.startServer(listeners.Directory, handlers.Directory),
-		node.startServer(listeners.Readiness, handlers.Readiness),
+		node.startServer(listeners.Directory, quota.Directory, handlers.Directory),
+		node.startServer(listeners.Readiness, quota.Readiness, handlers.Readiness),
 	}
 	if listeners.Metrics != nil {
-		servers = append(servers, node.startServer(listeners.Metrics, node.adminHandler()))
+		servers = append(servers, node.startServer(listeners.Metrics, quota.Operators, node.adminHandler()))
 	}
-	node.goroutines.Go(func() { _ = callers.Serve(listeners.Callers) })
+	callersListener := node.gate.Listen(listeners.Callers, quota.Callers)
+	node.goroutines.Go(func() { _ = callers.Serve(callersListener) })
 	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers, Connector: &node.connector}
-	node.goroutines.Go(func() { _ = control.Run(listeners.Control) })
+	controlListener := node.gate.ListenCalls(listeners.Control, quota.Peers)
+	node.goroutines.Go(func() { _ = control.Run(controlListener) })
+	cancelGate := node.gate.Run()
+	defer cancelGate()
 	node.gossip.conn = listeners.Gossip
 	node.goroutines.Go(node.gossip.run)
 
@@ -273,12 +276,21 @@
 }
 
 // startServer serves the handler at the listener in the background.
-func (node *Node) startServer(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+func (node *Node) startServer(inner net.Listener, place quota.Listener, handler http.Handler) *http.Server {
+	server := node.gate.Server(handler, false)
+	listener := node.gate.Listen(inner, place)
 	node.goroutines.Go(func() { _ = server.Serve(listener) })
 	return server
 }
 
+// requestLimits returns the limits of the active configuration on requests and their connections.
+func (node *Node) requestLimits() shedkeel.Limits {
+	if view := node.fleet.view.Load(); view != nil {
+		return view.Config.Limits
+	}
+	return shedkeel.Limits{}
+}
+
 // stop announces in this node's record and by gossip that this node stops, and resigns as leader.
 // The node keeps serving while callers may have its address cached, but for at most 3/8 of the
 // grace time. It then waits for the running requests, and for the connections that it relays for
--- a/program/daemon.go
+++ b/program/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
@@ -16,6 +17,7 @@
 
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/quota"
 )
 
 // Exit codes of all programs.
@@ -64,6 +66,7 @@
 		return false, err
 	}
 	daemon.settings = settings
+	limitMemory(settings.Limits.Box())
 	daemon.log = &event.Log{Logger: log.Logger.With(slog.String("process", command.Name), slog.String("node", string(settings.Node)))}
 	if command.Bool("check") {
 		_, _ = fmt.Fprintln(command.Root().Writer, "settings are valid")
@@ -72,6 +75,12 @@
 	return true, nil
 }
 
+// limitMemory sets the soft limit of the runtime's memory for a process on the box.
+func limitMemory(box quota.Box) {
+	plan := quota.NewPlan(box)
+	debug.SetMemoryLimit(plan.Heap)
+}
+
 // listen opens a TCP socket. Its error names the setting.
 func listen(setting, address string) (net.Listener, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
--- a/program/node.go
+++ b/program/node.go
@@ -67,6 +67,7 @@
 		_, err := fmt.Fprintln(command.Root().Writer, "settings are valid")
 		return err
 	}
+	limitMemory(settings.Limits.Box())
 	log, err := event.NewBoundedLog(os.Stdout, settings.Log.Level)
 	if err != nil {
 		return err
--- a/serve/digest.go
+++ b/serve/digest.go
@@ -50,7 +50,7 @@
 		digester.prefix = append(digester.prefix, 0) // separates the parts
 	}
 	_, _ = digester.hash.Write(digester.prefix) // a hash never returns an error
-	_, _ = digester.hash.Write(exchange.body)
+	_, _ = exchange.body.WriteTo(digester.hash)
 	digester.sum = digester.hash.Sum(digester.sum)
 	return shedkeel.RequestDigest(hex.EncodeToString(digester.sum[:digestBytes]))
 }
--- a/serve/digest_test.go
+++ b/serve/digest_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/intake"
 )
 
 // newExchange returns an exchange with a value in each field that its digest depends on.
@@ -17,7 +18,7 @@
 		request: httptest.NewRequest(http.MethodPost, "/s/x", nil),
 		call:    shedkeel.Call{ID: "r1", Host: "h", Target: "/s/x?a=1", Key: "k1"},
 		account: &shedkeel.KeyedAccount{ID: "clerk"},
-		body:    []byte("body"),
+		body:    intake.NewBody([]byte("body")),
 	}
 }
 
@@ -35,7 +36,7 @@
 		"another path":    {func(exchange *exchange) { exchange.call.Target = "/s/y?a=1" }, false},
 		"another query":   {func(exchange *exchange) { exchange.call.Target = "/s/x?a=2" }, false},
 		"another host":    {func(exchange *exchange) { exchange.call.Host = "g" }, false},
-		"another body":    {func(exchange *exchange) { exchange.body = []byte("bodz") }, false},
+		"another body":    {func(exchange *exchange) { exchange.body = intake.NewBody([]byte("bodz")) }, false},
 		"another method":  {func(exchange *exchange) { exchange.request = httptest.NewRequest(http.MethodPut, "/s/x", nil) }, false},
 		// Target and account together have the same text as before, without the separator.
 		"parts concatenated": {func(exchange *exchange) { exchange.call.Target, exchange.account = "/s/x?a=1clerk", nil }, false},
@@ -56,7 +57,7 @@
 // and when a server terminates while it runs a request.
 func BenchmarkDigest(b *testing.B) {
 	exchange := newExchange()
-	exchange.body = make([]byte, 2<<10)
+	exchange.body = intake.NewBody(make([]byte, 2<<10))
 	b.ReportAllocs()
 	for b.Loop() {
 		exchange.computeDigest()
--- a/serve/guard_test.go
+++ b/serve/guard_test.go
@@ -15,6 +15,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/engine"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/timer"
 )
 
@@ -375,7 +376,7 @@
 			harness := newHarness(t, test.step)
 			digested := newExchange() // CancelCopies is called with the digest of this exchange
 			digested.handler = harness.Handler
-			digested.call.Target, digested.account, digested.body = test.path, &shedkeel.KeyedAccount{ID: "clerk"}, []byte("body")
+			digested.call.Target, digested.account, digested.body = test.path, &shedkeel.KeyedAccount{ID: "clerk"}, intake.NewBody([]byte("body"))
 			if name == "another request" {
 				digested.call.Target = "/s/x"
 			}
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -26,6 +25,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/overload"
 	"shedkeel.org/shedkeel/retry"
@@ -164,7 +164,7 @@
 	route           *shedkeel.Route
 	account         *shedkeel.KeyedAccount // the account of the request's key; nil: the route needs no key
 	service         shedkeel.ServiceID     // the route's target that targetService picked; "": the route has none
-	body            []byte
+	body            intake.Body
 	configAge       time.Duration // time from when the configuration was last proven current to startedAt
 	startedAt       time.Duration
 	deadline        time.Duration                       // when the request ends: callerDeadline less answerMargin
@@ -298,32 +298,28 @@
 }
 
 // readBody reads the request's body, within bodyTimeout and up to the configured size, or
-// maxAnswerBytes if none is configured. Its error is a refusal: 413 if the body is longer, 400
-// if the body is not received completely within bodyTimeout.
+// maxAnswerBytes if none is configured. Its error is a refusal: 413 if the body is longer, 503 if
+// there is no room for it, and 400 if it is not received completely within bodyTimeout.
 func (exchange *exchange) readBody() error {
 	limit := exchange.view.Config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxAnswerBytes
 	}
-	if exchange.request.ContentLength > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	}
-	if exchange.request.Body == nil || exchange.request.ContentLength == 0 {
+	body, err := intake.ReadBody(exchange.writer, exchange.request, limit, bodyTimeout)
+	if err == nil {
+		exchange.body = body
 		return nil
 	}
-	controller := http.NewResponseController(exchange.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
+	exchange.writer.Header().Set("Connection", "close") // the rest of the body may still arrive
 	var tooLarge *http.MaxBytesError
+	var noRoom *shedkeel.UnavailableError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "the body did not come whole: " + err.Error()}
+	case errors.As(err, &noRoom):
+		return exchange.refuse(causeNoRoom, noRoom.Error())
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	exchange.body = body
-	return nil
+	return &refusal{status: http.StatusBadRequest, reason: "the body did not come whole: " + err.Error()}
 }
 
 // serve asks the guard whether the prepared request may be sent, and sends it to servers
--- a/serve/retryafter.go
+++ b/serve/retryafter.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"shedkeel.org/shedkeel/quota"
 )
 
 const (
@@ -46,10 +48,11 @@
 	causeFull                         // the overload control rejected the request: the model has no capacity left for it
 	causeLate                         // the overload control rejected the request: it cannot be on time, and no capacity is left over
 	causeOverShare                    // the overload control rejected the request: its client account has its share
+	causeNoRoom                       // this process has no room for the request's body
 )
 
 // causeNames are the names of the causes in logs and metrics.
-var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "part_quarantined", "part_contained", "no_path", "full", "late", "over_share"}
+var causeNames = [...]string{"elsewhere", "no_proof", "no_place", "not_run", "quarantined", "limited", "backoff", "contained", "part_quarantined", "part_contained", "no_path", "full", "late", "over_share", "no_room"}
 
 // String returns the name of the cause in logs and metrics.
 func (cause cause) String() string { return causeNames[cause] }
@@ -63,6 +66,8 @@
 		return 0
 	case causeStopping:
 		wait = retrySoon
+	case causeNoRoom:
+		wait = quota.RetryAfter
 	case causeLimited, causeBackoff:
 		return exchange.retryWhenFree()
 	case causeFull, causeLate, causeOverShare: // the overload control has spread the times already
--- a/serve/send.go
+++ b/serve/send.go
@@ -51,8 +51,12 @@
 		created.charge = charge
 	}
 	model := exchange.call.Model // ignored if the service has no engine and so no models
-	if service := exchange.view.Service(exchange.service); service == nil || service.Engine == nil {
+	service := exchange.view.Service(exchange.service)
+	switch {
+	case service == nil || service.Engine == nil:
 		model = ""
+	case model != "" && service.Engine.Model(model) == nil:
+		return nil, errNoServer // nothing may be kept for a name that only a caller has chosen
 	}
 	query := dispatch.Query{Service: exchange.service, Model: model, Exclude: slices.Concat(exchange.tried, exchange.trial.Avoid), PromptTokens: exchange.call.PromptTokens, MaxAnswerTokens: exchange.call.AnswerTokens, Now: now}
 	if model != "" && !again {
@@ -205,13 +209,13 @@
 		// The dial has taken time.
 		exchange.handler.Protocol.WriteDeadline(header, exchange.callerDeadline-exchange.handler.Timers.Now())
 	})
-	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+attempt.Address+"/", bytes.NewReader(exchange.body))
+	request, err := http.NewRequestWithContext(ctx, exchange.request.Method, "http://"+attempt.Address+"/", exchange.body.Reader())
 	if err != nil {
 		return nil, err
 	}
 	request.URL = exchange.targetURL(attempt.Address)
 	request.Host = exchange.request.Host
-	request.ContentLength = int64(len(exchange.body))
+	request.ContentLength = exchange.body.Len()
 	request.Header = header
 	request.Header.Del("Content-Length")
 	if request.Header.Get("User-Agent") == "" {
--- a/serving.go
+++ b/serving.go
@@ -57,10 +57,12 @@
 	Priority *int // overrides the route's priority; nil: the route's applies
 }
 
-// Limits are the size limits of requests.
+// Limits bound what a caller may send, and how long it may take. A field that is 0 states no limit.
 type Limits struct {
-	HeaderBytes int64
-	BodyBytes   int64
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration // for which the head of a request may arrive
+	IdleTimeout   time.Duration // for which a connection may stay open without a request
 }
 
 // Model is a model that replica groups of a service serve.
--- a/wire/link.go
+++ b/wire/link.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 // ends; see TestClosingWhileCallsWait.
 type link struct {
 	*yamux.Session
+	conn net.Conn
 
 	mutex   sync.Mutex
 	streams map[*yamux.Stream]struct{}
@@ -34,10 +36,24 @@
 	return linkConn.Conn.Close()
 }
 
+// untrustedConn is a connection that is bounded until the other side has shown the key of the fleet.
+type untrustedConn interface{ Trust() }
+
+// trust records that the other side has shown the key.
+func (link *link) trust() {
+	conn := link.conn
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if untrusted, ok := conn.(untrustedConn); ok {
+		untrusted.Trust()
+	}
+}
+
 // newLink creates a link over the connection with newClientSession or
 // newServerSession. It closes the connection on failure.
 func newLink(conn net.Conn, newSession func(conn net.Conn) (*yamux.Session, error)) (*link, error) {
-	link := &link{streams: map[*yamux.Stream]struct{}{}}
+	link := &link{conn: conn, streams: map[*yamux.Stream]struct{}{}}
 	session, err := newSession(&linkConn{Conn: conn, link: link})
 	if err != nil {
 		_ = conn.Close()
--- a/wire/session.go
+++ b/wire/session.go
@@ -5,9 +5,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -24,6 +26,9 @@
 // MaxMessage is the size of the largest accepted message, in bytes.
 const MaxMessage = 4 << 20
 
+// maxFirstRead is how much memory is allotted to a message before any of it has arrived.
+const maxFirstRead = 64 << 10
+
 const (
 	dialTimeout = time.Second // includes the TLS handshake
 	// serveTimeout is the deadline of an accepted stream. After it a read that waits for
@@ -120,7 +125,7 @@
 	}
 	peer.link = link
 	if peer.Handler != nil {
-		callServer := &callServer{link: link, key: peer.Key, handler: peer.Handler}
+		callServer := &callServer{link: link, key: peer.Key, handler: peer.Handler, trusted: true}
 		go callServer.run()
 	}
 	return link, nil
@@ -189,7 +194,23 @@
 // consume more of the stream than the message, unless the stream is a bufio.Reader, which it uses
 // as it is.
 func readMessage(stream io.Reader, message proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(bufio.NewReader(stream), message)
+	reader, buffered := stream.(*bufio.Reader)
+	if !buffered {
+		reader = bufio.NewReader(stream)
+	}
+	size, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return err
+	}
+	if size > MaxMessage {
+		return &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxMessage}
+	}
+	var text bytes.Buffer
+	text.Grow(int(min(size, maxFirstRead))) // a size that is stated only must not cost its memory
+	if _, err := io.CopyN(&text, reader, int64(size)); err != nil {
+		return err
+	}
+	return proto.Unmarshal(text.Bytes(), message)
 }
 
 // Server accepts sessions and has Handler answer their calls.
@@ -289,10 +310,11 @@
 	key       string
 	handler   Handler
 	connector Connector // nil: see Server.Connector
+	trusted   bool      // the other side has shown the key, or this side has opened the session
 }
 
 // run answers calls until the session ends. It then cancels the context of the calls in
-// progress and waits for them.
+// progress and waits for them. Until the other side has shown the key, it reads one call at a time.
 func (callServer *callServer) run() {
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -304,23 +326,44 @@
 			_ = callServer.link.Close()
 			return
 		}
-		calls.Go(func() { callServer.serve(ctx, stream) })
+		if callServer.trusted {
+			calls.Go(func() { callServer.serve(ctx, stream, callServer.read(stream)) })
+			continue
+		}
+		call := callServer.read(stream)
+		callServer.trusted = call != nil && callServer.authorized(call)
+		if callServer.trusted {
+			callServer.link.trust()
+		}
+		calls.Go(func() { callServer.serve(ctx, stream, call) })
 	}
 }
 
-// serve reads one call from the stream, has the handler answer the call and sends the
-// reply. To a call with a wrong key it replies with an error. If it cannot read the call, it
-// closes the stream without a reply.
-func (callServer *callServer) serve(ctx context.Context, stream *yamux.Stream) {
-	defer callServer.link.close(stream)
+// read reads one call from the stream. It returns nil if there is none.
+func (callServer *callServer) read(stream *yamux.Stream) *Call {
 	callServer.link.setDeadline(stream, time.Now().Add(serveTimeout))
 	call := &Call{}
 	if err := readMessage(stream, call); err != nil {
+		return nil
+	}
+	return call
+}
+
+// authorized reports whether the call has the fleet's key.
+func (callServer *callServer) authorized(call *Call) bool {
+	return subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.key)) == 1
+}
+
+// serve has the handler answer a call and sends the reply. To a call with a wrong key it replies with an
+// error. Without a call, it closes the stream without a reply.
+func (callServer *callServer) serve(ctx context.Context, stream *yamux.Stream, call *Call) {
+	defer callServer.link.close(stream)
+	if call == nil {
 		return
 	}
 	reply := &Reply{}
 	switch {
-	case subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.key)) != 1:
+	case !callServer.authorized(call):
 		reply.Error = "wrong wire key; set the same wire.key on all processes of the fleet"
 	case call.GetConnect() != nil && callServer.connector != nil:
 		callServer.serveConnection(ctx, stream, call.GetConnect())
