quota, intake: a place that is held in vain comes back after 200 ms

What callers saw (TestCrowd/metrics/odd_names, on the change before): no ordinary request to the metrics listener was answered in 40 s beside clients that sent a head and a body that stops short of its end.

Cause: handlers that read no body left their connections as served while net/http waited for the body, so that nothing could take their places.

Change: a request with a body counts as arriving until the body has ended; handlers without bodies answer at once; at a full listener, requests that haven't got on for 200 ms give their place to new connections.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -71,10 +71,10 @@
 		"head without end":            {200, (*client).sendEndlessHead},
 		"empty lines":                 {200, (*client).sendEmptyLines},
 		"empty lines after a request": {200, (*client).sendEmptyLinesAfterRequest},
-		"body short of its end":       {60, func(client *client) { client.sendBody(maxBody, maxBody-1, maxBody) }},
-		"body in pieces":              {60, func(client *client) { client.sendBody(maxBody, maxBody-1, pieceBytes) }},
+		"body short of its end":       {60, func(client *client) { client.sendBody(maxBody-1, maxBody) }},
+		"body in pieces":              {60, func(client *client) { client.sendBody(maxBody-1, pieceBytes) }},
 		"chunked body":                {60, (*client).sendChunkedBody},
-		"whole bodies":                {60, func(client *client) { client.sendBody(maxBody, maxBody, maxBody) }},
+		"whole bodies":                {60, func(client *client) { client.sendBody(maxBody, maxBody) }},
 		"long names of requests":      {20, (*client).sendLongNames},
 		"at rest":                     {4500, (*client).rest},
 	},
@@ -107,10 +107,10 @@
 	"head over the limit":   {40, func(client *client) { client.sendHead(shortLines, 1_000_000, 1) }},
 	"head without end":      {60, (*client).sendEndlessHead},
 	"empty lines":           {200, (*client).sendEmptyLines},
-	"body short of its end": {60, func(client *client) { client.sendBody(maxBody, maxBody-1, maxBody) }},
-	"body in pieces":        {60, func(client *client) { client.sendBody(maxBody, maxBody-1, pieceBytes) }},
+	"body short of its end": {60, func(client *client) { client.sendBody(maxBody-1, maxBody) }},
+	"body in pieces":        {60, func(client *client) { client.sendBody(maxBody-1, pieceBytes) }},
 	"chunked body":          {60, (*client).sendChunkedBody},
-	"whole bodies":          {60, func(client *client) { client.sendBody(maxBody, maxBody, maxBody) }},
+	"whole bodies":          {60, func(client *client) { client.sendBody(maxBody, maxBody) }},
 	"at rest":               {4500, (*client).rest},
 }
 
@@ -193,13 +193,13 @@
 func judge(t *testing.T, node *process, ordinary, listener string, crowd *crowd) {
 	t.Helper()
 	time.Sleep(actTime)
-	answered := node.awaitAnswer(ordinary, answerTime)
-	answeredThere := listener == ordinary || listener == "control" || listener == "wire" || node.awaitAnswer(listener, answerTime)
+	answered := node.awaitAnswer(ordinary)
+	answeredThere := listener == ordinary || listener == "control" || listener == "wire" || node.awaitAnswer(listener)
 	close(crowd.done)
 	crowd.clients.Wait()
 	assert.Check(t, answered, "no ordinary request was answered beside the crowd")
 	assert.Check(t, answeredThere, "no ordinary request to the %s listener was answered beside the crowd", listener)
-	assert.Check(t, node.awaitAnswer(ordinary, answerTime), "no ordinary request was answered after the crowd")
+	assert.Check(t, node.awaitAnswer(ordinary), "no ordinary request was answered after the crowd")
 	checkUse(t, node)
 	t.Logf("%d connections were opened", crowd.opened.Load())
 }
@@ -333,10 +333,10 @@
 	}
 }
 
-// sendBody sends a request that states a body of stated bytes, and so many bytes of it as sent says,
+// sendBody sends a request that states a body of maxBody, and so many bytes of it as sent says,
 // in pieces. It waits for the answer to a whole body.
-func (client *client) sendBody(stated, sent, piece int) {
-	if !client.send(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", client.startLines(), stated)) {
+func (client *client) sendBody(sent, piece int) {
+	if !client.send(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", client.startLines(), maxBody)) {
 		return
 	}
 	data := bytes.Repeat([]byte("x"), piece)
@@ -345,7 +345,7 @@
 			return
 		}
 	}
-	if sent < stated {
+	if sent < maxBody {
 		client.wait()
 		return
 	}
--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -122,7 +122,7 @@
 	node := newProcess("callers", "directory", "readiness", "control", "metrics")
 	text := fmt.Sprintf(settingsText, strings.TrimPrefix(store.URL, "http://"), node.addresses["callers"], node.addresses["directory"], node.addresses["readiness"], node.addresses["control"], node.addresses["metrics"])
 	node.start(t, binary, text)
-	assert.Assert(t, node.awaitAnswer("callers", answerTime), "the node doesn't serve")
+	assert.Assert(t, node.awaitAnswer("callers"), "the node doesn't serve")
 	return node
 }
 
@@ -143,7 +143,7 @@
 	process := newProcess("entry", "admin", "operator", "wire")
 	addresses := process.addresses
 	process.start(t, binary, fmt.Sprintf(boxSettingsText, addresses["entry"], addresses["admin"], addresses["operator"], addresses["wire"]))
-	assert.Assert(t, process.awaitAnswer(listener, answerTime), "the process doesn't answer")
+	assert.Assert(t, process.awaitAnswer(listener), "the process doesn't answer")
 	return process
 }
 
@@ -250,9 +250,9 @@
 }
 
 // awaitAnswer sends an ordinary request to the listener, and again after each refusal or closed
-// connection, until it gets an answer. It returns false if none comes in the given time.
-func (process *process) awaitAnswer(listener string, limit time.Duration) bool {
-	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+// connection, until it gets an answer. It returns false if none comes in answerTime.
+func (process *process) awaitAnswer(listener string) bool {
+	for until := time.Now().Add(answerTime); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		status, err := process.request(listener, "", []byte("an ordinary body"))
 		if err == nil && (status == http.StatusOK || listener == "entry" && status == http.StatusNotFound) {
 			return true // an entry knows no path without a configuration, but it has judged the request
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,8 +97,8 @@
 	if entry.Metrics != nil {
 		gate.Scope = entry.Metrics.Scope
 	}
-	callers := gate.Server(entry.callerHandler(), true)
-	admin := gate.Server(entry.adminHandler(), false)
+	callers := gate.Server(entry.callerHandler(), intake.Requests)
+	admin := gate.Server(entry.adminHandler(), intake.Queries)
 	callersListener := gate.Listen(intake.TLSListener(listeners.Callers, callersTLS), quota.Callers)
 	adminListener := gate.Listen(listeners.Admin, quota.Operators)
 	failed := make(chan error, 1)
--- a/intake/body.go
+++ b/intake/body.go
@@ -107,9 +107,6 @@
 	if reader.conn == nil {
 		return reader.readPieces()
 	}
-	if !reader.conn.beginBody() {
-		return reader.noRoom()
-	}
 	if err := reader.readPieces(); err != nil {
 		if reader.conn.interrupted.Load() {
 			return reader.noRoom()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -46,7 +46,7 @@
 const (
 	inHead    stage = iota // a head, or what stands between two requests
 	inRequest              // a request whose head has ended
-	inBody                 // a body that ReadBody reads
+	inBody                 // a body
 	unscanned              // calls of a process that may be one of the fleet
 )
 
@@ -122,7 +122,7 @@
 	if status == http.StatusServiceUnavailable {
 		head += "Retry-After: " + retryAfterText + "\r\n"
 	}
-	_ = conn.Conn.SetDeadline(time.Now().Add(writeTime))
+	_ = conn.SetDeadline(time.Now().Add(writeTime))
 	if _, err := io.WriteString(conn.Conn, head+"\r\n"+text); err != nil {
 		return
 	}
@@ -183,7 +183,15 @@
 	defer conn.mutex.Unlock()
 	conn.stage = inRequest
 	conn.bodyRefused = false
-	return conn.gate.Ledger.Serve(&conn.client, requestCost(request), conn.gate.now())
+	ledger := conn.gate.Ledger
+	if !ledger.Serve(&conn.client, requestCost(request), conn.gate.now()) {
+		return false
+	}
+	if request.ContentLength == 0 {
+		return true
+	}
+	conn.stage = inBody // whether or not the handler reads the body
+	return ledger.ReceiveBody(&conn.client, conn.gate.now())
 }
 
 // rest records that the connection waits for its next request.
@@ -194,14 +202,6 @@
 	conn.gate.Ledger.Rest(&conn.client, conn.gate.now())
 }
 
-// beginBody records that ReadBody reads the body. It returns false if the client has lost its place.
-func (conn *Conn) beginBody() bool {
-	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	conn.stage = inBody
-	return conn.gate.Ledger.ReceiveBody(&conn.client, conn.gate.now())
-}
-
 // endBody records that the body was read to its end. It returns false if the client has lost its place.
 func (conn *Conn) endBody() bool {
 	conn.mutex.Lock()
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -242,11 +242,20 @@
 // connKey is the context key of a request's Conn.
 type connKey struct{}
 
-// Server returns a server for listeners of the gate. timed says that the handler bounds the time for its
-// answers itself.
-func (gate *Gate) Server(handler http.Handler, timed bool) *http.Server {
-	server := &http.Server{
-		Handler:        &guard{next: handler},
+// Use is what a server's handler does.
+type Use int
+
+// The uses.
+const (
+	Queries  Use = iota // it reads no bodies; its answers are small
+	Commands            // it reads bodies; its answers are small
+	Requests            // it reads bodies by ReadBody, and bounds the time for its answers itself
+)
+
+// Server returns a server for listeners of the gate.
+func (gate *Gate) Server(handler http.Handler, use Use) *http.Server {
+	server := &http.Server{ //nolint:gosec // the ledger bounds the time of heads, by the configuration in force
+		Handler:        &guard{next: handler, use: use},
 		MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:       slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -258,7 +267,7 @@
 			}
 		},
 	}
-	if !timed {
+	if use != Requests {
 		server.WriteTimeout = untimedWrite
 	}
 	return server
@@ -271,7 +280,10 @@
 }
 
 // guard is the handler of a server of a gate.
-type guard struct{ next http.Handler }
+type guard struct {
+	next http.Handler
+	use  Use
+}
 
 // ServeHTTP serves the request if there is room for it. After an answer to a request whose body was not read, it lets
 // the client read the answer before the connection is closed.
@@ -282,16 +294,19 @@
 		return
 	}
 	controller := http.NewResponseController(writer)
-	if request.ContentLength != 0 {
+	hasBody := request.ContentLength != 0
+	if hasBody {
 		_ = controller.SetReadDeadline(time.Now().Add(bodyTime))
 	}
-	if conn.begin(request) {
+	fits := conn.begin(request)
+	if hasBody && (!fits || guard.use == Queries) {
+		conn.refuseBody()
+		writer.Header().Set("Connection", "close")
+		_ = controller.EnableFullDuplex() // else net/http reads the body before it sends the answer
+	}
+	if fits {
 		guard.next.ServeHTTP(writer, request)
 	} else {
-		if request.ContentLength != 0 {
-			conn.refuseBody()
-		}
-		writer.Header().Set("Connection", "close")
 		writer.Header().Set("Retry-After", retryAfterText)
 		http.Error(writer, "no room for the request now", http.StatusServiceUnavailable)
 	}
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -41,7 +41,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	harness.address = inner.Addr().String()
-	server := harness.gate.Server(harness, true)
+	server := harness.gate.Server(harness, Requests)
 	listener := harness.gate.Listen(inner, quota.Listener{Name: "callers", Part: 1})
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = server.Serve(listener) })
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -97,7 +97,7 @@
 	wireServer := &wire.Server{Key: keeper.Settings.Wire.Key, TLS: serverTLS, Handler: keeper}
 	wireListener := gate.ListenCalls(listeners.Wire, quota.Peers)
 	keeper.background.Go(func() { _ = wireServer.Run(wireListener) })
-	operatorServer := gate.Server(keeper.operatorHandler(), false)
+	operatorServer := gate.Server(keeper.operatorHandler(), intake.Commands)
 	operatorTLS, err := keeper.Settings.TLS.ServerConfig()
 	if err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -218,7 +218,7 @@
 	if node.Metrics != nil {
 		node.gate.Scope = node.Metrics.Scope
 	}
-	callers := node.gate.Server(&node.handler, true)
+	callers := node.gate.Server(&node.handler, intake.Requests)
 	servers := []*http.Server{
 		node.startServer(listeners.Directory, quota.Directory, handlers.Directory),
 		node.startServer(listeners.Readiness, quota.Readiness, handlers.Readiness),
@@ -277,7 +277,7 @@
 
 // startServer serves the handler at the listener in the background.
 func (node *Node) startServer(inner net.Listener, place quota.Listener, handler http.Handler) *http.Server {
-	server := node.gate.Server(handler, false)
+	server := node.gate.Server(handler, intake.Queries)
 	listener := node.gate.Listen(inner, place)
 	node.goroutines.Go(func() { _ = server.Serve(listener) })
 	return server
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -109,22 +109,22 @@
 	return place.stalled(now)
 }
 
-// stalled returns a client whose request has stalled, those first that have stalled for long, or nil.
+// stalled returns the client whose request has stalled for the longest, or nil.
 func (place *place) stalled(now time.Duration) *Client {
-	for element := place.receiving.Front(); element != nil; element = element.Next() {
-		client := element.Value.(*Client) //nolint:forcetypeassert // the list holds only clients
-		switch {
-		case client.stalled(now):
-			return client
-		case now-client.markedAt < headStallTime:
-			return nil // and so are those behind it
-		}
+	front := place.receiving.Front()
+	if front == nil {
+		return nil
 	}
-	return nil
+	client := front.Value.(*Client) //nolint:forcetypeassert // the list holds only clients
+	if now-client.markedAt < headStallTime {
+		return nil
+	}
+	return client
 }
 
-// stalled reports whether the client's request has not got on. The caller must hold the ledger's mutex.
-func (client *Client) stalled(now time.Duration) bool {
+// holdsInVain reports whether the client's request has stalled, so that others may have its room. The caller must hold the
+// ledger's mutex.
+func (client *Client) holdsInVain(now time.Duration) bool {
 	limit := stallTime
 	if client.phase == receivingHead {
 		limit = headStallTime
@@ -264,7 +264,7 @@
 			if now-candidate.markedAt < headStallTime {
 				break
 			}
-			if candidate != client && candidate.held > 0 && candidate.stalled(now) {
+			if candidate != client && candidate.held > 0 && candidate.holdsInVain(now) {
 				return candidate
 			}
 		}
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -109,12 +109,13 @@
 				ledger.Receive(client, 10, 3*time.Second)
 			}
 		}, 3100 * time.Millisecond, false, -1, false},
-		"a stalled head before a body": {func(ledger *Ledger, clients []*Client) {
-			for index, client := range clients {
+		"a body without progress": {func(ledger *Ledger, clients []*Client) {
+			for _, client := range clients {
 				ledger.Receive(client, 10, 3*time.Second)
-				if index < 2 {
-					ledger.ReceiveBody(client, 3*time.Second)
-				}
+				ledger.ReceiveBody(client, 3*time.Second)
+			}
+			for _, client := range clients[:2] {
+				ledger.Receive(client, progressBytes, 3400*time.Millisecond)
 			}
 		}, 3500 * time.Millisecond, true, 2, false},
 		"nobody who is being served": {func(ledger *Ledger, clients []*Client) {
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -125,11 +125,12 @@
 func (plan *Plan) MaxBody() int64 { return plan.LargeRequests - SmallRequest }
 
 const (
-	// stallTime is how long a client may send fewer than progressBytes of a body before what it holds goes to
-	// another client that needs it.
+	// stallTime is how long a client may send fewer than progressBytes of a body before the room that it holds
+	// goes to another client that needs it.
 	stallTime     = time.Second
 	progressBytes = 16 << 10
-	// headStallTime is the same for a head, which most clients send at once.
+	// headStallTime is the same for the room of a head, which most clients send at once, and for the place of a
+	// connection at a listener.
 	headStallTime = 200 * time.Millisecond
 	// RetryAfter is when a client that was refused for want of room should return: by then, room held
 	// by clients that have stalled is free.
