--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -80,7 +80,7 @@
 	stopped   chan struct{} // closed when the test stops looking at it
 	sampling  sync.WaitGroup
 	use       use
-	requests  int // ordinary requests sent
+	requests  atomic.Int64 // ordinary requests sent
 }
 
 // use is the most that a process used.
@@ -102,6 +102,12 @@
 
 // startNode starts the store, two backend servers and a node, and waits until it answers.
 func startNode(t *testing.T, binary string) *process {
+	t.Helper()
+	return startNodeWith(t, binary, "")
+}
+
+// startNodeWith is startNode with more settings.
+func startNodeWith(t *testing.T, binary, settings string) *process {
 	t.Helper()
 	data := standin.NewStore()
 	store := httptest.NewServer((&platformstandin.Store{Data: data}).Handler())
@@ -121,7 +127,7 @@
 	}
 	node := newProcess("callers", "directory", "readiness", "control", "metrics")
 	text := fmt.Sprintf(settingsText, strings.TrimPrefix(store.URL, "http://"), node.addresses["callers"], node.addresses["directory"], node.addresses["readiness"], node.addresses["control"], node.addresses["metrics"])
-	node.start(t, binary, text)
+	node.start(t, binary, text+settings)
 	assert.Assert(t, node.awaitAnswer("callers"), "the node doesn't serve")
 	return node
 }
@@ -270,11 +276,11 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	process.requests++
+	number := process.requests.Add(1)
 	var head string
 	switch listener {
 	case "callers":
-		head = fmt.Sprintf("POST /fee/x HTTP/1.1\r\nHost: h.example\r\nX-Shedkeel-Key: stays\r\nX-Shedkeel-Deadline-Ms: 8000\r\nX-Shedkeel-Attempt-Id: ordinary-%d\r\nContent-Length: %d\r\n%s\r\n", process.requests, len(body), lines)
+		head = fmt.Sprintf("POST /fee/x HTTP/1.1\r\nHost: h.example\r\nX-Shedkeel-Key: stays\r\nX-Shedkeel-Deadline-Ms: 8000\r\nX-Shedkeel-Attempt-Id: ordinary-%d\r\nContent-Length: %d\r\n%s\r\n", number, len(body), lines)
 	case "admin", "operator":
 		head, body = "GET /healthz HTTP/1.1\r\nHost: h.example\r\n"+lines+"\r\n", nil
 	case "directory":
