--- a/serve/admission_test.go
+++ b/serve/admission_test.go
@@ -186,3 +186,18 @@
 		})
 	}
 }
+
+// TestUnknownModelLeavesNothing names a model that the configuration doesn't have: the request is refused, and nobody is
+// asked about the name or keeps it.
+func TestUnknownModelLeavesNothing(t *testing.T) {
+	runFakeTime(t, "unknown", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.Recommend = func(context.Context, dispatch.Query, dispatch.Load) (dispatch.Recommendation, bool) {
+			t.Error("a process was asked about a model that the configuration doesn't have")
+			return dispatch.Recommendation{}, false
+		}
+		result := harness.post("/s/x", "hello", "Model", "stranger")
+		assert.Equal(t, result.Code, 503)
+		assert.Assert(t, result.Header().Get("Retry-After") != "")
+	})
+}
