--- a/quota/plan.go
+++ b/quota/plan.go
@@ -42,8 +42,7 @@
 
 const (
 	// The clients' parts of the memory are half of it. The other half holds the process's own
-	// tables (25 MB on a small box of a fleet of 984, 200 MB on a large one that plans for it), and
-	// what the garbage collector has not yet freed.
+	// tables, and what the garbage collector has not yet freed.
 	requestsFraction   = 1. / 5
 	connectionFraction = 1. / 5
 	answersFraction    = 1. / 10
