--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -89,7 +89,7 @@
 	place := ledger.place(client.Listener)
 	var victim *Client
 	if place.count >= ledger.Plan.connections(client.Listener) {
-		if victim = place.victim(now); victim == nil {
+		if victim = place.connectionVictim(now); victim == nil {
 			ledger.records.add(client, LimitConnections, true)
 			ledger.mutex.Unlock()
 			return false
@@ -109,8 +109,8 @@
 	return true
 }
 
-// victim returns the client that loses its place to a new connection, or nil.
-func (place *place) victim(now time.Duration) *Client {
+// connectionVictim returns the client that loses its place to a new connection, or nil.
+func (place *place) connectionVictim(now time.Duration) *Client {
 	if front := place.resting.Front(); front != nil {
 		return front.Value.(*Client) //nolint:forcetypeassert // the list holds only clients
 	}
@@ -133,9 +133,9 @@
 	return client
 }
 
-// holdsInVain reports whether the client's request has stalled, so that others may have its room. The caller must hold the
+// hasStalled reports whether the client's request has stalled, so that others may have its room. The caller must hold the
 // ledger's mutex.
-func (client *Client) holdsInVain(now time.Duration) bool {
+func (client *Client) hasStalled(now time.Duration) bool {
 	limit := stallTime
 	if client.phase == receivingHead {
 		limit = headStallTime
@@ -255,7 +255,7 @@
 	}
 	more := size - client.held
 	for more > 0 && ledger.held+more > limit {
-		victim := ledger.loser(client, more, now)
+		victim := ledger.roomVictim(client, more, now)
 		if victim == nil {
 			ledger.records.add(client, LimitRequests, true)
 			return false
@@ -268,16 +268,16 @@
 	return true
 }
 
-// loser returns the client that loses its place so that another one may hold more, or nil. The caller must
+// roomVictim returns the client that loses its place so that another one may hold more, or nil. The caller must
 // hold the mutex.
-func (ledger *Ledger) loser(client *Client, more int64, now time.Duration) *Client {
+func (ledger *Ledger) roomVictim(client *Client, more int64, now time.Duration) *Client {
 	for _, place := range ledger.places {
 		for element := place.receiving.Front(); element != nil; element = element.Next() {
 			candidate := element.Value.(*Client) //nolint:forcetypeassert // the list holds only clients
 			if now-candidate.markedAt < headStallTime {
 				break
 			}
-			if candidate != client && candidate.held > 0 && candidate.holdsInVain(now) {
+			if candidate != client && candidate.held > 0 && candidate.hasStalled(now) {
 				return candidate
 			}
 		}
