intake, wire: less state, one look where there were several

Cause: on rereading the change, three things stood twice. Conn kept a flag of its own beside the ledger's phase, which already makes Disconnect idempotent; the refused read had two exits; the report asked for the usage once a record. readMessage asked whether its reader was buffered, as bufio.NewReader does.

Change: each once. No behavior, bound or answer changes.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -35,7 +35,6 @@
 	client   quota.Client
 
 	interrupted atomic.Bool // the client has lost its place
-	closed      atomic.Bool
 
 	mutex       sync.Mutex
 	stage       stage
@@ -61,11 +60,11 @@
 	if !conn.interrupted.Load() {
 		count, err = conn.Conn.Read(buffer)
 	}
-	if status := conn.receive(buffer[:count]); status != 0 {
+	status := conn.receive(buffer[:count])
+	if status != 0 {
 		conn.refuse(status, buffer)
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
 	}
-	if conn.interrupted.Load() {
+	if status != 0 || conn.interrupted.Load() {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
 	}
 	return count, err
@@ -207,9 +206,7 @@
 
 // Close closes the connection.
 func (conn *Conn) Close() error {
-	if !conn.closed.Swap(true) {
-		conn.gate.Ledger.Disconnect(&conn.client)
-	}
+	conn.gate.Ledger.Disconnect(&conn.client)
 	return conn.Conn.Close()
 }
 
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -128,7 +128,12 @@
 
 // report logs and counts the clients that have met a limit.
 func (gate *Gate) report() {
-	for _, record := range gate.Ledger.Take() {
+	records := gate.Ledger.Take()
+	if len(records) == 0 {
+		return
+	}
+	usage := gate.Ledger.Usage()
+	for _, record := range records {
 		if gate.Scope != nil {
 			scope := gate.Scope.Tagged(map[string]string{"listener": record.Listener, "limit": string(record.Limit)})
 			scope.Counter("clients_refused").Inc(record.Refused)
@@ -137,7 +142,6 @@
 		if record.Limit == quota.LimitRest {
 			continue // clients leave their connections so as a rule
 		}
-		usage := gate.Ledger.Usage()
 		gate.Log.Write(event.ClientsRefused, slog.String("listener", record.Listener), slog.String("limit", string(record.Limit)), slog.Int64("refused", record.Refused), slog.Int64("cut", record.Cut),
 			slog.String("address", record.Address), slog.Int64("times", record.Times), slog.Int("connections", usage.Connections[record.Listener]), slog.Int64("held", usage.Requests))
 	}
--- a/wire/session.go
+++ b/wire/session.go
@@ -194,10 +194,7 @@
 // consume more of the stream than the message, unless the stream is a bufio.Reader, which it uses
 // as it is.
 func readMessage(stream io.Reader, message proto.Message) error {
-	reader, buffered := stream.(*bufio.Reader)
-	if !buffered {
-		reader = bufio.NewReader(stream)
-	}
+	reader := bufio.NewReader(stream)
 	size, err := binary.ReadUvarint(reader)
 	if err != nil {
 		return err
