node: records of servers are ordered by how far the server had come, not by arrival

What callers saw: after a late write of the key-value service, requests went to servers that had left their group, drained or had ended (421, cut answers), and the planner counted on members that had left.

Cause: a record was compared with the listed one only, by its count of orders, and a higher epoch excused a lower count, also where the server was in no group any more. A drain and the end of a join change no count, and nothing was known of a server whose record was removed.

Evidence: TestLateRecordIsOutdated failed in two new rows before (a group that the server has left), TestLateRecordReturnsNoServer in four (drained with as many orders, left, drained and left, started again); all pass now.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -49,6 +49,8 @@
 
 	mutex             sync.Mutex
 	instances         map[string]shedkeel.Instance      // by key
+	progress          map[string]*progress              // of the listed servers, and of those whose records were removed lately, by key
+	progressExpiry    map[string]time.Duration          // when the progress of servers whose records were removed is forgotten, by key
 	nodes             map[string]nodeRecord             // by key
 	retained          map[string]time.Duration          // until when a record that was deleted in or after an outage of the key-value service, or lost in its restore, is used, by key
 	evacuated         map[shedkeel.ZoneID]bool          // zones whose backend servers get no requests
@@ -57,7 +59,6 @@
 	removals          removals                          // servers whose records were removed recently
 	unreadable        map[string]time.Duration          // until when a server whose record is unreadable keeps its place in its group, by key
 	skippedRecords    atomic.Int64                      // number of records that were not used: unreadable, invalid or outdated ones
-	afterRestore      bool                              // the next records come from a snapshot to which the key-value service was restored
 	outageUntil       time.Duration                     // end of the latest outage or restore of the key-value service, with deletedRecordHold added
 	verifiedAt        atomic.Int64                      // when the mirror's copy was last proven current, as of the last tick; a time.Duration
 	loggedCounts      map[string]int                    // number of servers or groups that may get requests, as last logged, by service and model
@@ -70,6 +71,8 @@
 	defer fleet.mutex.Unlock()
 	if fleet.instances == nil {
 		fleet.instances = map[string]shedkeel.Instance{}
+		fleet.progress = map[string]*progress{}
+		fleet.progressExpiry = map[string]time.Duration{}
 		fleet.nodes = map[string]nodeRecord{}
 		fleet.retained = map[string]time.Duration{}
 		fleet.unreadable = map[string]time.Duration{}
@@ -95,7 +98,6 @@
 			}
 		}
 	}
-	fleet.afterRestore = false
 	fleet.propagate(serversChanged, nodesChanged)
 }
 
@@ -128,44 +130,23 @@
 		fleet.skipRecord(record, err)
 		return fleet.markUnreadable(record.Key, now)
 	}
-	known, listed := fleet.instances[record.Key]
-	if listed && fleet.isOutdated(&instance, &known) {
-		fleet.skipRecord(record, &shedkeel.InvalidError{Where: record.Key, What: "it is older than the known record of the server", Remedy: "none is needed: the server writes its record again"})
+	if err := fleet.checkProgress(record.Key, &instance, now); err != nil {
+		fleet.skipRecord(record, err)
 		return false
 	}
+	known, listed := fleet.instances[record.Key]
 	_, wasUnreadable := fleet.unreadable[record.Key]
 	fleet.removals.recordReturn(instance.ID, record.Revision.Era, now)
 	delete(fleet.retained, record.Key)
 	delete(fleet.unreadable, record.Key)
 	fleet.instances[record.Key] = instance
+	fleet.recordProgress(record.Key, &instance)
 	fleet.coldUntil[record.Key] = now + instance.ColdFor
 	// A heartbeat changes only the sequence. Thousands of heartbeats arrive per second, so they must
 	// not rebuild the table.
 	return !listed || wasUnreadable || !instance.EqualExceptSequence(&known)
 }
 
-// isOutdated reports whether a server's record is older than the known one, because it comes from a restored snapshot or
-// the key-value service has carried its write out late. It is older if it is of an earlier instance. If the start times do not
-// differ, it is older if its sequence is, unless its server has joined a later group; and if it comes from a snapshot that
-// precedes the server's draining. If only one record states a start time, the record does not count as older. The caller holds
-// the mutex.
-func (fleet *fleet) isOutdated(instance, known *shedkeel.Instance) bool {
-	startedAt, knownStartedAt := instance.ID.Born(), known.ID.Born()
-	if startedAt != knownStartedAt {
-		return startedAt != 0 && startedAt < knownStartedAt
-	}
-	predatesDrain := known.Draining && !instance.Draining
-	return fleet.afterRestore && predatesDrain || instance.Sequence < known.Sequence && epochOf(instance) <= epochOf(known)
-}
-
-// epochOf returns the epoch of the server's membership, or 0 if it is in no group.
-func epochOf(instance *shedkeel.Instance) uint64 {
-	if instance.Member == nil {
-		return 0
-	}
-	return instance.Member.Epoch
-}
-
 // markUnreadable stops direct requests to a listed server whose record became unreadable and
 // keeps the server's place in its group for unreadableRecordHold. It reports whether the
 // servers that may get requests have changed: they have not if the server is not listed or
@@ -186,6 +167,7 @@
 	if instance, listed := fleet.instances[key]; listed {
 		fleet.removals.recordRemoval(instance.ID, era, now)
 	}
+	fleet.progressExpiry[key] = now + progressRetention
 	delete(fleet.instances, key)
 	delete(fleet.unreadable, key)
 	delete(fleet.coldUntil, key)
@@ -249,6 +231,7 @@
 		}
 	}
 	serversChanged = fleet.removals.expire(now) || serversChanged
+	fleet.expireProgress(now)
 	fleet.propagate(serversChanged, nodesChanged)
 }
 
--- a/node/restore.go
+++ b/node/restore.go
@@ -18,12 +18,9 @@
 }
 
 // retainLostRecords makes the fleet retain the records that the restored snapshot lacks for
-// deletedRecordHold, in which time the owners write their records again. It also makes the
-// fleet skip servers' records of the snapshot that are older than the known records of these
-// servers (see isOutdated).
+// deletedRecordHold, in which time the owners write their records again.
 func (fleet *fleet) retainLostRecords() {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.outageUntil = fleet.node.Timers.Now() + deletedRecordHold
-	fleet.afterRestore = true
 }
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -251,23 +253,27 @@
 // key-value service carries a write out late. Such a record must not show a member of a group as a free server.
 func TestLateRecordIsOutdated(t *testing.T) {
 	const group = `,"group":{"name":"m/d/1","epoch":%d,"rank":0,"state":"open"}`
+	const then = " then "
 	cases := map[string]struct {
-		known, late string // the end of the record: from its sequence number on
+		known, late string // the ends of the records, from their sequence numbers on; the known ones are separated by then
 		wantEpoch   uint64 // of the server's membership afterwards; 0: it has none
 	}{
-		"in its former group":           {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 6), 7},
-		"in no group":                   {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8`, 7},
-		"in a later group":              {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 8), 8},
-		"as many orders, in no group":   {`"seq":9` + fmt.Sprintf(group, 7), `"seq":9`, 0},
-		"a later start, in no group":    {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":1,"born":8`, 0},
-		"an earlier start, in no group": {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":10,"born":6`, 7},
+		"in its former group":                         {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 6), 7},
+		"in no group":                                 {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8`, 7},
+		"in a later group":                            {`"seq":9` + fmt.Sprintf(group, 7), `"seq":8` + fmt.Sprintf(group, 8), 8},
+		"as many orders, in no group":                 {`"seq":9` + fmt.Sprintf(group, 7), `"seq":9`, 0},
+		"a later start, in no group":                  {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":1,"born":8`, 0},
+		"an earlier start, in no group":               {`"seq":9,"born":7` + fmt.Sprintf(group, 7), `"seq":10,"born":6`, 7},
+		"in a group that it has left":                 {`"seq":8` + fmt.Sprintf(group, 7) + then + `"seq":9`, `"seq":8` + fmt.Sprintf(group, 7), 0},
+		"as many orders, in a group that it has left": {`"seq":9` + fmt.Sprintf(group, 7) + then + `"seq":9`, `"seq":9` + fmt.Sprintf(group, 7), 0},
+		"in a later group than the one it has left":   {`"seq":8` + fmt.Sprintf(group, 7) + then + `"seq":9`, `"seq":1` + fmt.Sprintf(group, 8), 8},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			node, timers := newTestNode(t)
 			node.Decoder = platform.Decoder{}
 			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
-			for number, end := range []string{test.known, test.late} {
+			for number, end := range append(strings.Split(test.known, then), test.late) {
 				value := `{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"domain":"d",` + end + `}`
 				revision := shedkeel.Revision{Number: int64(number + 1)}
 				node.mirror.Apply(mirror.Update{Full: number == 0, At: revision, AsOf: timers.Now(), Records: []shedkeel.Record{{Key: "servers/i-1", Value: []byte(value), Revision: revision}}})
@@ -280,3 +286,38 @@
 		})
 	}
 }
+
+// TestLateRecordReturnsNoServer guards against requests to a server that drains or has left, after the key-value service
+// has carried an earlier write of its record out late.
+func TestLateRecordReturnsNoServer(t *testing.T) {
+	removed := shedkeel.Record{Key: "servers/i-9", Removed: true}
+	record := func(state string, sequence int) shedkeel.Record {
+		return plainServerRecord(shedkeel.Revision{}, state, sequence)
+	}
+	cases := map[string]struct {
+		records    []shedkeel.Record // one after the other, a second apart
+		wantUsable int
+	}{
+		"it drains, with as many orders":              {[]shedkeel.Record{record("ready", 4), record("draining", 4), record("ready", 4)}, 0},
+		"it drains, with more orders":                 {[]shedkeel.Record{record("ready", 3), record("draining", 4), record("ready", 3)}, 0},
+		"it has drained and left":                     {[]shedkeel.Record{record("draining", 4), removed, record("ready", 4)}, 0},
+		"it has left":                                 {[]shedkeel.Record{record("ready", 4), removed, record("ready", 3)}, 0},
+		"its record lapsed, and it writes it again":   {[]shedkeel.Record{record("ready", 4), removed, record("ready", 4)}, 1},
+		"it lives and has drained no more":            {[]shedkeel.Record{record("draining", 4), record("ready", 5)}, 1},
+		"it has started again without a stated start": {slices.Concat([]shedkeel.Record{record("draining", 40)}, slices.Repeat([]shedkeel.Record{record("ready", 1)}, int(maxWriteDelay/time.Second)+1)), 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, timers := newTestNode(t)
+			node.Decoder = platform.Decoder{}
+			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "p"}))
+			for index, record := range test.records {
+				record.Revision.Number = int64(index + 1)
+				timers.Advance(time.Second)
+				node.mirror.Apply(mirror.Update{Full: index == 0, At: record.Revision, AsOf: timers.Now(), Records: []shedkeel.Record{record}})
+				node.fleet.tick(timers.Now())
+			}
+			assert.Equal(t, node.table.Load("p", "", timers.Now()).Usable, test.wantUsable)
+		})
+	}
+}
