mirror: an update that arrives late brings no deleted record back

Cause: whether a record was deleted since was looked up among the last 4,096 deletions only, for each record of an update one after the other.

Change: a copy has all that the service held at the revision that it has reached, so an earlier record that it lacks was deleted, however long ago.

Evidence: TestLateCopyRestoresNothing failed before, for a whole copy and for changes of another process, and passes now. No run of processes showed it.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -89,7 +89,7 @@
 	}
 	oldRevision := mirror.at
 	mirror.at = shedkeel.LaterRevision(mirror.at, update.At)
-	changes := mirror.merge(update.Records)
+	changes := mirror.merge(update.Records, oldRevision)
 	if update.Full {
 		changes = append(changes, mirror.removeAbsent(update, newEra)...)
 		mirror.tombstoneFloor = shedkeel.LaterRevision(mirror.tombstoneFloor, update.At)
@@ -126,12 +126,14 @@
 	}
 }
 
-// merge applies those of the records that are newer than the copy's and returns them.
-func (mirror *Mirror) merge(records []shedkeel.Record) []shedkeel.Record {
+// merge applies those of the records that are newer than the copy's and returns them. The copy had reached the revision before:
+// it has what the service held then, so an earlier record that it lacks was deleted since.
+func (mirror *Mirror) merge(records []shedkeel.Record, before shedkeel.Revision) []shedkeel.Record {
 	var changes []shedkeel.Record
 	for _, record := range records {
 		earlierEra := record.Revision.Era < mirror.at.Era
-		if earlierEra || !record.Revision.After(mirror.records[record.Key].Revision) || mirror.removedSince(record) {
+		included := mirror.known && before.After(record.Revision)
+		if earlierEra || included || !record.Revision.After(mirror.records[record.Key].Revision) || mirror.removedSince(record) {
 			continue
 		}
 		changes = append(changes, record)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// TestLateCopyRestoresNothing guards against deleted records that a copy of another process, sent before their deletion,
+// brings back: a copy may be seconds old, and only some of the deletions are remembered.
+func TestLateCopyRestoresNothing(t *testing.T) {
+	const first, count = 2, maxTombstones + 10 // revisions of the deletions
+	late := Update{Records: []shedkeel.Record{record("a", 1)}, Full: true, At: shedkeel.Revision{Number: 1}}
+	cases := map[string]Update{"whole": late, "changes": {Records: late.Records, At: late.At}}
+	for name, update := range cases {
+		t.Run(name, func(t *testing.T) {
+			mirror := &Mirror{}
+			mirror.Apply(late)
+			for number := range int64(count) {
+				key := fmt.Sprint("b", number)
+				if number == 0 {
+					key = "a"
+				}
+				mirror.Apply(Update{Records: []shedkeel.Record{deleted(key, first+number)}, At: shedkeel.Revision{Number: first + number}})
+			}
+			mirror.Apply(update)
+			assert.Equal(t, mirror.Len(), 0)
+		})
+	}
+}
+
 // TestRelay lets one mirror follow the service and another one follow the first, in random
 // order. In the end the second must hold what the service holds, and none of its records
 // may go back to an older revision.
