node: a write of the node's own record that is done late is noticed and undone

What callers saw: a node was listed by nobody until it was restarted, after the key-value service had done a write of its record with an earlier lease; or callers were sent to a node that stops, after a write from before its stop.

Cause: a node with a lease looked at its record only when it had reason to write it. The record didn't state its lease, and nodes' records had no order.

Change: the record states the lease that it is written with and counts the writes of its process. The node writes it again when its copy shows another one; other nodes skip an earlier record of the same process.

--- a/node/member.go
+++ b/node/member.go
@@ -52,10 +52,11 @@
 type membership struct {
 	node          *Node
 	lease         lease
-	dirty         atomic.Bool  // the record must be written again
-	nodeCountHint atomic.Int64 // number of nodes that a seed or the record of the fleet's size reported at the start; 0: none
-	listed        atomic.Bool  // the last call of step succeeded: the key-value service has the record
-	unleased      atomic.Bool  // the record needs no lease: other nodes remove it if this node is dead
+	dirty         atomic.Bool   // the record must be written again
+	nodeCountHint atomic.Int64  // number of nodes that a seed or the record of the fleet's size reported at the start; 0: none
+	listed        atomic.Bool   // the last call of step succeeded: the key-value service has the record
+	sequence      atomic.Uint64 // of the record that was written last
+	unleased      atomic.Bool   // the record needs no lease: other nodes remove it if this node is dead
 
 	startedAt atomic.Int64 // when tick was first called, as a time.Duration; 0: not yet
 
@@ -97,10 +98,10 @@
 		return sinceAttempt >= membership.retryDelay(state.AsOf)
 	case membership.dirty.Load() || membership.needsNoLease() != membership.unleased.Load():
 		return true
-	case membership.unleased.Load():
-		return !membership.isRecordCurrent() && sinceAttempt >= registrationRetry
+	case sinceAttempt >= registrationRetry && !membership.isRecordCurrent():
+		return true
 	}
-	return sinceAttempt >= membership.lease.ttl/renewalsPerTTL
+	return !membership.unleased.Load() && sinceAttempt >= membership.lease.ttl/renewalsPerTTL
 }
 
 // retryDelay returns the delay after a failed call of step. The argument is the latest time
@@ -159,7 +160,7 @@
 	return membership.isRecordCurrent() || membership.writeRecord(ctx)
 }
 
-// isRecordCurrent reports whether the key-value service has the current record, as far as
+// isRecordCurrent reports whether the key-value service has the current record, with the lease that is renewed, as far as
 // this node's copy shows. The incarnation may differ.
 func (membership *membership) isRecordCurrent() bool {
 	record := membership.node.mirror.Get(membership.key())
@@ -167,7 +168,7 @@
 		return false
 	}
 	var listed nodeRecord
-	return membership.node.fleet.decodeRecord(record, &listed) == nil && listed.equalsExceptIncarnation(membership.node.ownRecord())
+	return membership.node.fleet.decodeRecord(record, &listed) == nil && listed.statesSame(membership.node.ownRecord())
 }
 
 // key returns the key of the node's record.
@@ -175,8 +176,8 @@
 	return nodePrefix + string(membership.node.Settings.Node)
 }
 
-// keepLeased renews the lease, or acquires a new one, and writes the record if needed. It
-// reports whether the key-value service has the record with a lease in force.
+// keepLeased renews the lease, or acquires a new one, and writes the record if the key-value service lacks it or has
+// another one, for example because it has done an earlier write late. It reports whether the key-value service has the record with a lease in force.
 func (membership *membership) keepLeased(ctx context.Context) bool {
 	lease := &membership.lease
 	if lease.held() && !lease.renew(ctx) && lease.held() {
@@ -187,9 +188,11 @@
 		if !lease.grant(ctx) {
 			return false
 		}
-		membership.dirty.Store(true)
 	}
-	return !membership.dirty.Swap(false) || membership.writeRecord(ctx)
+	if !membership.dirty.Swap(false) && membership.isRecordCurrent() {
+		return true
+	}
+	return membership.writeRecord(ctx)
 }
 
 // targetTTL returns the lease time to request. A node without a lease may not know the
@@ -201,11 +204,12 @@
 	return largeFleetTTL
 }
 
-// ownRecord returns the record that this node publishes, in its present state.
+// ownRecord returns the record that this node publishes, in its present state, but for its sequence.
 func (node *Node) ownRecord() nodeRecord {
+	lease := node.member.lease.ID()
 	return nodeRecord{
 		ID: node.Settings.Node, Incarnation: node.Incarnation, Zone: node.Settings.Zone, Capacity: node.Settings.Capacity,
-		Callers: node.Settings.Listen.Callers, Control: node.Settings.Listen.Control, Gossip: node.Settings.Listen.Gossip, Stopping: node.stopping.Load(), Watched: node.member.unleased.Load(),
+		Callers: node.Settings.Listen.Callers, Control: node.Settings.Listen.Control, Gossip: node.Settings.Listen.Gossip, Stopping: node.stopping.Load(), Watched: node.member.unleased.Load(), Lease: lease.Number, Era: lease.Era,
 	}
 }
 
@@ -230,11 +234,13 @@
 // write.
 func (membership *membership) writeRecord(ctx context.Context) bool {
 	node := membership.node
-	value, err := json.Marshal(node.ownRecord())
+	record := node.ownRecord()
+	record.Sequence = membership.sequence.Add(1)
+	value, err := json.Marshal(record)
 	if err != nil {
 		return true // never happens: the record can always be encoded
 	}
-	put := shedkeel.Put{Key: membership.key(), Value: value, Lease: membership.lease.ID()}
+	put := shedkeel.Put{Key: membership.key(), Value: value, Lease: shedkeel.LeaseID{Era: record.Era, Number: record.Lease}}
 	revision, err := membership.commitRecord(ctx, put)
 	if err != nil {
 		membership.dirty.Store(true)
--- a/node/nodes.go
+++ b/node/nodes.go
@@ -24,18 +24,36 @@
 	// Watched states that the record has no lease: the record stays until another node
 	// detects that the record's owner is dead and removes the record.
 	Watched bool `json:"watched"`
+	// Lease and Era identify the lease that the record was written with, with whose end it goes; 0: none. The
+	// key-value service may do a write late, with a lease that the node no longer renews.
+	Lease int64 `json:"lease,omitempty"`
+	Era   int64 `json:"era,omitempty"`
+	// Sequence counts the records that this process has written, so that an earlier one is known as such.
+	Sequence uint64 `json:"seq,omitempty"`
 }
 
-// equalsExceptIncarnation reports whether two records differ in nothing but the
-// incarnation.
-func (record nodeRecord) equalsExceptIncarnation(other nodeRecord) bool {
-	record.Incarnation = other.Incarnation
+// isBefore reports whether the same process has written the other record later.
+func (record nodeRecord) isBefore(other nodeRecord) bool {
+	return record.Incarnation == other.Incarnation && record.Sequence < other.Sequence
+}
+
+// equalsExceptWrite reports whether two records of one process differ in nothing but when and with which lease they were
+// written.
+func (record nodeRecord) equalsExceptWrite(other nodeRecord) bool {
+	record.Lease, record.Era, record.Sequence = other.Lease, other.Era, other.Sequence
+	return record == other
+}
+
+// statesSame reports whether two records state the same of a node, whichever process of it has written them, and with
+// the same lease.
+func (record nodeRecord) statesSame(other nodeRecord) bool {
+	record.Incarnation, record.Sequence = other.Incarnation, other.Sequence
 	return record == other
 }
 
 // applyNode applies a node's record and reports whether the listed nodes may have changed. A
-// deleted record is handled by removeOrRetain. An invalid record is skipped; if it is this
-// node's own, this node writes its record again. The caller holds the mutex.
+// deleted record is handled by removeOrRetain. An invalid record, or one that is older than the known one, is
+// skipped; if it is this node's own, this node writes its record again. The caller holds the mutex.
 func (fleet *fleet) applyNode(record shedkeel.Record, now time.Duration) bool {
 	if record.Removed {
 		return fleet.removeOrRetain(record.Key, now, func() { delete(fleet.nodes, record.Key) })
@@ -47,6 +65,10 @@
 		}
 		return false // the last valid record stays in use
 	}
+	if node.isBefore(fleet.nodes[record.Key]) {
+		fleet.skipRecord(record, &shedkeel.InvalidError{Where: record.Key, What: "it is older than the known record of the node", Remedy: "none is needed: the node writes it again"})
+		return false
+	}
 	delete(fleet.retained, record.Key)
 	fleet.nodes[record.Key] = node
 	return true
--- a/node/peers.go
+++ b/node/peers.go
@@ -135,7 +135,7 @@
 // setAlive replaces the alive nodes, and records the change if there is one. The caller holds
 // the mutex.
 func (peers *peers) setAlive(alive []nodeRecord) {
-	if slices.Equal(peers.alive, alive) {
+	if slices.EqualFunc(peers.alive, alive, nodeRecord.equalsExceptWrite) {
 		return
 	}
 	peers.alive = alive
