--- a/node/late_test.go
+++ b/node/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -89,3 +90,27 @@
 	apply(5, "y", 1, false)
 	assert.Assert(t, !stops(), "the record of the next process is not in use")
 }
+
+// TestLoadsOfEarlierLeaderAreLate guards against the loads of an earlier leader that replace those of its successor: the
+// next planner would order loads that run already, or wait for some that nobody has ordered.
+func TestLoadsOfEarlierLeaderAreLate(t *testing.T) {
+	node, _, store := newListedCandidate(t)
+	storeRecord(node, 3, leaderKey, []byte(`{"node":"node-1"}`))
+	storeRecord(node, 4, loadsPrefix+"s", []byte(`{"a":"m"}`))
+	var changes []shedkeel.Transaction
+	store.commit = func(change shedkeel.Transaction) (int64, error) {
+		changes = append(changes, change)
+		if len(changes) == 1 {
+			return 0, errors.New("the answer is lost")
+		}
+		return 9, nil
+	}
+	loading := map[shedkeel.InstanceID]shedkeel.ModelID{"b": "m"}
+	node.controller.storeLoads(t.Context(), "s", loading)
+	node.controller.storeLoads(t.Context(), "s", loading)
+	assert.Equal(t, len(changes), 2, "a write without an answer was not repeated")
+	for _, change := range changes {
+		assert.DeepEqual(t, change.If, []shedkeel.Condition{{Key: loadsPrefix + "s", Revision: shedkeel.Revision{Number: 4}}, {Key: leaderKey, Revision: shedkeel.Revision{Number: 3}}})
+	}
+	assert.Equal(t, string(node.mirror.Get(loadsPrefix+"s").Value), `{"b":"m"}`)
+}
