planner: a node that has just started waits for the servers' records before it plans

Cause: a node knows that a record is older than another one only if it has seen that one. Copies of other nodes and lists hold what was written last, so a node that starts right after a late write sees a member of an open group as a free server; if it leads, it orders it to join another one.

--- a/node/controller.go
+++ b/node/controller.go
@@ -54,6 +54,9 @@
 	// the node began to follow it. Only run uses them.
 	era      int64
 	eraSince time.Duration
+	// mayBeOutdated states that the copy with which that began may have records of servers that are older than what the
+	// servers have written, and that this node has no others to compare them with. Only run uses it.
+	mayBeOutdated bool
 	// storedLoads are the loads of models in progress as last written to the key-value
 	// service, by service. Only run uses them.
 	storedLoads map[shedkeel.ServiceID]map[shedkeel.InstanceID]shedkeel.ModelID
@@ -98,16 +101,16 @@
 	state := controller.node.mirror.State()
 	if state.Known && (controller.eraSince == 0 || controller.era != state.At.Era) {
 		controller.era, controller.eraSince = state.At.Era, now
+		controller.mayBeOutdated = state.At.Era != 0 || controller.node.fleet.highestEpoch() > 0
 		clear(controller.storedLoads)
 	}
 }
 
-// recordsRewritten reports whether the backend servers have had the time, deletedRecordHold,
-// to write their records again since the key-value service was restored from a snapshot. Until
-// then, an outdated record may show a member of a group as a free server. The time counts from
-// when this node began to follow the era. In era 0 the key-value service was never restored.
+// recordsRewritten reports whether the backend servers have had the time, deletedRecordHold, to write their records again
+// since this node began to follow the key-value service, or since that was restored from a snapshot. Until then, an
+// outdated record may show a member of a group as a free server. A fleet without groups needs not wait.
 func (controller *controller) recordsRewritten(now time.Duration) bool {
-	return controller.era == 0 || now-controller.eraSince >= deletedRecordHold
+	return !controller.mayBeOutdated || now-controller.eraSince >= deletedRecordHold
 }
 
 // nextEpoch returns an epoch that no other formation of a group has. The caller holds the
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -220,17 +220,22 @@
 func TestPlannerWaitsForRecordsAfterARestore(t *testing.T) {
 	cases := map[string]struct {
 		before, after int64 // era of the key-value service at the node's start and at the end; they differ if it is restored meanwhile
+		groups        bool  // servers are in groups when the node starts: the record of one of them may have been written late
 		wantWaits     bool  // the planner waits for deletedRecordHold
 	}{
-		"no restore":                        {0, 0, false},
-		"a restore":                         {0, 1, true},
-		"a later restore":                   {2, 3, true},
-		"a restore before the node started": {1, 1, true},
+		"no restore":                          {0, 0, false, false},
+		"a restore":                           {0, 1, false, true},
+		"a later restore":                     {2, 3, false, true},
+		"a restore before the node started":   {1, 1, false, true},
+		"groups from before the node started": {0, 0, true, true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			node, timers, _ := newListedCandidate(t)
 			node.controller.eraSince = 0 // the node has not followed any era yet
+			if test.groups {
+				node.fleet.instances = map[string]shedkeel.Instance{"servers/a": {Member: &shedkeel.Membership{Group: "m/d/1", Epoch: 3}}}
+			}
 			apply := func(era int64) {
 				node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Era: era, Number: 9}, AsOf: timers.Now()})
 				node.controller.trackEra(timers.Now())
