node: the configuration and its proof are one value

Cause: the configuration lay in the fleet and its proof in the copy of the records, each with a lock of its own.

Change: the mirror calls ListenState after each update, once all has been derived from it; the fleet then replaces the configuration and its proof as one value. The planner gets both with the servers, and the list of nodes comes with its time, under one lock: no order of reads can pair an old value with a new time any more.

Evidence: TestNoRequestWaitsForDecoding could not end before (the reader waited for the lock that the decoder held); with the two reads in their first order TestOldConfigHasNoNewProof failed. Both pass now.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -39,6 +39,7 @@
 	changed          chan struct{}              // closed at the next change; nil: nobody waits
 	listeners        []func([]shedkeel.Record)
 	restoreListeners []func(Restore)
+	stateListeners   []func(State)
 }
 
 // Update is a set of changes, or a full copy, that a mirror applies.
@@ -73,6 +74,12 @@
 	mirror.restoreListeners = append(mirror.restoreListeners, listener)
 }
 
+// ListenState registers a function that is called with the state of the copy after each update, once the functions of
+// Listen have received its changes. What it derives from both belongs together. It must be called before the first Apply.
+func (mirror *Mirror) ListenState(listener func(State)) {
+	mirror.stateListeners = append(mirror.stateListeners, listener)
+}
+
 // Apply applies an update. Older records never replace newer ones, and updates of an
 // earlier era are ignored. The first update of a later era must be full and is ignored
 // otherwise, since the restore may have lost records without a change that deletes them.
@@ -101,13 +108,16 @@
 		clear(mirror.previous) // these records are of the earlier era
 		mirror.notifyRestored(oldRevision, changes)
 	}
-	if len(changes) == 0 && !first && !newEra {
-		return
+	changed := len(changes) > 0 || first || newEra
+	if changed {
+		for _, listener := range mirror.listeners {
+			listener(changes)
+		}
 	}
-	for _, listener := range mirror.listeners {
-		listener(changes)
+	for _, listener := range mirror.stateListeners {
+		listener(mirror.state())
 	}
-	if mirror.changed != nil {
+	if changed && mirror.changed != nil {
 		close(mirror.changed)
 		mirror.changed = nil
 	}
@@ -206,6 +216,11 @@
 func (mirror *Mirror) State() State {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	return mirror.state()
+}
+
+// state returns the state of the copy. The caller holds the mutex.
+func (mirror *Mirror) state() State {
 	return State{Known: mirror.known, At: mirror.at, AsOf: mirror.asOf}
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -120,7 +120,7 @@
 		Leader: node.controller.leader(), Revision: state.At.String(), Served: node.handler.RequestCount(),
 		Age: (node.Timers.Now() - state.AsOf).Round(time.Millisecond).String(),
 	}
-	if view := node.fleet.view.Load(); view != nil {
+	if view := node.fleet.view(); view != nil {
 		dump.Config = view.Config.Version
 	}
 	node.fleet.addFleet(&dump)
--- a/node/config.go
+++ b/node/config.go
@@ -10,6 +10,7 @@
 
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/mirror"
 	"shedkeel.org/shedkeel/serve"
 	"shedkeel.org/shedkeel/transfer"
 	"shedkeel.org/shedkeel/wire"
@@ -50,10 +51,34 @@
 	return configCopy.compressed
 }
 
+// configState returns the active configuration and when it was last proven current.
+func (fleet *fleet) configState() serve.ConfigState {
+	if config := fleet.config.Load(); config != nil {
+		return *config
+	}
+	return serve.ConfigState{}
+}
+
+// view returns the active configuration, or nil if there is none.
+func (fleet *fleet) view() *serve.View { return fleet.configState().View }
+
+// setView makes a configuration active. Its proof is that of the former one, and so older. The caller holds the mutex.
+func (fleet *fleet) setView(view *serve.View) {
+	fleet.config.Store(&serve.ConfigState{View: view, ProvenAt: fleet.configState().ProvenAt})
+}
+
+// confirm records that all that was derived from the copy of the records has the changes that the key-value service had made by
+// state.AsOf. The mirror calls it after each update.
+func (fleet *fleet) confirm(state mirror.State) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.config.Store(&serve.ConfigState{View: fleet.view(), ProvenAt: state.AsOf})
+}
+
 // configVersion returns the version of the active configuration, or 0 if no configuration is
 // active.
 func (fleet *fleet) configVersion() int64 {
-	if view := fleet.view.Load(); view != nil {
+	if view := fleet.view(); view != nil {
 		return view.Config.Version
 	}
 	return 0
@@ -81,11 +106,11 @@
 // higher than the active one's, and reports whether it did. Otherwise it skips the record,
 // which contains the configuration. The caller holds the mutex.
 func (fleet *fleet) activateConfig(config *shedkeel.ServingConfig, record shedkeel.Record) bool {
-	if fleet.view.Load() != nil && config.Version <= fleet.configVersion() {
+	if fleet.view() != nil && config.Version <= fleet.configVersion() {
 		fleet.skipRecord(record, &shedkeel.InvalidError{Where: record.Key, What: "its version is not newer than the one in force", Remedy: "raise it"})
 		return false
 	}
-	fleet.view.Store(serve.NewView(config))
+	fleet.setView(serve.NewView(config))
 	fleet.activeConfig.set(record.Value)
 	fleet.node.Log.Write(event.ServingConfigInForce, slog.Int64("version", config.Version), slog.String("revision", record.Revision.String()), slog.Int("routes", len(config.Routes)))
 	return true
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 	timers.Advance(10 * time.Second)
 	read := make(chan serve.ConfigState, 1)
 	node.Decoder = slowDecoder{platform.Decoder{}, func() {
-		go func() { read <- node.currentConfig() }()
+		go func() { read <- node.fleet.configState() }()
 		time.Sleep(50 * time.Millisecond) // until the reader waits, or has read
 	}}
 	node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{configRecord(2, 0, 2)}})
@@ -142,3 +143,28 @@
 		assert.Equal(t, state.View.Config.Version, int64(2), "the proof of version 2 counts for version 1")
 	}
 }
+
+// TestNoRequestWaitsForDecoding guards against requests that wait while a large configuration is decoded, and against a
+// configuration with the proof of another one, whichever is read first.
+func TestNoRequestWaitsForDecoding(t *testing.T) {
+	node, timers := newTestNode(t)
+	node.Decoder = platform.Decoder{}
+	provenAt := timers.Now()
+	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: provenAt, Records: []shedkeel.Record{configRecord(1, 0, 1)}})
+	timers.Advance(time.Second)
+	decoding, decoded := make(chan struct{}), make(chan struct{})
+	node.Decoder = slowDecoder{platform.Decoder{}, func() { close(decoding); <-decoded }}
+	var applied sync.WaitGroup
+	applied.Go(func() {
+		node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 2}, AsOf: timers.Now(), Records: []shedkeel.Record{configRecord(2, 0, 2)}})
+	})
+	<-decoding
+	state := node.fleet.configState() // would wait for ever under the lock of the copy
+	close(decoded)
+	assert.Equal(t, state.View.Config.Version, int64(1))
+	assert.Equal(t, state.ProvenAt, provenAt)
+	applied.Wait()
+	state = node.fleet.configState()
+	assert.Equal(t, state.View.Config.Version, int64(2))
+	assert.Equal(t, state.ProvenAt, timers.Now())
+}
--- a/node/controller.go
+++ b/node/controller.go
@@ -126,20 +126,11 @@
 // recordsRewritten returns false.
 func (controller *controller) plan(ctx context.Context, now time.Duration) {
 	node := controller.node
-	age := now - node.mirror.State().AsOf // read first, so that all that follows is at least as new
-	view := node.fleet.view.Load()
-	if age > maxMirrorAge || view == nil {
+	config, services := node.fleet.groupState()
+	view := config.View
+	if view == nil || now-config.ProvenAt > maxMirrorAge || !controller.recordsRewritten(now) {
 		return
 	}
-	if !controller.recordsRewritten(now) {
-		return
-	}
-	services := node.fleet.groupServices()
-	for id := range services {
-		if service := view.Service(id); service == nil || service.Engine == nil {
-			delete(services, id) // a newer configuration has it; the next round plans it
-		}
-	}
 	usageDue := now-controller.usageLoggedAt >= usageLogInterval
 	if usageDue {
 		controller.usageLoggedAt = now
--- a/node/corrupt_test.go
+++ b/node/corrupt_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	node, timers := newTestNode(t)
 	node.Decoder = platform.Decoder{}
-	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s", Engine: &shedkeel.Engine{Slots: 8, Models: []shedkeel.Model{{ID: "m", Size: 2}}}}}}))
+	node.fleet.setView(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s", Engine: &shedkeel.Engine{Slots: 8, Models: []shedkeel.Model{{ID: "m", Size: 2}}}}}}))
 	apply := func(after time.Duration, records ...shedkeel.Record) {
 		timers.Advance(after)
 		node.mirror.Apply(mirror.Update{At: shedkeel.Revision{Number: 1}, AsOf: timers.Now(), Records: records})
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -43,8 +43,9 @@
 // fleet is the state that a node derives from the records: the configuration, the
 // servers and groups that may get requests, and the nodes.
 type fleet struct {
-	node         *Node
-	view         atomic.Pointer[serve.View] // of the active configuration; nil: there is none
+	node *Node
+	// config is the active configuration with its proof. It is replaced as a whole, with the mutex held.
+	config       atomic.Pointer[serve.ConfigState]
 	activeConfig configCopy
 
 	mutex             sync.Mutex
@@ -258,7 +259,7 @@
 // limits, and has the limits and the dispatch table drop what they know of unlisted servers.
 // It does nothing while there is no configuration. The caller holds the mutex.
 func (fleet *fleet) rebuildTable() {
-	view := fleet.view.Load()
+	view := fleet.view()
 	if view == nil {
 		return
 	}
@@ -360,21 +361,26 @@
 	fleet.node.Log.Write(event.ServersChanged, fields...)
 }
 
-// groupServices returns the instances of each service that has replica groups, ordered by
-// ID, or nil while there is no configuration. Instances that reported in an answer that they
-// drain, and those withheld from requests after a restore, are marked as draining, whatever
-// their records state.
+// groupServices returns the instances of each service that has replica groups, as groupState does.
 func (fleet *fleet) groupServices() map[shedkeel.ServiceID][]shedkeel.Instance {
-	view := fleet.view.Load()
-	if view == nil {
-		return nil
-	}
+	_, services := fleet.groupState()
+	return services
+}
+
+// groupState returns the active configuration and the instances of each of its services that has replica groups, ordered by
+// ID. Both are at least as new as the proof. Instances that reported in an answer that they drain, and those withheld from
+// requests after a restore, are marked as draining, whatever their records state.
+func (fleet *fleet) groupState() (serve.ConfigState, map[shedkeel.ServiceID][]shedkeel.Instance) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	config := fleet.configState()
+	if config.View == nil {
+		return config, nil
+	}
 	draining := fleet.node.table.Draining()
 	found := map[shedkeel.ServiceID][]shedkeel.Instance{}
 	for _, instance := range fleet.instances {
-		if service := view.Service(instance.Service); service != nil && service.Engine != nil {
+		if service := config.View.Service(instance.Service); service != nil && service.Engine != nil {
 			instance.Draining = instance.Draining || draining[instance.ID] || fleet.removals.withheld(instance.ID)
 			found[instance.Service] = append(found[instance.Service], instance)
 		}
@@ -382,7 +388,7 @@
 	for _, instances := range found {
 		sortInstances(instances)
 	}
-	return found
+	return config, found
 }
 
 // highestEpoch returns the highest epoch in the backend servers' records, or 0. It ignores
--- a/node/heartbeat_test.go
+++ b/node/heartbeat_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	node, _ := newTestNode(t)
 	node.Decoder = heartbeatDecoder{}
-	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s"}}}))
+	node.fleet.setView(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "s"}}}))
 	node.fleet.applyChanges(heartbeats(t, servers, 1))
 	return node
 }
--- a/node/node.go
+++ b/node/node.go
@@ -166,7 +166,7 @@
 	node.handler = serve.Handler{
 		Protocol: node.Protocol, Backend: node.Backend, Table: &node.table, Timers: node.Timers, Delays: &node.wakeups.delays, Log: node.Log,
 		Budget:        &retry.Budget{Ratio: bounds.RetryRatio, Window: time.Duration(bounds.RetryWindow), FixedRetries: bounds.RetrySlack, RandomOffset: rand.New(node.Random).Float64()},
-		CurrentConfig: node.currentConfig, Recommend: node.peers.recommendGroup, RetryShare: node.sharing.Share, ServingNodes: node.fleet.servingCount,
+		CurrentConfig: node.fleet.configState, Recommend: node.peers.recommendGroup, RetryShare: node.sharing.Share, ServingNodes: node.fleet.servingCount,
 		Guard: &node.guard, Limits: &node.limits, OnDraining: node.peers.reportDraining, ServerCheck: node.Check, Health: node.Health, DigestKey: []byte(node.Settings.Wire.Key),
 		MaxConfigAge: time.Duration(float64(bounds.Revoke) * proofAgeFraction), RefuseStaleKeys: bounds.RefuseStaleKeys, MaxBackoff: time.Duration(bounds.MaxBackoff), StoreOutage: node.follower.Outage,
 		ReaderBudget: serve.ReaderBudget{Limit: node.Settings.Limits.UnreadBytes},
@@ -206,6 +206,7 @@
 	node.controller.prepare()
 	node.mirror.ListenRestore(node.handleRestore)
 	node.mirror.Listen(node.fleet.applyChanges)
+	node.mirror.ListenState(node.fleet.confirm)
 	node.follower = mirror.Follower{Mirror: &node.mirror, Source: node.Store, Timers: node.Timers, Log: node.Log, Upstream: node.peers.choose, Peers: node.peers.others,
 		RequestAdvice: node.peers.advise, Hops: node.peers.hops, Processes: node.fleet.nodeCount, Random: rand.NewPCG(node.Random.Uint64(), node.Random.Uint64())}
 }
@@ -285,7 +286,7 @@
 
 // requestLimits returns the limits of the active configuration on requests and their connections.
 func (node *Node) requestLimits() shedkeel.Limits {
-	if view := node.fleet.view.Load(); view != nil {
+	if view := node.fleet.view(); view != nil {
 		return view.Config.Limits
 	}
 	return shedkeel.Limits{}
@@ -323,22 +324,15 @@
 	return min(maxStopMargin, time.Duration(float64(grace)*stopMarginFraction))
 }
 
-// currentConfig returns the active configuration, or no view if none is known, and when it
-// was last proven current. The proof is read first: the configuration is then that of the proof or a
-// later one.
-func (node *Node) currentConfig() serve.ConfigState {
-	provenAt := node.mirror.State().AsOf
-	return serve.ConfigState{View: node.fleet.view.Load(), ProvenAt: provenAt}
-}
-
 // Ready reports whether callers should be sent to this node. It returns false while the node is
 // stopping or has no configuration. If Bounds.RefuseStaleKeys is set, it also returns false
 // unless the configuration was proven current less than handler.MaxConfigAge ago.
 func (node *Node) Ready() bool {
-	if node.stopping.Load() || node.fleet.view.Load() == nil {
+	config := node.fleet.configState()
+	if node.stopping.Load() || config.View == nil {
 		return false
 	}
-	age := node.Timers.Now() - node.mirror.State().AsOf
+	age := node.Timers.Now() - config.ProvenAt
 	return !node.handler.RefuseStaleKeys || age < node.handler.MaxConfigAge
 }
 
--- a/node/nodes.go
+++ b/node/nodes.go
@@ -117,15 +117,15 @@
 	return found
 }
 
-// nodeIDs returns the IDs of the listed nodes.
-func (fleet *fleet) nodeIDs() map[shedkeel.NodeID]bool {
+// nodeIDs returns the IDs of the listed nodes, and as of when they are known to be current.
+func (fleet *fleet) nodeIDs() (listed map[shedkeel.NodeID]bool, asOf time.Duration) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	found := map[shedkeel.NodeID]bool{}
+	listed = map[shedkeel.NodeID]bool{}
 	for _, node := range fleet.nodes {
-		found[node.ID] = true
+		listed[node.ID] = true
 	}
-	return found
+	return listed, fleet.configState().ProvenAt
 }
 
 // compareNodes orders nodes by preference for duties that one node has for the whole
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			node, timers := newTestNode(t)
 			node.Decoder = platform.Decoder{}
-			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "p"}))
+			node.fleet.setView(newServiceView(shedkeel.RoutedService{ID: "p"}))
 			node.mirror.Apply(mirror.Update{Full: true, At: old, AsOf: timers.Now()})
 			for _, record := range test.before {
 				node.mirror.Apply(mirror.Update{At: record.Revision, AsOf: timers.Now(), Records: []shedkeel.Record{record}})
@@ -82,7 +82,7 @@
 func TestOrdersAreKnownAfterARestore(t *testing.T) {
 	node, timers := newTestNode(t)
 	node.Decoder = platform.Decoder{}
-	node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
+	node.fleet.setView(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
 	// member returns the server's record after it joined its group in the epoch and accepted
 	// this number of orders in all, which is the record's sequence number.
 	member := func(revision shedkeel.Revision, epoch, orders int) shedkeel.Record {
@@ -277,7 +277,7 @@
 		t.Run(name, func(t *testing.T) {
 			node, timers := newTestNode(t)
 			node.Decoder = platform.Decoder{}
-			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
+			node.fleet.setView(newServiceView(shedkeel.RoutedService{ID: "s", Engine: &shedkeel.Engine{}}))
 			for number, end := range append(strings.Split(test.known, then), test.late) {
 				value := `{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"domain":"d",` + end + `}`
 				revision := shedkeel.Revision{Number: int64(number + 1)}
@@ -315,7 +315,7 @@
 		t.Run(name, func(t *testing.T) {
 			node, timers := newTestNode(t)
 			node.Decoder = platform.Decoder{}
-			node.fleet.view.Store(newServiceView(shedkeel.RoutedService{ID: "p"}))
+			node.fleet.setView(newServiceView(shedkeel.RoutedService{ID: "p"}))
 			for index, record := range test.records {
 				record.Revision.Number = int64(index + 1)
 				timers.Advance(time.Second)
--- a/node/retries.go
+++ b/node/retries.go
@@ -14,8 +14,7 @@
 // updateSharing passes the list of nodes on to what divides the fleet's retry budget. The list confirms this node's part
 // only while the key-value service has this node's record.
 func (node *Node) updateSharing() {
-	asOf := node.mirror.State().AsOf // before the list is read, so that the list is at least as new
-	listed := node.fleet.nodeIDs()
+	listed, asOf := node.fleet.nodeIDs()
 	if !node.mirror.Get(node.member.key()).Revision.Exists() {
 		delete(listed, node.Settings.Node)
 	}
--- a/node/services_test.go
+++ b/node/services_test.go
@@ -19,7 +19,7 @@
 	node.mirror.Apply(mirror.Update{Full: true, At: shedkeel.Revision{Number: 1}, AsOf: timers.Now()})
 	// Each service has one group, of the model m, in a domain with the service's name.
 	engine := &shedkeel.Engine{Models: []shedkeel.Model{{ID: "m", Size: 1, Share: 1}}}
-	node.fleet.view.Store(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "one", Engine: engine}, {ID: "two", Engine: engine}}}))
+	node.fleet.setView(serve.NewView(&shedkeel.ServingConfig{Services: []shedkeel.RoutedService{{ID: "one", Engine: engine}, {ID: "two", Engine: engine}}}))
 	node.fleet.instances = map[string]shedkeel.Instance{}
 	controller := &node.controller
 	for _, service := range []shedkeel.ServiceID{"one", "two"} {
