serve: a request is resolved again once its body has come

What callers saw: a request with a removed key ran though it was sent up to 10 s after the removal, if its head had come before it.

Cause: route and key were looked up before the body was read, and never again; the time at which the request was complete and the configuration that it was judged by were read apart.

Change: after a body, the request is resolved by the configuration of that moment, and by its age then.

Evidence: TestConfigChangesWhileBodyArrives failed before in three of four rows (200 for 401, 404 and 503) and passes now.

--- a/serve/handler.go
+++ b/serve/handler.go
@@ -165,7 +165,7 @@
 	account         *shedkeel.KeyedAccount // the account of the request's key; nil: the route needs no key
 	service         shedkeel.ServiceID     // the route's target that targetService picked; "": the route has none
 	body            intake.Body
-	configAge       time.Duration // time from when the configuration was last proven current to startedAt
+	configAge       time.Duration // from when the configuration was last proven current until the request had arrived, as far as it was read
 	startedAt       time.Duration
 	deadline        time.Duration                       // when the request ends: callerDeadline less answerMargin
 	callerDeadline  time.Duration                       // until when the caller waits: by the route's timeout or the caller's own, whichever ends first
@@ -215,14 +215,26 @@
 	exchange.writeResult(err)
 }
 
-// prepare matches the request to its route and client account, sets its deadlines and
-// reads its body. Its error is a refusal.
+// prepare resolves the request and reads its body. Its error is a refusal.
 func (exchange *exchange) prepare() error {
 	call, err := exchange.handler.Protocol.Read(exchange.request)
 	exchange.call = call
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	if err := exchange.resolve(exchange.startedAt); err != nil {
+		return err
+	}
+	if err := exchange.readBody(); err != nil || exchange.body.Len() == 0 {
+		return err
+	}
+	// While the body arrived, the key or the route may have been removed, and the proof of the configuration has aged.
+	return exchange.resolve(exchange.handler.Timers.Now())
+}
+
+// resolve matches the request to its route and client account by the configuration at the time, and sets its deadlines. Its
+// error is a refusal.
+func (exchange *exchange) resolve(at time.Duration) error {
 	if exchange.handler.refusing.Load() {
 		return exchange.refuse(causeStopping, "this node is stopping")
 	}
@@ -230,28 +242,30 @@
 	if current.View == nil {
 		return exchange.refuse(causeStaleConfig, "no configuration is known yet")
 	}
-	exchange.view = current.View
-	exchange.configAge = exchange.startedAt - current.ProvenAt
-	exchange.route = current.View.route(call.Host, call.Path)
+	exchange.configAge = at - current.ProvenAt
+	if current.View != exchange.view {
+		exchange.view = current.View
+		exchange.route = current.View.route(exchange.call.Host, exchange.call.Path)
+	}
 	if exchange.route == nil {
 		return exchange.refuseUnknown(http.StatusNotFound, "no route matches")
 	}
 	if err := exchange.authenticate(current); err != nil {
 		return err
 	}
-	exchange.service = targetService(exchange.route, call.ID)
+	exchange.service = targetService(exchange.route, exchange.call.ID)
 	timeout := exchange.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if call.Deadline > 0 {
-		timeout = min(timeout, call.Deadline)
+	if exchange.call.Deadline > 0 {
+		timeout = min(timeout, exchange.call.Deadline)
 	}
 	// The request may have waited for as long until this process noticed it.
 	exchange.callerDeadline = exchange.startedAt - exchange.handler.Delays.Lateness(exchange.startedAt) + timeout
 	exchange.deadline = exchange.callerDeadline - answerMargin
 	exchange.setWriteDeadline(max(exchange.callerDeadline-exchange.handler.Timers.Now(), 0))
-	return exchange.readBody()
+	return nil
 }
 
 // setWriteDeadline sets the write deadline of the caller's connection to unreadTimeout after
