node: a drained server whose record was removed does not return; histories of late writes

Change: nothing of a server that drained and whose record was removed is used again; a break is final for its epoch; a higher epoch excuses a lower count of orders only where the server is in a group.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -168,7 +168,7 @@
 	if instance, listed := fleet.instances[key]; listed {
 		fleet.removals.recordRemoval(instance.ID, era, now)
 	}
-	fleet.progressExpiry[key] = now + progressRetention
+	fleet.recordEnd(key, now)
 	delete(fleet.instances, key)
 	delete(fleet.unreadable, key)
 	delete(fleet.coldUntil, key)
--- a/node/progress.go
+++ b/node/progress.go
@@ -24,23 +24,26 @@
 	sequence      int64                // orders that it had accepted
 	member        *shedkeel.Membership // nil: it is in no group
 	draining      bool
+	removed       bool          // its record was removed since
 	outdatedSince time.Duration // since when only outdated records have arrived; 0: none since the latest other one
 }
 
 // isAhead reports whether the record was written before this progress was made: by an earlier instance of the server, or
-// before an order, a drain or the end of a join. If only one of the two states a start time, the record does not
+// before an order, a drain, the end of a join or a break of its group. If only one of the two states a start time, the record does not
 // count as older.
 func (known *progress) isAhead(record *shedkeel.Instance) bool {
 	startedAt, knownStartedAt := record.ID.Born(), known.instance.Born()
 	switch {
 	case startedAt != knownStartedAt:
 		return startedAt != 0 && startedAt < knownStartedAt
-	case epochOf(record) > known.epoch:
-		return false // only a later order gives a higher epoch
+	case known.member != nil && epochOf(record) > known.epoch:
+		return false // only a later order moves it from its group to one of a higher epoch
+	case known.removed && (known.draining || record.Draining):
+		return true // a server that drains ends
 	case record.Sequence != known.sequence:
 		return record.Sequence < known.sequence
 	case known.draining != record.Draining:
-		return known.draining // a server that drains ends
+		return known.draining
 	case record.Member == nil:
 		return false
 	case known.member == nil:
@@ -48,7 +51,12 @@
 	case record.Member.Epoch != known.member.Epoch:
 		return record.Member.Epoch < known.member.Epoch
 	}
-	return record.Member.State == shedkeel.MemberJoining && known.member.State != shedkeel.MemberJoining
+	return isPassed(record.Member.State, known.member.State)
+}
+
+// isPassed reports whether a member in the later state can't come back to the earlier one without another order.
+func isPassed(earlier, later shedkeel.MemberState) bool {
+	return earlier != later && (earlier == shedkeel.MemberJoining || later == shedkeel.MemberBroken)
 }
 
 // advance records that the server has written the record, which is not older.
@@ -99,6 +107,14 @@
 	delete(fleet.progressExpiry, key)
 }
 
+// recordEnd records that a server's record was removed. The caller holds the mutex.
+func (fleet *fleet) recordEnd(key string, now time.Duration) {
+	if known := fleet.progress[key]; known != nil {
+		known.removed = true
+		fleet.progressExpiry[key] = now + progressRetention
+	}
+}
+
 // expireProgress forgets the progress of servers whose records were removed progressRetention ago. The caller holds the mutex.
 func (fleet *fleet) expireProgress(now time.Duration) {
 	for key, expiresAt := range fleet.progressExpiry {
