node: a lease and the time until which it holds are one value

What callers could see: two planners that give orders at once, or a leader or a listed node without its lease for a while.

Cause: the lease's ID and its end were two values, and an answer to a renewal was applied to whatever lease was held when it came. Between the two stores of a new grant an expired lease counted as valid for the new one's time; a late answer ended or shortened the next lease.

Change: both are replaced as one value; the answer to a renewal applies only to the lease that was renewed, with the time that was granted.

--- a/node/lease.go
+++ b/node/lease.go
@@ -21,8 +21,14 @@
 	node *Node
 	ttl  time.Duration // lease time to ask for; the key-value service may grant less
 
-	id         atomic.Pointer[shedkeel.LeaseID] // nil: none
-	validUntil atomic.Int64                     // lower bound of the lease's expiry on this node's clock, as a time.Duration
+	current atomic.Pointer[heldLease] // replaced as a whole; nil: none
+}
+
+// heldLease is a lease that the key-value service has granted, and until when it is certainly in force.
+type heldLease struct {
+	id         shedkeel.LeaseID
+	ttl        time.Duration // granted
+	validUntil time.Duration // lower bound of its expiry on this node's clock
 }
 
 // valid reports whether the lease is certainly still in force. It returns false if no lease is
@@ -30,36 +36,42 @@
 // of the key-value service: that service was then restored from a snapshot, which may lack the
 // lease.
 func (lease *lease) valid(now time.Duration) bool {
-	if !lease.held() || lease.ID().Era < lease.node.mirror.State().At.Era {
+	held := lease.current.Load()
+	if held == nil || held.id.Era < lease.node.mirror.State().At.Era {
 		return false
 	}
-	return now < time.Duration(lease.validUntil.Load())-leaseSafetyMargin
+	return now < held.validUntil-leaseSafetyMargin
 }
 
 // ID returns the ID that the key-value service gave the lease, or the zero value if there is
 // no lease.
 func (lease *lease) ID() shedkeel.LeaseID {
-	if id := lease.id.Load(); id != nil {
-		return *id
+	if held := lease.current.Load(); held != nil {
+		return held.id
 	}
 	return shedkeel.LeaseID{}
 }
 
 // held reports whether there is a lease that is not known to have expired.
-func (lease *lease) held() bool { return lease.id.Load() != nil }
+func (lease *lease) held() bool { return lease.current.Load() != nil }
 
-// renew renews the lease and reports whether that succeeded. It logs an error. If the
-// key-value service reports that the lease has expired, the lease is no longer held.
+// renew renews the lease, if one is held, and reports whether that succeeded. It logs an error. If the
+// key-value service reports that the lease has expired, the lease is no longer held. An answer that comes after another
+// lease was granted has no effect on that one.
 func (lease *lease) renew(ctx context.Context) bool {
+	held := lease.current.Load()
+	if held == nil {
+		return false
+	}
 	sent := lease.node.Timers.Now()
-	err := lease.node.Store.Renew(ctx, lease.ID())
+	err := lease.node.Store.Renew(ctx, held.id)
 	if err == nil {
-		lease.validUntil.Store(int64(sent + lease.ttl))
+		lease.current.CompareAndSwap(held, &heldLease{id: held.id, ttl: held.ttl, validUntil: sent + held.ttl})
 		return true
 	}
 	var ended *shedkeel.LeaseEndedError
 	if errors.As(err, &ended) {
-		lease.id.Store(nil)
+		lease.current.CompareAndSwap(held, nil)
 	}
 	lease.node.Log.Write(event.LeaseRenewalFailed, slog.String("error", err.Error()))
 	return false
@@ -74,19 +86,19 @@
 		lease.node.Log.Write(event.LeaseRenewalFailed, slog.String("error", err.Error()))
 		return false
 	}
-	lease.validUntil.Store(int64(sent + min(ttl, lease.ttl)))
-	lease.id.Store(&granted)
+	ttl = min(ttl, lease.ttl)
+	lease.current.Store(&heldLease{id: granted, ttl: ttl, validUntil: sent + ttl})
 	return true
 }
 
 // release releases the lease, if there is one. It waits for the key-value service for at most
 // leaseSafetyMargin. Afterwards no lease is held, even if the call failed.
 func (lease *lease) release() {
-	if !lease.held() {
+	held := lease.current.Swap(nil)
+	if held == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaseSafetyMargin)
 	defer cancel()
-	_ = lease.node.Store.Release(ctx, lease.ID()) // on an error the lease expires by itself
-	lease.id.Store(nil)
+	_ = lease.node.Store.Release(ctx, held.id) // on an error the lease expires by itself
 }
--- a/node/member.go
+++ b/node/member.go
@@ -155,7 +155,7 @@
 // before this node restarted. The node forgets its former lease. The record is written
 // without that lease, so the record stays when the lease expires.
 func (membership *membership) keepUnleased(ctx context.Context) bool {
-	membership.lease.id.Store(nil)
+	membership.lease.current.Store(nil)
 	membership.dirty.Store(false)
 	return membership.isRecordCurrent() || membership.writeRecord(ctx)
 }
