standin, soak: writes of any record may be done late; keys are taken away in large configurations before outages

The stand-in store can leave a share of the writes of nodes and servers without an answer and do them 1 to 6 s later, if their conditions still hold. Two kinds of faults of the soak use it: late writes, with servers that write their records again every 1.2 s, and a key that is taken away in a configuration of half a megabyte right before an outage of up to 7 s.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,32 @@
 	leaseOfKey  map[string]int64 // lease that owns each key, for keys with a lease
 	lastLease   int64            // number of the last lease
 	counts      Counts
+	late        LateWrites
+}
+
+// LateWrites are writes that get no answer and are done later, if their conditions still hold then.
+type LateWrites struct {
+	Share       float64 // of all writes
+	Least, Most time.Duration
+}
+
+// SetLateWrites sets which writes are done late from now on.
+func (store *Store) SetLateWrites(late LateWrites) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.late = late
+}
+
+// Postpone reports whether a write is one of those that are done late. The caller then neither commits nor answers it.
+func (store *Store) Postpone(change shedkeel.Transaction) bool {
+	store.mutex.Lock()
+	late := store.late
+	store.mutex.Unlock()
+	if rand.Float64() >= late.Share {
+		return false
+	}
+	time.AfterFunc(late.Least+rand.N(late.Most-late.Least), func() { _, _ = store.Commit(change) }) // nobody waits for the outcome
+	return true
 }
 
 // snapshot is a copy of a store's state.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -26,7 +26,7 @@
 		cluster.killNode, cluster.stopNode, cluster.freezeNode, cluster.degradeStoreLink, cluster.killServer, cluster.degradeServer,
 		cluster.drainServer, cluster.failStore, cluster.replaceKey, cluster.sendHangup, cluster.sendDeadly, cluster.limitServer,
 		cluster.backOffServer, cluster.drainByAnswers, cluster.restoreStore, cluster.crashServer, cluster.freezeBesideSlowServers,
-		cluster.resizeNode, cluster.failServers,
+		cluster.resizeNode, cluster.failServers, cluster.delayWrites, cluster.changeLargeConfig,
 	}
 	if cluster.faultKinds > 0 {
 		kinds = kinds[:cluster.faultKinds]
@@ -393,6 +393,46 @@
 	return fmt.Sprintf("store restored from a snapshot %s old after an outage of %s; records rewritten %s later", writeTime, outage, rewriteDelay)
 }
 
+// heartbeat is how often servers write their records while some of these writes are done late.
+const heartbeat = 1200 * time.Millisecond
+
+// delayWrites has the store do three in ten writes of nodes and servers 1 to 6 s late, without an answer.
+func (cluster *cluster) delayWrites(random *rand.Rand) string {
+	late := standin.LateWrites{Share: 0.3, Least: time.Second, Most: 6 * time.Second}
+	length := between(random, 2000, 6000)
+	cluster.data.SetLateWrites(late)
+	cluster.beatUntil(time.Now().Add(length))
+	cluster.data.SetLateWrites(standin.LateWrites{})
+	cluster.beatUntil(time.Now().Add(late.Most + heartbeat)) // until all are done and corrected
+	return fmt.Sprintf("three in ten writes late for %s", length)
+}
+
+// beatUntil has the servers write their records again every heartbeat.
+func (cluster *cluster) beatUntil(end time.Time) {
+	for time.Now().Before(end) {
+		cluster.fleet.RewriteRecords()
+		time.Sleep(heartbeat)
+	}
+}
+
+// largeConfigRoutes is how many more routes a large configuration has; its size is about half a megabyte.
+const largeConfigRoutes = 1950
+
+// changeLargeConfig replaces an API key in a large configuration, right before an outage of the store.
+func (cluster *cluster) changeLargeConfig(random *rand.Rand) string {
+	cluster.setFillers(largeConfigRoutes)
+	cluster.configure()
+	time.Sleep(between(random, 500, 1500))
+	length := between(random, 500, 7000)
+	faults := []standin.Faults{{Outage: true}, {Hang: true}}[random.IntN(2)]
+	cluster.configure()
+	cluster.data.SetFaults(faults)
+	time.Sleep(length)
+	cluster.data.SetFaults(standin.Faults{})
+	cluster.setFillers(0)
+	return fmt.Sprintf("key replaced in a large configuration, then store %+v for %s", faults, length)
+}
+
 // recordResume records that a node has started or has resumed after a freeze. The fleet
 // then no longer expects the node to know earlier backoffs and drains.
 func (cluster *cluster) recordResume(process *process) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,6 +108,7 @@
 	serverCount int               // number of backend servers added so far
 	crashCount  int               // number of crashes of backend servers so far
 	version     int               // version of the last configuration
+	fillers     int               // number of routes of the configuration that nobody uses
 	faults      []string          // descriptions of the injected faults, for the log
 	resumes     []time.Time       // when nodes started, or resumed after a freeze
 }
@@ -126,10 +127,10 @@
 	command   *exec.Cmd  // nil: not running
 }
 
-// configText is the format of the configuration. Its arguments are the version and the
+// configText is the format of the configuration. Its arguments are the version, the routes that nobody uses, and the
 // number of the API key that the fault replaceKey replaces.
 const configText = `{"version":%d,
- "routes":[
+ "routes":[%s
   {"name":"r1","host":"h.example","path_prefix":"/copy/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":300,"max_attempts":2,"resume_streams":true,"service":"llm"},
   {"name":"r2","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"max_attempts":2,"service":"plain"},
   {"name":"r3","host":"h.example","path_prefix":"/fee/","kind":"unsafe","timeout_ms":2000,"max_attempts":1,"service":"plain"}],
@@ -139,6 +140,10 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"shop","api_keys":["stays","key-%d"]}]}`
 
+// fillerText is the format of a route that nobody uses. Its arguments are its number, twice.
+const fillerText = `
+  {"name":"filler-%d","host":"h.example","path_prefix":"/filler/x%d/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":2,"public":false,"sticky":true,"resume_streams":true,"gap_aim_ms":300},`
+
 // fleetSize is how many processes a cluster has.
 type fleetSize struct {
 	nodes   int
@@ -187,8 +192,7 @@
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	cluster.version++
-	_, err := cluster.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, configText, cluster.version, cluster.version)}}})
-	assert.NilError(cluster.t, err)
+	cluster.commitConfig()
 	cluster.checker.keyRemoved(fmt.Sprint("key-", cluster.version-1))
 	cluster.checker.recordPlanned(0, 0)
 }
@@ -197,11 +201,27 @@
 func (cluster *cluster) rewriteRecords() {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	_, err := cluster.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, configText, cluster.version, cluster.version)}}})
-	assert.NilError(cluster.t, err)
+	cluster.commitConfig()
 	cluster.fleet.RewriteRecords()
 }
 
+// commitConfig writes the configuration of the present version. The caller holds the mutex.
+func (cluster *cluster) commitConfig() {
+	var fillers strings.Builder
+	for index := range cluster.fillers {
+		fmt.Fprintf(&fillers, fillerText, index, index)
+	}
+	_, err := cluster.data.Commit(shedkeel.Transaction{Put: []shedkeel.Put{{Key: "op/config", Value: fmt.Appendf(nil, configText, cluster.version, fillers.String(), cluster.version)}}})
+	assert.NilError(cluster.t, err)
+}
+
+// setFillers sets how many routes that nobody uses the next configuration has.
+func (cluster *cluster) setFillers(count int) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.fillers = count
+}
+
 // key returns the API key that the last configuration added.
 func (cluster *cluster) key() string {
 	cluster.mutex.Lock()
