serve: a process that stops passes on only what can be answered before its end

What callers saw: requests whose bodies ended late in the grace time of a planned stop were passed on and cut at its end without an answer, though servers ran them, also such that may not be repeated.

Cause: whether requests are still taken was asked once, before the body was read; nothing compared what a request needs with the time that is left, and at the end connections were closed though a status could still be sent.

Change: package grace says until when a request may be passed on, by how long the latest answers of its route took; it is asked when the head has come, while the body comes, and before each attempt, after all waits. Who can't end gets a true 503 at once; at the end, requests without an answer get 502.

TestPlannedStop: the two calls that it used are one now; it asks for the same.

--- a/intake/body.go
+++ b/intake/body.go
@@ -74,12 +74,12 @@
 	if request.Body == nil || request.ContentLength == 0 {
 		return Body{}, nil
 	}
-	reader := &bodyReader{conn: connOf(request), request: request, limit: limit}
+	reader := &bodyReader{conn: connOf(request), request: request, limit: limit, deadline: time.Now().Add(timeout)}
 	if reader.conn != nil {
 		reader.limit = min(limit, reader.conn.gate.Ledger.Plan.MaxBody())
 	}
 	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	_ = controller.SetReadDeadline(reader.deadline)
 	if err := reader.read(); err != nil {
 		if reader.conn != nil {
 			reader.conn.refuseBody()
@@ -95,6 +95,7 @@
 	conn     *Conn // nil: nothing is charged
 	request  *http.Request
 	limit    int64
+	deadline time.Time // the server may end the reading sooner
 	reserved int64
 	body     Body
 }
@@ -111,7 +112,7 @@
 		if reader.conn.interrupted.Load() {
 			return reader.noRoom()
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(reader.deadline) {
 			reader.conn.gate.Ledger.Refuse(&reader.conn.client, quota.LimitBodyTime, true)
 		}
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -37,14 +37,13 @@
 
 const (
 	// DirectoryKeep is how long callers may cache an answer of the directory, which tells them
-	// the addresses of the nodes (see Addresses). A stopping node accepts requests until all
-	// cached answers have expired, but for at most 3/8 of the grace time, since a request that
-	// is accepted later might not finish in time.
+	// the addresses of the nodes (see Addresses). A stopping node accepts connections until all
+	// cached answers have expired, but for at most 3/8 of the grace time.
 	DirectoryKeep = time.Second
 	// maxDirectoryKeepFactor is how many times DirectoryKeep some callers cache an answer.
 	maxDirectoryKeepFactor = 3
-	// maxStopMargin is how long before the end of the grace time a stopping node aborts
-	// the requests that still run. At the end of the grace time the platform kills the
+	// maxStopMargin is how long before the end of the grace time a stopping node ends
+	// the requests that still run. Half of it is for their last answers. At the end of the grace time the platform kills the
 	// process.
 	maxStopMargin = 400 * time.Millisecond
 	// stopMarginFraction bounds that margin for a short grace time: only requests whose servers are still at work in its
@@ -293,30 +292,35 @@
 }
 
 // stop announces in this node's record and by gossip that this node stops, and resigns as leader.
-// The node keeps serving while callers may have its address cached, but for at most 3/8 of the
-// grace time. It then waits for the running requests, and for the connections that it relays for
-// other nodes, and aborts them stopMargin before the end of the grace time. stop returns an error only if the server for callers failed to close.
+// The node accepts connections while callers may have its address cached, but for at most 3/8 of the
+// grace time. Until stopMargin before the end of the grace time it serves the requests that can be answered by then, and keeps the
+// connections that it relays for other nodes; it then ends the requests that are left. stop returns an error only if the server
+// for callers failed to close.
 func (node *Node) stop(callers *http.Server) error {
+	grace := time.Duration(node.Settings.Bounds.Grace)
+	margin := stopMargin(grace)
 	stopStarted := node.Timers.Now()
 	node.Log.Write(event.Stopping)
 	node.stopping.Store(true)
-	node.handler.CloseConnections()
+	node.handler.Leave(stopStarted + grace - margin)
 	node.controller.resign()
 	node.member.requestWrite()
 	node.gossip.leave()
-	grace := time.Duration(node.Settings.Bounds.Grace)
-	cacheExpiry := min(maxDirectoryKeepFactor*DirectoryKeep, grace*3/8) // most of a short grace time remains for the running requests
-	time.Sleep(cacheExpiry)
-	node.handler.RefuseNew()
-	remaining := grace - stopMargin(grace) - (node.Timers.Now() - stopStarted)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	time.Sleep(min(maxDirectoryKeepFactor*DirectoryKeep, grace*3/8)) // most of a short grace time remains for the running requests
+	ctx, cancel := context.WithTimeout(context.Background(), grace-margin-(node.Timers.Now()-stopStarted))
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	node.connector.drain(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = callers.Close()
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
 	}
-	return err
+	node.handler.EndAll()
+	ctx, cancel = context.WithTimeout(context.Background(), margin/2)
+	defer cancel()
+	if err := callers.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return callers.Close()
 }
 
 // stopMargin returns how long before the end of the grace time requests are aborted.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -48,6 +49,7 @@
 	client  *http.Client // of the callers
 
 	restartDelay time.Duration // how long a server stays down after a request has crashed it
+	grace        time.Duration // of nodes that start; 0: 3 s, of which a stopping node accepts connections for 1.1 s
 }
 
 // runningNode is a node that serves, with the addresses of its endpoints as host:port.
@@ -127,7 +129,13 @@
 // system if it is nil.
 func startTestCluster(t *testing.T, nodes int, network *standin.Network) *testCluster {
 	t.Helper()
-	cluster := &testCluster{t: t, network: network, data: standin.NewStore(), restartDelay: defaultRestartDelay}
+	return startGraceCluster(t, nodes, network, 0)
+}
+
+// startGraceCluster does the same as startTestCluster for nodes with the grace time.
+func startGraceCluster(t *testing.T, nodes int, network *standin.Network, grace time.Duration) *testCluster {
+	t.Helper()
+	cluster := &testCluster{t: t, network: network, data: standin.NewStore(), restartDelay: defaultRestartDelay, grace: grace}
 	cluster.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: cluster.dial()}}
 	listener := cluster.listen()
 	cluster.store = listener.Addr().String()
@@ -245,7 +253,7 @@
 	settings.Zone = shedkeel.ZoneID(fmt.Sprint("z", index/2)) // two nodes in each zone
 	settings.Wire.Key = "k"
 	settings.Seeds = seeds
-	settings.Bounds.Grace = shedkeel.Duration(3 * time.Second) // a stopping node accepts requests for 3/8 of this time, 1.1 s
+	settings.Bounds.Grace = shedkeel.Duration(cmp.Or(cluster.grace, 3*time.Second))
 	settings.Listen = config.NodeListen{Callers: listeners.Callers.Addr().String(), Control: listeners.Control.Addr().String(), Gossip: listeners.Gossip.LocalAddr().String()}
 	servers, timers := &standin.Link{Network: cluster.network}, cluster.timers()
 	dialer := &reach.Dialer{Timers: timers, Timeout: 250 * time.Millisecond, Network: servers}
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -215,7 +215,8 @@
 	return servers
 }
 
-// CancelOverdue cancels the active requests whose deadline has passed by the clock of Timers.
+// CancelOverdue cancels the active requests whose deadline has passed by the clock of Timers, and ends the reading of bodies that
+// come too late for a process that stops.
 // Their contexts do not suffice: the timers of contexts stop while the box is suspended, and
 // would end the requests too late by the duration of the suspension.
 func (handler *Handler) CancelOverdue(now time.Duration) {
@@ -224,6 +225,7 @@
 			exchange.abort(context.DeadlineExceeded)
 		}
 	}
+	handler.interruptBodies()
 }
 
 // activeExchanges returns the requests that track has added and untrack has not removed.
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -17,6 +17,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"shedkeel.org/shedkeel"
 	"shedkeel.org/shedkeel/dispatch"
 	"shedkeel.org/shedkeel/event"
+	"shedkeel.org/shedkeel/grace"
 	"shedkeel.org/shedkeel/intake"
 	"shedkeel.org/shedkeel/liveness"
 	"shedkeel.org/shedkeel/overload"
@@ -115,7 +117,8 @@
 
 	// stoppingSince is from when on answers ask the callers to close their connections, as a time.Duration; 0: not yet.
 	stoppingSince atomic.Int64
-	refusing      atomic.Bool  // new requests are refused
+	leave         atomic.Pointer[grace.Leave] // nil: this process is not stopping
+	answers       grace.Answers
 	received      atomic.Int64 // requests received, including refused ones
 	endedServers  endedServers
 	rechecks      atomic.Int64 // checks of servers under way in the background (recheckEnd)
@@ -128,18 +131,9 @@
 
 	mutex     sync.Mutex
 	exchanges map[*exchange]struct{} // being served
+	reading   map[*exchange]struct{} // their bodies arrive
 }
 
-// CloseConnections makes the answers to requests that are received from now on ask their
-// callers to close the connection.
-func (handler *Handler) CloseConnections() {
-	handler.stoppingSince.Store(max(int64(handler.Timers.Now()), 1))
-}
-
-// RefuseNew makes the handler refuse all new requests with 503, so that their callers retry
-// at another process.
-func (handler *Handler) RefuseNew() { handler.refusing.Store(true) }
-
 // RequestCount returns how many requests have been received, including refused ones.
 func (handler *Handler) RequestCount() int64 { return handler.received.Load() }
 
@@ -173,6 +167,7 @@
 	runs            int                                 // attempts that have run or may have run
 	mayHaveRun      bool                                // an attempt that gave the caller no answer may have run
 	attempts        int                                 // attempts that may have reached a server
+	passedOnAt      time.Duration                       // when the first attempt was made; 0: not yet
 	retryReason     retry.Reason                        // why the next attempt, if any, is made
 	late            bool                                // requests on time already use onTimeFraction of the model's slots: the request gets latePriority (see admitToModel)
 	answerAttrs     []slog.Attr                         // log attributes of the answer
@@ -235,9 +230,6 @@
 // resolve matches the request to its route and client account by the configuration at the time, and sets its deadlines. Its
 // error is a refusal.
 func (exchange *exchange) resolve(at time.Duration) error {
-	if exchange.handler.refusing.Load() {
-		return exchange.refuse(causeStopping, "this node is stopping")
-	}
 	current := exchange.handler.CurrentConfig()
 	if current.View == nil {
 		return exchange.refuse(causeStaleConfig, "no configuration is known yet")
@@ -265,6 +257,9 @@
 	exchange.callerDeadline = exchange.startedAt - exchange.handler.Delays.Lateness(exchange.startedAt) + timeout
 	exchange.deadline = exchange.callerDeadline - answerMargin
 	exchange.setWriteDeadline(max(exchange.callerDeadline-exchange.handler.Timers.Now(), 0))
+	if !exchange.mayPassOn() {
+		return exchange.refuse(causeStopping, errLeaving.Error())
+	}
 	return nil
 }
 
@@ -313,13 +308,15 @@
 
 // readBody reads the request's body, within bodyTimeout and up to the configured size, or
 // maxAnswerBytes if none is configured. Its error is a refusal: 413 if the body is longer, 503 if
-// there is no room for it, and 400 if it is not received completely within bodyTimeout.
+// there is no room for it or this process stops before it could be answered, and 400 if it is not received completely within bodyTimeout.
 func (exchange *exchange) readBody() error {
 	limit := exchange.view.Config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxAnswerBytes
 	}
+	done := exchange.handler.readingBody(exchange)
 	body, err := intake.ReadBody(exchange.writer, exchange.request, limit, bodyTimeout)
+	done()
 	if err == nil {
 		exchange.body = body
 		return nil
@@ -332,6 +329,8 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	case errors.As(err, &noRoom):
 		return exchange.refuse(causeNoRoom, noRoom.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded) && !exchange.mayPassOn():
+		return exchange.refuse(causeStopping, errLeaving.Error())
 	}
 	return &refusal{status: http.StatusBadRequest, reason: "the body did not come whole: " + err.Error()}
 }
@@ -443,6 +442,8 @@
 	switch {
 	case exchange.request.Context().Err() != nil:
 		return errAborted
+	case exchange.mayHaveRun && isLeaving(ctx):
+		return &refusal{status: http.StatusBadGateway, reason: "the request may have run: " + errLeaving.Error()}
 	case exchange.mayHaveRun && errors.Is(context.Cause(ctx), errServersEnded):
 		return &refusal{status: http.StatusBadGateway, reason: "the request may have run: " + errServersEnded.Error()}
 	case exchange.mayHaveRun && ctx.Err() != nil:
@@ -457,6 +458,8 @@
 	var notRun *shedkeel.NotRunError
 	var rejected *rejectedError
 	switch {
+	case isLeaving(ctx), errors.Is(reason, errLeaving):
+		cause = causeStopping
 	case errors.As(reason, &rejected):
 		cause = rejected.cause()
 	case errors.As(reason, &notRun) && notRun.NoPath:
--- a/serve/plain.go
+++ b/serve/plain.go
@@ -42,6 +42,7 @@
 		// last run that MaxRuns allows is forwarded after the loop.
 		if err == nil && (answer.response.StatusCode < http.StatusInternalServerError || !exchange.mayRetry()) {
 			exchange.reportPlainAnswer(answer.response.StatusCode)
+			exchange.recordAnswer()
 			exchange.answerAttrs = []slog.Attr{slog.String("server", string(attempt.Instance))}
 			exchange.writeAnswer(answer)
 			return nil
--- a/serve/send.go
+++ b/serve/send.go
@@ -66,6 +66,10 @@
 	}
 	query.Late = exchange.late
 	choice, err := exchange.chooseWithPermit(ctx, query, !again)
+	if err == nil && !exchange.mayPassOn() {
+		choice.End(false, exchange.handler.Timers.Now())
+		err = errLeaving
+	}
 	if err != nil {
 		if again {
 			exchange.handler.Budget.Refund(created.charge, exchange.handler.Timers.Now())
@@ -79,6 +83,9 @@
 		exchange.trial.Placed(choice.Instance)
 	}
 	exchange.attempts++
+	if exchange.passedOnAt == 0 {
+		exchange.passedOnAt = exchange.handler.Timers.Now()
+	}
 	created.Choice = choice
 	return created, nil
 }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -445,15 +445,15 @@
 	}
 }
 
-// TestPlannedStop checks that a stopping process first asks callers to close their
-// connections (CloseConnections), and then refuses requests without sending them (RefuseNew).
+// TestPlannedStop checks that a stopping process asks callers to close their connections (Leave), serves requests that can be
+// answered before its end, and refuses the others without sending them.
 func TestPlannedStop(t *testing.T) {
 	harness := newHarness(t)
-	harness.CloseConnections()
+	harness.Leave(harness.clock.Now() + 10*time.Second)
 	got := harness.post("/safe/x", "")
 	assert.Equal(t, got.Code, 200, "callers that still have the address must be served")
 	assert.Equal(t, got.Header().Get("Connection"), "close")
-	harness.RefuseNew()
+	harness.Leave(harness.clock.Now() - 1)
 	got = harness.post("/safe/x", "")
 	assert.Equal(t, got.Code, 503)
 	assert.Equal(t, len(harness.backend.requests), 1, "the refused request was sent")
--- a/serve/stream.go
+++ b/serve/stream.go
@@ -248,6 +248,7 @@
 
 // complete records the end of a complete stream.
 func (stream *stream) complete(source *source) {
+	stream.recordAnswer()
 	record(stream.handler.meter().firstEvent, stream.timing.firstDelay)
 	record(stream.handler.meter().longestPause, stream.timing.longestPause)
 	stream.answerAttrs = []slog.Attr{
