wire, platform: messages of other processes and answers to own calls are bounded in sum

What callers saw: a node ended for want of memory when other processes or servers sent bytes that are no answer, without end; each was within its bound.

Cause: a call or reply may have 4 MiB, an answer to a report or order 256 KiB, a head of the store 10 MiB, and nothing bounded how many are held at once.

Change: quota.Room, a tenth of the box, bounds what is read of messages over 4 KiB and of servers' answers to reports and orders; a message without room is read and dropped, and the other side is told.

--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,9 @@
 	Random      shedkeel.Random
 	Log         *event.Log
 	Metrics     *metrics.Metrics // nil: none are exported
+	// Messages bounds the messages of other nodes that are read at one time, and the answers of servers to this node's own calls.
+	// nil: their sum is not bounded.
+	Messages *quota.Room
 	// DialNode opens connections to other nodes. nil: the operating system does.
 	DialNode func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -228,7 +231,7 @@
 	}
 	callersListener := node.gate.Listen(listeners.Callers, quota.Callers)
 	node.goroutines.Go(func() { _ = callers.Serve(callersListener) })
-	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers, Connector: &node.connector}
+	control := &wire.Server{Key: node.Settings.Wire.Key, Handler: &node.peers, Connector: &node.connector, Room: node.Messages}
 	controlListener := node.gate.ListenCalls(listeners.Control, quota.Peers)
 	node.goroutines.Go(func() { _ = control.Run(controlListener) })
 	cancelGate := node.gate.Run()
--- a/node/peers.go
+++ b/node/peers.go
@@ -69,7 +69,7 @@
 // call.
 func (peers *peers) dial(id shedkeel.NodeID, address string) *peer {
 	client := func() *wire.Peer {
-		return &wire.Peer{Address: address, Key: peers.node.Settings.Wire.Key, Dial: peers.node.DialNode}
+		return &wire.Peer{Address: address, Key: peers.node.Settings.Wire.Key, Room: peers.node.Messages, Dial: peers.node.DialNode}
 	}
 	return &peer{id: id, node: peers.node, wire: client(), priorityWire: client(), relayWire: client()}
 }
--- a/program/node.go
+++ b/program/node.go
@@ -20,6 +20,7 @@
 	"shedkeel.org/shedkeel/metrics"
 	"shedkeel.org/shedkeel/node"
 	"shedkeel.org/shedkeel/platform"
+	"shedkeel.org/shedkeel/quota"
 	"shedkeel.org/shedkeel/reach"
 	"shedkeel.org/shedkeel/timer"
 )
@@ -88,6 +89,7 @@
 	defer reports.Close()
 	checks := &engine.CheckTransport{Dialer: dialer, Paths: dialer, DialTimeout: backendDialTimeout}
 	defer checks.Close()
+	messages := &quota.Room{Limit: quota.NewPlan(settings.Limits.Box()).Messages}
 	seed := rand.Uint64()
 	process := &node.Node{
 		Settings: settings, Incarnation: shedkeel.NewIncarnation(time.Now()),
@@ -98,7 +100,8 @@
 		Backend:  transport,
 		Check:    dialer,
 		Health:   &platform.HealthClient{Transport: checks, Requests: transport},
-		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: &http.Client{Transport: reports}},
+		Engines:  &platform.EngineClient{Timeout: orderTimeout, Client: &http.Client{Transport: reports}, Room: messages},
+		Messages: messages,
 		Dialer:   dialer,
 		Timers:   timers,
 		Random:   rand.NewPCG(seed, seed),
@@ -155,7 +158,7 @@
 // newHTTPClient returns an HTTP client for the key-value service that keeps idle connections for
 // idleTimeout, and does not ask for compressed answers.
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStore, IdleConnTimeout: idleTimeout, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStore, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes}}
 }
 
 // listenNode opens the sockets that the settings name: UDP for gossip, TCP for the others.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -29,6 +29,8 @@
 	LargeRequests int64
 	// UnreadAnswers bounds the answers that wait until their callers read them.
 	UnreadAnswers int64
+	// Messages bounds the messages of other processes, and the answers to the process's own calls, while they are read and used.
+	Messages int64
 	// Connections bounds the connections of clients over all listeners.
 	Connections int
 	// ReceiveBuffer bounds the bytes of one connection that wait unread in the kernel.
@@ -46,7 +48,8 @@
 	requestsFraction   = 1. / 5
 	connectionFraction = 1. / 5
 	answersFraction    = 1. / 10
-	largeFraction      = 3. / 4 // of the requests' part
+	messagesFraction   = 1. / 10 // of the other half
+	largeFraction      = 3. / 4  // of the requests' part
 	// heapMargin is the part of the memory that neither the heap nor the receive buffers get.
 	heapMargin = 3. / 16
 	// reservedDescriptors are for files; the platform doesn't give them to sockets.
@@ -78,6 +81,7 @@
 	plan := Plan{
 		Requests:      int64(memory * requestsFraction),
 		UnreadAnswers: int64(memory * answersFraction),
+		Messages:      int64(memory * messagesFraction),
 		Connections:   int(min(memory*connectionFraction/(receiveBuffer+connectionBytes), sockets*clientDescriptors)),
 		ReceiveBuffer: receiveBuffer,
 		Relays:        int(sockets * relayDescriptors),
--- a/wire/link.go
+++ b/wire/link.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"shedkeel.org/shedkeel/quota"
 )
 
 // link is a yamux session that tracks its open streams, so that it can expire their
@@ -16,6 +18,8 @@
 type link struct {
 	*yamux.Session
 	conn net.Conn
+	key  string      // shared secret of all processes of the fleet
+	room *quota.Room // for messages that are read
 
 	mutex   sync.Mutex
 	streams map[*yamux.Stream]struct{}
--- a/wire/session.go
+++ b/wire/session.go
@@ -21,11 +21,19 @@
 	"google.golang.org/protobuf/proto"
 
 	"shedkeel.org/shedkeel"
+	"shedkeel.org/shedkeel/quota"
 )
 
 // MaxMessage is the size of the largest accepted message, in bytes.
 const MaxMessage = 4 << 20
 
+const (
+	// freeMessageBytes is the size up to which messages need no room: nearly all are smaller.
+	freeMessageBytes = 4 << 10
+	// heldCopies is how often a message is held while it is read: its text, and what was decoded.
+	heldCopies = 2
+)
+
 // maxFirstRead is how much memory is allotted to a message before any of it has arrived.
 const maxFirstRead = 64 << 10
 
@@ -49,6 +57,7 @@
 func yamuxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
+	config.AcceptBacklog = 64                       // streams that wait to be accepted; each may hold a window of bytes
 	config.KeepAliveInterval = 2 * time.Second      // pause between keepalives
 	config.ConnectionWriteTimeout = 2 * time.Second // closes the session if a keepalive gets no reply
 	config.StreamOpenTimeout = 2 * time.Second      // closes the session if a stream is not accepted
@@ -64,6 +73,7 @@
 	Key     string      // shared secret of all processes of the fleet
 	TLS     *tls.Config // nil: no TLS
 	Handler Handler
+	Room    *quota.Room // for the messages that are read. nil: their sum is not bounded
 	// Dial opens connections to Address without TLS. nil: the operating system does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -74,13 +84,13 @@
 // Do sends a call, whose Key it sets, and returns its reply. The error is an UnavailableError
 // if no session could be opened, so that the call was certainly not handled, and otherwise an
 // UnknownOutcomeError, also if the other process replied with an error, such as for a wrong
-// key. A failure closes the session, with its other calls, unless its cause is the end of ctx.
+// key. A failure closes the session, with its other calls, unless its cause is the end of ctx or the want of room.
 func (peer *Peer) Do(ctx context.Context, call *Call) (*Reply, error) {
 	link, err := peer.open(ctx)
 	if err != nil {
 		return nil, &shedkeel.UnavailableError{What: "process at " + peer.Address, RetryAfter: time.Second, Cause: err}
 	}
-	reply, err := roundTrip(ctx, link, peer.Key, call)
+	reply, err := roundTrip(ctx, link, call)
 	if err != nil {
 		peer.drop(link, err)
 		return nil, &shedkeel.UnknownOutcomeError{What: "call to " + peer.Address, Cause: err}
@@ -123,18 +133,19 @@
 	if err != nil {
 		return nil, err
 	}
+	link.key, link.room = peer.Key, peer.Room
 	peer.link = link
 	if peer.Handler != nil {
-		callServer := &callServer{link: link, key: peer.Key, handler: peer.Handler, trusted: true}
+		callServer := &callServer{link: link, handler: peer.Handler, trusted: true}
 		go callServer.run()
 	}
 	return link, nil
 }
 
 // drop closes a link on which a call failed with err, so that the next call dials again.
-// If only the call's own context ended, drop keeps the link, since other calls use it.
+// If only the call's own context ended, or a message had no room, drop keeps the link, since other calls use it.
 func (peer *Peer) drop(link *link, err error) {
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errNoRoom) {
 		return
 	}
 	peer.mutex.Lock()
@@ -148,7 +159,7 @@
 // roundTrip sets the call's key, sends the call over a new stream and returns its reply.
 // The error is that of the context if the context ended while the call was sent or the
 // reply was read. The error field of a reply is returned as an error.
-func roundTrip(ctx context.Context, link *link, key string, call *Call) (*Reply, error) {
+func roundTrip(ctx context.Context, link *link, call *Call) (*Reply, error) {
 	stream, err := link.open()
 	if err != nil {
 		return nil, err
@@ -156,7 +167,7 @@
 	defer link.close(stream)
 	stop := context.AfterFunc(ctx, func() { expireDeadline(stream) })
 	defer stop()
-	reply, err := exchange(stream, stream, key, call)
+	reply, err := link.exchange(stream, stream, call)
 	if err != nil {
 		return nil, firstError(ctx.Err(), err)
 	}
@@ -165,19 +176,24 @@
 
 // exchange sets the call's key, sends the call and reads its reply. The error field of a reply is
 // returned as an error.
-func exchange(writer io.Writer, reader io.Reader, key string, call *Call) (*Reply, error) {
-	call.Key = key
+func (link *link) exchange(writer io.Writer, reader io.Reader, call *Call) (*Reply, error) {
+	call.Key = link.key
 	if _, err := protodelim.MarshalTo(writer, call); err != nil {
 		return nil, err
 	}
 	reply := &Reply{}
-	if err := readMessage(reader, reply); err != nil {
+	release, err := readMessage(reader, reply, link.room)
+	if err != nil {
 		return nil, err
 	}
-	if reply.Error != "" {
-		return nil, errors.New(reply.Error)
+	release() // the reply is used at once
+	switch reply.Error {
+	case "":
+		return reply, nil
+	case errNoRoom.Error():
+		return nil, errNoRoom
 	}
-	return reply, nil
+	return nil, errors.New(reply.Error)
 }
 
 // firstError returns the first error that is not nil.
@@ -190,18 +206,41 @@
 	return nil
 }
 
+// errNoRoom reports that the messages that are being read use up the room for them.
+var errNoRoom = errors.New("there is no room for the message now; send it again later")
+
 // readMessage reads one length-delimited message of at most MaxMessage bytes. It may
 // consume more of the stream than the message, unless the stream is a bufio.Reader, which it uses
-// as it is.
-func readMessage(stream io.Reader, message proto.Message) error {
+// as it is. A message that has no room is read and dropped, with errNoRoom. The caller must call release once the
+// message has been used.
+func readMessage(stream io.Reader, message proto.Message, room *quota.Room) (release func(), err error) {
 	reader := bufio.NewReader(stream)
 	size, err := binary.ReadUvarint(reader)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if size > MaxMessage {
-		return &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxMessage}
+		return nil, &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxMessage}
+	}
+	reserved := int64(0)
+	if size > freeMessageBytes {
+		reserved = heldCopies * int64(size)
+	}
+	if !room.Reserve(reserved) {
+		if _, err := io.CopyN(io.Discard, reader, int64(size)); err != nil {
+			return nil, err
+		}
+		return nil, errNoRoom
 	}
+	if err := readSized(reader, message, size); err != nil {
+		room.Release(reserved)
+		return nil, err
+	}
+	return func() { room.Release(reserved) }, nil
+}
+
+// readSized reads a message of the size.
+func readSized(reader io.Reader, message proto.Message, size uint64) error {
 	var text bytes.Buffer
 	text.Grow(int(min(size, maxFirstRead))) // a size that is stated only must not cost its memory
 	if _, err := io.CopyN(&text, reader, int64(size)); err != nil {
@@ -218,6 +257,7 @@
 	// Connector opens the connections that ConnectCalls ask for. nil: they are answered by an
 	// error.
 	Connector Connector
+	Room      *quota.Room // for the calls that are read. nil: their sum is not bounded
 
 	mutex   sync.Mutex
 	links   map[*link]struct{}
@@ -227,13 +267,12 @@
 // Session is the session over which a call arrived.
 type Session struct {
 	link *link
-	key  string
 }
 
 // Do sends a call, whose Key it sets, to the other side of the session and returns its
 // reply. On an error it is unknown whether the other side handled the call.
 func (session *Session) Do(ctx context.Context, call *Call) (*Reply, error) {
-	return roundTrip(ctx, session.link, session.key, call)
+	return roundTrip(ctx, session.link, call)
 }
 
 // Closed reports whether the session has ended.
@@ -279,10 +318,11 @@
 	if err != nil {
 		return
 	}
+	link.key, link.room = server.Key, server.Room
 	server.mutex.Lock()
 	server.links[link] = struct{}{}
 	server.mutex.Unlock()
-	callServer := &callServer{link: link, key: server.Key, handler: server.Handler, connector: server.Connector}
+	callServer := &callServer{link: link, handler: server.Handler, connector: server.Connector}
 	server.running.Go(func() {
 		callServer.run()
 		server.mutex.Lock()
@@ -304,7 +344,6 @@
 // callServer answers the calls that arrive over one link.
 type callServer struct {
 	link      *link
-	key       string
 	handler   Handler
 	connector Connector // nil: see Server.Connector
 	trusted   bool      // the other side has shown the key, or this side has opened the session
@@ -315,7 +354,7 @@
 func (callServer *callServer) run() {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), sessionContextKey{}, &Session{link: callServer.link, key: callServer.key}))
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), sessionContextKey{}, &Session{link: callServer.link}))
 	defer cancel()
 	for {
 		stream, err := callServer.link.accept()
@@ -327,38 +366,48 @@
 			calls.Go(func() { callServer.serve(ctx, stream, callServer.read(stream)) })
 			continue
 		}
-		call := callServer.read(stream)
-		callServer.trusted = call != nil && callServer.authorized(call)
+		received := callServer.read(stream)
+		callServer.trusted = received.err == nil && callServer.authorized(received.call)
 		if callServer.trusted {
 			callServer.link.trust()
 		}
-		calls.Go(func() { callServer.serve(ctx, stream, call) })
+		calls.Go(func() { callServer.serve(ctx, stream, received) })
 	}
 }
 
-// read reads one call from the stream. It returns nil if there is none.
-func (callServer *callServer) read(stream *yamux.Stream) *Call {
+// receivedCall is a call that was read, or why there is none.
+type receivedCall struct {
+	call    *Call
+	err     error
+	release func() // returns the room of the call; nil with an error
+}
+
+// read reads one call from the stream.
+func (callServer *callServer) read(stream *yamux.Stream) receivedCall {
 	callServer.link.setDeadline(stream, time.Now().Add(serveTimeout))
 	call := &Call{}
-	if err := readMessage(stream, call); err != nil {
-		return nil
-	}
-	return call
+	release, err := readMessage(stream, call, callServer.link.room)
+	return receivedCall{call: call, err: err, release: release}
 }
 
 // authorized reports whether the call has the fleet's key.
 func (callServer *callServer) authorized(call *Call) bool {
-	return subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.key)) == 1
+	return subtle.ConstantTimeCompare([]byte(call.Key), []byte(callServer.link.key)) == 1
 }
 
-// serve has the handler answer a call and sends the reply. To a call with a wrong key it replies with an
+// serve has the handler answer a call and sends the reply. To a call with a wrong key, and to one without room, it replies with an
 // error. Without a call, it closes the stream without a reply.
-func (callServer *callServer) serve(ctx context.Context, stream *yamux.Stream, call *Call) {
+func (callServer *callServer) serve(ctx context.Context, stream *yamux.Stream, received receivedCall) {
 	defer callServer.link.close(stream)
-	if call == nil {
+	reply, call := &Reply{}, received.call
+	switch {
+	case errors.Is(received.err, errNoRoom):
+		_, _ = protodelim.MarshalTo(stream, &Reply{Error: received.err.Error()})
+		return
+	case received.err != nil:
 		return
 	}
-	reply := &Reply{}
+	defer received.release()
 	switch {
 	case !callServer.authorized(call):
 		reply.Error = "wrong wire key; set the same wire.key on all processes of the fleet"
--- a/wire/tunnel.go
+++ b/wire/tunnel.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, nil, &shedkeel.UnavailableError{What: "process at " + peer.Address, RetryAfter: time.Second, Cause: err}
 	}
-	conn, reply, err := connect(ctx, link, peer.Key, call)
+	conn, reply, err := connect(ctx, link, call)
 	if err != nil {
 		peer.drop(link, err)
 		return nil, nil, &shedkeel.UnknownOutcomeError{What: "call to " + peer.Address, Cause: err}
@@ -53,14 +53,14 @@
 
 // connect sends the call over a new stream, which becomes the connection if the outcome is
 // CONNECTED, and is closed otherwise.
-func connect(ctx context.Context, link *link, key string, call *ConnectCall) (net.Conn, *ConnectReply, error) {
+func connect(ctx context.Context, link *link, call *ConnectCall) (net.Conn, *ConnectReply, error) {
 	stream, err := link.open()
 	if err != nil {
 		return nil, nil, err
 	}
 	conn := &tunnelConn{Stream: stream, link: link, reader: bufio.NewReaderSize(stream, tunnelBufferBytes)}
 	stop := context.AfterFunc(ctx, func() { expireDeadline(stream) })
-	reply, err := conn.open(key, call)
+	reply, err := conn.open(call)
 	if !stop() {
 		err = firstError(err, ctx.Err())
 	}
@@ -83,8 +83,8 @@
 }
 
 // open sends the call and reads its reply.
-func (conn *tunnelConn) open(key string, call *ConnectCall) (*ConnectReply, error) {
-	reply, err := exchange(conn.Stream, conn.reader, key, &Call{Kind: &Call_Connect{Connect: call}})
+func (conn *tunnelConn) open(call *ConnectCall) (*ConnectReply, error) {
+	reply, err := conn.link.exchange(conn.Stream, conn.reader, &Call{Kind: &Call_Connect{Connect: call}})
 	if err != nil {
 		return nil, err
 	}
