serve: events without end from many servers are bounded in sum

What callers saw: with 300 streams at servers that sent one event without end a node used 138 of the 160 MB of the smallest box, since each source could hold 256 KiB.

Cause: each event had a bound, and none of the sum counted it before it was complete.

Change: more than 16 KiB of an event is reserved from ReaderBudget as it arrives; without room the source fails, as one whose event is too long.

--- a/engine/event.go
+++ b/engine/event.go
@@ -18,9 +18,20 @@
 // io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends within an event,
 // ErrEventTooLong, or any other error of the reader, as is.
 func ReadEvent(reader *bufio.Reader) ([]byte, error) {
+	return ReadReservedEvent(reader, func(int) error { return nil })
+}
+
+// ReadReservedEvent is ReadEvent. Before it holds more bytes of the event, it calls reserve with how many there will be, and
+// returns the error of reserve, if any.
+func ReadReservedEvent(reader *bufio.Reader, reserve func(size int) error) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
+		if size := len(event) + len(line); size > cap(event) && size <= maxEventBytes {
+			if err := reserve(size); err != nil {
+				return nil, err
+			}
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, io.EOF) && len(event) > 0:
--- a/serve/endless_test.go
+++ b/serve/endless_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -101,3 +103,67 @@
 		})
 	}
 }
+
+// heldBody is an event that goes on until it has so many bytes, and then nothing comes until the body is closed.
+type heldBody struct {
+	left   int
+	read   *atomic.Int64 // of all such bodies that are not closed
+	count  int64
+	closed chan struct{}
+}
+
+func (body *heldBody) Read(buffer []byte) (int, error) {
+	if body.left == 0 {
+		<-body.closed
+		return 0, io.ErrClosedPipe
+	}
+	count := min(len(buffer), body.left)
+	for index := range buffer[:count] {
+		buffer[index] = 'x'
+	}
+	body.left -= count
+	body.count += int64(count)
+	body.read.Add(int64(count))
+	return count, nil
+}
+
+func (body *heldBody) Close() error {
+	close(body.closed)
+	body.read.Add(-body.count)
+	return nil
+}
+
+// heldBackend answers all requests with such bodies.
+type heldBackend struct {
+	*backend
+	read atomic.Int64
+}
+
+func (backend *heldBackend) Send(request *http.Request) (*http.Response, error) {
+	body := &heldBody{left: 250 << 10, read: &backend.read, closed: make(chan struct{})}
+	header := http.Header{"Id": {request.Header.Get("Id")}, "Seal": {request.Header.Get("To")}}
+	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, TransferEncoding: []string{"chunked"}, Body: body}, nil
+}
+
+// TestEventsWithoutEndInSum guards against events without end from many servers at once, each within the bound of one: together they
+// must not take up more than ReaderBudget.
+func TestEventsWithoutEndInSum(t *testing.T) {
+	const (
+		streams = 40
+		budget  = 1 << 20
+	)
+	harness := newHarness(t)
+	backend := &heldBackend{backend: harness.backend}
+	harness.Backend = backend
+	harness.ReaderBudget.Limit = budget
+	var serving sync.WaitGroup
+	for range streams {
+		serving.Go(func() { harness.post("/s/x", "", "Deadline", "700ms", "Model", "m") })
+	}
+	time.Sleep(300 * time.Millisecond)
+	held := backend.read.Load()
+	serving.Wait()
+	const free = streams * (freeEventBytes + readBufferBytes)
+	assert.Assert(t, held <= budget+2*free, "%d bytes are held", held) // each stream has up to two servers
+	assert.Equal(t, harness.ReaderBudget.Held(), int64(0))
+}
--- a/serve/reader.go
+++ b/serve/reader.go
@@ -15,7 +15,7 @@
 // that were received and not yet written, and complete answers until they are written. It
 // handles many callers that read slowly at the same time, on a box with little memory.
 //
-// The total may exceed Limit by one event for each attempt of a stream, by answers of up to
+// The total may exceed Limit by freeEventBytes for each attempt of a stream, by answers of up to
 // smallAnswerBytes, and by the part of an answer with a stated length that exceeds Limit/2. The zero
 // value is ready for use. It is safe for concurrent use.
 type ReaderBudget struct {
@@ -80,6 +80,22 @@
 	return true
 }
 
+// freeEventBytes is the size up to which an event of a stream is read without a reservation: a longer one may have no end.
+const freeEventBytes = 16 << 10
+
+// reserveEventPart raises what is reserved for an event that is being read to its size so far. It returns errBudgetUsedUp if the
+// budget has no more.
+func (unread *unreadBytes) reserveEventPart(reserved *int64, size int64) error {
+	if size <= max(*reserved, freeEventBytes) {
+		return nil
+	}
+	if !unread.reserveMore(size - *reserved) {
+		return errBudgetUsedUp
+	}
+	*reserved = size
+	return nil
+}
+
 // reserve waits for the waiter's reservation without holding the mutex, and returns its size.
 func (unread *unreadBytes) reserve(ctx context.Context, waiter *readerWaiter, beforeWait func()) (int64, error) {
 	budget := unread.budget
--- a/serve/send.go
+++ b/serve/send.go
@@ -378,7 +378,7 @@
 	read     int64  // bytes of the answer that were read
 }
 
-// errBudgetUsedUp reports that an answer without a stated length takes up what ReaderBudget allows.
+// errBudgetUsedUp reports that an answer without a stated length, or an event, takes up what ReaderBudget allows.
 var errBudgetUsedUp = errors.New("the answer states no length and is too long for the memory that is left")
 
 // Read reads from the answer.
--- a/serve/source.go
+++ b/serve/source.go
@@ -113,7 +113,7 @@
 		if err != nil {
 			return err
 		}
-		message, err := engine.ReadEvent(reader)
+		message, err := engine.ReadReservedEvent(reader, func(length int) error { return stream.unread.reserveEventPart(&reserved, int64(length)) })
 		size = int64(len(message)) // also the expected size of the next event
 		stream.unread.keep(reserved, size)
 		if errors.Is(err, io.EOF) {
