--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	attempts    attempts
 	inFlight    inFlightCalls
 	history     history
+	answers     *quota.Room // for answers of servers that are read whole; nil until Run: not bounded
 
 	stopping          atomic.Bool
 	lastAdvertised    atomic.Int64 // Timers time, in nanoseconds, of the last /v1/entries answer that listed this entry
@@ -94,6 +95,7 @@
 	}
 	gate := intake.New(entry.Settings.Limits.Box())
 	gate.Timers, gate.Log = entry.Timers, entry.Log
+	entry.answers = &quota.Room{Limit: gate.Ledger.Plan.UnreadAnswers}
 	if entry.Metrics != nil {
 		gate.Scope = entry.Metrics.Scope
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -24,6 +24,7 @@
 	"shedkeel.org/shedkeel/config"
 	"shedkeel.org/shedkeel/engine"
 	"shedkeel.org/shedkeel/member"
+	"shedkeel.org/shedkeel/quota"
 	"shedkeel.org/shedkeel/timer"
 )
 
@@ -507,3 +508,15 @@
 	call.mayRetry(errUnknown)
 	assert.Assert(t, !errors.As(call.finalError(errNotRun), &notRun))
 }
+
+// TestAnswersHaveRoom guards against an entry that holds long answers of many servers at once, each within the bound of one.
+func TestAnswersHaveRoom(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	harness := newHarness(t, reply{body: long}, reply{body: long})
+	harness.answers = &quota.Room{Limit: 64 << 10}
+	assert.Equal(t, harness.post("/services/permits/list", "").Code, http.StatusBadGateway)
+	assert.Assert(t, harness.answers.Reserve(64<<10), "room was not returned")
+	harness.answers = &quota.Room{Limit: 1 << 20}
+	assert.Equal(t, harness.post("/services/permits/list", "").Code, http.StatusOK)
+	assert.Assert(t, harness.answers.Reserve(1<<20), "room was not returned")
+}
--- a/entry/send.go
+++ b/entry/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -44,8 +43,9 @@
 	id           string // request ID for the caller and operators
 	tries        []TryRecord
 	triedServers []string
-	mayHaveRun   error // error of the latest try that may have run; nil: none
-	admitted     bool  // by the admission gate
+	mayHaveRun   error    // error of the latest try that may have run; nil: none
+	admitted     bool     // by the admission gate
+	releases     []func() // return the room of the answers that were read
 }
 
 // try is one sending of a call to a backend server or group. If a stream breaks off
@@ -131,6 +131,9 @@
 // leaveGate reports to the admission gate that a call has ended, with its duration,
 // or 0 if it was not answered.
 func (entry *Entry) leaveGate(call *call, answered bool) {
+	for _, release := range call.releases {
+		release()
+	}
 	if !call.admitted {
 		return
 	}
@@ -211,25 +214,22 @@
 	errWrongAnswer  = errors.New("the answer names another attempt")
 	errServerFailed = errors.New("the server failed")
 	errNoEnd        = errors.New("nothing shows where the answer ends")
-	errTooLong      = errors.New("the answer is too long to be held")
 )
 
 // readAnswer reads a response and returns it if it is complete. The error is an
-// UnknownRunError if the response breaks off, shows no end, or is longer than
-// maxAnswerBytes. readAnswer closes the body.
+// UnknownRunError if the response breaks off, shows no end, is longer than
+// maxAnswerBytes or has no room. readAnswer closes the body.
 func (try *try) readAnswer(response *http.Response) (answer, error) {
 	defer func() { _ = response.Body.Close() }()
 	// Servers of other services have no health check that names their process.
 	if completeness.Judge(engine.CloseDelimited(try.call.method, response), nil, completeness.ProcessUnknown) != completeness.Complete {
 		return answer{}, &shedkeel.UnknownRunError{Reason: "backend server " + try.choice.Name + " gave an answer without length", Cause: errNoEnd}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errTooLong
-	}
+	body, release, err := engine.ReadAnswer(response.Body, maxAnswerBytes, try.entry.answers)
 	if err != nil {
 		return answer{}, try.withGroupLoss(&shedkeel.UnknownRunError{Reason: "backend server " + try.choice.Name + " did not answer whole", Cause: err})
 	}
+	try.call.releases = append(try.call.releases, release)
 	return answer{status: response.StatusCode, header: response.Header, body: body}, nil
 }
 
--- a/mutants_test.go
+++ b/mutants_test.go
@@ -23,10 +23,10 @@
 
 var mutants = map[string]mutant{
 	"ended servers: a check without a result is not repeated": {
-		"serve/ended.go", "exchange.recheckEnd(choice, now, 0)\n", "_ = exchange.recheckEnd\n", "TestUnnoticedServerEndIsCounted", "./serve",
+		"serve/ended.go", "exchange.recheckEnd(attempt, now, 0)\n", "_ = exchange.recheckEnd\n", "TestUnnoticedServerEndIsCounted", "./serve",
 	},
 	"ended servers: those of withdrawn copies are not checked": {
-		"serve/ended.go", "exchange.reportWithdrawn(choice)\n", "_ = exchange.reportWithdrawn\n", "TestWithdrawnCopyCounts", "./serve",
+		"serve/ended.go", "exchange.reportWithdrawn(attempt)\n", "_ = exchange.reportWithdrawn\n", "TestWithdrawnCopyCounts", "./serve",
 	},
 	"ended servers: those of withdrawn copies are checked once": {
 		"serve/ended.go", "handler.Timers.Now()-endedAt < minTime", "minTime < 0", "TestWithdrawnCopyCounts", "./serve",
@@ -188,7 +188,25 @@
 		"node/election.go", ", era*termsPerEra) + 1", ", 0*era) + 1", "TestLeadEndsWithTheEra", "./node",
 	},
 	"restored store: a draining server becomes ready again": {
-		"node/fleet.go", "predatesDrain := known.Draining && !instance.Draining", "predatesDrain := false", "TestServersAfterARestore", "./node",
+		"node/progress.go", "return known.draining\n", "return false\n", "TestServersAfterARestore", "./node",
+	},
+	"late records: a server is in a group that it has left": {
+		"node/progress.go", "return known.epoch > 0", "return false", "TestLateRecordIsOutdated", "./node",
+	},
+	"late records: a drained server returns": {
+		"node/progress.go", "known.removed && (known.draining || record.Draining)", "known.removed && false", "TestLateWritesUndoNothing", "./node",
+	},
+	"late records: the answer to a renewal ends another lease": {
+		"node/lease.go", "lease.current.CompareAndSwap(held, nil)", "lease.current.Store(nil)", "TestLateRenewalIsOfItsLease", "./node",
+	},
+	"configuration: a request is resolved once": {
+		"serve/handler.go", "return exchange.resolve(exchange.handler.Timers.Now())", "return nil", "TestConfigChangesWhileBodyArrives", "./serve",
+	},
+	"planned stop: attempts are not judged": {
+		"serve/send.go", "err == nil && !exchange.mayPassOn()", "false", "TestRequestsOfLeavingProcess", "./serve",
+	},
+	"sums: long messages need no room": {
+		"wire/session.go", "reserved = heldCopies * int64(size)", "reserved = 0", "TestLongMessagesHaveNoRoom", "./wire",
 	},
 	"restored store: a removed server is used again": {
 		"node/removal.go", "case era > known.era:", "case false:", "TestServersAfterARestore", "./node",
@@ -197,13 +215,13 @@
 		"node/restore.go", "fleet.outageUntil = fleet.node.Timers.Now() + deletedRecordHold", "", "TestServersAfterARestore", "./node",
 	},
 	"restored store: records with older sequences replace newer ones": {
-		"node/fleet.go", "(predatesDrain || instance.Sequence < known.Sequence)", "predatesDrain", "TestOrdersAreKnownAfterARestore", "./node",
+		"node/progress.go", "return record.Sequence < known.sequence", "return false", "TestOrdersAreKnownAfterARestore", "./node",
 	},
 	"restored store: nodes that start apply the older configuration": {
 		"node/config.go", "if version >= fleet.configVersion() || !fleet.activeConfig.newerThanStore.Load() {", "if true {", "TestNodeThatStartsAfterARestore", "./node",
 	},
 	"restored store: the planner does not wait for records to be written again": {
-		"node/controller.go", "return controller.era == 0 || now-controller.eraSince >= deletedRecordHold", "return true", "TestPlannerWaitsForRecordsAfterARestore", "./node",
+		"node/controller.go", "return !controller.mayBeOutdated || now-controller.eraSince >= deletedRecordHold", "return true", "TestPlannerWaitsForRecordsAfterARestore", "./node",
 	},
 	"restored store: blames are not written again": {
 		"node/restore.go", "node.guard.recheckAll()", "", "TestBlamesOutliveARestore", "./node",
@@ -347,7 +365,7 @@
 		"program/node.go", "case <-ctx.Done():\n\t\t\treturn\n", "case <-ctx.Done():\n\t\t\tsignal.Reset(syscall.SIGHUP)\n\t\t\treturn\n", "TestSignalsWhileStopping", "./soak",
 	},
 	"fleet size: a live node whose record was removed does not register again": {
-		"node/member.go", "return !membership.isRecordCurrent() && sinceAttempt >= registrationRetry", "return false", "TestWatchedMembership", "./node",
+		"node/member.go", "case sinceAttempt >= registrationRetry && !membership.isRecordCurrent():", "case false:", "TestWatchedMembership", "./node",
 	},
 	"servers lost together: a group is formed again before all probes have ended": {
 		"formation/repair.go", "	case round.hasProbePending(group):\n", "	case false:\n", "TestServersLostTogether", "./formation",
