--- a/serve/latebody_test.go
+++ b/serve/latebody_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -22,7 +23,7 @@
 
 func (reader *callbackReader) Read(buffer []byte) (int, error) {
 	count, err := reader.Reader.Read(buffer)
-	if err == io.EOF { //nolint:errorlint // strings.Reader does not wrap it
+	if errors.Is(err, io.EOF) {
 		reader.atEnd()
 	}
 	return count, err
