dispatch: a server to which no request has a connection yet is not avoided for its silence

What callers saw: where all boxes had been cut off, a box refused requests with 503 for up to 1.5 s after the last cut, as no server might be sent to.

Cause: requests that waited for a connection counted as unanswered, so that plain servers to which only dials had failed were avoided as silent.

Change: avoidance begins only once a request was sent; a dial that fails is judged by itself.

--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -110,7 +110,7 @@
 
 // FindStalled returns the servers that run requests of this process and have sent nothing while this
 // process ran for expectedMaxGap plus stallMargin, unless their silence is excused (RecordActivity).
-// It avoids them for avoidDuration from now. It returns a continuing stall again, and notifies the requests on the
+// It avoids them for avoidDuration from now, unless no request has a connection yet: a dial that fails is judged by itself. It returns a continuing stall again, and notifies the requests on the
 // server again, after stallReportInterval; before, it notifies only those that have received no
 // notice.
 func (table *Table) FindStalled(now time.Duration) []Stall {
@@ -134,7 +134,9 @@
 			state.stallReported = now
 			stalls = append(stalls, Stall{Server: state.Server, Elapsed: silence.Elapsed, Running: state.expecting()})
 		}
-		state.avoidUntil = max(state.avoidUntil, now+avoidDuration)
+		if state.wasSent() {
+			state.avoidUntil = max(state.avoidUntil, now+avoidDuration)
+		}
 	}
 	return stalls
 }
@@ -185,6 +187,23 @@
 	}
 }
 
+// SetDialing records whether the request waits for a connection, so that nothing was sent to the server yet.
+func (choice *Choice) SetDialing(dialing bool) {
+	choice.table.mutex.Lock()
+	defer choice.table.mutex.Unlock()
+	choice.dialing = dialing
+}
+
+// wasSent reports whether any request was sent to the server and is not lost.
+func (serverState *serverState) wasSent() bool {
+	for choice := range serverState.running {
+		if !choice.lost && !choice.dialing {
+			return true
+		}
+	}
+	return false
+}
+
 // SetRelayed records that the request is sent through another node.
 func (choice *Choice) SetRelayed() {
 	choice.table.mutex.Lock()
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -200,6 +200,7 @@
 	responded     bool          // the first event or the answer has arrived
 	receivedAt    time.Duration // see Received; 0: not called
 	relayed       bool          // the request is sent through another node
+	dialing       bool          // the request waits for a connection
 	lost          bool          // the answer may not arrive, for no fault of the server (see Table.LoseRunning)
 	stalled       chan struct{}
 	stallNotified bool // Stalled has received a notice since FindStalled last reported the current stall
--- a/serve/retries.go
+++ b/serve/retries.go
@@ -35,6 +35,7 @@
 
 // recordConn records that the attempt has got a connection, which may go through another node.
 func (exchange *exchange) recordConn(attempt *attempt, relayed bool) {
+	attempt.SetDialing(false)
 	if relayed {
 		attempt.SetRelayed()
 	}
--- a/serve/send.go
+++ b/serve/send.go
@@ -188,10 +188,12 @@
 		return nil, &shedkeel.NotRunError{Reason: err.Error()}
 	}
 	attempt.sentAt = time.Now()
+	attempt.SetDialing(true)
 	response, err := exchange.handler.Backend.Send(request)
 	if err != nil {
 		return nil, err
 	}
+	attempt.SetDialing(false)
 	if err := exchange.checkAnswer(response, attempt.Choice); err != nil {
 		_ = response.Body.Close()
 		return nil, err
