serve: lines of a planned stop state the time that was left and what was expected

Cause: neither a refusal in a planned stop nor a request that was ended in it showed what they were decided by.

Evidence: TestRefusalOfLeavingProcessIsLogged.

--- a/serve/circumstances.go
+++ b/serve/circumstances.go
@@ -46,6 +46,7 @@
 	}
 	if since := time.Duration(exchange.handler.stoppingSince.Load()); since != 0 {
 		attrs = append(attrs, slog.Duration("stopping", now-since))
+		attrs = append(attrs, exchange.leaveAttrs()...)
 	}
 	if current := exchange.handler.CurrentConfig().View; exchange.view != nil && current != nil && current.Config.Version != exchange.view.Config.Version {
 		attrs = append(attrs, slog.Int64("config_now", current.Config.Version))
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -394,6 +394,9 @@
 	}
 	if refused.status == http.StatusServiceUnavailable {
 		fields = append(fields, slog.String("cause", refused.cause.String()), slog.Duration("back", refused.retryAfter))
+		if refused.cause == causeStopping {
+			fields = append(fields, exchange.leaveAttrs()...)
+		}
 	}
 	if exchange.mayHaveRun {
 		fields = append(fields, exchange.circumstanceAttrs()...)
--- a/serve/leave.go
+++ b/serve/leave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -35,10 +36,29 @@
 		return true
 	}
 	now := exchange.handler.Timers.Now()
-	expected, known := exchange.handler.answers.Expect(string(exchange.route.ID), exchange.call.AnswerTokens)
+	expected, known := exchange.expect()
 	return now <= leave.Latest(expected, known, exchange.callerDeadline-now)
 }
 
+// expect returns how long the request is expected to take, or false if that is not known.
+func (exchange *exchange) expect() (time.Duration, bool) {
+	return exchange.handler.answers.Expect(string(exchange.route.ID), exchange.call.AnswerTokens)
+}
+
+// leaveAttrs returns, in a process that stops, the log attributes of the time that it has left, negative after its end, and of the time
+// that the request was expected to take, if that is known.
+func (exchange *exchange) leaveAttrs() []slog.Attr {
+	leave := exchange.handler.leave.Load()
+	if leave == nil || exchange.route == nil {
+		return nil
+	}
+	attrs := []slog.Attr{slog.Duration("process_left", leave.At-exchange.handler.Timers.Now())}
+	if expected, known := exchange.expect(); known {
+		attrs = append(attrs, slog.Duration("expected", expected))
+	}
+	return attrs
+}
+
 // recordAnswer records how long a server took for the request.
 func (exchange *exchange) recordAnswer() {
 	exchange.handler.answers.Record(string(exchange.route.ID), exchange.call.AnswerTokens, exchange.handler.Timers.Now()-exchange.passedOnAt)
--- a/serve/leave_test.go
+++ b/serve/leave_test.go
@@ -1,11 +1,16 @@
 package serve
 
 import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"shedkeel.org/shedkeel/event"
 )
 
 // TestRequestsOfLeavingProcess guards against requests that a stopping process passes on though they can't end in time, and refuses
@@ -46,6 +51,25 @@
 	}
 }
 
+// TestRefusalOfLeavingProcessIsLogged guards against refusals in a planned stop that the log doesn't explain.
+func TestRefusalOfLeavingProcessIsLogged(t *testing.T) {
+	harness := newHarness(t)
+	lines := &bytes.Buffer{}
+	harness.Log = &event.Log{Logger: slog.New(slog.NewJSONHandler(lines, nil))}
+	harness.answers.Record("safe", 0, time.Second)
+	harness.Leave(harness.clock.Now() + 300*time.Millisecond)
+	assert.Equal(t, harness.post("/safe/x", "").Code, http.StatusServiceUnavailable)
+	var line struct {
+		Cause       string
+		ProcessLeft time.Duration `json:"process_left"`
+		Expected    time.Duration
+	}
+	assert.NilError(t, json.Unmarshal(lines.Bytes(), &line))
+	assert.Equal(t, line.Cause, "elsewhere")
+	assert.Equal(t, line.Expected, time.Second)
+	assert.Assert(t, line.ProcessLeft > 0 && line.ProcessLeft <= 300*time.Millisecond, "%s", line.ProcessLeft)
+}
+
 // TestEndOfLeavingProcess guards against callers whose connections are closed without an answer when their process ends.
 func TestEndOfLeavingProcess(t *testing.T) {
 	for _, path := range []string{"/once/x", "/safe/x", "/s/x"} {
