standin: a closed connection in memory takes nothing more once its end was seen

Cause: Close ended the sending side first and broke the other one then, so that whoever had read the end could still write once.

Change: the other order.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -258,8 +258,8 @@
 
 // Close ends both directions. The other end still reads what was written.
 func (conn *networkConn) Close() error {
+	conn.in.update(func() { conn.in.broken = true }) // first: whoever sees the end can't write any more
 	conn.out.update(func() { conn.out.closed = true })
-	conn.in.update(func() { conn.in.broken = true })
 	_ = conn.SetDeadline(time.Time{}) // stops the timers
 	return nil
 }
