node: the test of late requests has no data race of its own

The product was not at fault.

Change: the time is the planned one, and whether it came an atomic value; calls that are answered before their last byte count by when that would have come.

--- a/node/grace_test.go
+++ b/node/grace_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 // lateCall is a request at the node that stops.
 type lateCall struct {
 	id    string
-	sent  time.Time // when its last byte was sent; zero: never
+	sent  time.Time // when its last byte was sent, or would have been after an earlier answer; zero: never
 	ended time.Time
 	work  time.Duration // that a server needs for it
 	code  int           // 0: there was no complete answer
@@ -55,7 +56,7 @@
 // slowBody is a body whose last byte comes late.
 type slowBody struct {
 	until time.Time
-	sent  func()
+	sent  atomic.Bool
 	step  int
 }
 
@@ -67,7 +68,7 @@
 		return 1, nil
 	case 2:
 		time.Sleep(time.Until(body.until))
-		body.sent()
+		body.sent.Store(true)
 		buffer[0] = 'b'
 		return 1, nil
 	}
@@ -145,7 +146,7 @@
 func (test graceCase) call(client *http.Client, address string, random *rand.Rand) lateCall {
 	called := lateCall{id: shedkeel.NewNonce()}
 	called.work = test.workOf(called.id)
-	body := &slowBody{until: time.Now().Add(time.Duration(random.Float64() * float64(test.body))), sent: func() { called.sent = time.Now() }}
+	body := &slowBody{until: time.Now().Add(time.Duration(random.Float64() * float64(test.body)))}
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/fee/"+called.id, body)
 	if err != nil {
 		return called
@@ -163,6 +164,9 @@
 		_ = response.Body.Close()
 	}
 	called.ended = time.Now()
+	if body.sent.Load() || called.code != 0 {
+		called.sent = body.until
+	}
 	return called
 }
 
